--- /dev/null
+++ b/Makefile
@@ -0,0 +1,16 @@
+PYTHON ?= python3
+VENV ?= .venv
+RUN := $(VENV)/bin/python
+READY := $(VENV)/.ready
+
+.PHONY: install demo test lint behave model soak bench-policy bench-relay bench-capacity docs
+
+install: $(READY)
+
+$(READY): pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(VENV)/bin/pip install --quiet --disable-pip-version-check --editable '.[test]'
+	touch $(READY)
+
+demo: $(READY)
+	$(RUN) -m demo.run --seconds 20
--- /dev/null
+++ b/demo/__init__.py
@@ -0,0 +1,1 @@
+"""Start a small deployment on loopback and use it as callers do."""
--- /dev/null
+++ b/roadlift/bundles/__init__.py
@@ -0,0 +1,1 @@
+"""Keep the configuration: bundles, their chain, their head and spreading."""
--- /dev/null
+++ b/roadlift/conf/__init__.py
@@ -0,0 +1,1 @@
+"""Read the settings from flags and environment variables."""
--- /dev/null
+++ b/roadlift/conf/checks.py
@@ -0,0 +1,83 @@
+"""Check the settings before start; each finding has a stable id."""
+
+from roadlift.conf.settings import SETTINGS, Settings
+from roadlift.core.checks import Finding, register
+from roadlift.core.errors import ImproperlyConfigured
+from roadlift.endpoints.api import engine_apis
+from roadlift.policy.eviction import evictors
+from roadlift.policy.placement import placers
+from roadlift.relay.upstream import Address
+
+_ADDRESSES = ("http", "peer", "platform")
+_LISTED_ADDRESSES = ("seeds", "statsd")
+_POSITIVE = tuple(
+    setting.name for setting in SETTINGS if setting.kind in (int, float)
+)  # Every number among the settings is a size, rate or time above zero.
+
+
+@register
+def check_addresses(settings: Settings) -> list[Finding]:
+    """Check that addresses are IP numbers with ports."""
+    found = []
+    for name in _ADDRESSES + _LISTED_ADDRESSES:
+        text = getattr(settings, name)
+        pieces = [piece for piece in text.split(",") if piece]
+        if name in _ADDRESSES and not pieces:
+            pieces = [text]
+        for piece in pieces:
+            try:
+                Address.parse(piece)
+            except (ValueError, OSError):
+                message = f"{name}: an IP number with a port was expected: {piece!r}"
+                hint = "Write it as 127.0.0.1:8080; names are not looked up."
+                found.append(Finding("settings.E001", message, hint))
+    return found
+
+
+@register
+def check_numbers(settings: Settings) -> list[Finding]:
+    """Check that sizes, rates and times are above zero."""
+    found = []
+    for name in _POSITIVE:
+        value = getattr(settings, name)
+        if not value > 0:
+            message = f"{name}: a number above zero was expected: {value!r}"
+            found.append(Finding("settings.E002", message, "Leave it at its default."))
+    return found
+
+
+@register
+def check_plugins(settings: Settings) -> list[Finding]:
+    """Check that the named plug-ins are registered."""
+    found = []
+    kinds = (("placer", placers), ("evictor", evictors), ("engine_api", engine_apis))
+    for name, registry in kinds:
+        try:
+            registry.get(getattr(settings, name))
+        except ImproperlyConfigured as error:
+            hint = f"Set it to one of: {', '.join(registry.names())}."
+            found.append(Finding("settings.E003", f"{name}: {error.detail}", hint))
+    return found
+
+
+@register
+def check_names(settings: Settings) -> list[Finding]:
+    """Check that the instance and its zone have usable names."""
+    found = []
+    for name in ("instance", "zone"):
+        text = getattr(settings, name)
+        if not text or "#" in text or "/" in text:
+            message = f"{name}: a name without # and / was expected: {text!r}"
+            hint = "Use letters, digits, dots and hyphens."
+            found.append(Finding("settings.E004", message, hint))
+    return found
+
+
+@register
+def check_timing(settings: Settings) -> list[Finding]:
+    """Check that times which depend on each other fit."""
+    if settings.suspicion >= settings.heartbeat_period:
+        return []
+    message = "suspicion: a time of at least heartbeat_period was expected"
+    hint = "A suspect needs a heartbeat to refute the suspicion."
+    return [Finding("settings.E005", message, hint)]
--- /dev/null
+++ b/roadlift/conf/settings.py
@@ -0,0 +1,125 @@
+"""Define every setting: its type, default, unit and meaning.
+
+docs/ref/settings.md is generated from this table. A flag goes before its
+environment variable, which goes before the default.
+"""
+
+import inspect
+import os
+from collections.abc import Callable, Mapping
+from typing import Any, NamedTuple
+
+from roadlift.core.errors import ImproperlyConfigured
+
+PREFIX = "ROADLIFT_"
+
+
+class Setting(NamedTuple):
+    """One setting; ``kind`` is str, int, float or bool."""
+
+    name: str
+    kind: type
+    default: Any
+    meaning: str
+
+    @property
+    def variable(self) -> str:
+        """Return the environment variable."""
+        return PREFIX + self.name.upper()
+
+    @property
+    def flag(self) -> str:
+        """Return the flag."""
+        return "--" + self.name.replace("_", "-")
+
+
+SETTINGS = (
+    Setting("instance", str, "entry-1", "Name of this instance, unlike any other's."),
+    Setting("zone", str, "zone-a", "Availability zone of this instance."),
+    Setting("http", str, "127.0.0.1:8080", "IP number and port for callers."),
+    Setting("peer", str, "127.0.0.1:8081", "IP number and port for instances."),
+    Setting("platform", str, "127.0.0.1:8090", "IP number and port of the platform."),
+    Setting("seeds", str, "", "Peer addresses to join by, with commas."),
+    Setting("statsd", str, "", "IP number and port of statsd; empty sends none."),
+    Setting("weight_rate", float, 9.0, "Loads a second of the weight store."),
+    Setting("weight_width", int, 4, "Loads at once of the weight store."),
+    Setting("load_timeout", float, 30.0, "Seconds until a load is in doubt."),
+    Setting("connect_timeout", float, 2.0, "Seconds for an endpoint's short answers."),
+    Setting("answer_timeout", float, 120.0, "Seconds between bytes of an answer."),
+    Setting("queue_timeout", float, 30.0, "Seconds a request waits to be placed."),
+    Setting("store_timeout", float, 2.0, "Seconds for an answer of the platform."),
+    Setting("head_period", float, 1.0, "Seconds between a reader's looks at the head."),
+    Setting("heartbeat_period", float, 1.0, "Seconds between heartbeats."),
+    Setting("suspicion", float, 3.0, "Seconds from suspicion to belief in death."),
+    Setting("report_period", float, 1.0, "Seconds between reports on pins."),
+    Setting("pin_keep", float, 5.0, "Seconds that an idle pin is kept."),
+    Setting("grace", float, 1.0, "Seconds a leaving instance still takes calls."),
+    Setting("drain_limit", float, 600.0, "Seconds after which streams are cut."),
+    Setting("most_body", int, 8388608, "Bytes of the largest request."),
+    Setting("most_running", int, 4096, "Requests at once on this instance."),
+    Setting("retry_share", float, 0.1, "Retries as a part of the requests."),
+    Setting("placer", str, "ring", "Policy that ranks endpoints."),
+    Setting("evictor", str, "aged_frequency", "Policy that evicts copies."),
+    Setting("engine_api", str, "openai", "Plug-in that speaks to the engines."),
+)
+
+
+class Settings:
+    """The settings in force, as attributes of their names."""
+
+    def __init__(self, values: Mapping[str, Any]) -> None:
+        for setting in SETTINGS:
+            setattr(self, setting.name, values.get(setting.name, setting.default))
+
+
+def read_environment(environment: Mapping[str, str]) -> dict[str, Any]:
+    """Return the settings that stand in environment variables."""
+    found: dict[str, Any] = {}
+    for setting in SETTINGS:
+        text = environment.get(setting.variable)
+        if text is not None:
+            found[setting.name] = _convert(setting, text)
+    known = {setting.variable for setting in SETTINGS}
+    for variable in environment:
+        if variable.startswith(PREFIX) and variable not in known:
+            raise ImproperlyConfigured(f"{variable}: there is no such setting")
+    return found
+
+
+def _convert(setting: Setting, text: str) -> Any:
+    try:
+        return setting.kind(text)
+    except ValueError:
+        expected = setting.kind.__name__
+        raise ImproperlyConfigured(
+            f"{setting.variable}: {expected} was expected, not {text!r}"
+        ) from None
+
+
+def make_command(run: Callable[[Settings, bool], None]) -> Callable[..., None]:
+    """Return a function with a parameter a setting, for defopt."""
+    defaults = read_environment(os.environ)
+
+    def command(*, check: bool = False, **values: Any) -> None:
+        run(Settings(values), check)
+
+    parameters = [
+        inspect.Parameter("check", inspect.Parameter.KEYWORD_ONLY, default=False)
+    ]
+    lines = ["Run an entry instance of roadlift.", ""]
+    lines.append(":param check: Only check the settings, and exit.")
+    annotations: dict[str, type] = {"check": bool}
+    for setting in SETTINGS:
+        default = defaults.get(setting.name, setting.default)
+        parameters.append(
+            inspect.Parameter(
+                setting.name, inspect.Parameter.KEYWORD_ONLY, default=default
+            )
+        )
+        annotations[setting.name] = setting.kind
+        lines.append(f":param {setting.name}: {setting.meaning} [{setting.variable}]")
+    command.__signature__ = inspect.Signature(parameters)
+    command.__annotations__ = annotations
+    command.__doc__ = "\n".join(lines)
+    command.__name__ = "roadliftd"
+    return command
--- /dev/null
+++ b/roadlift/core/__init__.py
@@ -0,0 +1,1 @@
+"""Hold the kernel: clock, errors, loop, checks and registries."""
--- /dev/null
+++ b/roadlift/core/errors.py
@@ -0,0 +1,238 @@
+"""Define the failures of roadlift; each has a type and a stable code.
+
+``Outcome`` separates what a caller has to know before it tries again: a
+request that did not run, one of which nobody knows, and one that ran and
+failed.
+"""
+
+import enum
+from typing import ClassVar
+
+
+class Outcome(enum.StrEnum):
+    """What is known about the run of a refused request."""
+
+    NOT_RUN = "not_run"
+    UNKNOWN = "unknown"
+    FAILED = "failed"
+
+
+class RoadliftError(Exception):
+    """The base of every failure.
+
+    ``code`` is stable and documented in docs/ref/errors.md; ``status`` is
+    the HTTP status towards callers; ``retry_after`` is in seconds.
+    """
+
+    code: ClassVar[str] = "internal_error"
+    status: ClassVar[int] = 500
+    outcome: ClassVar[Outcome] = Outcome.UNKNOWN
+
+    def __init__(self, detail: str = "", retry_after: float | None = None) -> None:
+        super().__init__(f"{self.code}: {detail}" if detail else self.code)
+        self.detail = detail
+        self.retry_after = retry_after
+
+
+class ImproperlyConfigured(RoadliftError):
+    """A setting is missing or wrong."""
+
+    code = "improperly_configured"
+    outcome = Outcome.NOT_RUN
+
+
+class InvalidRequest(RoadliftError):
+    """The caller's request can't be understood."""
+
+    code = "invalid_request"
+    status = 400
+    outcome = Outcome.NOT_RUN
+
+
+class RequestTooLarge(RoadliftError):
+    """The caller's request is larger than the limit."""
+
+    code = "request_too_large"
+    status = 413
+    outcome = Outcome.NOT_RUN
+
+
+class UnknownModel(RoadliftError):
+    """No adapter and version of that name is in the bundle in force."""
+
+    code = "unknown_model"
+    status = 404
+    outcome = Outcome.NOT_RUN
+
+
+class UnknownService(RoadliftError):
+    """No service of that name is in the bundle in force."""
+
+    code = "unknown_service"
+    status = 404
+    outcome = Outcome.NOT_RUN
+
+
+class UnknownPath(RoadliftError):
+    """No resource has that path."""
+
+    code = "unknown_path"
+    status = 404
+    outcome = Outcome.NOT_RUN
+
+
+class NoBundle(RoadliftError):
+    """The instance has not heard of any bundle yet."""
+
+    code = "no_bundle"
+    status = 503
+    outcome = Outcome.NOT_RUN
+
+
+class Overloaded(RoadliftError):
+    """A queue or limit is full; the request was refused early."""
+
+    code = "overloaded"
+    status = 429
+    outcome = Outcome.NOT_RUN
+
+
+class Draining(RoadliftError):
+    """The instance is leaving and takes no new work."""
+
+    code = "draining"
+    status = 503
+    outcome = Outcome.NOT_RUN
+
+
+class NoEndpoint(RoadliftError):
+    """No endpoint could be had for the request within its time."""
+
+    code = "no_endpoint"
+    status = 503
+    outcome = Outcome.NOT_RUN
+
+
+class RefusedByEndpoint(RoadliftError):
+    """The endpoint refused the request before it ran."""
+
+    code = "refused_by_endpoint"
+    status = 503
+    outcome = Outcome.NOT_RUN
+
+
+class EndpointUnreachable(RoadliftError):
+    """No byte of the request reached the endpoint."""
+
+    code = "endpoint_unreachable"
+    status = 503
+    outcome = Outcome.NOT_RUN
+
+
+class ConnectionLost(RoadliftError):
+    """The connection was lost after a byte of the request was written."""
+
+    code = "connection_lost"
+    status = 502
+    outcome = Outcome.UNKNOWN
+
+
+class EndpointFailed(RoadliftError):
+    """The endpoint answered with an error of its own."""
+
+    code = "endpoint_failed"
+    status = 502
+    outcome = Outcome.FAILED
+
+
+class StreamCut(RoadliftError):
+    """The endpoint ended a stream early and it could not be resumed."""
+
+    code = "stream_cut"
+    status = 502
+    outcome = Outcome.FAILED
+
+
+class RequestTimeout(RoadliftError):
+    """The endpoint gave no answer in time, after the request was sent."""
+
+    code = "request_timeout"
+    status = 504
+    outcome = Outcome.UNKNOWN
+
+
+class IdempotencyUnavailable(RoadliftError):
+    """The table service is away, so the claim can't be made."""
+
+    code = "idempotency_unavailable"
+    status = 503
+    outcome = Outcome.NOT_RUN
+
+
+class IdempotencyInProgress(RoadliftError):
+    """Another call with the key was claimed and has no answer yet."""
+
+    code = "idempotency_in_progress"
+    status = 409
+    outcome = Outcome.UNKNOWN
+
+
+class IdempotencyMismatch(RoadliftError):
+    """The key was used before with another request."""
+
+    code = "idempotency_mismatch"
+    status = 422
+    outcome = Outcome.NOT_RUN
+
+
+class InvalidBundle(RoadliftError):
+    """A bundle breaks the schema; the detail names file and path."""
+
+    code = "invalid_bundle"
+    status = 400
+    outcome = Outcome.NOT_RUN
+
+
+class BundleConflict(RoadliftError):
+    """The head has moved since the bundle was proposed."""
+
+    code = "bundle_conflict"
+    status = 409
+    outcome = Outcome.NOT_RUN
+
+
+class BundleNotSigned(RoadliftError):
+    """A bundle needs the sign-off of a second operator before it rolls."""
+
+    code = "bundle_not_signed"
+    status = 409
+    outcome = Outcome.NOT_RUN
+
+
+class PlatformUnavailable(RoadliftError):
+    """The platform's table service or object store did not answer."""
+
+    code = "platform_unavailable"
+    status = 503
+    outcome = Outcome.UNKNOWN
+
+
+class VersionConflict(RoadliftError):
+    """A compare-and-set met another version of the row."""
+
+    code = "version_conflict"
+    status = 412
+    outcome = Outcome.NOT_RUN
+
+
+class MalformedMessage(RoadliftError):
+    """A message between instances can't be decoded."""
+
+    code = "malformed_message"
+    outcome = Outcome.NOT_RUN
+
+
+def list_errors() -> list[type[RoadliftError]]:
+    """Return every error type, sorted by code."""
+    found = [RoadliftError, *RoadliftError.__subclasses__()]
+    return sorted(found, key=lambda error: error.code)
--- /dev/null
+++ b/roadlift/core/kernel.py
@@ -0,0 +1,81 @@
+"""Start and close the parts of a process; each registers itself.
+
+A part is a class that takes the kernel and has ``start`` and ``close``. The
+kernel starts the parts in the order in which they need each other and closes
+them in the reverse one.
+"""
+
+from typing import ClassVar, Protocol, TypeVar
+
+from circuits import Component
+
+from roadlift.core.clock import Clock, MonotonicClock
+from roadlift.core.errors import ImproperlyConfigured
+from roadlift.core.loop import Loop
+from roadlift.core.registry import Registry
+
+parts: Registry = Registry("part")
+
+
+class Part(Protocol):
+    """A part of the process; ``needs`` names parts that start before it."""
+
+    needs: ClassVar[tuple[str, ...]]
+
+    def start(self) -> None:
+        """Take up work."""
+
+    def close(self) -> None:
+        """Give up every socket and timer."""
+
+
+PartType = TypeVar("PartType")
+
+
+class Kernel(Component):
+    """The root component: the settings, the clock, the loop and the parts."""
+
+    channel = "kernel"
+
+    def __init__(self, settings: object, clock: Clock | None = None) -> None:
+        super().__init__(channel=self.channel)
+        self.settings = settings
+        self.clock = clock or MonotonicClock()
+        self.loop = Loop(self.clock)
+        self.loop.register(self)
+        self._parts: dict[str, Part] = {}
+        self._is_open = False
+
+    def get(self, kind: type[PartType]) -> PartType:
+        """Return the part of a type; its name is in ``kind.name``."""
+        part = self._parts.get(kind.name)
+        if part is None:
+            raise ImproperlyConfigured(f"part {kind.name!r} was not started")
+        return part
+
+    def open(self) -> None:
+        """Build and start every registered part, needed ones first."""
+        for name in parts.names():
+            self._build(name, ())
+        self._is_open = True
+        for part in list(self._parts.values()):
+            part.start()
+
+    def close(self) -> None:
+        """Close the parts in reverse order; a second time does nothing."""
+        if not self._is_open:
+            return
+        self._is_open = False
+        for part in reversed(list(self._parts.values())):
+            part.close()
+
+    def _build(self, name: str, path: tuple[str, ...]) -> None:
+        if name in self._parts:
+            return
+        if name in path:
+            cycle = " > ".join((*path, name))
+            raise ImproperlyConfigured(f"parts need each other: {cycle}")
+        kind = parts.get(name)
+        for needed in kind.needs:
+            self._build(needed, (*path, name))
+        self._parts[name] = kind(self)
--- /dev/null
+++ b/roadlift/core/loop.py
@@ -0,0 +1,141 @@
+"""Poll sockets and timers on the one loop and thread of a process.
+
+``Loop`` is the poller of circuits with a second, direct way for sockets
+whose bytes are relayed: readiness calls a function instead of firing an
+event, since an event for each chunk of a stream costs tens of microseconds.
+Timers run on the clock of the runtime; those of circuits read the wall clock.
+"""
+
+import heapq
+import itertools
+import select
+from collections.abc import Callable
+
+from circuits.core.handlers import handler
+from circuits.core.pollers import EPoll
+
+from roadlift.core.clock import Clock
+
+_READ = select.EPOLLIN
+_WRITE = select.EPOLLOUT
+_HANGUP = select.EPOLLHUP | select.EPOLLERR
+MAX_WAIT = 1.0  # Seconds that one poll waits at most.
+
+
+class Timer:
+    """One call in the future; ``close`` takes it back."""
+
+    __slots__ = ("call", "closed")
+
+    def __init__(self, call: Callable[[], None]) -> None:
+        self.call = call
+        self.closed = False
+
+    def close(self) -> None:
+        """Take the call back; a second time does nothing."""
+        self.closed = True
+
+
+class _Watch:
+    __slots__ = ("on_read", "on_write", "mask")
+
+    def __init__(self) -> None:
+        self.on_read: Callable[[], None] | None = None
+        self.on_write: Callable[[], None] | None = None
+        self.mask = 0
+
+
+class Loop(EPoll):
+    """The poller of circuits, with direct watches and runtime timers."""
+
+    channel = "loop"
+
+    def __init__(self, clock: Clock) -> None:
+        super().__init__(channel=self.channel)
+        self.clock = clock
+        self._watches: dict[int, _Watch] = {}
+        self._timers: list[tuple[float, int, Timer]] = []
+        self._serial = itertools.count()
+
+    def call_later(self, seconds: float, call: Callable[[], None]) -> Timer:
+        """Call ``call`` once after ``seconds`` of the runtime's clock."""
+        timer = Timer(call)
+        due = self.clock.now() + seconds
+        heapq.heappush(self._timers, (due, next(self._serial), timer))
+        return timer
+
+    def call_every(self, seconds: float, call: Callable[[], None]) -> Timer:
+        """Call ``call`` each ``seconds`` until the timer is closed."""
+        outer = Timer(call)
+
+        def run() -> None:
+            if outer.closed:
+                return
+            self.call_later(seconds, run)
+            call()
+
+        self.call_later(seconds, run)
+        return outer
+
+    def watch(
+        self,
+        fileno: int,
+        on_read: Callable[[], None] | None = None,
+        on_write: Callable[[], None] | None = None,
+    ) -> None:
+        """Call the functions when ``fileno`` is ready; None means not."""
+        watch = self._watches.get(fileno)
+        mask = (_READ if on_read else 0) | (_WRITE if on_write else 0)
+        if watch is None:
+            watch = self._watches[fileno] = _Watch()
+            self._poller.register(fileno, mask)
+        elif mask != watch.mask:
+            self._poller.modify(fileno, mask)
+        watch.mask = mask
+        watch.on_read = on_read
+        watch.on_write = on_write
+
+    def unwatch(self, fileno: int) -> None:
+        """Stop watching ``fileno``; one that is not watched does nothing."""
+        if self._watches.pop(fileno, None) is None:
+            return
+        try:
+            self._poller.unregister(fileno)
+        except OSError:
+            # The socket was closed already, which unregisters it.
+            pass
+
+    @handler("generate_events", priority=-9)
+    def _on_generate_events(self, event) -> None:
+        event.stop()
+        self._poll(event)
+        self._run_timers()
+
+    def _poll(self, event) -> None:
+        wait = self._measure_wait()
+        if event.time_left >= 0:
+            wait = min(wait, event.time_left)
+        for fileno, mask in self._poller.poll(wait):
+            self._process(fileno, mask)
+
+    def _measure_wait(self) -> float:
+        if not self._timers:
+            return MAX_WAIT
+        return min(MAX_WAIT, max(0.0, self._timers[0][0] - self.clock.now()))
+
+    def _run_timers(self) -> None:
+        now = self.clock.now()
+        while self._timers and self._timers[0][0] <= now:
+            timer = heapq.heappop(self._timers)[2]
+            if not timer.closed:
+                timer.call()
+
+    def _process(self, fileno: int, event: int) -> None:
+        watch = self._watches.get(fileno)
+        if watch is None:
+            super()._process(fileno, event)
+            return
+        if event & (_READ | _HANGUP) and watch.on_read:
+            watch.on_read()
+        if event & (_WRITE | _HANGUP) and watch.on_write:
+            watch.on_write()
--- /dev/null
+++ b/roadlift/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""Assemble the parts into the daemon of an entry instance."""
--- /dev/null
+++ b/roadlift/daemon/exchange.py
@@ -0,0 +1,465 @@
+"""Carry one caller's call to an endpoint and its answer back.
+
+An exchange claims the idempotency key where there is one, finds a pinned copy
+or a service, sends the call, relays the answer, and on a failure tries again
+where the rules of roadlift/retries allow.
+"""
+
+from typing import NamedTuple
+
+from roadlift.burn.record import Sample
+from roadlift.core.errors import (
+    EndpointFailed,
+    NoEndpoint,
+    Outcome,
+    RefusedByEndpoint,
+    RoadliftError,
+    StreamCut,
+)
+from roadlift.core.kernel import Kernel
+from roadlift.core.logs import PartLog
+from roadlift.daemon.bundles import Bundles
+from roadlift.daemon.calls import Calls
+from roadlift.daemon.members import Members
+from roadlift.daemon.metrics import Metrics
+from roadlift.daemon.pins import Pins, Waiter
+from roadlift.endpoints.api import engine_apis
+from roadlift.endpoints.events import EventFrames
+from roadlift.idempotency.claims import (
+    Claim,
+    StoredAnswer,
+    compute_fingerprint,
+    compute_key,
+)
+from roadlift.pins.table import HeldPin
+from roadlift.relay.caller import CallerStream
+from roadlift.relay.upstream import Address, Request
+from roadlift.relay.upstream import Call as UpstreamCall
+from roadlift.retries.rules import may_retry
+
+MOST_TRIES = 8
+MOST_ERROR_BODY = 4096  # Bytes kept of an endpoint's error.
+PASSED_HEADERS = ("content-type", "retry-after")
+
+log = PartLog("exchange")
+
+
+class Call(NamedTuple):
+    """What a caller asks for.
+
+    ``key`` is the idempotency key, or empty; ``repeatable`` tells that the
+    call is idempotent by itself; ``model`` and ``content`` are given for
+    engines alone.
+    """
+
+    method: str
+    path: str
+    headers: dict[str, str]
+    body: bytes
+    service: str
+    key: str
+    repeatable: bool
+    model: str = ""
+    content: dict = {}
+
+
+class Exchange:
+    """What engine and service exchanges share.
+
+    ``judged_from`` is the lowest status that is judged here; answers below
+    it are passed to the caller.
+    """
+
+    judged_from = 400
+
+    def __init__(
+        self, kernel: Kernel, gateway, call: Call, caller: CallerStream
+    ) -> None:
+        self.call = call
+        self._kernel = kernel
+        self._settings = kernel.settings
+        self._gateway = gateway
+        self._caller = caller
+        self._bundles = kernel.get(Bundles)
+        self._metrics = kernel.get(Metrics)
+        self._calls = kernel.get(Calls)
+        self._service = self._bundles.bundle.get_service(call.service)
+        self._claim: Claim | None = None
+        self._kept = bytearray() if call.key else None
+        self._kept_head: tuple[int, dict[str, str]] = (0, {})
+        self._upstream: UpstreamCall | None = None
+        self._head: tuple[int, dict[str, str]] | None = None
+        self._error_body = bytearray()
+        self._tries = 0
+        self._is_over = False
+        self._began_at = kernel.clock.now()
+        self._first_byte_at: float | None = None
+        self._stall = 0.0
+        caller.on_gone = self._on_gone
+        caller.on_drained = self._on_drained
+
+    # The course of an exchange.
+
+    def start(self) -> None:
+        """Begin, with the claim where the call has a key."""
+        self._metrics.count("requests")
+        self._calls.budget.earn()
+        if not self.call.key:
+            self._try()
+            return
+        tenant = self._service["tenant"] if self._service else ""
+        key = compute_key(tenant, self.call.key)
+        target = f"{self.call.service} {self.call.path}"
+        fingerprint = compute_fingerprint(target, self.call.body)
+        claims = self._calls.claims
+        claims.claim(key, fingerprint, self._on_claim, self._on_stored, self._fail)
+
+    def close(self) -> None:
+        """Cut the exchange, as the process ends."""
+        if self._is_over:
+            return
+        if self._upstream is not None:
+            self._upstream.close()
+        self._caller.close()
+        self._end()
+
+    def _on_claim(self, claim: Claim) -> None:
+        self._claim = claim
+        self._try()
+
+    def _on_stored(self, answer: StoredAnswer) -> None:
+        headers = {**answer.headers, "X-Roadlift-Replayed": "true"}
+        self._first_byte_at = self._kernel.clock.now()
+        self._caller.answer(answer.status, headers, answer.body)
+        self._end()
+
+    def _try(self) -> None:
+        raise NotImplementedError
+
+    def _leave_endpoint(self) -> None:
+        """Give up what was held for the endpoint of the last try."""
+
+    def _describe(self) -> dict[str, str]:
+        """Return the headers that say what ran the call."""
+        return {}
+
+    def _send(self, address: Address, request: Request) -> None:
+        self._tries += 1
+        self._head = None
+        self._kept_head = (0, {})
+        if self._kept is not None:
+            self._kept.clear()
+        self._open(address, request)
+
+    def _open(self, address: Address, request: Request) -> None:
+        timeout = self._settings.answer_timeout
+        self._upstream = UpstreamCall(
+            self._kernel.loop, address, request, self, timeout
+        )
+        self._upstream.start()
+
+    @property
+    def _is_refusal(self) -> bool:
+        """Tell whether the answer is judged here, and not passed on."""
+        return self._head is not None and self._head[0] >= self.judged_from
+
+    # The receiver of the upstream call.
+
+    def receive_head(self, status: int, headers: dict[str, str]) -> None:
+        """Take the head; an answer below 400 goes to the caller."""
+        self._head = (status, headers)
+        self._error_body.clear()
+        if self._is_refusal:
+            return
+        passed = {
+            name.title(): headers[name] for name in PASSED_HEADERS if name in headers
+        }
+        passed.update(self._describe())
+        self._kept_head = (status, passed)
+        length = headers.get("content-length")
+        self._caller.write_head(status, passed, int(length) if length else None)
+
+    def receive_body(self, data: bytes) -> None:
+        """Relay body bytes and feel the caller's back-pressure."""
+        if self._is_refusal:
+            self._error_body += data[: MOST_ERROR_BODY - len(self._error_body)]
+            return
+        if self._first_byte_at is None:
+            self._first_byte_at = self._kernel.clock.now()
+        self._upstream.extend()
+        self._pass(data)
+
+    def receive_end(self) -> None:
+        """End a whole answer, or judge a refusal."""
+        if self._is_refusal:
+            self._on_failure(self._judge(self._head[0], bytes(self._error_body)))
+            return
+        self._finish()
+
+    def receive_error(self, error: RoadliftError) -> None:
+        """Try again or end the answer as what it is."""
+        if self._head is not None and not self._is_refusal:
+            error = StreamCut(error.detail)
+        self._on_failure(error)
+
+    def _pass(self, data: bytes) -> None:
+        if self._kept is not None:
+            self._kept += data
+        self._caller.write(data)
+        if self._caller.is_full:
+            self._upstream.pause()
+
+    def _judge(self, status: int, body: bytes) -> RoadliftError:
+        raise NotImplementedError
+
+    def _finish(self) -> None:
+        self._leave_endpoint()
+        if self._claim is not None:
+            status, headers = self._kept_head
+            answer = StoredAnswer(status, headers, bytes(self._kept))
+            self._calls.claims.settle(self._claim, answer)
+        self._caller.finish()
+        self._end()
+
+    def _on_failure(self, error: RoadliftError) -> None:
+        self._leave_endpoint()
+        if self._is_over:
+            return
+        repeatable = self.call.repeatable and not self.call.key
+        allowed = may_retry(error, repeatable, self._caller.started)
+        if not allowed or self._tries >= MOST_TRIES:
+            self._fail(error)
+            return
+        if not self._calls.budget.spend():
+            self._fail(error)
+            return
+        self._metrics.count("retries")
+        self._try()
+
+    def _fail(self, error: RoadliftError) -> None:
+        """Give the caller the final answer at once."""
+        if self._is_over:
+            return
+        if self._claim is not None:
+            self._settle_failure(error)
+        counts = {
+            Outcome.NOT_RUN: "refused",
+            Outcome.UNKNOWN: "unknown",
+            Outcome.FAILED: "failed",
+        }
+        self._metrics.count(counts[error.outcome])
+        self._caller.answer_error(error, self._describe())
+        self._end(error)
+
+    def _settle_failure(self, error: RoadliftError) -> None:
+        """Release a claim that did not run; one in doubt stays claimed."""
+        if error.outcome is Outcome.NOT_RUN:
+            self._calls.claims.release(self._claim)
+
+    # The caller.
+
+    def _on_gone(self) -> None:
+        """Cancel the run of a caller that went away.
+
+        A call with an idempotency key runs on: its caller only watches, and
+        comes back for the answer with the same key.
+        """
+        if self._is_over or self._claim is not None:
+            return
+        self._metrics.count("cancelled")
+        if self._upstream is not None:
+            self._upstream.close()
+        self._leave_endpoint()
+        self._end()
+
+    def _on_drained(self) -> None:
+        if self._upstream is not None:
+            self._upstream.resume()
+
+    def _end(self, error: RoadliftError | None = None) -> None:
+        if self._is_over:
+            return
+        self._is_over = True
+        self._note_burn(error)
+        self._gateway.finish(self)
+
+    def _note_burn(self, error: RoadliftError | None) -> None:
+        if self._service is None:
+            return
+        now = self._kernel.clock.now()
+        first = (self._first_byte_at or now) - self._began_at
+        self._metrics.time("first_byte", first)
+        good = error is None and first <= self._service["first_token"]
+        sample = Sample(
+            self._service["tenant"],
+            self.call.service,
+            self._service["priority"],
+            self._service["share"],
+            good,
+            first,
+            self._stall,
+        )
+        self._gateway.burn.add(sample, now)
+
+
+class EngineExchange(Exchange):
+    """A call to an adapter's version on an engine."""
+
+    def __init__(
+        self, kernel: Kernel, gateway, call: Call, caller: CallerStream
+    ) -> None:
+        super().__init__(kernel, gateway, call, caller)
+        self._pins = kernel.get(Pins)
+        self._api = engine_apis.get(self._settings.engine_api)()
+        self._pin: HeldPin | None = None
+        self._frames: EventFrames | None = None
+        self._resume_from: dict[str, str] = {}
+        self._placing_since = 0.0
+        self._is_waiting = False
+        self._address: Address | None = None
+
+    @property
+    def _priority(self) -> str:
+        return self._service["priority"] if self._service else "standard"
+
+    def _try(self) -> None:
+        now = self._kernel.clock.now()
+        self._placing_since = now
+        self._is_waiting = True
+        deadline = now + self._settings.queue_timeout
+        waiter = Waiter(self._priority, deadline, self._on_pin, self._on_no_pin)
+        self._pins.place(self.call.model, waiter)
+
+    def _on_pin(self, pin: HeldPin) -> None:
+        self._is_waiting = False
+        waited = self._kernel.clock.now() - self._placing_since
+        self._stall += waited
+        self._metrics.time("load_stall", waited)
+        entry = self._bundles.bundle.get_endpoint(pin.endpoint)
+        if self._is_over:
+            return
+        if entry is None or not self._pins.table.begin(pin):
+            self._on_failure(NoEndpoint(pin.endpoint))
+            return
+        self._pin = pin
+        self._address = Address.parse(entry["address"])
+        request = self._api.build_run(
+            self.call.path, self.call.content, pin.copy, self._priority
+        )
+        self._send(self._address, request)
+
+    def _on_no_pin(self, error: RoadliftError) -> None:
+        self._is_waiting = False
+        self._fail(error)
+
+    def _leave_endpoint(self) -> None:
+        if self._pin is not None:
+            pin, self._pin = self._pin, None
+            self._pins.end(pin)
+
+    def _describe(self) -> dict[str, str]:
+        adapter, _, version = self.call.model.partition("@")
+        said = {"X-Roadlift-Adapter": adapter, "X-Roadlift-Version": version}
+        if self._pin is not None:
+            said["X-Roadlift-Endpoint"] = self._pin.endpoint
+            said["X-Roadlift-Stall"] = f"{self._stall:.3f}"
+        return said
+
+    def _judge(self, status: int, body: bytes) -> RoadliftError:
+        error = self._api.judge_refusal(status, body)
+        is_gone = isinstance(error, RefusedByEndpoint) and status == 404
+        if is_gone and self._pin is not None:
+            self._pins.drop(self._pin)
+        return error
+
+    def receive_head(self, status: int, headers: dict[str, str]) -> None:
+        """Take the head; the events of a stream are framed for resuming."""
+        if self._frames is not None:
+            # A resumed stream goes on under the head that the caller has.
+            self._head = (status, headers)
+            self._error_body.clear()
+            return
+        super().receive_head(status, headers)
+        if status < 400 and "text/event-stream" in headers.get("content-type", ""):
+            self._frames = EventFrames()
+            self._resume_from = headers
+
+    def _pass(self, data: bytes) -> None:
+        if self._frames is not None:
+            data = self._frames.take_whole(data)
+        super()._pass(data)
+
+    def _finish(self) -> None:
+        if self._frames is not None and not self._frames.is_ended:
+            self._on_failure(StreamCut("the stream has no end mark"))
+            return
+        super()._finish()
+
+    def _on_failure(self, error: RoadliftError) -> None:
+        if self._frames is not None and self._resume():
+            return
+        super()._on_failure(error)
+
+    def _resume(self) -> bool:
+        """Go on with a cut stream behind the last whole event."""
+        last_id = self._frames.cut()
+        request = self._api.build_resume(self._resume_from, last_id)
+        if request is None or self._tries >= MOST_TRIES or self._pin is None:
+            return False
+        self._metrics.count("resumed")
+        self._tries += 1
+        self._open(self._address, request)
+        return True
+
+
+class ServiceExchange(Exchange):
+    """A call to a plain service beside the engines."""
+
+    judged_from = 500
+
+    def __init__(
+        self, kernel: Kernel, gateway, call: Call, caller: CallerStream
+    ) -> None:
+        super().__init__(kernel, gateway, call, caller)
+        self._members = kernel.get(Members)
+        self._endpoint = ""
+        self._avoided: set[str] = set()
+
+    def _try(self) -> None:
+        name = self._choose()
+        if name is None:
+            self._fail(NoEndpoint(f"no endpoint of {self.call.service}", 1.0))
+            return
+        self._endpoint = name
+        self._avoided.add(name)
+        self._calls.begin(name)
+        entry = self._bundles.bundle.get_endpoint(name)
+        request = Request(
+            self.call.method, self.call.path, self.call.headers, self.call.body
+        )
+        self._send(Address.parse(entry["address"]), request)
+
+    def _choose(self) -> str | None:
+        """Return the least busy endpoint, in this zone where there is one."""
+        bundle = self._bundles.bundle
+        own_zone = self._members.detector.own.zone
+        found = []
+        for name in bundle.list_names("endpoints"):
+            entry = bundle.get_endpoint(name)
+            if entry["kind"] != "service" or entry["service"] != self.call.service:
+                continue
+            if name not in self._avoided:
+                is_far = entry["zone"] != own_zone
+                found.append((is_far, self._calls.count(name), name))
+        return min(found)[2] if found else None
+
+    def _leave_endpoint(self) -> None:
+        if self._endpoint:
+            self._calls.end(self._endpoint)
+            self._endpoint = ""
+
+    def _describe(self) -> dict[str, str]:
+        return {"X-Roadlift-Endpoint": self._endpoint} if self._endpoint else {}
+
+    def _judge(self, status: int, body: bytes) -> RoadliftError:
+        return EndpointFailed(f"status {status}")
--- /dev/null
+++ b/roadlift/daemon/gateway.py
@@ -0,0 +1,194 @@
+"""Take callers' requests by HTTP and hand each to the exchange it needs."""
+
+import json
+
+from circuits import BaseComponent, handler
+from circuits.web.servers import BaseServer
+
+from roadlift.burn.record import BurnRecord
+from roadlift.core.errors import (
+    Draining,
+    InvalidRequest,
+    NoBundle,
+    Overloaded,
+    RequestTooLarge,
+    RoadliftError,
+    UnknownModel,
+    UnknownPath,
+    UnknownService,
+)
+from roadlift.core.kernel import Kernel, parts
+from roadlift.core.logs import PartLog
+from roadlift.daemon.bundles import Bundles
+from roadlift.daemon.exchange import Call, EngineExchange, Exchange, ServiceExchange
+from roadlift.daemon.status import Status
+from roadlift.policy.admission import Admission, Limits
+from roadlift.relay.caller import CallerStream, encode_error
+
+ENGINE_PATHS = ("/v1/completions", "/v1/chat/completions")
+SERVICE_PREFIX = "/services/"
+SERVICE_HEADER = "X-Service"
+KEY_HEADER = "Idempotency-Key"
+MOST_KEY = 255  # Characters of an idempotency key.
+READ_SIZE = 65536
+
+log = PartLog("gateway")
+
+
+class Server(BaseServer):
+    """The web server of circuits, which leaves signals to the drain."""
+
+    @handler("signal")
+    def _on_signal(self, *args) -> None:
+        """Leave signals to the drain; circuits would stop at once."""
+
+    @handler("ready")
+    def _on_ready(self, server, bind) -> None:
+        log.info("Callers are served at %s:%s.", *bind)
+
+
+class _Requests(BaseComponent):
+    """The handler of circuits' request events."""
+
+    channel = "web"
+
+    def __init__(self, gateway: "Gateway") -> None:
+        super().__init__(channel=self.channel)
+        self._gateway = gateway
+
+    @handler("request", priority=1.0)
+    def _on_request(self, event, request, response):
+        event.stop()
+        return self._gateway.handle(request, response)
+
+
+@parts.register("gateway")
+class Gateway:
+    """The HTTP side of this process towards callers."""
+
+    name = "gateway"
+    needs = ("bundles", "calls", "metrics", "owners", "pins", "status")
+
+    def __init__(self, kernel: Kernel) -> None:
+        self._kernel = kernel
+        self._settings = kernel.settings
+        self._bundles = kernel.get(Bundles)
+        self._status = kernel.get(Status)
+        self._server: Server | None = None
+        self._exchanges: set[Exchange] = set()
+        self.admission = Admission(Limits(self._settings.most_running))
+        self.burn = BurnRecord()
+        self.is_closed = False
+        self._status.attach(self)
+
+    @property
+    def running(self) -> int:
+        """Return the requests in flight."""
+        return len(self._exchanges)
+
+    def start(self) -> None:
+        """Bind the server and register it with the loop."""
+        self._server = Server(self._settings.http, bufsize=READ_SIZE)
+        self._server.register(self._kernel)
+        _Requests(self).register(self._server)
+
+    def close(self) -> None:
+        """Cut what is left and close the server's sockets."""
+        for exchange in list(self._exchanges):
+            exchange.close()
+        self._server.server.close()
+
+    def handle(self, request, response):
+        """Answer a small request at once; hand a call to an exchange."""
+        response.headers["Content-Type"] = "application/json"
+        try:
+            answer = self._status.answer(request.method, request.path)
+            if answer is not None:
+                response.status = answer.status
+                response.headers["Content-Type"] = answer.headers["Content-Type"]
+                return answer.body
+            self._begin(request, response)
+            return True
+        except RoadliftError as error:
+            return self._refuse(response, error)
+
+    def finish(self, exchange: Exchange) -> None:
+        """Forget an exchange that is over."""
+        self._exchanges.discard(exchange)
+        self.admission.leave(exchange.call.service)
+
+    def _refuse(self, response, error: RoadliftError) -> bytes:
+        response.status = error.status
+        if error.retry_after is not None:
+            response.headers["Retry-After"] = str(max(1, round(error.retry_after)))
+        return encode_error(error)
+
+    def _begin(self, request, response) -> None:
+        if self.is_closed:
+            raise Draining(retry_after=1.0)
+        body = request.body.read()
+        if len(body) > self._settings.most_body:
+            raise RequestTooLarge(f"{len(body)} bytes")
+        if request.path in ENGINE_PATHS:
+            call, kind = self._read_engine_call(request, body), EngineExchange
+        elif request.path.startswith(SERVICE_PREFIX):
+            call, kind = self._read_service_call(request, body), ServiceExchange
+        else:
+            raise UnknownPath(request.path)
+        entry = self._bundles.bundle.get_service(call.service)
+        most = entry["most_queued"] if entry else self._settings.most_running
+        if not self.admission.admit(call.service, most):
+            raise Overloaded(f"service {call.service!r} is at its limit", 1.0)
+        caller = CallerStream(self._kernel.loop, self._server, request, response)
+        exchange = kind(self._kernel, self, call, caller)
+        self._exchanges.add(exchange)
+        exchange.start()
+
+    def _read_engine_call(self, request, body: bytes) -> Call:
+        if request.method != "POST":
+            raise InvalidRequest(f"{request.path} takes POST, not {request.method}")
+        content = _read_object(body)
+        name = content.get("model")
+        if not isinstance(name, str):
+            raise InvalidRequest("$.model: adapter@version was expected")
+        if self._bundles.chain.head.number == 0:
+            raise NoBundle(retry_after=1.0)
+        found = self._bundles.find_model(name)
+        if found is None:
+            raise UnknownModel(name)
+        services = found.adapter["services"]
+        service = request.headers.get(SERVICE_HEADER) or (services or [""])[0]
+        if service and service not in services:
+            raise UnknownService(f"{name} is not assigned to {service!r}")
+        key = _read_key(request)
+        return Call("POST", request.path, {}, body, service, key, True, name, content)
+
+    def _read_service_call(self, request, body: bytes) -> Call:
+        service, _, path = request.path[len(SERVICE_PREFIX) :].partition("/")
+        if self._bundles.bundle.get_service(service) is None:
+            raise UnknownService(service)
+        query = f"?{request.qs}" if request.qs else ""
+        kind = request.headers.get("Content-Type", "application/octet-stream")
+        key = _read_key(request)
+        repeatable = request.method in ("GET", "HEAD", "PUT", "DELETE", "OPTIONS")
+        headers = {"Content-Type": kind}
+        return Call(
+            request.method, f"/{path}{query}", headers, body, service, key, repeatable
+        )
+
+
+def _read_object(body: bytes) -> dict:
+    try:
+        content = json.loads(body)
+    except ValueError as error:
+        raise InvalidRequest(f"the body is not JSON: {error}") from error
+    if not isinstance(content, dict):
+        raise InvalidRequest("$: an object was expected")
+    return content
+
+
+def _read_key(request) -> str:
+    key = request.headers.get(KEY_HEADER, "")
+    if len(key) > MOST_KEY:
+        raise InvalidRequest(f"{KEY_HEADER} has more than {MOST_KEY} characters")
+    return key
--- /dev/null
+++ b/roadlift/daemon/leaving.py
@@ -0,0 +1,55 @@
+"""Leave on SIGTERM without cutting off a request."""
+
+from roadlift.core.kernel import Kernel, parts
+from roadlift.core.logs import PartLog
+from roadlift.daemon.gateway import Gateway
+from roadlift.daemon.members import Members
+from roadlift.daemon.owners import Owners
+from roadlift.daemon.status import Status
+from roadlift.draining.drain import Drain, Phase
+
+TICK = 0.1  # Seconds.
+
+log = PartLog("leaving")
+
+
+@parts.register("leaving")
+class Leaving:
+    """The way out of this process."""
+
+    name = "leaving"
+    needs = ("gateway", "members", "owners", "status")
+
+    def __init__(self, kernel: Kernel) -> None:
+        settings = kernel.settings
+        self._kernel = kernel
+        self._drain = Drain(kernel.clock, settings.grace, settings.drain_limit)
+        self._timer = None
+
+    def start(self) -> None:
+        """Wait to be told to leave."""
+        self._timer = self._kernel.loop.call_every(TICK, self._tick)
+
+    def close(self) -> None:
+        """Stop waiting."""
+        self._timer.close()
+
+    def leave(self) -> None:
+        """Begin to leave; a second time does nothing."""
+        if self._drain.is_leaving:
+            return
+        log.info("The instance is leaving.")
+        self._drain.start()
+        self._kernel.get(Status).is_ready = False
+        self._kernel.get(Members).leave()
+
+    def _tick(self) -> None:
+        gateway = self._kernel.get(Gateway)
+        owned = len(self._kernel.get(Owners).list_owned())
+        phase = self._drain.measure_phase(gateway.running, owned)
+        gateway.is_closed = phase >= Phase.CLOSED
+        if phase is Phase.ENDED:
+            log.info("The instance is gone with %d requests cut.", gateway.running)
+            self._timer.close()
+            self._kernel.get(Members).go()
+            self._kernel.loop.call_later(TICK, self._kernel.stop)
--- /dev/null
+++ b/roadlift/daemon/owners.py
@@ -0,0 +1,388 @@
+"""Own the endpoints that fall to this instance, and give their orders.
+
+A takeover asks the endpoint for its copies, raises its fencing number, asks
+again, and takes the census of the pins; no store call is made. The decisions
+are the Book's; this part carries them.
+"""
+
+from roadlift.core.errors import RoadliftError
+from roadlift.core.kernel import Kernel, parts
+from roadlift.core.logs import PartLog
+from roadlift.daemon.bundles import Bundles
+from roadlift.daemon.members import Members
+from roadlift.daemon.pins import Pins
+from roadlift.daemon.transport import Transport
+from roadlift.endpoints.api import EngineLoad, engine_apis
+from roadlift.ownership.book import LOAD, Book, Order, OrderResult, Outgoing
+from roadlift.ownership.election import choose_owner, compute_epoch
+from roadlift.ownership.messages import (
+    Acquire,
+    Census,
+    Count,
+    Level,
+    Reason,
+    Refuse,
+    Release,
+    Report,
+)
+from roadlift.ownership.names import parse_copy_name
+from roadlift.policy.eviction import evictors
+from roadlift.policy.loads import LoadBudget
+from roadlift.relay.upstream import Address, Answer, Request, fetch
+
+TICK = 0.05  # Seconds between looks at what to order next.
+ELECT_PERIOD = 0.5  # Seconds between looks at who owns what.
+WATCH_PERIOD = 1.0  # Seconds between load reports of an endpoint.
+LIST_EVERY = 5  # Load reports between two lists of the loaded copies.
+CENSUS_PERIOD = 1.0  # Seconds until a census is asked again.
+
+log = PartLog("owners")
+
+
+class OwnedEndpoint:
+    """An endpoint of which this process is, or becomes, the owner."""
+
+    def __init__(self, name: str, address: Address) -> None:
+        self.name = name
+        self.address = address
+        self.book: Book | None = None
+        self.is_opening = False
+        self.load = EngineLoad("", 0, 0)
+        self.reports = 0
+        self.census_at = 0.0
+        self.fill_sum = 0.0
+        self.fills = 0
+
+    def note_load(self, load: EngineLoad) -> None:
+        """Keep a load report, and count how full the batch was."""
+        self.load = load
+        self.reports += 1
+        if load.running and self.book is not None:
+            self.fill_sum += min(1.0, load.running / self.book.width)
+            self.fills += 1
+
+
+@parts.register("owners")
+class Owners:
+    """The endpoints that this process owns."""
+
+    name = "owners"
+    needs = ("bundles", "members", "pins", "transport")
+
+    def __init__(self, kernel: Kernel) -> None:
+        settings = kernel.settings
+        self._kernel = kernel
+        self._settings = settings
+        self._members = kernel.get(Members)
+        self._bundles = kernel.get(Bundles)
+        self._pins = kernel.get(Pins)
+        self._api = engine_apis.get(settings.engine_api)()
+        self._evictor = evictors.get(settings.evictor)()
+        self._budget = LoadBudget(settings.weight_rate, settings.weight_width)
+        self._owned: dict[str, OwnedEndpoint] = {}
+        self._timers = []
+        self.takeovers = 0
+        self.orders = 0
+
+    def start(self) -> None:
+        """Begin to elect and to order."""
+        transport = self._kernel.get(Transport)
+        transport.subscribe((Acquire,), self._receive_acquire)
+        transport.subscribe((Release,), self._receive_release)
+        transport.subscribe((Report,), self._receive_report)
+        transport.subscribe((Census,), self._receive_census)
+        transport.subscribe((Count,), self._receive_count)
+        loop = self._kernel.loop
+        self._timers = [
+            loop.call_every(TICK, self._tick),
+            loop.call_every(ELECT_PERIOD, self._elect),
+            loop.call_every(WATCH_PERIOD, self._watch),
+        ]
+        self._members.listen(self._elect)
+
+    def close(self) -> None:
+        """Give no order any more."""
+        for timer in self._timers:
+            timer.close()
+        self._owned.clear()
+
+    def list_owned(self) -> list[OwnedEndpoint]:
+        """Return the endpoints whose book is open, by name."""
+        owned = [o for _, o in sorted(self._owned.items()) if o.book is not None]
+        return owned
+
+    # Elections and takeovers.
+
+    def _elect(self) -> None:
+        self._drop_dead()
+        bundle = self._bundles.bundle
+        own = self._members.detector.own
+        zone = self._members.list_zone(own.zone)
+        wanted = set()
+        for name in bundle.list_names("endpoints"):
+            entry = bundle.get_endpoint(name)
+            if entry["kind"] != "engine" or entry["zone"] != own.zone:
+                continue
+            if choose_owner(name, zone) == own.name:
+                wanted.add(name)
+                self._open(name, Address.parse(entry["address"]))
+        for name in set(self._owned) - wanted:
+            if bundle.get_endpoint(name) is None or self._owned[name].book is None:
+                del self._owned[name]
+
+    def _drop_dead(self) -> None:
+        for owned in self.list_owned():
+            for process in list(owned.book.unproven):
+                if self._members.detector.is_gone(process):
+                    owned.book.remove_dead(process)
+            for copy in owned.book.copies.values():
+                for process in list(copy.pins):
+                    if self._members.detector.is_gone(process):
+                        owned.book.remove_dead(process)
+
+    def _open(self, name: str, address: Address) -> None:
+        owned = self._owned.get(name)
+        if owned is None:
+            owned = self._owned[name] = OwnedEndpoint(name, address)
+        if owned.book is not None and owned.book.is_fenced_off:
+            self._drop_book(owned)
+        if owned.book is None and not owned.is_opening:
+            owned.is_opening = True
+            self._ask_list(owned, lambda names: self._raise_fence(owned, names))
+
+    def _ask_list(self, owned: OwnedEndpoint, on_names) -> None:
+        def receive(answer: Answer) -> None:
+            try:
+                names = self._api.read_list(answer)
+            except (RoadliftError, ValueError, KeyError) as error:
+                log.warning("Endpoint %s gave no list: %s.", owned.name, error)
+                owned.is_opening = False
+                return
+            on_names(names)
+
+        self._call(owned, self._api.build_list(), receive)
+
+    def _raise_fence(self, owned: OwnedEndpoint, names: list[str]) -> None:
+        epochs = [parsed.epoch for parsed in map(parse_copy_name, names) if parsed]
+        entry = self._bundles.bundle.get_endpoint(owned.name)
+        if entry is None:
+            owned.is_opening = False
+            return
+        known = self._pins.table.get_epoch(owned.name)
+        epoch = compute_epoch(max([known, *epochs]), self._members.process)
+        if entry["fences"]:
+            self._order_fence(owned, epoch)
+        else:
+            self._open_book(owned, epoch, names, self._kernel.clock.now())
+
+    def _order_fence(self, owned: OwnedEndpoint, epoch: int) -> None:
+        def receive(answer: Answer) -> None:
+            if answer.status == 409:
+                higher = max(epoch, self._api.read_fence(answer))
+                self._order_fence(owned, compute_epoch(higher, self._members.process))
+                return
+            asked_at = self._kernel.clock.now()
+            self._ask_list(
+                owned, lambda names: self._open_book(owned, epoch, names, asked_at)
+            )
+
+        self._call(owned, self._api.build_fence(epoch), receive)
+
+    def _open_book(
+        self, owned: OwnedEndpoint, epoch: int, names: list[str], asked_at: float
+    ) -> None:
+        owned.is_opening = False
+        entry = self._bundles.bundle.get_endpoint(owned.name)
+        if entry is None or self._owned.get(owned.name) is not owned:
+            return
+        now = self._kernel.clock.now()
+        book = Book(
+            owned.name,
+            self._members.process,
+            epoch,
+            entry["fences"],
+            entry["slots"],
+            entry["width"],
+            self._evictor,
+        )
+        book.reconcile(names, asked_at, now)
+        owned.book = book
+        self.takeovers += 1
+        log.info("Endpoint %s is owned in epoch %x.", owned.name, epoch)
+        self._count_own_pins(book)
+        self._take_census(owned)
+
+    def _count_own_pins(self, book: Book) -> None:
+        census = Census(book.endpoint, book.epoch)
+        count = self._pins.table.count(census, [])
+        if count is not None:
+            book.receive_count(self._members.process, count)
+
+    def _take_census(self, owned: OwnedEndpoint) -> None:
+        """Ask every process that may hold a pin and has not answered."""
+        book = owned.book
+        now = self._kernel.clock.now()
+        new = book.expect_answers(self._members.detector.list_unproven())
+        if not new and (not book.unproven or now < owned.census_at):
+            return
+        owned.census_at = now + CENSUS_PERIOD
+        for process in book.unproven:
+            self._members.send(process, Census(book.endpoint, book.epoch))
+
+    # Messages.
+
+    def _find_book(self, endpoint: str) -> Book | None:
+        owned = self._owned.get(endpoint)
+        return owned.book if owned else None
+
+    def _receive_acquire(self, sender: str, ask: Acquire) -> None:
+        book = self._find_book(ask.endpoint)
+        if book is None:
+            is_opening = ask.endpoint in self._owned
+            reason = Reason.TAKING_OVER if is_opening else Reason.NOT_OWNER
+            self._members.send(sender, Refuse(ask.endpoint, ask.nonce, reason, 0.1))
+            return
+        self._send(book.acquire(sender, ask, self._kernel.clock.now()))
+        self._order_next(self._owned[ask.endpoint])
+
+    def _receive_release(self, sender: str, message: Release) -> None:
+        book = self._find_book(message.endpoint)
+        if book is not None:
+            book.release(sender, message)
+            self._order_next(self._owned[message.endpoint])
+
+    def _receive_report(self, sender: str, report: Report) -> None:
+        book = self._find_book(report.endpoint)
+        if book is not None:
+            book.receive_report(sender, report)
+            level = Level(report.endpoint, book.count_running())
+            self._members.send(sender, level)
+
+    def _receive_census(self, sender: str, census: Census) -> None:
+        if sender == self._members.process:
+            return
+        yielded: list[int] = []
+        owned = self._owned.get(census.endpoint)
+        if owned is not None and owned.book is not None:
+            if owned.book.epoch >= census.epoch:
+                return
+            yielded = owned.book.yield_epoch()
+            self._drop_book(owned)
+            log.info("Endpoint %s is handed over to %s.", owned.name, sender)
+        count = self._pins.table.count(census, yielded)
+        if count is not None:
+            self._members.send(sender, count)
+
+    def _drop_book(self, owned: OwnedEndpoint) -> None:
+        """Close a book, and send who waits at it to the next one."""
+        book, owned.book = owned.book, None
+        for wait in book.waiting.pop_expired(float("inf")):
+            refusal = Refuse(book.endpoint, wait.nonce, Reason.NOT_OWNER, 0.1)
+            self._members.send(wait.holder, refusal)
+
+    def _receive_count(self, sender: str, count: Count) -> None:
+        book = self._find_book(count.endpoint)
+        if book is not None:
+            book.receive_count(sender, count)
+
+    def _send(self, outgoing: list[Outgoing]) -> None:
+        for one in outgoing:
+            self._members.send(one.to, one.message)
+
+    # Orders.
+
+    def _tick(self) -> None:
+        now = self._kernel.clock.now()
+        self._share_budget()
+        for owned in self.list_owned():
+            self._send(owned.book.expire(now))
+            self._take_census(owned)
+            self._order_next(owned)
+
+    def _share_budget(self) -> None:
+        own = sum(len(owned.book.waiting) for owned in self.list_owned())
+        detector = self._members.detector
+        detector.demand = own
+        others = [name for name in detector.demands if name != detector.own.name]
+        everywhere = own + sum(detector.demands[name] for name in others)
+        self._budget.set_share(own, everywhere, len(self._members.list_peers()) + 1)
+
+    def _order_next(self, owned: OwnedEndpoint) -> None:
+        if owned.book is None:
+            return
+        now = self._kernel.clock.now()
+        order, recalls = owned.book.choose_order(
+            now, lambda: self._budget.try_start(now)
+        )
+        self._send(recalls)
+        if order is not None:
+            self._give_order(owned, owned.book, order)
+
+    def _give_order(self, owned: OwnedEndpoint, book: Book, order: Order) -> None:
+        self.orders += 1
+        path = self._find_path(order.model) if order.verb == LOAD else ""
+
+        def finish(result: OrderResult) -> None:
+            if order.verb == LOAD:
+                self._budget.finish()
+            if result is not OrderResult.DONE:
+                log.warning("Order %s %s: %s.", order.verb, order.copy, result.value)
+            self._send(book.finish_order(order, result, self._kernel.clock.now()))
+            if owned.book is book:
+                self._order_next(owned)
+
+        def receive(answer: Answer) -> None:
+            finish(self._api.judge_order(order, answer))
+
+        def fail(error: RoadliftError) -> None:
+            never_sent = error.outcome == "not_run"
+            finish(OrderResult.REFUSED if never_sent else OrderResult.UNKNOWN)
+
+        if order.verb == LOAD and path is None:
+            self._kernel.loop.call_later(0, lambda: finish(OrderResult.REFUSED))
+            return
+        request = self._api.build_order(order, path)
+        timeout = self._settings.load_timeout
+        fetch(self._kernel.loop, owned.address, request, receive, fail, timeout)
+
+    def _find_path(self, model: str) -> str | None:
+        found = self._bundles.find_model(model)
+        return found.path if found else None
+
+    # Watching endpoints.
+
+    def _watch(self) -> None:
+        for owned in self.list_owned():
+            self._ask_load_report(owned)
+
+    def _ask_load_report(self, owned: OwnedEndpoint) -> None:
+        def receive(answer: Answer) -> None:
+            if owned.book is None:
+                return
+            load = self._api.read_load_report(answer)
+            restarted = owned.load.incarnation not in ("", load.incarnation)
+            owned.note_load(load)
+            if restarted:
+                log.warning("Endpoint %s has restarted.", owned.name)
+                self._drop_book(owned)
+                self._open(owned.name, owned.address)
+            elif owned.reports % LIST_EVERY == 0:
+                self._ask_again(owned, owned.book)
+
+        self._call(owned, self._api.build_load_report(), receive)
+
+    def _ask_again(self, owned: OwnedEndpoint, book: Book) -> None:
+        asked_at = self._kernel.clock.now()
+
+        def take(names: list[str]) -> None:
+            if owned.book is book:
+                book.reconcile(names, asked_at, self._kernel.clock.now())
+
+        self._ask_list(owned, take)
+
+    def _call(self, owned: OwnedEndpoint, request: Request, receive) -> None:
+        def fail(error: RoadliftError) -> None:
+            owned.is_opening = False
+
+        timeout = self._settings.connect_timeout
+        fetch(self._kernel.loop, owned.address, request, receive, fail, timeout)
--- /dev/null
+++ b/roadlift/daemon/status.py
@@ -0,0 +1,160 @@
+"""Answer the small requests: health, models, status and burn."""
+
+import json
+from collections.abc import Callable
+from typing import Any, Protocol
+
+from roadlift.burn.record import BurnRecord
+from roadlift.core.kernel import Kernel, parts
+from roadlift.daemon.bundles import Bundles, StorePart
+from roadlift.daemon.members import Members
+from roadlift.daemon.metrics import Metrics
+from roadlift.daemon.owners import OwnedEndpoint, Owners
+from roadlift.daemon.pins import Pins
+from roadlift.daemon.transport import Transport
+from roadlift.membership.members import State
+from roadlift.relay.upstream import Answer
+
+GAUGE_PERIOD = 1.0  # Seconds.
+_JSON = {"Content-Type": "application/json"}
+_TEXT = {"Content-Type": "text/plain"}
+
+
+class Front(Protocol):
+    """What the status tells of the HTTP side."""
+
+    running: int
+    burn: BurnRecord
+
+
+@parts.register("status")
+class Status:
+    """What this process tells of itself."""
+
+    name = "status"
+    needs = ("bundles", "members", "metrics", "owners", "pins", "store", "transport")
+
+    def __init__(self, kernel: Kernel) -> None:
+        self._kernel = kernel
+        self._front: Front | None = None
+        self._timer = None
+        self.is_ready = True
+        self._paths: dict[str, Callable[[], Answer]] = {
+            "/livez": lambda: Answer(200, _TEXT, b"ok\n"),
+            "/readyz": self._answer_ready,
+            "/status": lambda: _answer_json(self.describe()),
+            "/burn": lambda: _answer_json(self._list_burn()),
+            "/v1/models": lambda: _answer_json(self._list_models()),
+        }
+
+    def attach(self, front: Front) -> None:
+        """Learn of the HTTP side, which is built after this part."""
+        self._front = front
+
+    def start(self) -> None:
+        """Begin to set the gauges."""
+        self._timer = self._kernel.loop.call_every(GAUGE_PERIOD, self._set_gauges)
+
+    def close(self) -> None:
+        """Set no gauge any more."""
+        self._timer.close()
+
+    def answer(self, method: str, path: str) -> Answer | None:
+        """Return the answer to a small request, or None for another path."""
+        respond = self._paths.get(path)
+        return respond() if respond and method in ("GET", "HEAD") else None
+
+    def describe(self) -> dict[str, Any]:
+        """Return what ``roadlift instances`` and ``endpoints`` show."""
+        get = self._kernel.get
+        detector = get(Members).detector
+        chain = get(Bundles).chain
+        transport = get(Transport)
+        store = get(StorePart).store
+        return {
+            "process": detector.own.process,
+            "zone": detector.own.zone,
+            "state": State(detector.own.state).name.lower(),
+            "bundle": {"number": chain.head.number, "digest": chain.head.digest},
+            "running": self._front.running,
+            "members": [
+                {**m._asdict(), "state": State(m.state).name.lower()}
+                for m in detector.list_members()
+            ],
+            "endpoints": [
+                _describe_endpoint(owned) for owned in get(Owners).list_owned()
+            ],
+            "takeovers": get(Owners).takeovers,
+            "peer_bytes": {"in": transport.bytes_in, "out": transport.bytes_out},
+            "store_calls": {"reads": store.reads, "writes": store.writes},
+        }
+
+    def _answer_ready(self) -> Answer:
+        has_bundle = self._kernel.get(Bundles).chain.head.number > 0
+        if self.is_ready and has_bundle:
+            return Answer(200, _TEXT, b"ready\n")
+        reason = b"no bundle\n" if self.is_ready else b"leaving\n"
+        return Answer(503, _TEXT, reason)
+
+    def _list_burn(self) -> dict[str, Any]:
+        rows = self._front.burn.list_rows(self._kernel.clock.now())
+        owned = self._kernel.get(Owners).list_owned()
+        fills = [
+            {"endpoint": one.name, "fill_sum": one.fill_sum, "fills": one.fills}
+            for one in owned
+        ]
+        return {"rows": rows, "fills": fills}
+
+    def _list_models(self) -> dict[str, Any]:
+        models = self._kernel.get(Bundles).bundle.iterate_models()
+        data = [
+            {"id": str(model), "object": "model", "created": 0, "owned_by": "roadlift"}
+            for model in models
+        ]
+        return {"object": "list", "data": data}
+
+    def _set_gauges(self) -> None:
+        metrics = self._kernel.get(Metrics)
+        status = self.describe()
+        owned = self._kernel.get(Owners).list_owned()
+        metrics.set("running", status["running"])
+        metrics.set("owned", len(owned))
+        metrics.set("pins", self._kernel.get(Pins).table.count_pins())
+        metrics.set("loads", sum(one.book.loads for one in owned))
+        metrics.set("evictions", sum(one.book.evictions for one in owned))
+        metrics.set("takeovers", status["takeovers"])
+        metrics.set("bundle", status["bundle"]["number"])
+        alive = [m for m in status["members"] if m["state"] == "alive"]
+        metrics.set("members", len(alive))
+        metrics.set("peer_bytes_in", status["peer_bytes"]["in"])
+        metrics.set("peer_bytes_out", status["peer_bytes"]["out"])
+        metrics.set("store_reads", status["store_calls"]["reads"])
+        metrics.set("store_writes", status["store_calls"]["writes"])
+
+
+def _answer_json(content: Any) -> Answer:
+    return Answer(200, _JSON, json.dumps(content).encode())
+
+
+def _describe_endpoint(owned: OwnedEndpoint) -> dict[str, Any]:
+    book = owned.book
+    return {
+        "endpoint": owned.name,
+        "epoch": f"{book.epoch:x}",
+        "slots": book.slots,
+        "copies": [
+            {
+                "copy": copy.name,
+                "state": copy.state.value,
+                "pins": sorted(copy.pins),
+                "running": copy.count_running(),
+            }
+            for copy in book.copies.values()
+        ],
+        "unproven": sorted(book.unproven),
+        "waiting": len(book.waiting),
+        "running": owned.load.running,
+        "queued": owned.load.waiting,
+        "loads": book.loads,
+        "evictions": book.evictions,
+    }
--- /dev/null
+++ b/roadlift/daemon/transport.py
@@ -0,0 +1,128 @@
+"""Carry messages between instances over ZeroMQ push and pull sockets.
+
+Each process binds one pull socket and has one push socket a peer. Queues are
+bounded, nothing lingers, and nothing is queued for a peer that is not
+connected: a message that can't go now is dropped, and every protocol between
+instances bears that, as it bears late and doubled ones.
+"""
+
+from collections.abc import Callable
+
+import zmq
+
+from roadlift.core.codec import Envelope, decode, encode
+from roadlift.core.errors import MalformedMessage
+from roadlift.core.kernel import Kernel, parts
+from roadlift.core.logs import PartLog
+
+QUEUE = 1000  # Messages held for a peer, or from all of them.
+DRAIN_PERIOD = 0.05  # Seconds; ZeroMQ's descriptor is edge-triggered.
+MOST_DRAINED = 500  # Messages taken before other sockets get their turn.
+
+log = PartLog("transport")
+
+
+@parts.register("transport")
+class Transport:
+    """The sockets between this process and its peers."""
+
+    name = "transport"
+    needs = ()
+
+    def __init__(self, kernel: Kernel) -> None:
+        self._kernel = kernel
+        self._context = zmq.Context()
+        self._pull: zmq.Socket | None = None
+        self._pushes: dict[str, zmq.Socket] = {}
+        self._handlers: dict[type, Callable[[str, object], None]] = {}
+        self._timer = None
+        self.process = ""
+        self.bytes_in = 0
+        self.bytes_out = 0
+        self.messages_out = 0
+        self.drops = 0
+
+    def start(self) -> None:
+        """Bind the pull socket."""
+        self._pull = self._open(zmq.PULL)
+        self._pull.bind(f"tcp://{self._kernel.settings.peer}")
+        self._kernel.loop.watch(self._pull.getsockopt(zmq.FD), self._drain)
+        self._timer = self._kernel.loop.call_every(DRAIN_PERIOD, self._drain)
+
+    def close(self) -> None:
+        """Close every socket."""
+        self._timer.close()
+        self._kernel.loop.unwatch(self._pull.getsockopt(zmq.FD))
+        for push in self._pushes.values():
+            push.close(0)
+        self._pushes.clear()
+        self._pull.close(0)
+        self._context.destroy(0)
+
+    def subscribe(
+        self, kinds: tuple[type, ...], handler: Callable[[str, object], None]
+    ) -> None:
+        """Give messages of the types to ``handler(sender, message)``."""
+        for kind in kinds:
+            self._handlers[kind] = handler
+
+    def connect(self, address: str) -> None:
+        """Open the way to a peer, so that a first message can go."""
+        if address in self._pushes:
+            return
+        push = self._open(zmq.PUSH)
+        push.setsockopt(zmq.IMMEDIATE, 1)
+        push.connect(f"tcp://{address}")
+        self._pushes[address] = push
+
+    def disconnect(self, address: str) -> None:
+        """Close the way to a peer that is gone."""
+        push = self._pushes.pop(address, None)
+        if push is not None:
+            push.close(0)
+
+    def send(self, address: str, message: object) -> bool:
+        """Send a message; False means that it was dropped."""
+        if address == self._kernel.settings.peer:
+            envelope = Envelope(self.process, message)
+            self._kernel.loop.call_later(0, lambda: self._dispatch(envelope))
+            return True
+        self.connect(address)
+        data = encode(Envelope(self.process, message))
+        try:
+            self._pushes[address].send(data, zmq.NOBLOCK)
+        except zmq.Again:
+            self.drops += 1
+            return False
+        self.bytes_out += len(data)
+        self.messages_out += 1
+        return True
+
+    def _open(self, kind: int) -> zmq.Socket:
+        opened = self._context.socket(kind)
+        opened.setsockopt(zmq.LINGER, 0)
+        opened.setsockopt(zmq.SNDHWM, QUEUE)
+        opened.setsockopt(zmq.RCVHWM, QUEUE)
+        opened.setsockopt(zmq.RECONNECT_IVL, 50)
+        opened.setsockopt(zmq.RECONNECT_IVL_MAX, 1000)
+        return opened
+
+    def _drain(self) -> None:
+        for _ in range(MOST_DRAINED):
+            try:
+                data = self._pull.recv(zmq.NOBLOCK)
+            except zmq.Again:
+                return
+            self.bytes_in += len(data)
+            try:
+                envelope = decode(data)
+            except MalformedMessage as error:
+                log.warning("A message was dropped: %s.", error)
+                continue
+            self._dispatch(envelope)
+        self._kernel.loop.call_later(0, self._drain)
+
+    def _dispatch(self, envelope: Envelope) -> None:
+        handler = self._handlers.get(type(envelope.message))
+        if handler is not None:
+            handler(envelope.sender, envelope.message)
--- /dev/null
+++ b/roadlift/endpoints/events.py
@@ -0,0 +1,46 @@
+"""Frame the events of a stream, without reading the tokens in them.
+
+Only whole events are passed to the caller, so that a cut stream can go on
+behind the last one. Framing looks for the blank line behind an event; an
+event's text is not parsed.
+"""
+
+_EVENT_END = b"\n\n"
+_DONE = b"data: [DONE]"
+_ID = b"id:"
+MOST_HELD = 1048576  # Bytes of one event; a longer one is passed in pieces.
+
+
+class EventFrames:
+    """The framing of one stream of server-sent events."""
+
+    def __init__(self) -> None:
+        self._held = b""
+        self._last = b""
+        self.is_ended = False
+
+    def take_whole(self, data: bytes) -> bytes:
+        """Return the bytes up to the end of the last whole event."""
+        if self._held:
+            data = self._held + data
+        end = data.rfind(_EVENT_END)
+        if end < 0 and len(data) <= MOST_HELD:
+            self._held = data
+            return b""
+        end = end + len(_EVENT_END) if end >= 0 else len(data)
+        self._held = data[end:]
+        self._last = data[:end] if self._held else data
+        if self._last.rstrip().endswith(_DONE):
+            self.is_ended = True
+        return self._last
+
+    def cut(self) -> str:
+        """Drop the part of an event, and return the last whole one's id."""
+        self._held = b""
+        start = self._last.rfind(_ID)
+        while start > 0 and self._last[start - 1 : start] != b"\n":
+            start = self._last.rfind(_ID, 0, start)
+        if start < 0:
+            return ""
+        line = self._last[start:].split(b"\n", 1)[0]
+        return line[len(_ID) :].strip().decode("latin-1")
--- /dev/null
+++ b/roadlift/management/__init__.py
@@ -0,0 +1,1 @@
+"""Drive roadlift from the command line."""
--- /dev/null
+++ b/roadlift/management/commands/check.py
@@ -0,0 +1,26 @@
+"""Check the settings."""
+
+import os
+
+import roadlift.conf.checks  # noqa: F401  The checks register themselves.
+from roadlift.conf.settings import Settings, read_environment
+from roadlift.core.checks import run_checks
+from roadlift.management.output import print_json, print_table
+
+EXIT_FOUND = 78  # EX_CONFIG of sysexits.h.
+
+
+def handle(*, json: bool = False) -> None:
+    """Check the settings that stand in environment variables.
+
+    :param json: Print JSON.
+    """
+    findings = run_checks(Settings(read_environment(os.environ)))
+    if json:
+        print_json([finding._asdict() for finding in findings])
+    elif findings:
+        print_table(("ID", "MESSAGE", "HINT"), findings)
+    else:
+        print("The settings are good.")
+    if findings:
+        raise SystemExit(EXIT_FOUND)
--- /dev/null
+++ b/roadlift/ownership/__init__.py
@@ -0,0 +1,11 @@
+"""Own endpoints: load and evict adapters, and grant pins on their copies.
+
+Public surface: ``Book`` decides for one endpoint, ``choose_owner`` tells who
+should own it, and ``messages`` are what owners and holders say.
+docs/internals/ownership.md has the reasons.
+"""
+
+from roadlift.ownership.book import Book, Copy, CopyState
+from roadlift.ownership.election import choose_owner, compute_epoch
+
+__all__ = ["Book", "Copy", "CopyState", "choose_owner", "compute_epoch"]
--- /dev/null
+++ b/roadlift/ownership/book.py
@@ -0,0 +1,456 @@
+"""Decide, as the owner of one endpoint, on its loads, evictions and pins.
+
+The book sends and receives nothing itself: it takes messages, answers of
+the endpoint and the time, and returns what is to be sent. Its rules, by the
+names that the specification in roadlift/ownership/specification.py uses:
+
+* ``evict_unpinned``: a copy is unloaded only while nobody holds a pin on it.
+* ``evict_proven``: a copy of an earlier epoch is unloaded only when every
+  instance that may hold a pin on it has answered the census or is proven
+  dead. No pin lapses by time, since a paused holder can't be stopped.
+* ``adopt_fenced``: a copy of an earlier epoch is served from only where the
+  endpoint refuses the earlier owner's orders, or that owner has yielded.
+* ``name_once``: each load has a name of its own.
+"""
+
+import enum
+from collections.abc import Callable, Iterable
+from typing import NamedTuple
+
+from roadlift.ownership.messages import (
+    Acquire,
+    Count,
+    Grant,
+    Reason,
+    Recall,
+    Refuse,
+    Release,
+    Report,
+)
+from roadlift.ownership.names import CopyName, parse_copy_name
+from roadlift.policy.admission import FULL_AT
+from roadlift.policy.eviction import CopyUse, Evictor
+from roadlift.policy.loads import LoadQueue, Waiting
+
+
+class CopyState(enum.Enum):
+    """How far a copy is."""
+
+    LOADING = "loading"
+    READY = "ready"
+    UNLOADING = "unloading"
+
+
+class Pin(NamedTuple):
+    """A holder's pin: the asking it answered and its running requests."""
+
+    nonce: int
+    running: int
+
+
+class Copy:
+    """An adapter's version as loaded at the endpoint."""
+
+    __slots__ = ("name", "model", "epoch", "state", "since", "pins", "use")
+
+    def __init__(self, name: CopyName, state: CopyState, now: float) -> None:
+        self.name = str(name)
+        self.model = name.model
+        self.epoch = name.epoch
+        self.state = state
+        self.since = now
+        self.pins: dict[str, Pin] = {}
+        self.use = CopyUse(now)
+
+    def enter(self, state: CopyState, now: float) -> None:
+        """Change the state at ``now``."""
+        self.state = state
+        self.since = now
+
+    def count_running(self) -> int:
+        """Return the requests that the holders last reported."""
+        return sum(pin.running for pin in self.pins.values())
+
+
+class Order(NamedTuple):
+    """An order to the endpoint: load or unload ``copy``."""
+
+    verb: str
+    copy: str
+    model: str
+    fence: int
+
+
+class OrderResult(enum.Enum):
+    """How an order ended.
+
+    REFUSED did not take effect; FENCED neither, as another owner has a
+    higher number; of UNKNOWN nobody knows, and it may take effect later.
+    """
+
+    DONE = "done"
+    REFUSED = "refused"
+    FENCED = "fenced"
+    UNKNOWN = "unknown"
+
+
+class Outgoing(NamedTuple):
+    """A message to the process ``to``."""
+
+    to: str
+    message: object
+
+
+LOAD = "load"
+UNLOAD = "unload"
+
+
+class Book:
+    """The owner's record of one endpoint in one epoch.
+
+    ``holder`` is the owning process; ``members`` all processes that may hold
+    pins of earlier epochs.
+    """
+
+    def __init__(
+        self,
+        endpoint: str,
+        holder: str,
+        epoch: int,
+        fences: bool,
+        slots: int,
+        width: int,
+        evictor: Evictor,
+        most_waiting: int = 512,
+    ) -> None:
+        self.endpoint = endpoint
+        self.holder = holder
+        self.epoch = epoch
+        self.fences = fences
+        self.slots = slots
+        self.width = width
+        self.copies: dict[str, Copy] = {}
+        self.unproven: set[str] = set()
+        self.yielded: set[int] = set()
+        self.waiting = LoadQueue(most_waiting)
+        self.order: Order | None = None
+        self.is_fenced_off = False
+        self.evictions = 0
+        self.loads = 0
+        self._evictor = evictor
+        self._asked: set[str] = set()
+        self._serial = 0
+        self._fence = epoch
+        self._report_serials: dict[str, int] = {}
+        self._early_pins: dict[str, dict[str, Pin]] = {}
+        self._ready: dict[str, list[Copy]] = {}
+
+    # Taking over.
+
+    def expect_answers(self, members: Iterable[str]) -> list[str]:
+        """Add processes that may hold older pins; return the new ones."""
+        new = [name for name in members if name not in self._asked]
+        self._asked.update(new)
+        self.unproven.update(name for name in new if name != self.holder)
+        return new
+
+    def reconcile(self, names: Iterable[str], asked_at: float, now: float) -> None:
+        """Take over what the endpoint lists as loaded.
+
+        ``asked_at`` is when the list was asked for. A copy that was ready
+        before and is not listed is gone. A copy of this epoch that the book
+        has given up on is unloaded again, as its order's answer was lost.
+        """
+        listed = set(names)
+        for name in listed - set(self.copies):
+            parsed = parse_copy_name(name)
+            if parsed is not None:
+                self._adopt(parsed, now)
+        for copy in list(self.copies.values()):
+            is_settled = copy.state is not CopyState.LOADING and copy.since < asked_at
+            if copy.name not in listed and is_settled:
+                self._drop(copy)
+        self._index_ready()
+
+    def receive_count(self, sender: str, count: Count) -> None:
+        """Take a census answer: the sender's older pins are now known."""
+        if count.epoch != self.epoch:
+            return
+        for name, nonce, running in count.pins:
+            pins = self._find_pins(name)
+            pins[sender] = Pin(nonce, running)
+        self.yielded.update(count.yielded)
+        self._asked.add(sender)
+        self.unproven.discard(sender)
+        self._index_ready()
+
+    def yield_epoch(self) -> list[int]:
+        """End the ownership; return the epochs that end without a doubt.
+
+        With an order whose effect is unknown the next owner must not serve
+        from this epoch's copies where the endpoint does not fence.
+        """
+        doubtful = self.order is not None or any(
+            copy.state is not CopyState.READY for copy in self.copies.values()
+        )
+        return [] if doubtful else [self.epoch, *sorted(self.yielded)]
+
+    def remove_dead(self, holder: str) -> None:
+        """Drop the pins of a process that is proven dead."""
+        self._asked.add(holder)
+        self.unproven.discard(holder)
+        for pins in self._list_pin_tables():
+            pins.pop(holder, None)
+        self.waiting.remove_holder(holder)
+
+    def forget_copies(self) -> None:
+        """Drop every copy, as the endpoint has restarted without them."""
+        self.copies.clear()
+        self._early_pins.clear()
+        self._ready.clear()
+        self.order = None
+
+    # Pins.
+
+    def acquire(self, sender: str, ask: Acquire, now: float) -> list[Outgoing]:
+        """Answer an asking now, or keep it until a copy is loaded."""
+        copy = self.find_ready(ask.model)
+        if self.is_full(ask.priority):
+            return [self._refuse(sender, ask, Reason.FULL, 1.0)]
+        if copy is not None and not self._is_spilling(ask):
+            return [self._grant(copy, sender, ask.nonce, now)]
+        if copy is not None:
+            return [self._refuse(sender, ask, Reason.BUSY)]
+        wait = Waiting(sender, ask.nonce, ask.model, ask.priority, now + ask.wait, now)
+        if not self.waiting.add(wait):
+            return [self._refuse(sender, ask, Reason.FULL, 1.0)]
+        return []
+
+    def is_full(self, priority: str) -> bool:
+        """Tell whether the endpoint's queue is too long for a class."""
+        return self.count_running() >= self.width * FULL_AT[priority]
+
+    def release(self, sender: str, message: Release) -> None:
+        """Take a pin back, unless it was granted anew since."""
+        copy = self.copies.get(message.copy)
+        if copy is None or sender not in copy.pins:
+            return
+        if copy.pins[sender].nonce <= message.nonce:
+            del copy.pins[sender]
+
+    def receive_report(self, sender: str, report: Report) -> None:
+        """Correct the pins of a holder, whatever messages were lost."""
+        if report.serial <= self._report_serials.get(sender, -1):
+            return
+        self._report_serials[sender] = report.serial
+        for pins in self._list_pin_tables():
+            pin = pins.get(sender)
+            if pin is not None and pin.nonce < report.floor:
+                del pins[sender]
+        for name, nonce, running in report.pins:
+            self._find_pins(name)[sender] = Pin(nonce, running)
+
+    def count_running(self) -> int:
+        """Return the requests that run at the endpoint, as last reported."""
+        return sum(copy.count_running() for copy in self.copies.values())
+
+    def find_ready(self, model: str) -> Copy | None:
+        """Return a copy from which ``model`` may be served, or None."""
+        copies = self._ready.get(model)
+        return copies[0] if copies else None
+
+    # Loads and evictions.
+
+    def expire(self, now: float) -> list[Outgoing]:
+        """Refuse the askings whose time is over."""
+        return [
+            self._refuse_waiting(wait, Reason.EXPIRED)
+            for wait in self.waiting.pop_expired(now)
+        ]
+
+    def choose_order(
+        self, now: float, try_load: Callable[[], bool] = lambda: True
+    ) -> tuple[Order | None, list[Outgoing]]:
+        """Return the next order to give, and pins to ask back for it.
+
+        One order is in flight at a time, each with a higher fencing number,
+        so that a late order is an old one. ``try_load`` takes a load from
+        the budget, or tells that there is none.
+        """
+        if self.order is not None or self.is_fenced_off:
+            return None, []
+        stray = self._find_stray()
+        if stray is not None:
+            return self._begin_unload(stray, now), []
+        wait = self.waiting.peek()
+        if wait is None:
+            return None, []
+        if len(self.copies) < self.slots:
+            return (self._begin_load(wait.model, now) if try_load() else None), []
+        victim = self._choose_victim(now)
+        if victim is None:
+            return None, self._recall(now)
+        return self._begin_unload(victim, now), []
+
+    def finish_order(
+        self, order: Order, result: OrderResult, now: float
+    ) -> list[Outgoing]:
+        """Take the endpoint's answer to an order."""
+        if self.order != order:
+            return []
+        self.order = None
+        self.is_fenced_off = result is OrderResult.FENCED
+        copy = self.copies.get(order.copy)
+        if copy is None:
+            return []
+        if order.verb == UNLOAD:
+            self._finish_unload(copy, result, now)
+            return []
+        return self._finish_load(copy, result, now)
+
+    def may_evict(self, copy: Copy) -> bool:
+        """Tell whether the rules allow to unload ``copy`` now."""
+        if copy.pins or copy.state is CopyState.LOADING:
+            return False
+        inherited = copy.epoch != self.epoch
+        return not (inherited and self.unproven)
+
+    def may_serve(self, copy: Copy) -> bool:
+        """Tell whether the rules allow to grant pins on ``copy``."""
+        if copy.state is not CopyState.READY:
+            return False
+        return copy.epoch == self.epoch or self.fences or copy.epoch in self.yielded
+
+    # Helpers.
+
+    def _adopt(self, name: CopyName, now: float) -> None:
+        is_lost = name.epoch == self.epoch
+        state = CopyState.UNLOADING if is_lost else CopyState.READY
+        copy = self.copies[str(name)] = Copy(name, state, now)
+        copy.pins = self._early_pins.pop(copy.name, {})
+
+    def _find_pins(self, name: str) -> dict[str, Pin]:
+        """Return the pins of a copy, also of one not listed yet."""
+        copy = self.copies.get(name)
+        if copy is not None:
+            return copy.pins
+        return self._early_pins.setdefault(name, {})
+
+    def _list_pin_tables(self) -> list[dict[str, Pin]]:
+        tables = [copy.pins for copy in self.copies.values()]
+        return tables + list(self._early_pins.values())
+
+    def _finish_unload(self, copy: Copy, result: OrderResult, now: float) -> None:
+        if result in (OrderResult.DONE, OrderResult.REFUSED):
+            self._drop(copy)
+            self.evictions += 1
+        else:
+            # It may be gone or not: it is unloaded again, never served.
+            copy.enter(CopyState.UNLOADING, now)
+
+    def _finish_load(
+        self, copy: Copy, result: OrderResult, now: float
+    ) -> list[Outgoing]:
+        if result is OrderResult.DONE:
+            copy.enter(CopyState.READY, now)
+            self._index_ready()
+            self.loads += 1
+            return self._grant_waiting(copy, now)
+        if result is OrderResult.UNKNOWN:
+            copy.enter(CopyState.UNLOADING, now)
+        else:
+            self._drop(copy)
+        return [
+            self._refuse_waiting(wait, Reason.LOAD_FAILED)
+            for wait in self.waiting.pop_model(copy.model)
+        ]
+
+    def _is_spilling(self, ask: Acquire) -> bool:
+        return not ask.last and self.count_running() >= self.width
+
+    def _grant(self, copy: Copy, to: str, nonce: int, now: float) -> Outgoing:
+        pin = copy.pins.get(to, Pin(0, 0))
+        if pin.nonce < nonce:
+            copy.pins[to] = Pin(nonce, pin.running + 1)
+            copy.use.note(now)
+        running = self.count_running()
+        return Outgoing(
+            to,
+            Grant(self.endpoint, nonce, copy.name, self.epoch, running, self.width),
+        )
+
+    def _grant_waiting(self, copy: Copy, now: float) -> list[Outgoing]:
+        return [
+            self._grant(copy, wait.holder, wait.nonce, now)
+            for wait in self.waiting.pop_model(copy.model)
+        ]
+
+    def _refuse(
+        self, to: str, ask: Acquire, reason: str, retry_after: float = 0.0
+    ) -> Outgoing:
+        return Outgoing(to, Refuse(self.endpoint, ask.nonce, reason, retry_after))
+
+    def _refuse_waiting(self, wait: Waiting, reason: str) -> Outgoing:
+        return Outgoing(wait.holder, Refuse(self.endpoint, wait.nonce, reason, 1.0))
+
+    def _next_fence(self) -> int:
+        # Orders of one epoch differ in the high bits only, so that the low
+        # ones stay this process's own.
+        self._fence += 1 << 32
+        return self._fence
+
+    def _begin_load(self, model: str, now: float) -> Order:
+        self._serial += 1
+        name = CopyName(model, self.epoch, self._serial)
+        copy = Copy(name, CopyState.LOADING, now)
+        self.copies[copy.name] = copy
+        self.order = Order(LOAD, copy.name, model, self._next_fence())
+        return self.order
+
+    def _begin_unload(self, copy: Copy, now: float) -> Order:
+        copy.enter(CopyState.UNLOADING, now)
+        self._index_ready()
+        self.order = Order(UNLOAD, copy.name, copy.model, self._next_fence())
+        return self.order
+
+    def _find_stray(self) -> Copy | None:
+        """Return a copy that can't be served from and may be unloaded."""
+        for copy in self.copies.values():
+            if not self.may_serve(copy) and self.may_evict(copy):
+                return copy
+        return None
+
+    def _choose_victim(self, now: float) -> Copy | None:
+        candidates = [copy for copy in self.copies.values() if self.may_evict(copy)]
+        return self._pick(candidates, now)
+
+    def _recall(self, now: float) -> list[Outgoing]:
+        """Ask for the pins of the idle copy that is worth least."""
+        idle = [
+            copy
+            for copy in self.copies.values()
+            if copy.state is CopyState.READY and not copy.count_running()
+        ]
+        copy = self._pick(idle, now)
+        if copy is None:
+            return []
+        return [
+            Outgoing(holder, Recall(self.endpoint, copy.name)) for holder in copy.pins
+        ]
+
+    def _pick(self, copies: list[Copy], now: float) -> Copy | None:
+        wanted = self.waiting.list_models()
+        spare = [copy for copy in copies if copy.model not in wanted] or copies
+        if not spare:
+            return None
+        return min(spare, key=lambda copy: self._evictor.measure_worth(copy.use, now))
+
+    def _drop(self, copy: Copy) -> None:
+        del self.copies[copy.name]
+        self._index_ready()
+
+    def _index_ready(self) -> None:
+        self._ready.clear()
+        for copy in self.copies.values():
+            if self.may_serve(copy):
+                self._ready.setdefault(copy.model, []).append(copy)
--- /dev/null
+++ b/roadlift/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Meet the platform: its table service and its object store."""
--- /dev/null
+++ b/roadlift/policy/__init__.py
@@ -0,0 +1,1 @@
+"""Decide on placement, loads, eviction and admission; pure and clock-free."""
--- /dev/null
+++ b/roadlift/relay/__init__.py
@@ -0,0 +1,1 @@
+"""Relay bytes between callers and endpoints, with back-pressure."""
--- /dev/null
+++ b/roadlift/relay/upstream.py
@@ -0,0 +1,291 @@
+"""Send one HTTP request to an endpoint or store on a connection of its own.
+
+A fresh connection for each call keeps the proof of "not run" simple: a call
+whose connection was refused wrote no byte, and a call that wrote one is in
+doubt until it is answered. A pooled connection that the far side closes as
+the request is written would leave every such call in doubt.
+"""
+
+import errno
+import socket
+from collections.abc import Callable
+from typing import NamedTuple, Protocol
+
+import httptools
+
+from roadlift.core.errors import (
+    ConnectionLost,
+    EndpointUnreachable,
+    RequestTimeout,
+    RoadliftError,
+)
+from roadlift.core.loop import Loop
+
+READ_SIZE = 65536  # Bytes taken from a socket at once.
+_IN_PROGRESS = (errno.EINPROGRESS, errno.EWOULDBLOCK)
+
+
+class Address(NamedTuple):
+    """An IP number and a port."""
+
+    host: str
+    port: int
+
+    @classmethod
+    def parse(cls, text: str) -> "Address":
+        """Read ``host:port``; raise ValueError where it is not one."""
+        host, _, port = text.rpartition(":")
+        socket.inet_aton(host) if host.count(".") == 3 else _reject(text)
+        return cls(host, int(port))
+
+    def __str__(self) -> str:
+        return f"{self.host}:{self.port}"
+
+
+def _reject(text: str) -> None:
+    raise ValueError(f"{text!r} is not an IP number with a port")
+
+
+class Request(NamedTuple):
+    """An HTTP request towards an endpoint or store."""
+
+    method: str
+    path: str
+    headers: dict[str, str] = {}
+    body: bytes = b""
+
+    def encode(self, host: str) -> bytes:
+        """Return the bytes of the request for ``host``."""
+        lines = [f"{self.method} {self.path} HTTP/1.1", f"Host: {host}"]
+        lines += [f"{name}: {value}" for name, value in self.headers.items()]
+        lines += [f"Content-Length: {len(self.body)}", "Connection: close", "", ""]
+        return "\r\n".join(lines).encode("latin-1") + self.body
+
+
+class Receiver(Protocol):
+    """What takes the answer of a call, as it arrives."""
+
+    def receive_head(self, status: int, headers: dict[str, str]) -> None:
+        """Take the status and the headers, their names in lower case."""
+
+    def receive_body(self, data: bytes) -> None:
+        """Take body bytes, once for each read from the socket."""
+
+    def receive_end(self) -> None:
+        """Learn that the answer is whole."""
+
+    def receive_error(self, error: RoadliftError) -> None:
+        """Learn that the call ended without a whole answer."""
+
+
+class Call:
+    """One request in flight; ``start`` opens it and ``close`` cancels it."""
+
+    def __init__(
+        self,
+        loop: Loop,
+        address: Address,
+        request: Request,
+        receiver: Receiver,
+        timeout: float,
+    ) -> None:
+        self._loop = loop
+        self._address = address
+        self._receiver = receiver
+        self._timeout = timeout
+        self._out = memoryview(request.encode(str(address)))
+        self._parser = httptools.HttpResponseParser(self)
+        self._socket: socket.socket | None = None
+        self._timer = None
+        self._headers: dict[str, str] = {}
+        self._chunks: list[bytes] = []
+        self._whole = False
+        self._reading = True
+        self.written = False
+
+    def start(self) -> None:
+        """Open the connection; failures reach the receiver later."""
+        self._socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        self._socket.setblocking(False)
+        self._socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self._timer = self._loop.call_later(self._timeout, self._on_timeout)
+        code = self._socket.connect_ex(self._address)
+        if code and code not in _IN_PROGRESS:
+            self._loop.call_later(0, lambda: self._fail(EndpointUnreachable()))
+            return
+        self._loop.watch(self._socket.fileno(), None, self._on_writable)
+
+    def close(self) -> None:
+        """Cancel the call; the far side sees the connection close."""
+        if self._timer is not None:
+            self._timer.close()
+        if self._socket is not None:
+            self._loop.unwatch(self._socket.fileno())
+            self._socket.close()
+            self._socket = None
+
+    def extend(self) -> None:
+        """Count the timeout from now, as a streamed answer makes progress."""
+        if self._timer is not None:
+            self._timer.close()
+            self._timer = self._loop.call_later(self._timeout, self._on_timeout)
+
+    def pause(self) -> None:
+        """Stop reading, so that the far side feels back-pressure."""
+        self._reading = False
+        self._update_watch()
+
+    def resume(self) -> None:
+        """Read again after a pause."""
+        self._reading = True
+        self._update_watch()
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Take one header from the parser."""
+        self._headers[name.decode("latin-1").lower()] = value.decode("latin-1")
+
+    def on_headers_complete(self) -> None:
+        """Pass the head on, from the parser."""
+        status = self._parser.get_status_code()
+        if status >= 200:
+            self._receiver.receive_head(status, self._headers)
+
+    def on_body(self, data: bytes) -> None:
+        """Take the bytes of one chunk from the parser."""
+        self._chunks.append(data)
+
+    def on_message_complete(self) -> None:
+        """Learn from the parser that the answer is whole."""
+        self._whole = True
+
+    def _update_watch(self) -> None:
+        if self._socket is None:
+            return
+        on_read = self._on_readable if self._reading else None
+        on_write = self._on_writable if self._out else None
+        self._loop.watch(self._socket.fileno(), on_read, on_write)
+
+    def _on_writable(self) -> None:
+        if self._socket is None:
+            return
+        if not self.written:
+            code = self._socket.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+            if code:
+                self._fail(EndpointUnreachable(errno.errorcode.get(code, "")))
+                return
+        try:
+            sent = self._socket.send(self._out)
+        except BlockingIOError:
+            return
+        except OSError as error:
+            self._fail(self._judge_loss(error))
+            return
+        self.written = self.written or sent > 0
+        self._out = self._out[sent:]
+        self._update_watch()
+
+    def _judge_loss(self, error: OSError | None = None) -> RoadliftError:
+        detail = error.strerror if error else "closed early"
+        if self.written:
+            return ConnectionLost(detail)
+        return EndpointUnreachable(detail)
+
+    def _on_readable(self) -> None:
+        if self._socket is None:
+            return
+        try:
+            data = self._socket.recv(READ_SIZE)
+        except BlockingIOError:
+            return
+        except OSError as error:
+            self._fail(self._judge_loss(error))
+            return
+        if not data:
+            self._on_end_of_input()
+            return
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserError as error:
+            self._fail(ConnectionLost(f"answer is not HTTP: {error}"))
+            return
+        self._pass_body()
+
+    def _pass_body(self) -> None:
+        if self._chunks:
+            data = self._chunks[0] if len(self._chunks) == 1 else b"".join(self._chunks)
+            self._chunks.clear()
+            self._receiver.receive_body(data)
+        if self._whole and self._socket is not None:
+            self.close()
+            self._receiver.receive_end()
+
+    def _on_end_of_input(self) -> None:
+        self._fail(self._judge_loss())
+
+    def _on_timeout(self) -> None:
+        if self.written:
+            self._fail(RequestTimeout())
+        else:
+            self._fail(EndpointUnreachable("connect timeout"))
+
+    def _fail(self, error: RoadliftError) -> None:
+        if self._socket is None:
+            return
+        self.close()
+        self._receiver.receive_error(error)
+
+
+class Answer(NamedTuple):
+    """A whole answer."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+
+class WholeAnswer:
+    """A receiver that gathers a bounded answer and passes it on once."""
+
+    def __init__(
+        self,
+        on_answer: Callable[[Answer], None],
+        on_error: Callable[[RoadliftError], None],
+        limit: int = 64 * 1024 * 1024,
+    ) -> None:
+        self._on_answer = on_answer
+        self._on_error = on_error
+        self._limit = limit
+        self._status = 0
+        self._headers: dict[str, str] = {}
+        self._body = bytearray()
+
+    def receive_head(self, status: int, headers: dict[str, str]) -> None:
+        """Keep the head."""
+        self._status = status
+        self._headers = headers
+
+    def receive_body(self, data: bytes) -> None:
+        """Gather the body up to the limit."""
+        self._body += data[: self._limit - len(self._body)]
+
+    def receive_end(self) -> None:
+        """Pass the whole answer on."""
+        self._on_answer(Answer(self._status, self._headers, bytes(self._body)))
+
+    def receive_error(self, error: RoadliftError) -> None:
+        """Pass the failure on."""
+        self._on_error(error)
+
+
+def fetch(
+    loop: Loop,
+    address: Address,
+    request: Request,
+    on_answer: Callable[[Answer], None],
+    on_error: Callable[[RoadliftError], None],
+    timeout: float,
+) -> Call:
+    """Start a call that gathers its whole answer, and return it."""
+    call = Call(loop, address, request, WholeAnswer(on_answer, on_error), timeout)
+    call.start()
+    return call
--- /dev/null
+++ b/roadlift/retries/rules.py
@@ -0,0 +1,41 @@
+"""Allow a retry where it can double nothing, within a budget.
+
+A try that provably did not run may be repeated for any request. One whose
+outcome is unknown, or that failed, only for a request that is idempotent
+and of whose answer the caller has seen no byte.
+"""
+
+from roadlift.core.errors import Outcome, RoadliftError
+
+
+def may_retry(error: RoadliftError, idempotent: bool, answered: bool) -> bool:
+    """Tell whether a request may be tried again after ``error``.
+
+    ``answered`` tells that the caller has received a part of the answer.
+    """
+    if answered:
+        return False
+    return error.outcome is Outcome.NOT_RUN or idempotent
+
+
+class RetryBudget:
+    """Retries as a part of the requests, so that they can't multiply load.
+
+    Each request earns ``share`` of a retry; at most ``most`` are saved up.
+    """
+
+    def __init__(self, share: float = 0.1, most: float = 20.0) -> None:
+        self._share = share
+        self._most = most
+        self._saved = most
+
+    def earn(self) -> None:
+        """Count a request."""
+        self._saved = min(self._most, self._saved + self._share)
+
+    def spend(self) -> bool:
+        """Take one retry; False means that none is left."""
+        if self._saved < 1.0:
+            return False
+        self._saved -= 1.0
+        return True
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand in for the outside systems, at their interfaces only."""
