Check ownership, claims and bundles by exploration, and mend what it found

Exploring a specification of them broke never_evicted_while_running five times: an owner that was replaced took a later epoch's copies for old ones and unloaded them; after a restart an endpoint forgets its fence, and copies of the earlier owner that appeared later were served from; a restart between fence and list let the earlier owner's late orders through; an epoch with a lost answer was handed over as settled; an older count or report replaced a newer pin's nonce, seen by replaying random walks against the real parts. By reading: the fencing number's high bits grew with each order, so an old owner's order could be above a new owner's first. Change: step_down, adopt_once, same_incarnation, yield_certain and newest_pin in Book and Takeover; the epoch in the high bits of a fencing number. Conclusion: no pin lapses by time, and each name is loaded once; what keeps a promise is the endpoint's answer, never a clock. follow_parent of the bundles could not be broken while compare_and_set holds, so it is not listed as a rule.

--- a/Makefile
+++ b/Makefile
@@ -14,3 +14,6 @@
 
 demo: $(READY)
 	$(RUN) -m demo.run --seconds 20
+
+model: $(READY)
+	$(RUN) -m specification.explore
--- a/roadlift/daemon/owners.py
+++ b/roadlift/daemon/owners.py
@@ -1,8 +1,7 @@
 """Own the endpoints that fall to this instance, and give their orders.
 
-A takeover asks the endpoint for its copies, raises its fencing number, asks
-again, and takes the census of the pins; no store call is made. The decisions
-are the Book's; this part carries them.
+The decisions are the Book's; this part carries them. No takeover, order or
+pin costs a store call.
 """
 
 from roadlift.core.errors import RoadliftError
@@ -11,10 +10,11 @@
 from roadlift.daemon.bundles import Bundles
 from roadlift.daemon.members import Members
 from roadlift.daemon.pins import Pins
+from roadlift.daemon.takeover import Ask, OnAnswer, Opening, Takeover
 from roadlift.daemon.transport import Transport
 from roadlift.endpoints.api import EngineLoad, engine_apis
 from roadlift.ownership.book import LOAD, Book, Order, OrderResult, Outgoing
-from roadlift.ownership.election import choose_owner, compute_epoch
+from roadlift.ownership.election import choose_owner
 from roadlift.ownership.messages import (
     Acquire,
     Census,
@@ -25,7 +25,6 @@
     Release,
     Report,
 )
-from roadlift.ownership.names import parse_copy_name
 from roadlift.policy.eviction import evictors
 from roadlift.policy.loads import LoadBudget
 from roadlift.relay.upstream import Address, Answer, Request, fetch
@@ -144,71 +143,52 @@
         owned = self._owned.get(name)
         if owned is None:
             owned = self._owned[name] = OwnedEndpoint(name, address)
-        if owned.book is not None and owned.book.is_fenced_off:
+        if owned.book is not None and owned.book.is_superseded:
             self._drop_book(owned)
-        if owned.book is None and not owned.is_opening:
-            owned.is_opening = True
-            self._ask_list(owned, lambda names: self._raise_fence(owned, names))
-
-    def _ask_list(self, owned: OwnedEndpoint, on_names) -> None:
-        def receive(answer: Answer) -> None:
-            try:
-                names = self._api.read_list(answer)
-            except (RoadliftError, ValueError, KeyError) as error:
-                log.warning("Endpoint %s gave no list: %s.", owned.name, error)
-                owned.is_opening = False
-                return
-            on_names(names)
+        entry = self._bundles.bundle.get_endpoint(name)
+        if owned.book is not None or owned.is_opening or entry is None:
+            return
+        owned.is_opening = True
+        takeover = Takeover(
+            self._ask_endpoint(owned),
+            self._api,
+            entry["fences"],
+            self._members.process,
+            self._pins.table.get_epoch(name),
+        )
+        takeover.start(lambda opening: self._open_book(owned, opening))
 
-        self._call(owned, self._api.build_list(), receive)
+    def _ask_endpoint(self, owned: OwnedEndpoint) -> Ask:
+        """Return a function that asks an endpoint; None is no answer."""
 
-    def _raise_fence(self, owned: OwnedEndpoint, names: list[str]) -> None:
-        epochs = [parsed.epoch for parsed in map(parse_copy_name, names) if parsed]
-        entry = self._bundles.bundle.get_endpoint(owned.name)
-        if entry is None:
-            owned.is_opening = False
-            return
-        known = self._pins.table.get_epoch(owned.name)
-        epoch = compute_epoch(max([known, *epochs]), self._members.process)
-        if entry["fences"]:
-            self._order_fence(owned, epoch)
-        else:
-            self._open_book(owned, epoch, names, self._kernel.clock.now())
-
-    def _order_fence(self, owned: OwnedEndpoint, epoch: int) -> None:
-        def receive(answer: Answer) -> None:
-            if answer.status == 409:
-                higher = max(epoch, self._api.read_fence(answer))
-                self._order_fence(owned, compute_epoch(higher, self._members.process))
-                return
-            asked_at = self._kernel.clock.now()
-            self._ask_list(
-                owned, lambda names: self._open_book(owned, epoch, names, asked_at)
-            )
+        def ask(request: Request, on_answer: OnAnswer) -> None:
+            timeout = self._settings.connect_timeout
+            fail = lambda error: on_answer(None)  # noqa: E731
+            fetch(self._kernel.loop, owned.address, request, on_answer, fail, timeout)
 
-        self._call(owned, self._api.build_fence(epoch), receive)
+        return ask
 
-    def _open_book(
-        self, owned: OwnedEndpoint, epoch: int, names: list[str], asked_at: float
-    ) -> None:
+    def _open_book(self, owned: OwnedEndpoint, opening: Opening | None) -> None:
         owned.is_opening = False
         entry = self._bundles.bundle.get_endpoint(owned.name)
-        if entry is None or self._owned.get(owned.name) is not owned:
+        if opening is None or entry is None:
+            return
+        if self._owned.get(owned.name) is not owned:
             return
-        now = self._kernel.clock.now()
         book = Book(
             owned.name,
             self._members.process,
-            epoch,
+            opening.epoch,
             entry["fences"],
             entry["slots"],
             entry["width"],
             self._evictor,
         )
-        book.reconcile(names, asked_at, now)
+        book.open(opening.names, self._kernel.clock.now())
         owned.book = book
+        owned.note_load(opening.load)
         self.takeovers += 1
-        log.info("Endpoint %s is owned in epoch %x.", owned.name, epoch)
+        log.info("Endpoint %s is owned in epoch %x.", owned.name, opening.epoch)
         self._count_own_pins(book)
         self._take_census(owned)
 
@@ -356,33 +336,28 @@
             self._ask_load_report(owned)
 
     def _ask_load_report(self, owned: OwnedEndpoint) -> None:
-        def receive(answer: Answer) -> None:
-            if owned.book is None:
+        def receive(answer: Answer | None) -> None:
+            if owned.book is None or answer is None:
                 return
             load = self._api.read_load_report(answer)
-            restarted = owned.load.incarnation not in ("", load.incarnation)
+            restarted = owned.load.incarnation != load.incarnation
             owned.note_load(load)
             if restarted:
                 log.warning("Endpoint %s has restarted.", owned.name)
                 self._drop_book(owned)
                 self._open(owned.name, owned.address)
             elif owned.reports % LIST_EVERY == 0:
-                self._ask_again(owned, owned.book)
+                self._ask_list(owned, owned.book)
 
-        self._call(owned, self._api.build_load_report(), receive)
+        self._ask_endpoint(owned)(self._api.build_load_report(), receive)
 
-    def _ask_again(self, owned: OwnedEndpoint, book: Book) -> None:
+    def _ask_list(self, owned: OwnedEndpoint, book: Book) -> None:
         asked_at = self._kernel.clock.now()
 
-        def take(names: list[str]) -> None:
-            if owned.book is book:
-                book.reconcile(names, asked_at, self._kernel.clock.now())
-
-        self._ask_list(owned, take)
-
-    def _call(self, owned: OwnedEndpoint, request: Request, receive) -> None:
-        def fail(error: RoadliftError) -> None:
-            owned.is_opening = False
+        def receive(answer: Answer | None) -> None:
+            if owned.book is not book or answer is None or answer.status != 200:
+                return
+            names = self._api.read_list(answer)
+            book.reconcile(names, asked_at, self._kernel.clock.now())
 
-        timeout = self._settings.connect_timeout
-        fetch(self._kernel.loop, owned.address, request, receive, fail, timeout)
+        self._ask_endpoint(owned)(self._api.build_list(), receive)
--- a/roadlift/endpoints/api.py
+++ b/roadlift/endpoints/api.py
@@ -34,7 +34,7 @@
     def judge_order(self, order: Order, answer: Answer) -> OrderResult:
         """Tell how an order ended by its answer."""
 
-    def build_fence(self, epoch: int) -> Request:
+    def build_fence(self, fence: int) -> Request:
         """Return a harmless order that raises the fencing number."""
 
     def read_fence(self, answer: Answer) -> int:
--- a/roadlift/endpoints/openai.py
+++ b/roadlift/endpoints/openai.py
@@ -57,9 +57,9 @@
             return OrderResult.REFUSED
         return OrderResult.REFUSED if order.verb == LOAD else OrderResult.UNKNOWN
 
-    def build_fence(self, epoch: int) -> Request:
+    def build_fence(self, fence: int) -> Request:
         """Return an order to unload nothing, which raises the number."""
-        headers = {**_JSON, FENCE_HEADER: str(epoch)}
+        headers = {**_JSON, FENCE_HEADER: str(fence)}
         body = json.dumps({"lora_name": ""}).encode()
         return Request("POST", "/v1/unload_lora_adapter", headers, body)
 
--- a/roadlift/ownership/book.py
+++ b/roadlift/ownership/book.py
@@ -10,6 +10,14 @@
   dead. No pin lapses by time, since a paused holder can't be stopped.
 * ``adopt_fenced``: a copy of an earlier epoch is served from only where the
   endpoint refuses the earlier owner's orders, or that owner has yielded.
+* ``adopt_once``: a copy of an earlier epoch that was not listed when the
+  book was opened is never served from, as an endpoint that has restarted
+  since no longer refuses the earlier owner's orders.
+* ``step_down``: a copy of a later epoch shows that another process has taken
+  over; the book then gives no order.
+* ``yield_certain``: an epoch is handed over for serving only if no answer to
+  an order was ever lost in it.
+* ``newest_pin``: of two pins of one holder on one copy the newer is kept.
 * ``name_once``: each load has a name of its own.
 """
 
@@ -17,6 +25,7 @@
 from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
+from roadlift.ownership.election import MOST_ORDERS, compute_fence
 from roadlift.ownership.messages import (
     Acquire,
     Count,
@@ -134,13 +143,14 @@
         self.yielded: set[int] = set()
         self.waiting = LoadQueue(most_waiting)
         self.order: Order | None = None
-        self.is_fenced_off = False
+        self.is_superseded = False
         self.evictions = 0
         self.loads = 0
         self._evictor = evictor
         self._asked: set[str] = set()
+        self._is_in_doubt = False
         self._serial = 0
-        self._fence = epoch
+        self._orders = 0
         self._report_serials: dict[str, int] = {}
         self._early_pins: dict[str, dict[str, Pin]] = {}
         self._ready: dict[str, list[Copy]] = {}
@@ -154,18 +164,29 @@
         self.unproven.update(name for name in new if name != self.holder)
         return new
 
+    def open(self, names: Iterable[str], now: float) -> None:
+        """Take over the copies listed after the fence was raised."""
+        for name in map(parse_copy_name, names):
+            if name is not None:
+                self._add_copy(name, CopyState.READY, now)
+        self._index_ready()
+
     def reconcile(self, names: Iterable[str], asked_at: float, now: float) -> None:
-        """Take over what the endpoint lists as loaded.
+        """Compare with what the endpoint lists as loaded.
 
         ``asked_at`` is when the list was asked for. A copy that was ready
-        before and is not listed is gone. A copy of this epoch that the book
-        has given up on is unloaded again, as its order's answer was lost.
+        before and is not listed is gone. A copy that is listed and unknown
+        stems from an order whose answer was lost, or of an earlier owner: it
+        is unloaded, never served from.
         """
-        listed = set(names)
-        for name in listed - set(self.copies):
-            parsed = parse_copy_name(name)
-            if parsed is not None:
-                self._adopt(parsed, now)
+        listed = {name: parse_copy_name(name) for name in names}
+        found = [parsed for parsed in listed.values() if parsed is not None]
+        if any(parsed.epoch > self.epoch for parsed in found):
+            self.is_superseded = True
+            return
+        for parsed in found:
+            if str(parsed) not in self.copies:
+                self._add_copy(parsed, CopyState.UNLOADING, now)
         for copy in list(self.copies.values()):
             is_settled = copy.state is not CopyState.LOADING and copy.since < asked_at
             if copy.name not in listed and is_settled:
@@ -177,8 +198,7 @@
         if count.epoch != self.epoch:
             return
         for name, nonce, running in count.pins:
-            pins = self._find_pins(name)
-            pins[sender] = Pin(nonce, running)
+            _note_pin(self._find_pins(name), sender, Pin(nonce, running))
         self.yielded.update(count.yielded)
         self._asked.add(sender)
         self.unproven.discard(sender)
@@ -190,10 +210,14 @@
         With an order whose effect is unknown the next owner must not serve
         from this epoch's copies where the endpoint does not fence.
         """
-        doubtful = self.order is not None or any(
+        unsettled = self.order is not None or any(
             copy.state is not CopyState.READY for copy in self.copies.values()
         )
-        return [] if doubtful else [self.epoch, *sorted(self.yielded)]
+        return (
+            []
+            if unsettled or self._is_in_doubt
+            else [self.epoch, *sorted(self.yielded)]
+        )
 
     def remove_dead(self, holder: str) -> None:
         """Drop the pins of a process that is proven dead."""
@@ -203,13 +227,6 @@
             pins.pop(holder, None)
         self.waiting.remove_holder(holder)
 
-    def forget_copies(self) -> None:
-        """Drop every copy, as the endpoint has restarted without them."""
-        self.copies.clear()
-        self._early_pins.clear()
-        self._ready.clear()
-        self.order = None
-
     # Pins.
 
     def acquire(self, sender: str, ask: Acquire, now: float) -> list[Outgoing]:
@@ -248,7 +265,7 @@
             if pin is not None and pin.nonce < report.floor:
                 del pins[sender]
         for name, nonce, running in report.pins:
-            self._find_pins(name)[sender] = Pin(nonce, running)
+            _note_pin(self._find_pins(name), sender, Pin(nonce, running))
 
     def count_running(self) -> int:
         """Return the requests that run at the endpoint, as last reported."""
@@ -277,7 +294,7 @@
         so that a late order is an old one. ``try_load`` takes a load from
         the budget, or tells that there is none.
         """
-        if self.order is not None or self.is_fenced_off:
+        if self.order is not None or self.is_superseded:
             return None, []
         stray = self._find_stray()
         if stray is not None:
@@ -299,7 +316,8 @@
         if self.order != order:
             return []
         self.order = None
-        self.is_fenced_off = result is OrderResult.FENCED
+        self.is_superseded = self.is_superseded or result is OrderResult.FENCED
+        self._is_in_doubt = self._is_in_doubt or result is OrderResult.UNKNOWN
         copy = self.copies.get(order.copy)
         if copy is None:
             return []
@@ -323,9 +341,7 @@
 
     # Helpers.
 
-    def _adopt(self, name: CopyName, now: float) -> None:
-        is_lost = name.epoch == self.epoch
-        state = CopyState.UNLOADING if is_lost else CopyState.READY
+    def _add_copy(self, name: CopyName, state: CopyState, now: float) -> None:
         copy = self.copies[str(name)] = Copy(name, state, now)
         copy.pins = self._early_pins.pop(copy.name, {})
 
@@ -394,10 +410,11 @@
         return Outgoing(wait.holder, Refuse(self.endpoint, wait.nonce, reason, 1.0))
 
     def _next_fence(self) -> int:
-        # Orders of one epoch differ in the high bits only, so that the low
-        # ones stay this process's own.
-        self._fence += 1 << 32
-        return self._fence
+        self._orders += 1
+        if self._orders >= MOST_ORDERS:
+            # The next takeover, by this process or another, goes on.
+            self.is_superseded = True
+        return compute_fence(self.epoch, self._orders)
 
     def _begin_load(self, model: str, now: float) -> Order:
         self._serial += 1
@@ -454,3 +471,14 @@
         for copy in self.copies.values():
             if self.may_serve(copy):
                 self._ready.setdefault(copy.model, []).append(copy)
+
+
+def _note_pin(pins: dict[str, Pin], holder: str, said: Pin) -> None:
+    """Take what a holder said of its pin, but keep a newer grant's nonce.
+
+    A grant may be on its way while the holder's older word arrives; with the
+    older nonce, giving back the older pin would lose the newer one.
+    """
+    known = pins.get(holder)
+    nonce = max(said.nonce, known.nonce) if known else said.nonce
+    pins[holder] = Pin(nonce, said.running)
--- a/roadlift/ownership/election.py
+++ b/roadlift/ownership/election.py
@@ -9,7 +9,9 @@
 import hashlib
 from collections.abc import Iterable
 
-_TIE_BITS = 32
+_TIE_BITS = 20
+_ORDER_BITS = 23
+MOST_ORDERS = (1 << _ORDER_BITS) - 1  # Orders of one epoch.
 
 
 def choose_owner(endpoint: str, instances: Iterable[str]) -> str | None:
@@ -23,16 +25,31 @@
     return sorted(instances, key=lambda name: _hash(f"{name}/{task}"), reverse=True)
 
 
-def compute_epoch(highest: int, holder: str) -> int:
-    """Return a fencing number above ``highest`` that is ``holder``'s alone.
+def compute_epoch(highest: int, process: str) -> int:
+    """Return an epoch above ``highest`` that is ``process``'s alone.
 
-    The low 32 bits are a hash of the process, so that two processes that
-    take over from the same number never share the next one.
+    The low 20 bits are a hash of the process, so that two processes that
+    take over from the same epoch don't share the next one, but for one such
+    pair in a million.
     """
-    tie = _hash(holder) & ((1 << _TIE_BITS) - 1)
+    tie = _hash(process) & ((1 << _TIE_BITS) - 1)
     return ((highest >> _TIE_BITS) + 1) << _TIE_BITS | tie
 
 
+def compute_fence(epoch: int, order: int) -> int:
+    """Return the fencing number of an epoch's order, in 63 bits.
+
+    The epoch stands in the high bits, so that no order of an epoch, however
+    many it gives, is above the first of a later one.
+    """
+    return epoch << _ORDER_BITS | order
+
+
+def read_epoch(fence: int) -> int:
+    """Return the epoch of a fencing number."""
+    return fence >> _ORDER_BITS
+
+
 def _hash(text: str) -> int:
     digest = hashlib.blake2b(text.encode(), digest_size=8).digest()
     return int.from_bytes(digest, "big")
