Soak real processes under faults, and answer every request with a type

Cause: nothing had run under kills, pauses and cuts. Change: proposing checks the bundle; every answer is written by CallerStream, and an unforeseen exception is the typed internal_error; an exception in one callback of the loop no longer takes the others' turn. make soak: 6 instances in 3 zones, 6 engines of which 3 ignore fencing numbers, a plain service, seeded kills, pauses beyond a lease, cuts, drains, engine restarts, outages and lost replies, two operators rolling at once; answers are compared with the endpoints' journals.

--- a/Makefile
+++ b/Makefile
@@ -20,3 +20,6 @@
 
 bench-relay: $(READY)
 	$(RUN) -m benchmarks.relay
+
+soak: $(READY)
+	$(RUN) -m benchmarks.soak --seconds 40
--- a/demo/fleet.py
+++ b/demo/fleet.py
@@ -85,9 +85,15 @@
 class Fleet:
     """A platform, engines, a plain service and entry instances."""
 
-    def __init__(self, folder: Path, settings: dict[str, str] | None = None) -> None:
+    def __init__(
+        self,
+        folder: Path,
+        settings: dict[str, str] | None = None,
+        daemon: tuple[str, ...] = ("roadlift.daemon.main",),
+    ) -> None:
         self._folder = folder
         self._settings = settings or {}
+        self._daemon = daemon
         self._ports: dict[str, int] = {}
         self.platform: Process | None = None
         self.engines: dict[str, Process] = {}
@@ -141,7 +147,7 @@
         flags = []
         for key, value in values.items():
             flags += [f"--{key.replace('_', '-')}", value]
-        command = [sys.executable, "-m", "roadlift.daemon.main", *flags]
+        command = [sys.executable, "-m", *self._daemon, *flags]
         instance = Process(name, command, http, self._folder / f"{name}.log")
         instance.start()
         self.instances[name] = instance
@@ -194,6 +200,39 @@
         )
         return json.loads(said)
 
+    def cut(self, zone: str, platform: bool) -> None:
+        """Cut a zone off from the others, and perhaps from the platform.
+
+        Works with the daemon of standins.faulty; callers reach all zones.
+        """
+        inside = self._list_addresses(zone, True)
+        outside = self._list_addresses(zone, False)
+        if platform:
+            outside.append(str(self.platform.address))
+        for name, own_zone in self.zones.items():
+            self._block(name, outside if own_zone == zone else inside)
+
+    def join(self) -> None:
+        """Mend every cut."""
+        for name in self.zones:
+            self._block(name, [])
+
+    def _list_addresses(self, zone: str, inside: bool) -> list[str]:
+        found = []
+        for name, own_zone in self.zones.items():
+            if (own_zone == zone) == inside:
+                found.append(str(self.instances[name].address))
+                found.append(f"127.0.0.1:{self.find_port(f'{name}/peer')}")
+        for name, spec in self.specs.items():
+            if (spec.zone == zone) == inside:
+                found.append(str(self.engines[name].address))
+        return found
+
+    def _block(self, name: str, addresses: list[str]) -> None:
+        peer = ("127.0.0.1", self.find_port(f"{name}/peer"))
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender:
+            sender.sendto(json.dumps(addresses).encode(), peer)
+
     def close(self) -> None:
         """End every process that this fleet started."""
         groups = (self.instances, self.engines, self.services)
--- a/roadlift/bundles/content.py
+++ b/roadlift/bundles/content.py
@@ -235,11 +235,16 @@
         document = json.loads(text)
     except ValueError as error:
         raise InvalidBundle(f"{source}: not JSON: {error}") from error
+    check_document(document, source)
+    return document
+
+
+def check_document(document: Any, source: str) -> None:
+    """Raise InvalidBundle with each mistake; fill in the defaults."""
     mistakes = list_mistakes(document)
     if mistakes:
         shown = "; ".join(f"{source}: {mistake}" for mistake in mistakes[:20])
         raise InvalidBundle(shown)
-    return document
 
 
 def list_mistakes(document: Any) -> list[str]:
--- a/roadlift/bundles/roll.py
+++ b/roadlift/bundles/roll.py
@@ -20,7 +20,7 @@
     Snapshot,
     compute_digest,
 )
-from roadlift.bundles.content import Bundle
+from roadlift.bundles.content import Bundle, check_document
 from roadlift.core.errors import (
     BundleConflict,
     BundleNotSigned,
@@ -80,6 +80,7 @@
 
 def propose(store: BlockingStore, document: dict, operator: str) -> Proposal:
     """Store a bundle's change against the head and return its digest."""
+    check_document(document, "bundle")
     chain, head = load_chain(store)
     change = chain.bundle.compare(Bundle.from_document(document), head.digest)
     if change.is_empty():
--- a/roadlift/core/loop.py
+++ b/roadlift/core/loop.py
@@ -11,6 +11,7 @@
 import select
 from collections.abc import Callable
 
+from absl import logging
 from circuits.core.handlers import handler
 from circuits.core.pollers import EPoll
 
@@ -128,7 +129,7 @@
         while self._timers and self._timers[0][0] <= now:
             timer = heapq.heappop(self._timers)[2]
             if not timer.closed:
-                timer.call()
+                _call(timer.call)
 
     def _process(self, fileno: int, event: int) -> None:
         watch = self._watches.get(fileno)
@@ -136,6 +137,14 @@
             super()._process(fileno, event)
             return
         if event & (_READ | _HANGUP) and watch.on_read:
-            watch.on_read()
+            _call(watch.on_read)
         if event & (_WRITE | _HANGUP) and watch.on_write:
-            watch.on_write()
+            _call(watch.on_write)
+
+
+def _call(function: Callable[[], None]) -> None:
+    """Call a function; a fault in it must not stop the others' turn."""
+    try:
+        function()
+    except Exception:
+        logging.exception("[loop] A callback failed.")
--- a/roadlift/daemon/gateway.py
+++ b/roadlift/daemon/gateway.py
@@ -23,7 +23,7 @@
 from roadlift.daemon.exchange import Call, EngineExchange, Exchange, ServiceExchange
 from roadlift.daemon.status import Status
 from roadlift.policy.admission import Admission, Limits
-from roadlift.relay.caller import CallerStream, encode_error
+from roadlift.relay.caller import CallerStream
 
 ENGINE_PATHS = ("/v1/completions", "/v1/chat/completions")
 SERVICE_PREFIX = "/services/"
@@ -98,32 +98,32 @@
             exchange.close()
         self._server.server.close()
 
-    def handle(self, request, response):
-        """Answer a small request at once; hand a call to an exchange."""
-        response.headers["Content-Type"] = "application/json"
+    def handle(self, request, response) -> bool:
+        """Answer a small request at once; hand a call to an exchange.
+
+        Always returns True: the answer does not go through circuits, which
+        fires an event for each part of it.
+        """
+        caller = CallerStream(self._kernel.loop, self._server, request, response)
         try:
             answer = self._status.answer(request.method, request.path)
-            if answer is not None:
-                response.status = answer.status
-                response.headers["Content-Type"] = answer.headers["Content-Type"]
-                return answer.body
-            self._begin(request, response)
-            return True
+            if answer is None:
+                self._begin(request, caller)
+            else:
+                caller.answer(answer.status, answer.headers, answer.body)
         except RoadliftError as error:
-            return self._refuse(response, error)
+            caller.answer_error(error, {})
+        except Exception as error:
+            log.error("A request broke the gateway: %r.", error)
+            caller.answer_error(RoadliftError(type(error).__name__), {})
+        return True
 
     def finish(self, exchange: Exchange) -> None:
         """Forget an exchange that is over."""
         self._exchanges.discard(exchange)
         self.admission.leave(exchange.call.service)
 
-    def _refuse(self, response, error: RoadliftError) -> bytes:
-        response.status = error.status
-        if error.retry_after is not None:
-            response.headers["Retry-After"] = str(max(1, round(error.retry_after)))
-        return encode_error(error)
-
-    def _begin(self, request, response) -> None:
+    def _begin(self, request, caller: CallerStream) -> None:
         if self.is_closed:
             raise Draining(retry_after=1.0)
         body = request.body.read()
@@ -139,7 +139,6 @@
         most = entry["most_queued"] if entry else self._settings.most_running
         if not self.admission.admit(call.service, most):
             raise Overloaded(f"service {call.service!r} is at its limit", 1.0)
-        caller = CallerStream(self._kernel.loop, self._server, request, response)
         exchange = kind(self._kernel, self, call, caller)
         self._exchanges.add(exchange)
         exchange.start()
--- a/roadlift/relay/caller.py
+++ b/roadlift/relay/caller.py
@@ -120,6 +120,10 @@
 
     def _take_socket(self) -> None:
         server = self._server.server
+        if self._socket not in server._clients:
+            # The caller went away before its request was handled.
+            self._socket = None
+            return
         server._poller.discard(self._socket)
         server._clients.remove(self._socket)
         server._buffers.pop(self._socket, None)
