Put a dialer between the parts and sockets, and run the parts on a paused clock

Cause: failures at a chosen moment could not be brought about: every part opened sockets itself, and the gateway was the web server as well. Change: Dialer, Caller and the front part stand between decisions and sockets; standins/hub.py joins the real parts of several instances in one process on a clock that tests advance; the engine's stand-in has its state apart from its process, so that both use one. Conclusion: the failure tests can be written against the real parts.

--- a/demo/client.py
+++ b/demo/client.py
@@ -5,7 +5,7 @@
 from typing import NamedTuple
 
 from roadlift.relay.upstream import Address
-from standins.engine import make_word
+from standins.state import make_word
 
 
 class Reply(NamedTuple):
--- a/roadlift/core/kernel.py
+++ b/roadlift/core/kernel.py
@@ -5,6 +5,7 @@
 them in the reverse one.
 """
 
+from collections.abc import Iterable
 from typing import ClassVar, Protocol, TypeVar
 
 from circuits import Component
@@ -13,6 +14,7 @@
 from roadlift.core.errors import ImproperlyConfigured
 from roadlift.core.loop import Loop
 from roadlift.core.registry import Registry
+from roadlift.relay.upstream import Dialer, SocketDialer
 
 parts: Registry = Registry("part")
 
@@ -33,17 +35,27 @@
 
 
 class Kernel(Component):
-    """The root component: the settings, the clock, the loop and the parts."""
+    """The root component: the settings, the clock, the loop and the parts.
+
+    ``given`` holds parts that stand in for registered ones, by name.
+    """
 
     channel = "kernel"
 
-    def __init__(self, settings: object, clock: Clock | None = None) -> None:
+    def __init__(
+        self,
+        settings: object,
+        clock: Clock | None = None,
+        dialer: Dialer | None = None,
+        given: dict[str, Part] | None = None,
+    ) -> None:
         super().__init__(channel=self.channel)
         self.settings = settings
         self.clock = clock or MonotonicClock()
         self.loop = Loop(self.clock)
         self.loop.register(self)
-        self._parts: dict[str, Part] = {}
+        self.dialer = dialer or SocketDialer(self.loop)
+        self._parts: dict[str, Part] = dict(given or {})
         self._is_open = False
 
     def get(self, kind: type[PartType]) -> PartType:
@@ -53,9 +65,9 @@
             raise ImproperlyConfigured(f"part {kind.name!r} was not started")
         return part
 
-    def open(self) -> None:
-        """Build and start every registered part, needed ones first."""
-        for name in parts.names():
+    def open(self, names: Iterable[str] | None = None) -> None:
+        """Build and start parts, by default all, needed ones first."""
+        for name in parts.names() if names is None else names:
             self._build(name, ())
         self._is_open = True
         for part in list(self._parts.values()):
--- a/roadlift/daemon/bundles.py
+++ b/roadlift/daemon/bundles.py
@@ -30,7 +30,7 @@
 
     def __init__(self, kernel: Kernel) -> None:
         address = Address.parse(kernel.settings.platform)
-        self.store = LoopStore(kernel.loop, address, kernel.settings.store_timeout)
+        self.store = LoopStore(kernel.dialer, address, kernel.settings.store_timeout)
 
     def start(self) -> None:
         """Do nothing; each call opens its own connection."""
--- a/roadlift/daemon/exchange.py
+++ b/roadlift/daemon/exchange.py
@@ -32,9 +32,8 @@
     compute_key,
 )
 from roadlift.pins.table import HeldPin
-from roadlift.relay.caller import CallerStream
-from roadlift.relay.upstream import Address, Request
-from roadlift.relay.upstream import Call as UpstreamCall
+from roadlift.relay.caller import Caller
+from roadlift.relay.upstream import Address, Line, Request
 from roadlift.retries.rules import may_retry
 
 MOST_TRIES = 8
@@ -72,9 +71,7 @@
 
     judged_from = 400
 
-    def __init__(
-        self, kernel: Kernel, gateway, call: Call, caller: CallerStream
-    ) -> None:
+    def __init__(self, kernel: Kernel, gateway, call: Call, caller: Caller) -> None:
         self.call = call
         self._kernel = kernel
         self._settings = kernel.settings
@@ -87,7 +84,7 @@
         self._claim: Claim | None = None
         self._kept = bytearray() if call.key else None
         self._kept_head: tuple[int, dict[str, str]] = (0, {})
-        self._upstream: UpstreamCall | None = None
+        self._upstream: Line | None = None
         self._head: tuple[int, dict[str, str]] | None = None
         self._error_body = bytearray()
         self._tries = 0
@@ -153,10 +150,7 @@
 
     def _open(self, address: Address, request: Request) -> None:
         timeout = self._settings.answer_timeout
-        self._upstream = UpstreamCall(
-            self._kernel.loop, address, request, self, timeout
-        )
-        self._upstream.start()
+        self._upstream = self._kernel.dialer.open(address, request, self, timeout)
 
     @property
     def _is_refusal(self) -> bool:
@@ -304,9 +298,7 @@
 class EngineExchange(Exchange):
     """A call to an adapter's version on an engine."""
 
-    def __init__(
-        self, kernel: Kernel, gateway, call: Call, caller: CallerStream
-    ) -> None:
+    def __init__(self, kernel: Kernel, gateway, call: Call, caller: Caller) -> None:
         super().__init__(kernel, gateway, call, caller)
         self._pins = kernel.get(Pins)
         self._api = engine_apis.get(self._settings.engine_api)()
@@ -416,9 +408,7 @@
 
     judged_from = 500
 
-    def __init__(
-        self, kernel: Kernel, gateway, call: Call, caller: CallerStream
-    ) -> None:
+    def __init__(self, kernel: Kernel, gateway, call: Call, caller: Caller) -> None:
         super().__init__(kernel, gateway, call, caller)
         self._members = kernel.get(Members)
         self._endpoint = ""
--- a/roadlift/daemon/gateway.py
+++ b/roadlift/daemon/gateway.py
@@ -1,9 +1,8 @@
 """Take callers' requests by HTTP and hand each to the exchange it needs."""
 
 import json
-
-from circuits import BaseComponent, handler
-from circuits.web.servers import BaseServer
+from collections.abc import Mapping
+from typing import BinaryIO, NamedTuple
 
 from roadlift.burn.record import BurnRecord
 from roadlift.core.errors import (
@@ -23,48 +22,34 @@
 from roadlift.daemon.exchange import Call, EngineExchange, Exchange, ServiceExchange
 from roadlift.daemon.status import Status
 from roadlift.policy.admission import Admission, Limits
-from roadlift.relay.caller import CallerStream
+from roadlift.relay.caller import Caller
 
 ENGINE_PATHS = ("/v1/completions", "/v1/chat/completions")
 SERVICE_PREFIX = "/services/"
 SERVICE_HEADER = "X-Service"
 KEY_HEADER = "Idempotency-Key"
 MOST_KEY = 255  # Characters of an idempotency key.
-READ_SIZE = 65536
 
 log = PartLog("gateway")
 
 
-class Server(BaseServer):
-    """The web server of circuits, which leaves signals to the drain."""
-
-    @handler("signal")
-    def _on_signal(self, *args) -> None:
-        """Leave signals to the drain; circuits would stop at once."""
-
-    @handler("ready")
-    def _on_ready(self, server, bind) -> None:
-        log.info("Callers are served at %s:%s.", *bind)
-
+class Received(NamedTuple):
+    """A request as the front received it.
 
-class _Requests(BaseComponent):
-    """The handler of circuits' request events."""
+    ``query`` is without its question mark; ``headers`` finds a name in any
+    case; ``body`` is read once.
+    """
 
-    channel = "web"
-
-    def __init__(self, gateway: "Gateway") -> None:
-        super().__init__(channel=self.channel)
-        self._gateway = gateway
-
-    @handler("request", priority=1.0)
-    def _on_request(self, event, request, response):
-        event.stop()
-        return self._gateway.handle(request, response)
+    method: str
+    path: str
+    query: str
+    headers: Mapping[str, str]
+    body: BinaryIO
 
 
 @parts.register("gateway")
 class Gateway:
-    """The HTTP side of this process towards callers."""
+    """What takes callers' requests, apart from the sockets."""
 
     name = "gateway"
     needs = ("bundles", "calls", "metrics", "owners", "pins", "status")
@@ -74,7 +59,6 @@
         self._settings = kernel.settings
         self._bundles = kernel.get(Bundles)
         self._status = kernel.get(Status)
-        self._server: Server | None = None
         self._exchanges: set[Exchange] = set()
         self.admission = Admission(Limits(self._settings.most_running))
         self.burn = BurnRecord()
@@ -87,24 +71,15 @@
         return len(self._exchanges)
 
     def start(self) -> None:
-        """Bind the server and register it with the loop."""
-        self._server = Server(self._settings.http, bufsize=READ_SIZE)
-        self._server.register(self._kernel)
-        _Requests(self).register(self._server)
+        """Do nothing; requests come from the front."""
 
     def close(self) -> None:
-        """Cut what is left and close the server's sockets."""
+        """Cut what is left."""
         for exchange in list(self._exchanges):
             exchange.close()
-        self._server.server.close()
-
-    def handle(self, request, response) -> bool:
-        """Answer a small request at once; hand a call to an exchange.
 
-        Always returns True: the answer does not go through circuits, which
-        fires an event for each part of it.
-        """
-        caller = CallerStream(self._kernel.loop, self._server, request, response)
+    def handle(self, request: Received, caller: Caller) -> None:
+        """Answer a small request at once; hand a call to an exchange."""
         try:
             answer = self._status.answer(request.method, request.path)
             if answer is None:
@@ -116,14 +91,13 @@
         except Exception as error:
             log.error("A request broke the gateway: %r.", error)
             caller.answer_error(RoadliftError(type(error).__name__), {})
-        return True
 
     def finish(self, exchange: Exchange) -> None:
         """Forget an exchange that is over."""
         self._exchanges.discard(exchange)
         self.admission.leave(exchange.call.service)
 
-    def _begin(self, request, caller: CallerStream) -> None:
+    def _begin(self, request: Received, caller: Caller) -> None:
         if self.is_closed:
             raise Draining(retry_after=1.0)
         body = request.body.read()
@@ -143,7 +117,7 @@
         self._exchanges.add(exchange)
         exchange.start()
 
-    def _read_engine_call(self, request, body: bytes) -> Call:
+    def _read_engine_call(self, request: Received, body: bytes) -> Call:
         if request.method != "POST":
             raise InvalidRequest(f"{request.path} takes POST, not {request.method}")
         content = _read_object(body)
@@ -162,11 +136,11 @@
         key = _read_key(request)
         return Call("POST", request.path, {}, body, service, key, True, name, content)
 
-    def _read_service_call(self, request, body: bytes) -> Call:
+    def _read_service_call(self, request: Received, body: bytes) -> Call:
         service, _, path = request.path[len(SERVICE_PREFIX) :].partition("/")
         if self._bundles.bundle.get_service(service) is None:
             raise UnknownService(service)
-        query = f"?{request.qs}" if request.qs else ""
+        query = f"?{request.query}" if request.query else ""
         kind = request.headers.get("Content-Type", "application/octet-stream")
         key = _read_key(request)
         repeatable = request.method in ("GET", "HEAD", "PUT", "DELETE", "OPTIONS")
@@ -186,7 +160,7 @@
     return content
 
 
-def _read_key(request) -> str:
+def _read_key(request: Received) -> str:
     key = request.headers.get(KEY_HEADER, "")
     if len(key) > MOST_KEY:
         raise InvalidRequest(f"{KEY_HEADER} has more than {MOST_KEY} characters")
--- a/roadlift/daemon/main.py
+++ b/roadlift/daemon/main.py
@@ -8,7 +8,7 @@
 from circuits import handler
 
 import roadlift.conf.checks  # noqa: F401  The checks register themselves.
-import roadlift.daemon.leaving  # noqa: F401  The parts register themselves.
+import roadlift.daemon.front  # noqa: F401  The parts register themselves.
 from roadlift.conf.settings import Settings, make_command
 from roadlift.core.checks import run_checks
 from roadlift.core.errors import ImproperlyConfigured
--- a/roadlift/daemon/members.py
+++ b/roadlift/daemon/members.py
@@ -157,4 +157,4 @@
 
         address = Address.parse(member.http)
         request = Request("GET", "/livez")
-        fetch(self._kernel.loop, address, request, answer, fail, PROOF_PERIOD)
+        fetch(self._kernel.dialer, address, request, answer, fail, PROOF_PERIOD)
--- a/roadlift/daemon/owners.py
+++ b/roadlift/daemon/owners.py
@@ -164,7 +164,7 @@
         def ask(request: Request, on_answer: OnAnswer) -> None:
             timeout = self._settings.connect_timeout
             fail = lambda error: on_answer(None)  # noqa: E731
-            fetch(self._kernel.loop, owned.address, request, on_answer, fail, timeout)
+            fetch(self._kernel.dialer, owned.address, request, on_answer, fail, timeout)
 
         return ask
 
@@ -323,7 +323,7 @@
             return
         request = self._api.build_order(order, path)
         timeout = self._settings.load_timeout
-        fetch(self._kernel.loop, owned.address, request, receive, fail, timeout)
+        fetch(self._kernel.dialer, owned.address, request, receive, fail, timeout)
 
     def _find_path(self, model: str) -> str | None:
         found = self._bundles.find_model(model)
--- a/roadlift/platform/store.py
+++ b/roadlift/platform/store.py
@@ -13,8 +13,7 @@
 from urllib.parse import quote
 
 from roadlift.core.errors import PlatformUnavailable, RoadliftError, VersionConflict
-from roadlift.core.loop import Loop
-from roadlift.relay.upstream import Address, Answer, Request, fetch
+from roadlift.relay.upstream import Address, Answer, Dialer, Request, fetch
 
 ABSENT = ""  # The version of a row that does not exist.
 
@@ -85,8 +84,8 @@
 class LoopStore:
     """The platform's stores as met by the daemon; counts its calls."""
 
-    def __init__(self, loop: Loop, address: Address, timeout: float) -> None:
-        self._loop = loop
+    def __init__(self, dialer: Dialer, address: Address, timeout: float) -> None:
+        self._dialer = dialer
         self._address = address
         self._timeout = timeout
         self.reads = 0
@@ -128,7 +127,7 @@
         def fail(error: RoadliftError) -> None:
             on_error(PlatformUnavailable(str(error)))
 
-        fetch(self._loop, self._address, request, receive, fail, self._timeout)
+        fetch(self._dialer, self._address, request, receive, fail, self._timeout)
 
 
 class DirectStore:
--- a/roadlift/relay/caller.py
+++ b/roadlift/relay/caller.py
@@ -9,6 +9,7 @@
 import socket
 from collections import deque
 from collections.abc import Callable
+from typing import Protocol
 
 from circuits.web.servers import BaseServer
 
@@ -20,13 +21,45 @@
 _REASONS = {200: "OK", 400: "Bad Request", 404: "Not Found", 409: "Conflict"}
 
 
-class CallerStream:
-    """The answering half of one caller's connection.
+class Caller(Protocol):
+    """What an answer is written to.
 
     ``on_gone`` is called once if the caller goes away before the answer is
     whole; ``on_drained`` each time the held bytes fall below the low mark.
     """
 
+    started: bool
+    on_gone: Callable[[], None] | None
+    on_drained: Callable[[], None] | None
+
+    @property
+    def is_full(self) -> bool:
+        """Tell whether the sender should pause."""
+
+    def write_head(
+        self, status: int, headers: dict[str, str], length: int | None = None
+    ) -> None:
+        """Write the status line and headers; no length means chunked."""
+
+    def write(self, data: bytes) -> None:
+        """Write body bytes."""
+
+    def finish(self) -> None:
+        """End the answer as whole."""
+
+    def answer(self, status: int, headers: dict[str, str], body: bytes) -> None:
+        """Write a whole answer at once."""
+
+    def answer_error(self, error: RoadliftError, headers: dict[str, str]) -> None:
+        """Write a typed error, as an answer or as a stream's last event."""
+
+    def close(self) -> None:
+        """Drop the connection."""
+
+
+class CallerStream:
+    """The answering half of one caller's connection."""
+
     def __init__(self, loop: Loop, server: BaseServer, request, response) -> None:
         self._loop = loop
         self._server = server
--- a/roadlift/relay/upstream.py
+++ b/roadlift/relay/upstream.py
@@ -281,15 +281,50 @@
         self._on_error(error)
 
 
+class Line(Protocol):
+    """A call in flight, as its receiver holds it."""
+
+    def close(self) -> None:
+        """Cancel the call."""
+
+    def pause(self) -> None:
+        """Stop reading the answer for a while."""
+
+    def resume(self) -> None:
+        """Read the answer again."""
+
+
+class Dialer(Protocol):
+    """What opens calls; tests put endpoints in memory behind it."""
+
+    def open(
+        self, address: Address, request: Request, receiver: Receiver, timeout: float
+    ) -> Line:
+        """Start a call whose answer the receiver gets, never at once."""
+
+
+class SocketDialer:
+    """Opens calls on sockets of their own."""
+
+    def __init__(self, loop: Loop) -> None:
+        self._loop = loop
+
+    def open(
+        self, address: Address, request: Request, receiver: Receiver, timeout: float
+    ) -> Call:
+        """Start a call whose answer the receiver gets."""
+        call = Call(self._loop, address, request, receiver, timeout)
+        call.start()
+        return call
+
+
 def fetch(
-    loop: Loop,
+    dialer: Dialer,
     address: Address,
     request: Request,
     on_answer: Callable[[Answer], None],
     on_error: Callable[[RoadliftError], None],
     timeout: float,
-) -> Call:
+) -> Line:
     """Start a call that gathers its whole answer, and return it."""
-    call = Call(loop, address, request, WholeAnswer(on_answer, on_error), timeout)
-    call.start()
-    return call
+    return dialer.open(address, request, WholeAnswer(on_answer, on_error), timeout)
--- /dev/null
+++ b/standins/hub.py
@@ -0,0 +1,513 @@
+"""Run the daemon's real parts together in one process, on a paused clock.
+
+The hub stands in for the network alone: it carries the messages between
+kernels and their calls to an engine's or the platform's stand-in, late, twice
+or not at all as a test says. Time moves only by ``advance``. It places no
+load and models no fleet; tests use it to bring about one failure at a time.
+"""
+
+import heapq
+import itertools
+import json
+import random
+from collections.abc import Callable
+from typing import NamedTuple
+
+import roadlift.daemon.leaving  # noqa: F401  The parts register themselves.
+from roadlift.conf.settings import Settings
+from roadlift.core.clock import ManualClock
+from roadlift.core.codec import Envelope, decode, encode
+from roadlift.core.errors import ConnectionLost, EndpointUnreachable, RequestTimeout
+from roadlift.core.kernel import Kernel
+from roadlift.relay.upstream import Address, Receiver, Request
+from standins.http import Received
+from standins.platform import Platform
+from standins.state import (
+    LOAD_PATH,
+    UNLOAD_PATH,
+    EngineState,
+    make_answer,
+    shorten,
+)
+
+STEP = 0.01  # Seconds that the clock moves at once.
+PARTS = ("leaving",)
+PLATFORM = "127.0.0.1:1"
+
+
+class Delivery(NamedTuple):
+    """How messages between instances travel."""
+
+    delay: float = 0.002
+    jitter: float = 0.0
+    lost: float = 0.0
+    doubled: float = 0.0
+
+
+class HubTransport:
+    """The transport part of one kernel, over the hub."""
+
+    name = "transport"
+    needs = ()
+
+    def __init__(self, hub: "Hub", name: str, address: str) -> None:
+        self._hub = hub
+        self._name = name
+        self._address = address
+        self._handlers: dict[type, Callable[[str, object], None]] = {}
+        self.process = ""
+        self.bytes_in = 0
+        self.bytes_out = 0
+        self.messages_out = 0
+
+    def start(self) -> None:
+        """Do nothing; the hub carries."""
+
+    def close(self) -> None:
+        """Do nothing; the hub forgets the kernel."""
+
+    def subscribe(self, kinds, handler) -> None:
+        """Give messages of the types to ``handler(sender, message)``."""
+        for kind in kinds:
+            self._handlers[kind] = handler
+
+    def connect(self, address: str) -> None:
+        """Do nothing; every address is connected."""
+
+    def disconnect(self, address: str) -> None:
+        """Do nothing; see connect."""
+
+    def send(self, address: str, message: object) -> bool:
+        """Send a message through the hub."""
+        data = encode(Envelope(self.process, message))
+        if address != self._address:
+            self.bytes_out += len(data)
+            self.messages_out += 1
+        self._hub.carry(self._name, address, data)
+        return True
+
+    def receive(self, data: bytes) -> None:
+        """Take a message from the hub."""
+        self.bytes_in += len(data)
+        envelope = decode(data)
+        handler = self._handlers.get(type(envelope.message))
+        if handler is not None:
+            handler(envelope.sender, envelope.message)
+
+
+class HubLine:
+    """A call in flight through the hub."""
+
+    def __init__(self, receiver: Receiver) -> None:
+        self.receiver = receiver
+        self.is_closed = False
+        self.on_close: Callable[[], None] = lambda: None
+
+    def close(self) -> None:
+        """Cancel the call."""
+        if not self.is_closed:
+            self.is_closed = True
+            self.on_close()
+
+    def pause(self) -> None:
+        """Do nothing; answers in memory are whole at once."""
+
+    def resume(self) -> None:
+        """Do nothing; see pause."""
+
+
+class HubDialer:
+    """The dialer of one kernel, over the hub."""
+
+    def __init__(self, hub: "Hub", name: str) -> None:
+        self._hub = hub
+        self._name = name
+
+    def open(
+        self, address: Address, request: Request, receiver: Receiver, timeout: float
+    ) -> HubLine:
+        """Start a call to a stand-in."""
+        line = HubLine(receiver)
+        self._hub.call(self._name, str(address), request, line, timeout)
+        return line
+
+
+class HubEngine:
+    """An engine in memory: a load takes time, a run takes time."""
+
+    def __init__(self, hub: "Hub", zone: str, slots: int, fences: bool) -> None:
+        self._hub = hub
+        self.zone = zone
+        self.load_time = 0.2
+        self.run_time = 0.2
+        self.state = EngineState(slots, fences, hub.clock.now)
+
+    def restart(self) -> None:
+        """Lose everything; calls in flight lose their connections."""
+        self.state.restart()
+
+    def handle(self, request: Request, line: HubLine) -> None:
+        """Answer one call, after the time that it takes."""
+        headers = {name.lower(): value for name, value in request.headers.items()}
+        if request.path in (LOAD_PATH, UNLOAD_PATH):
+            self._order(request, headers, line)
+        elif request.path == "/v1/models":
+            data = [{"id": name} for name in self.state.copies]
+            self._reply(line, 200, json.dumps({"data": data}).encode())
+        elif request.path == "/metrics":
+            text = f"process_start_time_seconds {self.state.started_at!r}\n"
+            text += f"vllm:num_requests_running {len(self.state.runs)}"
+            self._reply(line, 200, text.encode())
+        else:
+            self._run(json.loads(request.body), line)
+
+    def _order(self, request, headers, line) -> None:
+        refusal = self.state.check_fence(headers)
+        if refusal is not None:
+            lowered = {name.lower(): text for name, text in refusal.headers.items()}
+            self._reply(line, refusal.status, b"", lowered)
+            return
+        order = json.loads(request.body)
+        name = order["lora_name"]
+        if request.path == UNLOAD_PATH:
+            self._reply_order(line, 200 if self.state.unload(name) else 404)
+        elif not self.state.begin_load(name):
+            self._reply_order(line, 400)
+        else:
+            began = self.state.started_at
+            path = order["lora_path"]
+            finish = lambda: self._finish_load(name, path, began, line)  # noqa: E731
+            self._hub.call_later(self.load_time, finish)
+
+    def _finish_load(self, name, path, began, line) -> None:
+        done = self.state.finish_load(name, path, began)
+        if began != self.state.started_at:
+            line.receiver.receive_error(ConnectionLost("restart"))
+            return
+        self._reply_order(line, 200 if done else 400)
+
+    def _reply_order(self, line: HubLine, status: int) -> None:
+        if self.state.take_fault("lose_order_replies"):
+            if not line.is_closed:
+                line.receiver.receive_error(ConnectionLost("lost reply"))
+            return
+        self._reply(line, status, b"")
+
+    def _run(self, call: dict, line: HubLine) -> None:
+        name = call["model"]
+        if name not in self.state.copies:
+            self._reply(line, 404, b"no such model")
+            return
+        path, prompt = self.state.copies[name], shorten(call["prompt"])
+        number = self.state.begin_run(name, prompt)
+        line.on_close = lambda: self.state.end_run(number, False)
+        answer = make_answer(path, prompt, call.get("max_tokens", 4), False)
+        finish = lambda: self._finish_run(number, answer, line)  # noqa: E731
+        self._hub.call_later(self.run_time, finish)
+
+    def _finish_run(self, number: int, answer: dict, line: HubLine) -> None:
+        if line.is_closed:
+            return
+        if number not in self.state.runs:
+            line.receiver.receive_error(ConnectionLost("restart"))
+            return
+        self.state.end_run(number, True)
+        self._reply(line, 200, json.dumps(answer).encode())
+
+    def _reply(self, line, status, body, headers=None) -> None:
+        if line.is_closed:
+            return
+        found = {"content-length": str(len(body)), **(headers or {})}
+        line.receiver.receive_head(status, found)
+        if body:
+            line.receiver.receive_body(body)
+        line.receiver.receive_end()
+
+
+class HubCaller:
+    """A caller in memory, which keeps what it is told."""
+
+    def __init__(self) -> None:
+        self.started = False
+        self.is_full = False
+        self.on_gone: Callable[[], None] | None = None
+        self.on_drained: Callable[[], None] | None = None
+        self.status = 0
+        self.headers: dict[str, str] = {}
+        self.body = b""
+        self.is_whole = False
+        self.error = None
+
+    def write_head(self, status, headers, length=None) -> None:
+        """Keep the head."""
+        self.started = True
+        self.status, self.headers = status, headers
+
+    def write(self, data: bytes) -> None:
+        """Keep body bytes."""
+        self.body += data
+
+    def finish(self) -> None:
+        """Note that the answer is whole."""
+        self.is_whole = True
+
+    def answer(self, status, headers, body) -> None:
+        """Keep a whole answer."""
+        self.write_head(status, headers)
+        self.write(body)
+        self.finish()
+
+    def answer_error(self, error, headers) -> None:
+        """Keep the error."""
+        self.error = error
+
+    def close(self) -> None:
+        """Leave the answer as it is."""
+
+
+class Hub:
+    """Kernels, engines and a platform on one clock."""
+
+    def __init__(self, seed: int = 1, delivery: Delivery = Delivery()) -> None:  # noqa: B008
+        self.clock = ManualClock(100.0)
+        self.rng = random.Random(seed)
+        self.delivery = delivery
+        self.platform = Platform(9.0, 4)
+        self.engines: dict[str, HubEngine] = {}
+        self.engine_names: dict[str, str] = {}
+        self.kernels: dict[str, Kernel] = {}
+        self.zones: dict[str, str] = {}
+        self.paused: set[str] = set()
+        self.cut_zones: set[str] = set()
+        self.is_platform_cut: set[str] = set()
+        self._held: dict[str, list[Callable[[], None]]] = {}
+        self._queue: list[tuple[float, int, Callable[[], None]]] = []
+        self._serial = itertools.count()
+        self._starts = itertools.count(1)
+        self._ports: dict[str, int] = {}
+        self._by_address: dict[str, str] = {}
+
+    # Setting up.
+
+    def add_engine(self, name: str, zone: str, slots=4, fences=True) -> HubEngine:
+        """Add an engine."""
+        address = self.find_address(name)
+        engine = self.engines[address] = HubEngine(self, zone, slots, fences)
+        self.engine_names[name] = address
+        return engine
+
+    def get_engine(self, name: str) -> HubEngine:
+        """Return an engine by name."""
+        return self.engines[self.engine_names[name]]
+
+    def start(self, name: str, zone: str, **settings) -> Kernel:
+        """Start an instance, anew where one of the name has ended."""
+        peer = self.find_address(f"{name}/peer")
+        http = self.find_address(f"{name}/http")
+        seeds = ",".join(self.find_address(f"{other}/peer") for other in self.kernels)
+        values = {
+            "instance": name,
+            "zone": zone,
+            "peer": peer,
+            "http": http,
+            "platform": PLATFORM,
+            "seeds": seeds,
+            **settings,
+        }
+        transport = HubTransport(self, name, peer)
+        dialer = HubDialer(self, name)
+        given = {"transport": transport}
+        kernel = Kernel(Settings(values), self.clock, dialer, given)
+        self._by_address[peer] = self._by_address[http] = name
+        self.zones[name] = zone
+        self.kernels[name] = kernel
+        kernel.open(PARTS)
+        return kernel
+
+    def find_address(self, name: str) -> str:
+        """Return the address of a name, the same each time."""
+        port = self._ports.setdefault(name, 10000 + len(self._ports))
+        return f"127.0.0.1:{port}"
+
+    # Faults.
+
+    def kill(self, name: str) -> None:
+        """End an instance without a word."""
+        self.kernels.pop(name)
+        self._held.pop(name, None)
+        self.paused.discard(name)
+
+    def pause(self, name: str) -> None:
+        """Stop an instance's time; what reaches it waits."""
+        self.paused.add(name)
+
+    def resume(self, name: str) -> None:
+        """Let a paused instance go on, with what has waited for it."""
+        self.paused.discard(name)
+        for run in self._held.pop(name, []):
+            run()
+
+    def is_cut(self, zone: str, other: str) -> bool:
+        """Tell whether two zones are cut off from each other."""
+        return zone != other and bool({zone, other} & self.cut_zones)
+
+    # Time.
+
+    def call_later(self, seconds: float, run: Callable[[], None]) -> None:
+        """Run something after some seconds of the clock."""
+        due = self.clock.now() + seconds
+        heapq.heappush(self._queue, (due, next(self._serial), run))
+
+    def advance(self, seconds: float) -> None:
+        """Move the clock, and do on the way what is due."""
+        end = self.clock.now() + seconds
+        while self.clock.now() < end - STEP / 2:
+            self.clock.advance(STEP)
+            for name, kernel in list(self.kernels.items()):
+                if name not in self.paused:
+                    kernel.loop._run_timers()
+            while self._queue and self._queue[0][0] <= self.clock.now():
+                heapq.heappop(self._queue)[2]()
+
+    def advance_until(self, holds: Callable[[], bool], limit: float) -> float:
+        """Move the clock until something holds; return the seconds."""
+        began = self.clock.now()
+        while not holds():
+            assert self.clock.now() - began < limit, f"not within {limit} s"
+            self.advance(STEP)
+        return self.clock.now() - began
+
+    # Carrying.
+
+    def carry(self, sender: str, address: str, data: bytes) -> None:
+        """Carry a message between instances."""
+        name = self._by_address.get(address)
+        delivery = self.delivery
+        if name is None or self.is_cut(self.zones[sender], self.zones[name]):
+            return
+        if name != sender and self.rng.random() < delivery.lost:
+            return
+        copies = 2 if self.rng.random() < delivery.doubled else 1
+        for _ in range(copies):
+            delay = delivery.delay + self.rng.random() * delivery.jitter
+            self.call_later(delay, lambda: self._deliver(name, data))
+
+    def _deliver(self, name: str, data: bytes) -> None:
+        kernel = self.kernels.get(name)
+        if kernel is None:
+            return
+        run = lambda: kernel._parts["transport"].receive(data)  # noqa: E731
+        self._run_in(name, run)
+
+    def _run_in(self, name: str, run: Callable[[], None]) -> None:
+        if name in self.paused:
+            self._held.setdefault(name, []).append(run)
+        else:
+            run()
+
+    def call(self, sender, address, request, line, timeout) -> None:
+        """Carry a call to a stand-in, and its answer back."""
+        process = self.kernels.get(sender)
+        if not self._is_reachable(sender, address):
+            error = EndpointUnreachable("connect timeout")
+            self.call_later(timeout, lambda: self._fail(process, sender, line, error))
+            return
+        if address in self._by_address and self._by_address[address] not in (
+            self.kernels
+        ):
+            error = EndpointUnreachable("ECONNREFUSED")
+            self.call_later(0.001, lambda: self._fail(process, sender, line, error))
+            return
+        guarded = _Guarded(self, sender, process, line)
+        self.call_later(0.001, lambda: self._answer(address, request, guarded))
+        late = RequestTimeout()
+        self.call_later(timeout, lambda: self._fail(process, sender, line, late))
+
+    def _is_reachable(self, sender: str, address: str) -> bool:
+        own = self.zones[sender]
+        if address == PLATFORM:
+            return own not in self.is_platform_cut
+        if address in self.engines:
+            return not self.is_cut(own, self.engines[address].zone)
+        name = self._by_address.get(address)
+        return name is not None and not self.is_cut(own, self.zones[name])
+
+    def _fail(self, process, sender, line, error) -> None:
+        if line.is_closed or self.kernels.get(sender) is not process:
+            return
+        line.is_closed = True
+        self._run_in(sender, lambda: line.receiver.receive_error(error))
+
+    def _answer(self, address, request, line) -> None:
+        if address in self.engines:
+            self.engines[address].handle(request, line)
+        elif address == PLATFORM:
+            self._answer_platform(request, line)
+        # An instance that is paused answers nothing; one that runs is known
+        # by its heartbeats, and its health page is not modelled.
+
+    def _answer_platform(self, request, line) -> None:
+        headers = {name.lower(): value for name, value in request.headers.items()}
+        received = Received(request.method, request.path, headers, request.body)
+        reply = self.platform.handle_store(received)
+        if reply.status == 0:
+            line.receiver.receive_error(ConnectionLost("outage"))
+            return
+        found = {name.lower(): value for name, value in reply.headers.items()}
+        line.receiver.receive_head(reply.status, found)
+        line.receiver.receive_body(reply.body)
+        line.receiver.receive_end()
+
+
+class _Guarded:
+    """A line whose answer waits for a paused caller, or goes nowhere."""
+
+    def __init__(self, hub: Hub, sender: str, process: Kernel, line: HubLine) -> None:
+        self._hub = hub
+        self._sender = sender
+        self._process = process
+        self._line = line
+        self.receiver = self
+
+    @property
+    def is_closed(self) -> bool:
+        """Tell whether nobody waits for the answer."""
+        alive = self._hub.kernels.get(self._sender) is self._process
+        return self._line.is_closed or not alive
+
+    @property
+    def on_close(self) -> Callable[[], None]:
+        """Return what the endpoint does when the caller closes."""
+        return self._line.on_close
+
+    @on_close.setter
+    def on_close(self, run: Callable[[], None]) -> None:
+        self._line.on_close = run
+
+    def _pass(self, run: Callable[[], None]) -> None:
+        if not self.is_closed:
+            self._hub._run_in(self._sender, run)
+
+    def receive_head(self, status, headers) -> None:
+        """Pass the head on."""
+        self._pass(lambda: self._line.receiver.receive_head(status, headers))
+
+    def receive_body(self, data) -> None:
+        """Pass body bytes on."""
+        self._pass(lambda: self._line.receiver.receive_body(data))
+
+    def receive_end(self) -> None:
+        """Pass the end on."""
+        self._pass(self._end)
+
+    def _end(self) -> None:
+        self._line.is_closed = True
+        self._line.receiver.receive_end()
+
+    def receive_error(self, error) -> None:
+        """Pass a failure on."""
+        self._pass(lambda: self._fail(error))
+
+    def _fail(self, error) -> None:
+        self._line.is_closed = True
+        self._line.receiver.receive_error(error)
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -39,6 +39,11 @@
             return await self._read_weights(rest)
         if root == "instances":
             return reply_json(self.instances)
+        return self.handle_store(request)
+
+    def handle_store(self, request: Received) -> Reply:
+        """Answer a call of the table service or the object store."""
+        root, _, rest = request.path.lstrip("/").partition("/")
         if self.faults["outage"]:
             return Reply(0)
         if request.method == "GET":
