--- a/tests/support/replay.py
+++ b/tests/support/replay.py
@@ -1,6 +1,7 @@
 """Replay traces of the ownership specification against the real parts."""
 
 import random
+from copy import deepcopy
 
 from roadlift.ownership.book import Book, CopyState, OrderResult
 from roadlift.ownership.messages import Acquire, Census
@@ -50,6 +51,20 @@
             if spec is not None:
                 self._compare_book(self.books[epoch], spec, epoch, rules)
 
+    def check_refusals(self, state: State, rules: Ownership) -> None:
+        """Assert that the real parts refuse what the specification forbids."""
+        allowed = {label for label, _ in rules.list_steps(state)}
+        for name, holder in zip(HOLDERS, state.holders, strict=True):
+            for message in state.net:
+                label = ("accept", name, message)
+                is_grant = message[0] == "grant" and message[3] == name
+                if is_grant and label not in allowed:
+                    table = deepcopy(self.tables[name])
+                    assert table.accept(self.messages[message], self.now) is None
+            for name_of_copy in holder.sent:
+                table = deepcopy(self.tables[name])
+                assert table.recall(ENDPOINT, self.names[name_of_copy]) is None
+
     def _compare_book(self, book, spec, epoch, rules) -> None:
         assert book.unproven == set(spec.unproven)
         for copy, condition in spec.copies:
@@ -261,6 +276,7 @@
                 break
             state = after
             real.compare(state)
+            real.check_refusals(state, rules)
             counts["steps"] += 1
             counts["labels"].add(label[0])
     return counts
