Move the search for pins out of the daemon, with routers as plug-ins

Cause: placing a request was tied to the daemon's kernel, so that the policy could not be measured apart from it, nor embedded by others. Change: Seeker in roadlift/pins decides with a Host that carries messages and time; routers (ring, hash, least_loaded) are plug-ins of roadlift/policy; the daemon's part carries and caches elections.

--- a/roadlift/conf/checks.py
+++ b/roadlift/conf/checks.py
@@ -5,7 +5,7 @@
 from roadlift.core.errors import ImproperlyConfigured
 from roadlift.endpoints.api import engine_apis
 from roadlift.policy.eviction import evictors
-from roadlift.policy.placement import placers
+from roadlift.policy.routing import routers
 from roadlift.relay.upstream import Address
 
 _ADDRESSES = ("http", "peer", "platform")
@@ -50,7 +50,7 @@
 def check_plugins(settings: Settings) -> list[Finding]:
     """Check that the named plug-ins are registered."""
     found = []
-    kinds = (("placer", placers), ("evictor", evictors), ("engine_api", engine_apis))
+    kinds = (("router", routers), ("evictor", evictors), ("engine_api", engine_apis))
     for name, registry in kinds:
         try:
             registry.get(getattr(settings, name))
--- a/roadlift/conf/settings.py
+++ b/roadlift/conf/settings.py
@@ -58,7 +58,7 @@
     Setting("most_body", int, 8388608, "Bytes of the largest request."),
     Setting("most_running", int, 4096, "Requests at once on this instance."),
     Setting("retry_share", float, 0.1, "Retries as a part of the requests."),
-    Setting("placer", str, "ring", "Policy that ranks endpoints."),
+    Setting("router", str, "ring", "Policy that routes requests to endpoints."),
     Setting("evictor", str, "aged_frequency", "Policy that evicts copies."),
     Setting("engine_api", str, "openai", "Plug-in that speaks to the engines."),
 )
--- a/roadlift/daemon/exchange.py
+++ b/roadlift/daemon/exchange.py
@@ -22,7 +22,7 @@
 from roadlift.daemon.calls import Calls
 from roadlift.daemon.members import Members
 from roadlift.daemon.metrics import Metrics
-from roadlift.daemon.pins import Pins, Waiter
+from roadlift.daemon.pins import Pins
 from roadlift.endpoints.api import engine_apis
 from roadlift.endpoints.events import EventFrames
 from roadlift.idempotency.claims import (
@@ -31,6 +31,7 @@
     compute_fingerprint,
     compute_key,
 )
+from roadlift.pins.seeker import Waiter
 from roadlift.pins.table import HeldPin
 from roadlift.relay.caller import Caller
 from roadlift.relay.upstream import Address, Line, Request
--- a/roadlift/policy/placement.py
+++ b/roadlift/policy/placement.py
@@ -8,25 +8,10 @@
 import bisect
 import hashlib
 from collections.abc import Iterable, Sequence
-from typing import Protocol
 
-from roadlift.core.registry import Registry
-
-placers: Registry = Registry("placer")
 POINTS = 64  # Points of an endpoint on the ring.
 
 
-class Placer(Protocol):
-    """How a model's endpoints are ranked."""
-
-    def __init__(self, endpoints: Iterable[str]) -> None:
-        """Take the endpoints that may be used."""
-
-    def rank(self, model: str, count: int) -> Sequence[str]:
-        """Return the first ``count`` endpoints for a model."""
-
-
-@placers.register("ring")
 class RingPlacer:
     """A ring of hashed points; a look-up costs the log of their number."""
 
--- a/tests/steps/bundle_steps.py
+++ b/tests/steps/bundle_steps.py
@@ -8,7 +8,6 @@
 from roadlift.bundles.content import Bundle, list_mistakes
 from roadlift.bundles.roll import HEAD_KEY, HeadRow, load_chain, propose, roll, sign
 from roadlift.core.errors import RoadliftError
-from roadlift.daemon.bundles import Bundles
 from tests.support.stores import MemoryStore
 
 GOOD = {
@@ -105,7 +104,7 @@
 
 @when("both are rolled")
 def step_both(context):
-    """Roll both, the second one's read of the head before the first's write."""
+    """Roll both: one reads the head before the other moves it."""
     store = context.store
     context.outcomes = []
     read_row = store.read_row
