--- a/Makefile
+++ b/Makefile
@@ -23,3 +23,6 @@
 
 soak: $(READY)
 	$(RUN) -m benchmarks.soak --seconds 40
+
+bench-policy: $(READY)
+	$(RUN) -m benchmarks.policies.run
