Give an endpoint several orders at once, all of an epoch with one number

Cause: one order at a time made the loads of an endpoint queue behind each other, and each order had its own fencing number although names are used once. Change: Book keeps orders by copy; the epoch is the fencing number; the specification lets orders overtake each other.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,7 @@
 PYTHON ?= python3
 VENV ?= .venv
 RUN := $(VENV)/bin/python
+export PYTHONHASHSEED := 0
 READY := $(VENV)/.ready
 
 .PHONY: install demo test lint behave model soak bench-policy bench-relay bench-capacity docs
--- a/benchmarks/policies/world.py
+++ b/benchmarks/policies/world.py
@@ -32,14 +32,15 @@
     router: str
     evictor: str
     shares_budget: bool
+    most_orders: int
 
 
 POLICIES = {
     policy.name: policy
     for policy in (
-        Policy("roadlift", "ring", "aged_frequency", True),
-        Policy("least_loaded_lru", "least_loaded", "recency", False),
-        Policy("consistent_hash", "hash", "recency", False),
+        Policy("roadlift", "ring", "aged_frequency", True, 4),
+        Policy("least_loaded_lru", "least_loaded", "recency", False, 1),
+        Policy("consistent_hash", "hash", "recency", False, 1),
     )
 }
 
@@ -157,6 +158,7 @@
             deployment.slots,
             deployment.width,
             self._evictor,
+            most_orders=self._world.policy.most_orders,
         )
 
     def start(self, end: float) -> None:
@@ -298,23 +300,27 @@
                 other._demands[self.name] = own
 
     def _order_next(self, book: Book) -> None:
-        order, recalls = book.choose_order(self._events.now, self._try_load)
-        self._send_all(recalls)
-        if order is None:
-            return
+        while True:
+            order, recalls = book.choose_order(self._events.now, self._try_load)
+            self._send_all(recalls)
+            if order is None:
+                return
+            self._give_order(book, order)
+
+    def _give_order(self, book: Book, order: Order) -> None:
         finish = lambda: self._finish(book, order)  # noqa: E731
         if order.verb == LOAD:
             self._world.store.load(finish)
-        else:
-            if order.copy not in self._world.instances[0]._used:
-                self._world.wasted += 1
-            self.evictions += 1
-            self._events.call_later(UNLOAD_SECONDS, finish)
+            return
+        if order.copy not in self._world.instances[0]._used:
+            self._world.wasted += 1
+        self.evictions += 1
+        self._events.call_later(UNLOAD_SECONDS, finish)
 
-    def _try_load(self) -> bool:
+    def _try_load(self, priority: str) -> bool:
         if not self._world.policy.shares_budget:
             return True
-        return self._budget.try_start(self._events.now)
+        return self._budget.try_start(self._events.now, priority)
 
     def _finish(self, book: Book, order: Order) -> None:
         result = OrderResult.DONE
--- a/roadlift/daemon/owners.py
+++ b/roadlift/daemon/owners.py
@@ -291,16 +291,18 @@
         self._budget.set_share(own, everywhere, len(self._members.list_peers()) + 1)
 
     def _order_next(self, owned: OwnedEndpoint) -> None:
-        if owned.book is None:
-            return
-        now = self._kernel.clock.now()
-        order, recalls = owned.book.choose_order(
-            now, lambda: self._budget.try_start(now)
-        )
-        self._send(recalls)
-        if order is not None:
+        """Give the orders that are due, one after the other."""
+        while owned.book is not None:
+            now = self._kernel.clock.now()
+            order, recalls = owned.book.choose_order(now, self._try_load)
+            self._send(recalls)
+            if order is None:
+                return
             self._give_order(owned, owned.book, order)
 
+    def _try_load(self, priority: str) -> bool:
+        return self._budget.try_start(self._kernel.clock.now(), priority)
+
     def _give_order(self, owned: OwnedEndpoint, book: Book, order: Order) -> None:
         self.orders += 1
         path = self._find_path(order.model) if order.verb == LOAD else ""
--- a/roadlift/daemon/takeover.py
+++ b/roadlift/daemon/takeover.py
@@ -12,7 +12,7 @@
 
 from roadlift.core.errors import RoadliftError
 from roadlift.endpoints.api import EngineApi, EngineLoad
-from roadlift.ownership.election import compute_epoch, compute_fence, read_epoch
+from roadlift.ownership.election import compute_epoch
 from roadlift.ownership.names import parse_copy_name
 from roadlift.relay.upstream import Answer, Request
 
@@ -88,15 +88,13 @@
         if not self._fences:
             self._ask_list(self._take_second_list)
             return
-        fence = compute_fence(self._epoch, 0)
-        self._ask(self._api.build_fence(fence), self._take_fence)
+        self._ask(self._api.build_fence(self._epoch), self._take_fence)
 
     def _take_fence(self, answer: Answer | None) -> None:
         if answer is None or self._tries > MOST_FENCES:
             self._on_end(None)
         elif answer.status == 409:
-            higher = read_epoch(self._api.read_fence(answer))
-            self._highest = max(self._epoch, higher)
+            self._highest = max(self._epoch, self._api.read_fence(answer))
             self._raise_fence()
         else:
             self._ask_list(self._take_second_list)
--- a/roadlift/ownership/book.py
+++ b/roadlift/ownership/book.py
@@ -25,7 +25,6 @@
 from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
-from roadlift.ownership.election import MOST_ORDERS, compute_fence
 from roadlift.ownership.messages import (
     Acquire,
     Count,
@@ -115,11 +114,15 @@
 UNLOAD = "unload"
 
 
+TryLoad = Callable[[str], bool]
+
+
 class Book:
     """The owner's record of one endpoint in one epoch.
 
     ``holder`` is the owning process; ``silence`` how long, in seconds, a
-    holder may go without a report until it is asked for one.
+    holder may go without a report until it is asked for one; ``most_orders``
+    how many orders the endpoint is given at once.
     """
 
     def __init__(
@@ -132,6 +135,7 @@
         width: int,
         evictor: Evictor,
         silence: float = 3.0,
+        most_orders: int = 4,
         most_waiting: int = 512,
     ) -> None:
         self.endpoint = endpoint
@@ -144,16 +148,16 @@
         self.unproven: set[str] = set()
         self.yielded: set[int] = set()
         self.waiting = LoadQueue(most_waiting)
-        self.order: Order | None = None
+        self.orders: dict[str, Order] = {}
         self.is_superseded = False
         self.evictions = 0
         self.loads = 0
         self._evictor = evictor
         self._silence = silence
+        self._most_orders = most_orders
         self._asked: set[str] = set()
         self._is_in_doubt = False
         self._serial = 0
-        self._orders = 0
         self._heard_at: dict[str, float] = {}
         self._report_serials: dict[str, int] = {}
         self._early_pins: dict[str, dict[str, Pin]] = {}
@@ -192,7 +196,7 @@
             if str(parsed) not in self.copies:
                 self._add_copy(parsed, CopyState.UNLOADING, now)
         for copy in list(self.copies.values()):
-            is_settled = copy.state is not CopyState.LOADING and copy.since < asked_at
+            is_settled = copy.name not in self.orders and copy.since < asked_at
             if copy.name not in listed and is_settled:
                 self._drop(copy)
         self._index_ready()
@@ -214,7 +218,7 @@
         With an order whose effect is unknown the next owner must not serve
         from this epoch's copies where the endpoint does not fence.
         """
-        unsettled = self.order is not None or any(
+        unsettled = bool(self.orders) or any(
             copy.state is not CopyState.READY for copy in self.copies.values()
         )
         return (
@@ -307,24 +311,28 @@
         ]
 
     def choose_order(
-        self, now: float, try_load: Callable[[], bool] = lambda: True
+        self, now: float, try_load: TryLoad = lambda priority: True
     ) -> tuple[Order | None, list[Outgoing]]:
         """Return the next order to give, and pins to ask back for it.
 
-        One order is in flight at a time, each with a higher fencing number,
-        so that a late order is an old one. ``try_load`` takes a load from
-        the budget, or tells that there is none.
+        ``try_load`` takes a load of a class from the budget, or tells that
+        there is none. Orders may pass each other on their way: each names a
+        copy of its own, and all of an epoch have one fencing number.
         """
-        if self.order is not None or self.is_superseded:
+        if self.is_superseded or len(self.orders) >= self._most_orders:
             return None, []
         stray = self._find_stray()
         if stray is not None:
             return self._begin_unload(stray, now), []
-        wait = self.waiting.peek()
+        wait = self._find_next_wait()
         if wait is None:
             return None, []
         if len(self.copies) < self.slots:
-            return (self._begin_load(wait.model, now) if try_load() else None), []
+            may_load = try_load(wait.priority)
+            return (self._begin_load(wait.model, now) if may_load else None), []
+        if self._count_unloads():
+            # A slot will be free soon, for the first who waits.
+            return None, []
         victim = self._choose_victim(now)
         if victim is None:
             return None, self._recall(now)
@@ -334,9 +342,9 @@
         self, order: Order, result: OrderResult, now: float
     ) -> list[Outgoing]:
         """Take the endpoint's answer to an order."""
-        if self.order != order:
+        if self.orders.get(order.copy) != order:
             return []
-        self.order = None
+        del self.orders[order.copy]
         self.is_superseded = self.is_superseded or result is OrderResult.FENCED
         self._is_in_doubt = self._is_in_doubt or result is OrderResult.UNKNOWN
         copy = self.copies.get(order.copy)
@@ -430,36 +438,44 @@
     def _refuse_waiting(self, wait: Waiting, reason: str) -> Outgoing:
         return Outgoing(wait.holder, Refuse(self.endpoint, wait.nonce, reason, 1.0))
 
-    def _next_fence(self) -> int:
-        self._orders += 1
-        if self._orders >= MOST_ORDERS:
-            # The next takeover, by this process or another, goes on.
-            self.is_superseded = True
-        return compute_fence(self.epoch, self._orders)
-
     def _begin_load(self, model: str, now: float) -> Order:
         self._serial += 1
         name = CopyName(model, self.epoch, self._serial)
         copy = Copy(name, CopyState.LOADING, now)
         self.copies[copy.name] = copy
-        self.order = Order(LOAD, copy.name, model, self._next_fence())
-        return self.order
+        return self._keep_order(Order(LOAD, copy.name, model, self.epoch))
 
     def _begin_unload(self, copy: Copy, now: float) -> Order:
         copy.enter(CopyState.UNLOADING, now)
         self._index_ready()
-        self.order = Order(UNLOAD, copy.name, copy.model, self._next_fence())
-        return self.order
+        return self._keep_order(Order(UNLOAD, copy.name, copy.model, self.epoch))
+
+    def _keep_order(self, order: Order) -> Order:
+        self.orders[order.copy] = order
+        return order
+
+    def _find_next_wait(self) -> Waiting | None:
+        """Return who waits first for a model that is not being loaded."""
+        loading = {order.model for order in self.orders.values() if order.verb == LOAD}
+        return self.waiting.peek(loading)
+
+    def _count_unloads(self) -> int:
+        return sum(order.verb == UNLOAD for order in self.orders.values())
 
     def _find_stray(self) -> Copy | None:
         """Return a copy that can't be served from and may be unloaded."""
         for copy in self.copies.values():
-            if not self.may_serve(copy) and self.may_evict(copy):
+            is_ordered = copy.name in self.orders
+            if not is_ordered and not self.may_serve(copy) and self.may_evict(copy):
                 return copy
         return None
 
     def _choose_victim(self, now: float) -> Copy | None:
-        candidates = [copy for copy in self.copies.values() if self.may_evict(copy)]
+        candidates = [
+            copy
+            for copy in self.copies.values()
+            if copy.name not in self.orders and self.may_evict(copy)
+        ]
         return self._pick(candidates, now)
 
     def _recall(self, now: float) -> list[Outgoing]:
--- a/roadlift/ownership/election.py
+++ b/roadlift/ownership/election.py
@@ -10,8 +10,6 @@
 from collections.abc import Iterable
 
 _TIE_BITS = 20
-_ORDER_BITS = 23
-MOST_ORDERS = (1 << _ORDER_BITS) - 1  # Orders of one epoch.
 
 
 def choose_owner(endpoint: str, instances: Iterable[str]) -> str | None:
@@ -30,26 +28,14 @@
 
     The low 20 bits are a hash of the process, so that two processes that
     take over from the same epoch don't share the next one, but for one such
-    pair in a million.
+    pair in a million. The epoch is the fencing number of all its orders: a
+    late order of the same owner names a copy that is no longer served from,
+    and needs no fence.
     """
     tie = _hash(process) & ((1 << _TIE_BITS) - 1)
     return ((highest >> _TIE_BITS) + 1) << _TIE_BITS | tie
 
 
-def compute_fence(epoch: int, order: int) -> int:
-    """Return the fencing number of an epoch's order, in 63 bits.
-
-    The epoch stands in the high bits, so that no order of an epoch, however
-    many it gives, is above the first of a later one.
-    """
-    return epoch << _ORDER_BITS | order
-
-
-def read_epoch(fence: int) -> int:
-    """Return the epoch of a fencing number."""
-    return fence >> _ORDER_BITS
-
-
 def _hash(text: str) -> int:
     digest = hashlib.blake2b(text.encode(), digest_size=8).digest()
     return int.from_bytes(digest, "big")
--- a/roadlift/policy/loads.py
+++ b/roadlift/policy/loads.py
@@ -6,6 +6,7 @@
 the rate holds over time without a common counter.
 """
 
+from collections.abc import Container
 from typing import NamedTuple
 
 RANKS = {"interactive": 0, "standard": 1, "batch": 2}
@@ -43,9 +44,10 @@
         self._waiting.append(wait)
         return True
 
-    def peek(self) -> Waiting | None:
-        """Return the asking whose model is loaded next, or None."""
-        return min(self._waiting, key=_rank, default=None)
+    def peek(self, loading: Container[str] = ()) -> Waiting | None:
+        """Return the first asking whose model is not loading, or None."""
+        due = (wait for wait in self._waiting if wait.model not in loading)
+        return min(due, key=_rank, default=None)
 
     def pop_model(self, model: str) -> list[Waiting]:
         """Remove and return the askings for ``model``, soonest first."""
@@ -94,7 +96,7 @@
         self._share = (own_demand + floor) / (all_demand + floor * max(1, instances))
         self._share = min(1.0, self._share)
 
-    def try_start(self, now: float) -> bool:
+    def try_start(self, now: float, priority: str) -> bool:
         """Take one load from the share; False means to wait."""
         refill = (now - self._since) * self._rate * self._share
         self._tokens = min(1.0, self._tokens + refill)
--- a/specification/ownership.py
+++ b/specification/ownership.py
@@ -50,7 +50,7 @@
     pins: frozenset = frozenset()  # (name, holder, nonce)
     unproven: frozenset = frozenset()
     yielded: frozenset = frozenset()
-    order: tuple = ()  # (verb, name, fence)
+    orders: frozenset = frozenset()  # (verb, name, serial)
     serial: int = 0
     in_doubt: bool = False  # an answer to an order was lost
     is_superseded: bool = False  # an order met a higher fencing number
@@ -229,7 +229,7 @@
         for own in range(1, epoch):
             book = state.books[own - 1]
             if OWNERS[own] == name and book is not None:
-                doubtful = book.order or any(s != READY for _, s in book.copies)
+                doubtful = book.orders or any(s != READY for _, s in book.copies)
                 doubtful = doubtful or book.in_doubt
                 if not doubtful or self.without == "yield_certain":
                     yielded = book.yielded | {own}
@@ -244,11 +244,9 @@
         for copy, condition in book.copies:
             if condition == READY and self._may_serve(epoch, book, copy):
                 steps += self._list_grants(state, epoch, book, copy)
-        if not book.order:
-            if book.serial < self.limits.orders and not book.is_superseded:
-                steps += self._list_orders(state, epoch, book)
-        else:
-            steps.append(self._lose_answer(state, epoch, book))
+        if book.serial < self.limits.orders and not book.is_superseded:
+            steps += self._list_orders(state, epoch, book)
+        steps += [self._lose_answer(state, epoch, book, order) for order in book.orders]
         for message in state.net:
             steps += self._list_owner_heard(state, epoch, book, message)
         for dead in state.crashed:
@@ -288,34 +286,38 @@
 
     def _list_orders(self, state, epoch, book) -> list:
         steps = []
-        fence = epoch * 10 + book.serial + 1
+        serial = book.serial + 1
+        ordered = {name for _, name, _ in book.orders}
         for copy, condition in book.copies:
-            if not self._may_evict(epoch, book, copy):
+            if copy in ordered or not self._may_evict(epoch, book, copy):
                 continue
-            order = ("unload", copy, fence)
             copies = (book.copies - {(copy, condition)}) | {(copy, DOUBTFUL)}
-            moved = book._replace(copies=copies, order=order, serial=book.serial + 1)
-            after = _send(_set_book(state, epoch, moved), ("order", epoch, order, ""))
-            steps.append((("unload", epoch, copy), after))
-        if not book.copies:
-            steps.append(self._begin_load(state, epoch, book))
+            order = ("unload", copy, serial)
+            label = ("unload", epoch, copy)
+            steps.append(self._order(state, epoch, book, label, copies, order))
+        loads = sum(verb == "load" for verb, _, _ in book.orders)
+        if len(book.copies) <= loads and loads < 2:
+            name = CopyName(epoch, 1 if self.without == "name_once" else serial + 1)
+            order = ("load", name, serial)
+            copies = book.copies | {(name, DOUBTFUL)}
+            label = ("load", epoch, name)
+            steps.append(self._order(state, epoch, book, label, copies, order))
         return steps
 
-    def _begin_load(self, state, epoch, book) -> tuple:
-        serial = book.serial + 1
-        name = CopyName(epoch, 1 if self.without == "name_once" else serial + 1)
-        order = ("load", name, epoch * 10 + serial)
-        copies = book.copies | {(name, DOUBTFUL)}
-        moved = book._replace(copies=copies, order=order, serial=serial)
-        after = _send(_set_book(state, epoch, moved), ("order", epoch, order, "y"))
-        return (("load", epoch, name), after)
-
-    def _lose_answer(self, state, epoch, book) -> tuple:
+    def _order(self, state, epoch, book, label, copies, order) -> tuple:
+        moved = book._replace(
+            copies=copies, orders=book.orders | {order}, serial=book.serial + 1
+        )
+        model = "y" if order[0] == "load" else ""
+        after = _set_book(state, epoch, moved)
+        return (label, _send(after, ("order", epoch, order, model)))
+
+    def _lose_answer(self, state, epoch, book, order) -> tuple:
         """Give an order up as in doubt; it may still take effect later."""
-        answers = {m for m in state.net if m[:3] == ("result", epoch, book.order)}
+        answers = {m for m in state.net if m[:3] == ("result", epoch, order)}
         after = state._replace(net=state.net - answers)
-        after = _set_book(after, epoch, book._replace(order=(), in_doubt=True))
-        return (("doubt", epoch), after)
+        doubted = book._replace(orders=book.orders - {order}, in_doubt=True)
+        return (("doubt", epoch, order), _set_book(after, epoch, doubted))
 
     def _list_owner_heard(self, state, epoch, book, message) -> list:
         kind = message[0]
@@ -378,7 +380,8 @@
         if verb == "unload" and is_fenced:
             copies = book.copies
         superseded = book.is_superseded or is_fenced
-        finished = book._replace(order=(), copies=copies, is_superseded=superseded)
+        orders = book.orders - {order}
+        finished = book._replace(orders=orders, copies=copies, is_superseded=superseded)
         return [(("result", epoch, message), _set_book(after, epoch, finished))]
 
     def _remove(self, book: Book, dead: str) -> Book:
@@ -386,14 +389,13 @@
         return book._replace(pins=pins, unproven=book.unproven - {dead})
 
     def _reconcile(self, state, epoch, book) -> list:
-        """Take what the endpoint lists; not while an order is in flight."""
-        if book.order:
-            return []
+        """Take what the endpoint lists, but for copies with an order."""
+        ordered = {name for _, name, _ in book.orders}
         listed = {name for name, _ in state.loaded}
         known = {name for name, _ in book.copies}
         if any(name.epoch > epoch for name in listed) and self.without != "step_down":
             return [(("step_down", epoch), _set_book(state, epoch, None))]
-        copies = {pair for pair in book.copies if pair[0] in listed}
+        copies = {p for p in book.copies if p[0] in listed or p[0] in ordered}
         found = READY if self.without == "adopt_once" else DOUBTFUL
         for name in listed - known:
             copies.add((name, found))
@@ -469,10 +471,11 @@
 
     def _apply_order(self, state: State, message: tuple) -> tuple:
         _, epoch, order, model = message
-        verb, copy, fence = order
+        verb, copy, _ = order
+        fence = epoch * 10
         after = state._replace(net=state.net - {message})
         book = state.books[epoch - 1]
-        is_awaited = book is not None and book.order == order
+        is_awaited = book is not None and order in book.orders
         is_old = self.fences and fence < state.fence
         if is_old and self.without != "fence_orders":
             after = self._answer(after, message, "fenced", is_awaited)
