Keep what is used often, hold batch loads for company, gate by slowness

Cause: (1) the token share of the load budget left the weight store idle while loads waited; (2) a model's count of uses began anew with each load, and uses under a held pin were not counted; (3) idle pins kept rarely used copies and drove out popular ones that happened to be unpinned.

--- a/benchmarks/policies/engine.py
+++ b/benchmarks/policies/engine.py
@@ -92,6 +92,8 @@
         self.running = 0
         self.busy_seconds = 0.0
         self.full_seconds = 0.0
+        self.counts_from = 0.0
+        self.counts_until = float("inf")
 
     def run(
         self,
@@ -126,7 +128,8 @@
         done()
 
     def _count(self, by: int) -> None:
-        elapsed = self._events.now - self._since
+        begin = max(self._since, self.counts_from)
+        elapsed = max(0.0, min(self._events.now, self.counts_until) - begin)
         self._since = self._events.now
         if self.running:
             self.busy_seconds += elapsed
--- a/benchmarks/policies/run.py
+++ b/benchmarks/policies/run.py
@@ -45,6 +45,9 @@
         figures.update(loads=bound.loads)
     else:
         world = World(deployment, scenario, POLICIES[job.policy], job.seed)
+        for engine in world.engines.values():
+            engine.counts_from = WARM_UP * job.seconds
+            engine.counts_until = job.seconds
         world.run(arrivals, job.seconds)
         outcomes = world.outcomes
         busy = sum(engine.busy_seconds for engine in world.engines.values())
--- a/roadlift/daemon/exchange.py
+++ b/roadlift/daemon/exchange.py
@@ -318,7 +318,10 @@
         now = self._kernel.clock.now()
         self._placing_since = now
         self._is_waiting = True
-        deadline = now + self._settings.queue_timeout
+        is_batch = self._priority == "batch"
+        settings = self._settings
+        wait = settings.batch_timeout if is_batch else settings.queue_timeout
+        deadline = now + wait
         waiter = Waiter(self._priority, deadline, self._on_pin, self._on_no_pin)
         self._pins.place(self.call.model, waiter)
 
--- a/roadlift/daemon/owners.py
+++ b/roadlift/daemon/owners.py
@@ -26,7 +26,7 @@
     Report,
 )
 from roadlift.policy.eviction import evictors
-from roadlift.policy.loads import LoadBudget
+from roadlift.policy.loads import LoadGate, Waiting
 from roadlift.relay.upstream import Address, Answer, Request, fetch
 
 TICK = 0.05  # Seconds between looks at what to order next.
@@ -78,7 +78,7 @@
         self._pins = kernel.get(Pins)
         self._api = engine_apis.get(settings.engine_api)()
         self._evictor = evictors.get(settings.evictor)()
-        self._budget = LoadBudget(settings.weight_rate, settings.weight_width)
+        self._gate = LoadGate()
         self._owned: dict[str, OwnedEndpoint] = {}
         self._timers = []
         self.takeovers = 0
@@ -275,21 +275,12 @@
 
     def _tick(self) -> None:
         now = self._kernel.clock.now()
-        self._share_budget()
         for owned in self.list_owned():
             self._send(owned.book.expire(now))
             self._send(owned.book.inquire(now))
             self._take_census(owned)
             self._order_next(owned)
 
-    def _share_budget(self) -> None:
-        own = sum(len(owned.book.waiting) for owned in self.list_owned())
-        detector = self._members.detector
-        detector.demand = own
-        others = [name for name in detector.demands if name != detector.own.name]
-        everywhere = own + sum(detector.demands[name] for name in others)
-        self._budget.set_share(own, everywhere, len(self._members.list_peers()) + 1)
-
     def _order_next(self, owned: OwnedEndpoint) -> None:
         """Give the orders that are due, one after the other."""
         while owned.book is not None:
@@ -300,16 +291,18 @@
                 return
             self._give_order(owned, owned.book, order)
 
-    def _try_load(self, priority: str) -> bool:
-        return self._budget.try_start(self._kernel.clock.now(), priority)
+    def _try_load(self, wait: Waiting) -> bool:
+        return self._gate.try_start(wait, self._kernel.clock.now())
 
     def _give_order(self, owned: OwnedEndpoint, book: Book, order: Order) -> None:
         self.orders += 1
+        began = self._kernel.clock.now()
         path = self._find_path(order.model) if order.verb == LOAD else ""
 
         def finish(result: OrderResult) -> None:
             if order.verb == LOAD:
-                self._budget.finish()
+                now = self._kernel.clock.now()
+                self._gate.finish(order.priority, now - began, now)
             if result is not OrderResult.DONE:
                 log.warning("Order %s %s: %s.", order.verb, order.copy, result.value)
             self._send(book.finish_order(order, result, self._kernel.clock.now()))
--- a/roadlift/ownership/book.py
+++ b/roadlift/ownership/book.py
@@ -22,7 +22,7 @@
 """
 
 import enum
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from typing import NamedTuple
 
 from roadlift.ownership.messages import (
@@ -38,8 +38,8 @@
 )
 from roadlift.ownership.names import CopyName, parse_copy_name
 from roadlift.policy.admission import FULL_AT
-from roadlift.policy.eviction import CopyUse, Evictor
-from roadlift.policy.loads import LoadQueue, Waiting
+from roadlift.policy.eviction import Evictor, ModelUse, UseHistory
+from roadlift.policy.loads import HOLDS, LoadQueue, Waiting
 
 
 class CopyState(enum.Enum):
@@ -60,16 +60,28 @@
 class Copy:
     """An adapter's version as loaded at the endpoint."""
 
-    __slots__ = ("name", "model", "epoch", "state", "since", "pins", "use")
+    __slots__ = (
+        "name",
+        "model",
+        "epoch",
+        "state",
+        "since",
+        "pins",
+        "use",
+        "recalled_at",
+    )
 
-    def __init__(self, name: CopyName, state: CopyState, now: float) -> None:
+    def __init__(
+        self, name: CopyName, state: CopyState, now: float, use: ModelUse
+    ) -> None:
         self.name = str(name)
         self.model = name.model
         self.epoch = name.epoch
         self.state = state
         self.since = now
         self.pins: dict[str, Pin] = {}
-        self.use = CopyUse(now)
+        self.use = use
+        self.recalled_at: float | None = None
 
     def enter(self, state: CopyState, now: float) -> None:
         """Change the state at ``now``."""
@@ -82,12 +94,16 @@
 
 
 class Order(NamedTuple):
-    """An order to the endpoint: load or unload ``copy``."""
+    """An order to the endpoint: load or unload ``copy``.
+
+    ``priority`` is the class for which a load is made.
+    """
 
     verb: str
     copy: str
     model: str
     fence: int
+    priority: str = ""
 
 
 class OrderResult(enum.Enum):
@@ -110,11 +126,12 @@
     message: object
 
 
+RECALL_LIMIT = 0.5  # Seconds until a recall counts as unanswered.
 LOAD = "load"
 UNLOAD = "unload"
 
 
-TryLoad = Callable[[str], bool]
+TryLoad = Callable[[Waiting], bool]
 
 
 class Book:
@@ -122,7 +139,8 @@
 
     ``holder`` is the owning process; ``silence`` how long, in seconds, a
     holder may go without a report until it is asked for one; ``most_orders``
-    how many orders the endpoint is given at once.
+    how many orders the endpoint is given at once; ``holds`` how long each
+    class is held back for company.
     """
 
     def __init__(
@@ -135,8 +153,8 @@
         width: int,
         evictor: Evictor,
         silence: float = 3.0,
-        most_orders: int = 4,
-        most_waiting: int = 512,
+        most_orders: int = 2,
+        holds: Mapping[str, float] = HOLDS,
     ) -> None:
         self.endpoint = endpoint
         self.holder = holder
@@ -147,12 +165,13 @@
         self.copies: dict[str, Copy] = {}
         self.unproven: set[str] = set()
         self.yielded: set[int] = set()
-        self.waiting = LoadQueue(most_waiting)
+        self.waiting = LoadQueue(holds)
         self.orders: dict[str, Order] = {}
         self.is_superseded = False
         self.evictions = 0
         self.loads = 0
         self._evictor = evictor
+        self._history = UseHistory()
         self._silence = silence
         self._most_orders = most_orders
         self._asked: set[str] = set()
@@ -205,7 +224,7 @@
         """Take a census answer: the sender's older pins are now known."""
         if count.epoch != self.epoch:
             return
-        for name, nonce, running in count.pins:
+        for name, nonce, running, _ in count.pins:
             _note_pin(self._find_pins(name), sender, Pin(nonce, running))
         self.yielded.update(count.yielded)
         self._asked.add(sender)
@@ -262,6 +281,7 @@
             return
         if copy.pins[sender].nonce <= message.nonce:
             del copy.pins[sender]
+            copy.recalled_at = None
 
     def receive_report(self, sender: str, report: Report, now: float) -> None:
         """Correct the pins of a holder, whatever messages were lost."""
@@ -273,8 +293,10 @@
             pin = pins.get(sender)
             if pin is not None and pin.nonce < report.floor:
                 del pins[sender]
-        for name, nonce, running in report.pins:
+        for name, nonce, running, uses in report.pins:
             _note_pin(self._find_pins(name), sender, Pin(nonce, running))
+            if uses and name in self.copies:
+                self.copies[name].use.note(now, uses)
 
     def inquire(self, now: float) -> list[Outgoing]:
         """Ask holders that have not reported their pins for long.
@@ -311,31 +333,33 @@
         ]
 
     def choose_order(
-        self, now: float, try_load: TryLoad = lambda priority: True
+        self, now: float, try_load: TryLoad = lambda wait: True
     ) -> tuple[Order | None, list[Outgoing]]:
         """Return the next order to give, and pins to ask back for it.
 
-        ``try_load`` takes a load of a class from the budget, or tells that
-        there is none. Orders may pass each other on their way: each names a
-        copy of its own, and all of an epoch have one fencing number.
+        ``try_load`` lets a load start or holds it back. Orders may pass each
+        other on their way: each names a copy of its own, and all of an epoch
+        have one fencing number.
         """
         if self.is_superseded or len(self.orders) >= self._most_orders:
             return None, []
         stray = self._find_stray()
         if stray is not None:
             return self._begin_unload(stray, now), []
-        wait = self._find_next_wait()
+        wait = self._find_next_wait(now)
         if wait is None:
             return None, []
         if len(self.copies) < self.slots:
-            may_load = try_load(wait.priority)
-            return (self._begin_load(wait.model, now) if may_load else None), []
+            may_load = try_load(wait)
+            return (self._begin_load(wait, now) if may_load else None), []
         if self._count_unloads():
             # A slot will be free soon, for the first who waits.
             return None, []
         victim = self._choose_victim(now)
         if victim is None:
-            return None, self._recall(now)
+            return None, []
+        if not self.may_evict(victim):
+            return None, self._recall(victim, now)
         return self._begin_unload(victim, now), []
 
     def finish_order(
@@ -371,7 +395,8 @@
     # Helpers.
 
     def _add_copy(self, name: CopyName, state: CopyState, now: float) -> None:
-        copy = self.copies[str(name)] = Copy(name, state, now)
+        use = self._history.find(name.model, now)
+        copy = self.copies[str(name)] = Copy(name, state, now, use)
         copy.pins = self._early_pins.pop(copy.name, {})
 
     def _find_pins(self, name: str) -> dict[str, Pin]:
@@ -415,6 +440,7 @@
 
     def _grant(self, copy: Copy, to: str, nonce: int, now: float) -> Outgoing:
         pin = copy.pins.get(to, Pin(0, 0))
+        copy.recalled_at = None
         if pin.nonce < nonce:
             copy.pins[to] = Pin(nonce, pin.running + 1)
             copy.use.note(now)
@@ -438,12 +464,14 @@
     def _refuse_waiting(self, wait: Waiting, reason: str) -> Outgoing:
         return Outgoing(wait.holder, Refuse(self.endpoint, wait.nonce, reason, 1.0))
 
-    def _begin_load(self, model: str, now: float) -> Order:
+    def _begin_load(self, wait: Waiting, now: float) -> Order:
         self._serial += 1
-        name = CopyName(model, self.epoch, self._serial)
-        copy = Copy(name, CopyState.LOADING, now)
+        name = CopyName(wait.model, self.epoch, self._serial)
+        use = self._history.find(wait.model, now)
+        copy = Copy(name, CopyState.LOADING, now, use)
         self.copies[copy.name] = copy
-        return self._keep_order(Order(LOAD, copy.name, model, self.epoch))
+        order = Order(LOAD, copy.name, wait.model, self.epoch, wait.priority)
+        return self._keep_order(order)
 
     def _begin_unload(self, copy: Copy, now: float) -> Order:
         copy.enter(CopyState.UNLOADING, now)
@@ -454,10 +482,10 @@
         self.orders[order.copy] = order
         return order
 
-    def _find_next_wait(self) -> Waiting | None:
+    def _find_next_wait(self, now: float) -> Waiting | None:
         """Return who waits first for a model that is not being loaded."""
         loading = {order.model for order in self.orders.values() if order.verb == LOAD}
-        return self.waiting.peek(loading)
+        return self.waiting.peek(now, loading)
 
     def _count_unloads(self) -> int:
         return sum(order.verb == UNLOAD for order in self.orders.values())
@@ -471,26 +499,36 @@
         return None
 
     def _choose_victim(self, now: float) -> Copy | None:
-        candidates = [
-            copy
-            for copy in self.copies.values()
-            if copy.name not in self.orders and self.may_evict(copy)
-        ]
-        return self._pick(candidates, now)
+        """Return the idle copy worth least, whose pins may have to come back.
 
-    def _recall(self, now: float) -> list[Outgoing]:
-        """Ask for the pins of the idle copy that is worth least."""
+        A copy that is worth less but pinned goes before one that is worth
+        more and happens to be unpinned.
+        """
         idle = [
             copy
             for copy in self.copies.values()
-            if copy.state is CopyState.READY and not copy.count_running()
-        ]
-        copy = self._pick(idle, now)
-        if copy is None:
-            return []
-        return [
-            Outgoing(holder, Recall(self.endpoint, copy.name)) for holder in copy.pins
+            if copy.state is CopyState.READY
+            and copy.name not in self.orders
+            and not copy.count_running()
+            and (self.may_evict(copy) or self._may_recall(copy, now))
         ]
+        return self._pick(idle, now)
+
+    def _may_recall(self, copy: Copy, now: float) -> bool:
+        """Tell whether a pinned copy's holders may still give it back.
+
+        A holder that has not answered for a while is passed over, or a
+        paused one would keep every other copy from being evicted.
+        """
+        if not copy.pins:
+            return False
+        return copy.recalled_at is None or now - copy.recalled_at < RECALL_LIMIT
+
+    def _recall(self, copy: Copy, now: float) -> list[Outgoing]:
+        if copy.recalled_at is None:
+            copy.recalled_at = now
+        recall = Recall(self.endpoint, copy.name)
+        return [Outgoing(holder, recall) for holder in copy.pins]
 
     def _pick(self, copies: list[Copy], now: float) -> Copy | None:
         wanted = self.waiting.list_models()
--- a/roadlift/ownership/messages.py
+++ b/roadlift/ownership/messages.py
@@ -80,7 +80,8 @@
     """Tell the owner which pins a holder has.
 
     Askings below ``floor`` are over: a grant to one that is not listed will
-    never be used. ``pins`` lists copy, nonce and running requests.
+    never be used. ``pins`` lists copy, nonce, running requests, and the uses
+    since the last report beyond the one that the grant was for.
     """
 
     endpoint: str
--- a/roadlift/pins/table.py
+++ b/roadlift/pins/table.py
@@ -15,12 +15,15 @@
 
 from roadlift.ownership.messages import Census, Count, Grant, Release, Report
 
+WORTH_KEEPING = 2  # Requests that a pin must have served to be kept idle.
+
 
 class HeldPin:
     """A pin on ``copy`` at ``endpoint``; ``running`` requests use it."""
 
     __slots__ = (
-        "endpoint", "copy", "model", "nonce", "running", "idle_since", "recalled",
+        "endpoint", "copy", "model", "nonce", "running", "uses", "begun",
+        "idle_since", "recalled",
     )  # fmt: skip
 
     def __init__(self, grant: Grant, model: str, now: float) -> None:
@@ -29,6 +32,8 @@
         self.model = model
         self.nonce = grant.nonce
         self.running = 0
+        self.uses = 0
+        self.begun = 0
         self.idle_since = now
         self.recalled = False
 
@@ -87,13 +92,22 @@
         if self._pins.get((pin.endpoint, pin.copy)) is not pin:
             return False
         pin.running += 1
+        if pin.begun:
+            # The owner has counted the first one with its grant.
+            pin.uses += 1
+        pin.begun += 1
         return True
 
     def end(self, pin: HeldPin, now: float) -> Release | None:
-        """Count a request as over; a recalled idle pin is given back."""
+        """Count a request as over; a pin of no more use is given back.
+
+        A pin under which only one request ever ran is given back at once:
+        keeping it would save no message and hold a slot.
+        """
         pin.running -= 1
         pin.idle_since = now
-        if pin.recalled and not pin.running:
+        is_spent = pin.recalled or pin.begun < WORTH_KEEPING
+        if is_spent and not pin.running:
             return self._give_back(pin)
         return None
 
@@ -134,7 +148,11 @@
         """Return the report to the owner of ``endpoint``."""
         self._serial += 1
         floor = min(self._askings, default=self._nonce + 1)
-        return Report(endpoint, self._serial, floor, self._list_pins(endpoint))
+        report = Report(endpoint, self._serial, floor, self._list_pins(endpoint))
+        for pin in self._pins.values():
+            if pin.endpoint == endpoint:
+                pin.uses = 0
+        return report
 
     def list_reports(self) -> list[Report]:
         """Return a report for each endpoint that was asked or is pinned.
@@ -157,7 +175,7 @@
 
     def _list_pins(self, endpoint: str) -> list[list]:
         return [
-            [pin.copy, pin.nonce, pin.running]
+            [pin.copy, pin.nonce, pin.running, pin.uses]
             for pin in self._pins.values()
             if pin.endpoint == endpoint
         ]
--- a/roadlift/policy/loads.py
+++ b/roadlift/policy/loads.py
@@ -1,15 +1,25 @@
 """Order the loads that wait, and share the weight store's budget.
 
-The budget is one for the deployment, and no instance counts for all. Each
-takes a share of the rate by its part of the loads that wait anywhere, as the
-heartbeats tell; a share is a token bucket with room for one load, so that
-the rate holds over time without a common counter.
+Instances share the store without a common counter: each sees by the time of
+its own loads how crowded it is.
 """
 
-from collections.abc import Container
+from collections.abc import Container, Mapping
 from typing import NamedTuple
 
 RANKS = {"interactive": 0, "standard": 1, "batch": 2}
+# Seconds that a class waits for more requests of its model before a load is
+# made for it. Each that comes meanwhile, or finds the model loaded for
+# another class, saves a load.
+HOLDS = {"interactive": 0.0, "standard": 0.0, "batch": 30.0}
+
+MOST_WAITING = 512  # Askings that wait at one endpoint.
+# Seconds, beyond its hold, that a class waits for an uncrowded store.
+PATIENCE = {"interactive": 0.0, "standard": 1.0, "batch": 30.0}
+CROWDED = 1.3  # Slowness of loads at which the store counts as crowded.
+SMOOTHING = 0.3  # Weight of the latest load in the slowness.
+BEST_AGEING = 0.01  # Part by which the best time grows with each load.
+NEWS_LIMIT = 5.0  # Seconds until the slowness of the last loads is forgotten.
 
 
 class Waiting(NamedTuple):
@@ -26,7 +36,10 @@
 class LoadQueue:
     """The askings that wait at one endpoint, soonest class first."""
 
-    def __init__(self, limit: int) -> None:
+    def __init__(
+        self, holds: Mapping[str, float] = HOLDS, limit: int = MOST_WAITING
+    ) -> None:
+        self._holds = holds
         self._limit = limit
         self._waiting: list[Waiting] = []
 
@@ -44,9 +57,18 @@
         self._waiting.append(wait)
         return True
 
-    def peek(self, loading: Container[str] = ()) -> Waiting | None:
-        """Return the first asking whose model is not loading, or None."""
-        due = (wait for wait in self._waiting if wait.model not in loading)
+    def peek(self, now: float, loading: Container[str] = ()) -> Waiting | None:
+        """Return the first asking that is due for a load, or None.
+
+        One whose model is being loaded already, or whose class is held back
+        for company, is not due.
+        """
+        due = (
+            wait
+            for wait in self._waiting
+            if wait.model not in loading
+            and now - wait.since >= self._holds[wait.priority]
+        )
         return min(due, key=_rank, default=None)
 
     def pop_model(self, model: str) -> list[Waiting]:
@@ -75,41 +97,49 @@
     return RANKS.get(wait.priority, len(RANKS)), wait.since
 
 
-class LoadBudget:
-    """This instance's share of the loads a second of the weight store."""
-
-    def __init__(self, rate: float, width: int) -> None:
-        self._rate = rate
-        self._width = width
-        self._share = 1.0
-        self._tokens = 1.0
-        self._since = 0.0
-        self._running = 0
-
-    def set_share(self, own_demand: int, all_demand: int, instances: int) -> None:
-        """Set the share from the loads that wait here and everywhere.
-
-        Half of a load for each instance is added, so that one which has
-        nothing waiting can start its first load at once.
-        """
-        floor = 0.5
-        self._share = (own_demand + floor) / (all_demand + floor * max(1, instances))
-        self._share = min(1.0, self._share)
-
-    def try_start(self, now: float, priority: str) -> bool:
-        """Take one load from the share; False means to wait."""
-        refill = (now - self._since) * self._rate * self._share
-        self._tokens = min(1.0, self._tokens + refill)
-        self._since = now
-        if self._tokens < 1.0 or self._running >= self._measure_width():
-            return False
-        self._tokens -= 1.0
-        self._running += 1
-        return True
-
-    def finish(self) -> None:
-        """Count one load as ended."""
-        self._running -= 1
-
-    def _measure_width(self) -> int:
-        return max(1, round(self._width * self._share))
+class LoadGate:
+    """Hold loads back while the weight store is crowded.
+
+    The store's rate and width are one for the deployment, and no instance
+    counts for all. Each sees the crowd by how long its own loads take: above
+    the width every load is slowed. While they are slow, a class below the
+    first waits for a free store, up to its patience; the first class never
+    waits here, since a token or a share of a rate that is idle elsewhere
+    would cost it more than a crowd does (see docs/internals/policy.md).
+    """
+
+    def __init__(self) -> None:
+        self._best = 0.0
+        self._slowness = 1.0
+        self._seen_at = 0.0
+        self._running: dict[str, int] = {}
+
+    def try_start(self, wait: Waiting, now: float) -> bool:
+        """Let a load for ``wait`` start, or tell it to wait."""
+        if self._may_start(wait, now):
+            self._running[wait.priority] = self._running.get(wait.priority, 0) + 1
+            return True
+        return False
+
+    def finish(self, priority: str, seconds: float, now: float) -> None:
+        """Count a load as ended after some seconds."""
+        self._running[priority] -= 1
+        if seconds <= 0:
+            return
+        # The best time is forgotten slowly, as a store may change for good.
+        aged = self._best * (1.0 + BEST_AGEING)
+        self._best = min(seconds, aged) if self._best else seconds
+        self._slowness += SMOOTHING * (seconds / self._best - self._slowness)
+        self._seen_at = now
+
+    def measure_slowness(self, now: float) -> float:
+        """Return how slow loads are: 1 is full speed; old news count less."""
+        age = max(0.0, now - self._seen_at)
+        return 1.0 + (self._slowness - 1.0) * max(0.0, 1.0 - age / NEWS_LIMIT)
+
+    def _may_start(self, wait: Waiting, now: float) -> bool:
+        patience = PATIENCE[wait.priority]
+        if now - wait.since >= HOLDS[wait.priority] + patience:
+            return True
+        is_alone = not self._running.get(wait.priority)
+        return is_alone and self.measure_slowness(now) < CROWDED
