--- a/roadlift/retries/rules.py
+++ b/roadlift/retries/rules.py
@@ -18,6 +18,9 @@
     return error.outcome is Outcome.NOT_RUN or idempotent
 
 
+_ROUNDING = 1e-9  # Ten tenths of a retry are one, whatever their sum is.
+
+
 class RetryBudget:
     """Retries as a part of the requests, so that they can't multiply load.
 
@@ -35,7 +38,7 @@
 
     def spend(self) -> bool:
         """Take one retry; False means that none is left."""
-        if self._saved < 1.0:
+        if self._saved < 1.0 - _ROUNDING:
             return False
         self._saved -= 1.0
         return True
--- /dev/null
+++ b/tests/retries/retries.feature
@@ -0,0 +1,55 @@
+Feature: A try is repeated only by proof and within a budget
+
+  Scenario Outline: What may be tried again
+    Then after <error> a request that is <kind> and of which the caller has <seen> may <may>
+
+    Examples:
+      | error                | kind           | seen    | may         |
+      | endpoint_unreachable | idempotent     | nothing | be repeated |
+      | endpoint_unreachable | not idempotent | nothing | be repeated |
+      | refused_by_endpoint  | not idempotent | nothing | be repeated |
+      | endpoint_unreachable | idempotent     | a part  | not         |
+      | connection_lost      | idempotent     | nothing | be repeated |
+      | connection_lost      | not idempotent | nothing | not         |
+      | connection_lost      | idempotent     | a part  | not         |
+      | request_timeout      | not idempotent | nothing | not         |
+      | request_timeout      | idempotent     | nothing | be repeated |
+      | endpoint_failed      | not idempotent | nothing | not         |
+      | stream_cut           | idempotent     | a part  | not         |
+
+  Scenario Outline: Retries can't multiply the load
+    Given a retry budget of <share> that saves <most>
+    When <requests> requests each want 3 retries
+    Then <granted> retries are granted
+
+    Examples:
+      | share | most | requests | granted |
+      | 0.1   | 20   | 100      | 30      |
+      | 0.1   | 1    | 1000     | 100     |
+      | 0.5   | 5    | 10       | 9       |
+
+  Scenario Outline: A leaving process goes step by step
+    Given a drain with a grace of 1 s and a limit of 60 s
+    When it has left for <age> s with <running> requests and <owned> endpoints
+    Then its phase is <phase>
+
+    Examples:
+      | age | running | owned | phase   |
+      | 0   | 5       | 1     | LEAVING |
+      | 0.9 | 0       | 0     | LEAVING |
+      | 1.1 | 5       | 1     | CLOSED  |
+      | 1.1 | 0       | 1     | CLOSED  |
+      | 1.1 | 5       | 0     | CLOSED  |
+      | 1.1 | 0       | 0     | ENDED   |
+      | 11  | 0       | 1     | ENDED   |
+      | 59  | 5       | 0     | CLOSED  |
+      | 61  | 5       | 1     | ENDED   |
+
+  Scenario: A leaving instance takes no new work and cuts no call
+    Given a deployment of 1 zone with 3 instances and 1 fencing engine
+    When an instance with a call of 8 s is told to leave
+    And 2 s pass
+    Then a new call to it is refused as draining
+    When 30 s pass
+    Then its call is answered
+    And it has said that it is gone
