--- a/Makefile
+++ b/Makefile
@@ -27,3 +27,6 @@
 
 bench-policy: $(READY)
 	$(RUN) -m benchmarks.policies.run
+
+docs: $(READY)
+	$(RUN) -m roadlift.conf.reference docs/ref
--- a/roadlift/core/codec.py
+++ b/roadlift/core/codec.py
@@ -41,6 +41,11 @@
     return add
 
 
+def list_messages() -> dict[str, type]:
+    """Return the registered message types by tag."""
+    return dict(_types)
+
+
 def encode(envelope: Envelope) -> bytes:
     """Return the bytes of a message and its sender."""
     body = envelope.message
--- a/tests/steps/fleet_steps.py
+++ b/tests/steps/fleet_steps.py
@@ -147,9 +147,7 @@
     context.reply = asyncio.run(complete(address, model, PROMPT, 4, False))
 
 
-@then(
-    "the answer names the endpoint, the adapter {adapter} and the version {version}"
-)
+@then("the answer names the endpoint, the adapter {adapter} and the version {version}")
 def step_carries(context, adapter, version):
     """Check the headers and the text."""
     headers = context.reply.headers
--- a/tests/steps/retry_steps.py
+++ b/tests/steps/retry_steps.py
@@ -11,8 +11,7 @@
 
 
 @then(
-    "after {code} a request that is {kind} and of which the caller has {seen}"
-    " may {may}"
+    "after {code} a request that is {kind} and of which the caller has {seen} may {may}"
 )
 def step_may(context, code, kind, seen, may):
     """Check one row of the rules."""
