Refuse overload at once, and keep an asking's place when it is sent again

Requests waited up to 30 s and were refused then, and loads were made for classes the endpoint was too full to run. Change: an asking that waits is renewed in its place; one whose load is expected to take more than 3 s (interactive), 5 s or 200 s is refused at once with that time as Retry-After; an endpoint refuses batch at 0.8 of its width, standard at 1.5 and interactive at 2; no load is made for a class it is too full to run.

--- a/benchmarks/policies/world.py
+++ b/benchmarks/policies/world.py
@@ -11,8 +11,9 @@
 from roadlift.ownership.messages import Acquire, Level, Reason, Refuse, Release, Report
 from roadlift.pins.seeker import Seeker, Waiter
 from roadlift.pins.table import HeldPin, PinTable
+from roadlift.policy.admission import DEFAULT_LIMITS, EndpointLimits
 from roadlift.policy.eviction import evictors
-from roadlift.policy.loads import HOLDS, LoadGate, Waiting
+from roadlift.policy.loads import HOLDS, RANKS, LoadGate, Waiting
 from roadlift.policy.routing import routers
 
 NEAR_DELAY = 0.0001  # Seconds between instances of a zone.
@@ -23,6 +24,9 @@
 # Seconds that a request waits to be placed.
 QUEUE_LIMITS = {"interactive": 30.0, "standard": 30.0, "batch": 300.0}
 RESTART_SECONDS = 3.0
+NO_LIMITS = EndpointLimits(
+    dict.fromkeys(RANKS, float("inf")), dict.fromkeys(RANKS, float("inf"))
+)
 NO_HOLDS = dict.fromkeys(HOLDS, 0.0)
 
 
@@ -35,14 +39,15 @@
     gates_loads: bool
     most_orders: int
     holds_batch: bool
+    refuses_early: bool
 
 
 POLICIES = {
     policy.name: policy
     for policy in (
-        Policy("roadlift", "ring", "aged_frequency", True, 2, True),
-        Policy("least_loaded_lru", "least_loaded", "recency", False, 1, False),
-        Policy("consistent_hash", "hash", "recency", False, 1, False),
+        Policy("roadlift", "ring", "aged_frequency", True, 2, True, True),
+        Policy("least_loaded_lru", "least_loaded", "recency", False, 1, False, False),
+        Policy("consistent_hash", "hash", "recency", False, 1, False, False),
     )
 }
 
@@ -160,6 +165,7 @@
             self._evictor,
             most_orders=self._world.policy.most_orders,
             holds=HOLDS if self._world.policy.holds_batch else NO_HOLDS,
+            limits=DEFAULT_LIMITS if self._world.policy.refuses_early else NO_LIMITS,
         )
 
     def start(self, end: float) -> None:
--- a/roadlift/ownership/book.py
+++ b/roadlift/ownership/book.py
@@ -37,9 +37,9 @@
     Report,
 )
 from roadlift.ownership.names import CopyName, parse_copy_name
-from roadlift.policy.admission import FULL_AT
+from roadlift.policy.admission import DEFAULT_LIMITS, EndpointLimits
 from roadlift.policy.eviction import Evictor, ModelUse, UseHistory
-from roadlift.policy.loads import HOLDS, LoadQueue, Waiting
+from roadlift.policy.loads import HOLDS, RANKS, LoadQueue, Waiting
 
 
 class CopyState(enum.Enum):
@@ -127,6 +127,7 @@
 
 
 RECALL_LIMIT = 0.5  # Seconds until a recall counts as unanswered.
+LOAD_SMOOTHING = 0.2  # Weight of the latest load in the expected time.
 LOAD = "load"
 UNLOAD = "unload"
 
@@ -155,6 +156,7 @@
         silence: float = 3.0,
         most_orders: int = 2,
         holds: Mapping[str, float] = HOLDS,
+        limits: EndpointLimits = DEFAULT_LIMITS,
     ) -> None:
         self.endpoint = endpoint
         self.holder = holder
@@ -174,8 +176,10 @@
         self._history = UseHistory()
         self._silence = silence
         self._most_orders = most_orders
+        self._limits = limits
         self._asked: set[str] = set()
         self._is_in_doubt = False
+        self._load_seconds = 0.5
         self._serial = 0
         self._heard_at: dict[str, float] = {}
         self._report_serials: dict[str, int] = {}
@@ -257,22 +261,34 @@
     # Pins.
 
     def acquire(self, sender: str, ask: Acquire, now: float) -> list[Outgoing]:
-        """Answer an asking now, or keep it until a copy is loaded."""
-        copy = self.find_ready(ask.model)
+        """Answer an asking now, or keep it until a copy is loaded.
+
+        An asking that waits already is one that was sent again: it keeps its
+        place, and its class may have become more urgent.
+        """
+        wait = Waiting(sender, ask.nonce, ask.model, ask.priority, now + ask.wait, now)
+        if self.waiting.update(wait):
+            return []
         if self.is_full(ask.priority):
             return [self._refuse(sender, ask, Reason.FULL, 1.0)]
-        if copy is not None and not self._is_spilling(ask):
-            return [self._grant(copy, sender, ask.nonce, now)]
-        if copy is not None:
+        copy = self.find_ready(ask.model)
+        if copy is None:
+            return self._keep_waiting(sender, ask, wait)
+        if self._is_spilling(ask):
             return [self._refuse(sender, ask, Reason.BUSY)]
-        wait = Waiting(sender, ask.nonce, ask.model, ask.priority, now + ask.wait, now)
-        if not self.waiting.add(wait):
-            return [self._refuse(sender, ask, Reason.FULL, 1.0)]
+        return [self._grant(copy, sender, ask.nonce, now)]
+
+    def _keep_waiting(self, sender: str, ask: Acquire, wait: Waiting) -> list[Outgoing]:
+        """Queue an asking for a load, unless that would take too long."""
+        expected = self._expect_wait(wait)
+        is_late = expected > self._limits.most_load_wait[ask.priority]
+        if is_late or not self.waiting.add(wait):
+            return [self._refuse(sender, ask, Reason.FULL, max(1.0, expected))]
         return []
 
     def is_full(self, priority: str) -> bool:
         """Tell whether the endpoint's queue is too long for a class."""
-        return self.count_running() >= self.width * FULL_AT[priority]
+        return self.count_running() >= self.width * self._limits.full_at[priority]
 
     def release(self, sender: str, message: Release) -> None:
         """Take a pin back, unless it was granted anew since."""
@@ -422,6 +438,9 @@
         self, copy: Copy, result: OrderResult, now: float
     ) -> list[Outgoing]:
         if result is OrderResult.DONE:
+            self._load_seconds += LOAD_SMOOTHING * (
+                now - copy.since - self._load_seconds
+            )
             copy.enter(CopyState.READY, now)
             self._index_ready()
             self.loads += 1
@@ -482,10 +501,24 @@
         self.orders[order.copy] = order
         return order
 
+    def _expect_wait(self, wait: Waiting) -> float:
+        """Return how long a load is expected to take, in seconds."""
+        ahead = self.waiting.count_ahead(wait)
+        if ahead is None:
+            # Its model is waited for already, and costs no load of its own.
+            return 0.0
+        rounds = (ahead + len(self.orders)) / self._most_orders
+        return (1.0 + rounds) * self._load_seconds
+
     def _find_next_wait(self, now: float) -> Waiting | None:
-        """Return who waits first for a model that is not being loaded."""
+        """Return who waits first for a model that is not being loaded.
+
+        No load is made for a class whose requests the endpoint is too full
+        to run.
+        """
         loading = {order.model for order in self.orders.values() if order.verb == LOAD}
-        return self.waiting.peek(now, loading)
+        full = {name for name in RANKS if self.is_full(name)}
+        return self.waiting.peek(now, loading, full)
 
     def _count_unloads(self) -> int:
         return sum(order.verb == UNLOAD for order in self.orders.values())
--- a/roadlift/pins/seeker.py
+++ b/roadlift/pins/seeker.py
@@ -21,7 +21,7 @@
     Release,
 )
 from roadlift.pins.table import HeldPin, PinTable
-from roadlift.policy.admission import FULL_AT
+from roadlift.policy.admission import DEFAULT_LIMITS
 from roadlift.policy.loads import RANKS
 from roadlift.policy.routing import Router
 
@@ -183,7 +183,7 @@
         pins = self.table.find(search.model)
         fill = lambda pin: self._measure_fill(pin.endpoint)  # noqa: E731
         pin = min(pins, key=fill, default=None)
-        if pin is None or fill(pin) >= FULL_AT[search.pick_priority()]:
+        if pin is None or fill(pin) >= DEFAULT_LIMITS.full_at[search.pick_priority()]:
             return None
         return pin
 
--- a/roadlift/policy/admission.py
+++ b/roadlift/policy/admission.py
@@ -1,10 +1,25 @@
 """Bound what is admitted, by class, so that overload is refused early."""
 
+from collections.abc import Mapping
 from typing import NamedTuple
 
-# How many times its width an endpoint may have running and queued requests
-# before a class is refused there; the contracted tail is refused last.
-FULL_AT = {"interactive": 4.0, "standard": 3.0, "batch": 2.0}
+
+class EndpointLimits(NamedTuple):
+    """When an endpoint's owner refuses a class at once, by class.
+
+    ``full_at`` is how many times its width an endpoint may have running and
+    queued; ``most_load_wait`` how many seconds a load, with those before it,
+    may be expected to take. The contracted tail is refused last.
+    """
+
+    full_at: Mapping[str, float]
+    most_load_wait: Mapping[str, float]
+
+
+DEFAULT_LIMITS = EndpointLimits(
+    {"interactive": 2.0, "standard": 1.5, "batch": 0.8},
+    {"interactive": 3.0, "standard": 5.0, "batch": 200.0},
+)
 
 
 class Limits(NamedTuple):
--- a/roadlift/policy/loads.py
+++ b/roadlift/policy/loads.py
@@ -48,20 +48,29 @@
 
     def add(self, wait: Waiting) -> bool:
         """Take an asking; False means that the queue is full."""
-        for index, known in enumerate(self._waiting):
-            if known.holder == wait.holder and known.nonce == wait.nonce:
-                self._waiting[index] = wait._replace(since=known.since)
-                return True
         if len(self._waiting) >= self._limit:
             return False
         self._waiting.append(wait)
         return True
 
-    def peek(self, now: float, loading: Container[str] = ()) -> Waiting | None:
+    def update(self, wait: Waiting) -> bool:
+        """Renew an asking that waits already; False means that none does."""
+        for index, known in enumerate(self._waiting):
+            if known.holder == wait.holder and known.nonce == wait.nonce:
+                self._waiting[index] = wait._replace(since=known.since)
+                return True
+        return False
+
+    def peek(
+        self,
+        now: float,
+        loading: Container[str] = (),
+        full: Container[str] = (),
+    ) -> Waiting | None:
         """Return the first asking that is due for a load, or None.
 
         One whose model is being loaded already, or whose class is held back
-        for company, is not due.
+        for company or is one of ``full``, is not due.
         """
         due = (
             wait
@@ -71,6 +80,15 @@
         )
         return min(due, key=_rank, default=None)
 
+    def count_ahead(self, wait: Waiting) -> int | None:
+        """Return how many models are loaded before an asking's.
+
+        None means that an asking as urgent waits for its model already.
+        """
+        rank = _rank(wait)
+        ahead = {other.model for other in self._waiting if _rank(other) <= rank}
+        return None if wait.model in ahead else len(ahead)
+
     def pop_model(self, model: str) -> list[Waiting]:
         """Remove and return the askings for ``model``, soonest first."""
         found = sorted((w for w in self._waiting if w.model == model), key=_rank)
