Look endpoints up in a directory that is built once for their section

Cause: by reading, for 10,000 endpoints and 0.23 changes a second: each change rebuilt the ring (128,000 hashes), each election read every endpoint, and each call of a plain service too: growth with all nodes times all endpoints. Change: Directory, kept while two bundles share the endpoints section; owners elect anew only after a change of the section or of the zone; the census is asked once a second; base models have rings of their own.

--- a/demo/fleet.py
+++ b/demo/fleet.py
@@ -155,6 +155,19 @@
             instance.wait_until("/livez")
         return instance
 
+    def wait_for_members(self) -> None:
+        """Wait until every instance sees every other one alive."""
+        end = time.monotonic() + START_LIMIT
+        while time.monotonic() < end:
+            seen = [
+                sum(m["state"] == "alive" for m in process.read("/status")["members"])
+                for process in self.instances.values()
+            ]
+            if min(seen) == len(self.instances):
+                return
+            time.sleep(0.05)
+        raise TimeoutError(f"the instances see {seen} of {len(self.instances)}")
+
     def describe_endpoints(self) -> dict[str, dict]:
         """Return the endpoints section of a bundle for this fleet."""
         entries: dict[str, dict] = {}
@@ -186,6 +199,7 @@
 
     def roll(self, document: dict) -> dict:
         """Propose, sign and roll a bundle with the command-line tool."""
+        self.wait_for_members()
         path = self._folder / "bundle.json"
         path.write_text(json.dumps(document))
         platform = ["--platform", str(self.platform.address)]
--- a/roadlift/bundles/content.py
+++ b/roadlift/bundles/content.py
@@ -13,6 +13,7 @@
 import msgpack
 
 from roadlift.core.errors import InvalidBundle
+from roadlift.relay.upstream import Address
 
 SECTIONS = ("adapters", "services", "endpoints")
 CLASSES = ("interactive", "standard", "batch")
@@ -20,10 +21,11 @@
 
 
 class AdapterEntry(TypedDict):
-    """One adapter: the weight paths by version, and its services."""
+    """One adapter: its weight paths by version, services and base model."""
 
     versions: dict[str, str]
     services: list[str]
+    base: str
 
 
 class ServiceEntry(TypedDict):
@@ -43,7 +45,8 @@
 class EndpointEntry(TypedDict):
     """One endpoint: an engine or a plain service.
 
-    ``service`` names the service that a plain service answers for;
+    ``service`` names the service that a plain service answers for; ``base``
+    is the base model of an engine, whose adapters it can load;
     ``fences`` tells that the engine refuses orders with an old fencing
     number; ``slots`` is how many adapters it holds; ``width`` how many
     requests it batches.
@@ -53,6 +56,7 @@
     zone: str
     kind: str
     service: str
+    base: str
     fences: bool
     slots: int
     width: int
@@ -147,6 +151,10 @@
         """Return an endpoint's entry, or None."""
         return self._get("endpoints", name)
 
+    def get_section(self, section: str) -> object:
+        """Return a section, to see whether two bundles share it."""
+        return self._sections[section]
+
     def list_names(self, section: str) -> list[str]:
         """Return the names of a section, sorted."""
         return sorted(self._sections[section])
@@ -209,7 +217,11 @@
 
 
 _FIELDS = {
-    "adapters": (_Field("versions", dict), _Field("services", list)),
+    "adapters": (
+        _Field("versions", dict),
+        _Field("services", list),
+        _Field("base", str, ""),
+    ),
     "services": (
         _Field("tenant", str),
         _Field("priority", str, choices=CLASSES),
@@ -222,6 +234,7 @@
         _Field("zone", str),
         _Field("kind", str, choices=KINDS),
         _Field("service", str, ""),
+        _Field("base", str, ""),
         _Field("fences", bool, False),
         _Field("slots", int, 4),
         _Field("width", int, 8),
@@ -296,6 +309,13 @@
 
 def _list_broken_references(document: dict) -> list[str]:
     mistakes = []
+    for name, entry in document["endpoints"].items():
+        try:
+            Address.parse(entry["address"])
+        except (ValueError, OSError):
+            mistakes.append(
+                f"$.endpoints.{name}.address: an IP number with a port was expected"
+            )
     for name, entry in document["adapters"].items():
         for service in entry["services"]:
             if service not in document["services"]:
--- a/roadlift/daemon/bundles.py
+++ b/roadlift/daemon/bundles.py
@@ -5,6 +5,7 @@
 
 from roadlift.bundles.chain import Chain, Link, Snapshot
 from roadlift.bundles.content import AdapterEntry, Bundle, Change, Model
+from roadlift.bundles.directory import Directory, DirectoryCache
 from roadlift.bundles.messages import Announce, Ask, Links, Part
 from roadlift.bundles.roll import HEAD_KEY, MOST_LINKS, HeadRow
 from roadlift.bundles.spread import Sending, Spreader
@@ -60,6 +61,7 @@
         self._store = kernel.get(StorePart).store
         self.chain = Chain()
         self.spreader = Spreader(self.chain, kernel.clock, random.Random())
+        self._directories = DirectoryCache()
         self._timers = []
         self._is_reading = False
 
@@ -68,6 +70,11 @@
         """Return the bundle in force."""
         return self.chain.bundle
 
+    @property
+    def directory(self) -> Directory:
+        """Return the endpoints of the bundle in force."""
+        return self._directories.get(self.chain.bundle)
+
     def find_model(self, name: str) -> FoundModel | None:
         """Return what the bundle says of ``adapter@version``, or None."""
         try:
--- a/roadlift/daemon/exchange.py
+++ b/roadlift/daemon/exchange.py
@@ -7,6 +7,7 @@
 
 from typing import NamedTuple
 
+from roadlift.bundles.directory import Endpoint
 from roadlift.burn.record import Sample
 from roadlift.core.errors import (
     EndpointFailed,
@@ -330,14 +331,14 @@
         waited = self._kernel.clock.now() - self._placing_since
         self._stall += waited
         self._metrics.time("load_stall", waited)
-        entry = self._bundles.bundle.get_endpoint(pin.endpoint)
+        endpoint = self._bundles.directory.find(pin.endpoint)
         if self._is_over:
             return
-        if entry is None or not self._pins.table.begin(pin):
+        if endpoint is None or not self._pins.table.begin(pin):
             self._on_failure(NoEndpoint(pin.endpoint))
             return
         self._pin = pin
-        self._address = Address.parse(entry["address"])
+        self._address = endpoint.address
         request = self._api.build_run(
             self.call.path, self.call.content, pin.copy, self._priority
         )
@@ -419,32 +420,28 @@
         self._avoided: set[str] = set()
 
     def _try(self) -> None:
-        name = self._choose()
-        if name is None:
+        endpoint = self._choose()
+        if endpoint is None:
             self._fail(NoEndpoint(f"no endpoint of {self.call.service}", 1.0))
             return
-        self._endpoint = name
-        self._avoided.add(name)
-        self._calls.begin(name)
-        entry = self._bundles.bundle.get_endpoint(name)
+        self._endpoint = endpoint.name
+        self._avoided.add(endpoint.name)
+        self._calls.begin(endpoint.name)
         request = Request(
             self.call.method, self.call.path, self.call.headers, self.call.body
         )
-        self._send(Address.parse(entry["address"]), request)
+        self._send(endpoint.address, request)
 
-    def _choose(self) -> str | None:
+    def _choose(self) -> Endpoint | None:
         """Return the least busy endpoint, in this zone where there is one."""
-        bundle = self._bundles.bundle
         own_zone = self._members.detector.own.zone
-        found = []
-        for name in bundle.list_names("endpoints"):
-            entry = bundle.get_endpoint(name)
-            if entry["kind"] != "service" or entry["service"] != self.call.service:
-                continue
-            if name not in self._avoided:
-                is_far = entry["zone"] != own_zone
-                found.append((is_far, self._calls.count(name), name))
-        return min(found)[2] if found else None
+        found = [
+            endpoint
+            for endpoint in self._bundles.directory.list_services(self.call.service)
+            if endpoint.name not in self._avoided
+        ]
+        busy = lambda e: (e.zone != own_zone, self._calls.count(e.name), e.name)  # noqa: E731
+        return min(found, key=busy, default=None)
 
     def _leave_endpoint(self) -> None:
         if self._endpoint:
--- a/roadlift/daemon/members.py
+++ b/roadlift/daemon/members.py
@@ -42,6 +42,7 @@
         self._transport.process = own.process
         self._timers = []
         self._listeners: list[Callable[[], None]] = []
+        self._zones = frozenset({own.zone})
 
     @property
     def process(self) -> str:
@@ -86,6 +87,10 @@
             if member.zone == zone
         ]
 
+    def list_zones(self) -> frozenset[str]:
+        """Return the zones that have instances which may take work."""
+        return self._zones
+
     def list_peers(self) -> list[str]:
         """Return the processes of the other instances that may answer."""
         states = (State.ALIVE, State.LEAVING, State.SUSPECT)
@@ -123,6 +128,8 @@
                 self._transport.disconnect(member.peer)
             elif member.name != self.detector.own.name:
                 self._transport.connect(member.peer)
+        alive = self.detector.list_members(State.ALIVE, State.SUSPECT)
+        self._zones = frozenset(member.zone for member in alive)
         for listener in self._listeners:
             listener()
 
--- a/roadlift/daemon/owners.py
+++ b/roadlift/daemon/owners.py
@@ -4,6 +4,7 @@
 pin costs a store call.
 """
 
+from roadlift.bundles.directory import Endpoint
 from roadlift.core.errors import RoadliftError
 from roadlift.core.kernel import Kernel, parts
 from roadlift.core.logs import PartLog
@@ -81,6 +82,8 @@
         self._gate = LoadGate()
         self._owned: dict[str, OwnedEndpoint] = {}
         self._timers = []
+        self._elected_for: tuple = ()
+        self._wanted: set[str] = set()
         self.takeovers = 0
         self.orders = 0
 
@@ -114,20 +117,26 @@
     # Elections and takeovers.
 
     def _elect(self) -> None:
+        """Open the books that fall to this instance.
+
+        Who owns what is computed anew only after a change of the endpoints
+        or of the zone's instances.
+        """
         self._drop_dead()
-        bundle = self._bundles.bundle
         own = self._members.detector.own
-        zone = self._members.list_zone(own.zone)
-        wanted = set()
-        for name in bundle.list_names("endpoints"):
-            entry = bundle.get_endpoint(name)
-            if entry["kind"] != "engine" or entry["zone"] != own.zone:
-                continue
-            if choose_owner(name, zone) == own.name:
-                wanted.add(name)
-                self._open(name, Address.parse(entry["address"]))
-        for name in set(self._owned) - wanted:
-            if bundle.get_endpoint(name) is None or self._owned[name].book is None:
+        directory = self._bundles.directory
+        zone = tuple(self._members.list_zone(own.zone))
+        if (directory, zone) != self._elected_for:
+            self._elected_for = (directory, zone)
+            self._wanted = {
+                endpoint.name
+                for endpoint in directory.list_engines(own.zone)
+                if choose_owner(endpoint.name, zone) == own.name
+            }
+        for name in self._wanted:
+            self._open(directory.find(name))
+        for name in set(self._owned) - self._wanted:
+            if directory.find(name) is None or self._owned[name].book is None:
                 del self._owned[name]
 
     def _drop_dead(self) -> None:
@@ -140,22 +149,22 @@
                     if self._members.detector.is_gone(process):
                         owned.book.remove_dead(process)
 
-    def _open(self, name: str, address: Address) -> None:
-        owned = self._owned.get(name)
+    def _open(self, endpoint: Endpoint) -> None:
+        owned = self._owned.get(endpoint.name)
         if owned is None:
-            owned = self._owned[name] = OwnedEndpoint(name, address)
+            owned = OwnedEndpoint(endpoint.name, endpoint.address)
+            self._owned[endpoint.name] = owned
         if owned.book is not None and owned.book.is_superseded:
             self._drop_book(owned)
-        entry = self._bundles.bundle.get_endpoint(name)
-        if owned.book is not None or owned.is_opening or entry is None:
+        if owned.book is not None or owned.is_opening:
             return
         owned.is_opening = True
         takeover = Takeover(
             self._ask_endpoint(owned),
             self._api,
-            entry["fences"],
+            endpoint.fences,
             self._members.process,
-            self._pins.table.get_epoch(name),
+            self._pins.table.get_epoch(endpoint.name),
         )
         takeover.start(lambda opening: self._open_book(owned, opening))
 
@@ -171,8 +180,8 @@
 
     def _open_book(self, owned: OwnedEndpoint, opening: Opening | None) -> None:
         owned.is_opening = False
-        entry = self._bundles.bundle.get_endpoint(owned.name)
-        if opening is None or entry is None:
+        endpoint = self._bundles.directory.find(owned.name)
+        if opening is None or endpoint is None:
             return
         if self._owned.get(owned.name) is not owned:
             return
@@ -180,9 +189,9 @@
             owned.name,
             self._members.process,
             opening.epoch,
-            entry["fences"],
-            entry["slots"],
-            entry["width"],
+            endpoint.fences,
+            endpoint.slots,
+            endpoint.width,
             self._evictor,
             SILENT_PERIODS * self._settings.report_period,
         )
@@ -204,10 +213,8 @@
         """Ask every process that may hold a pin and has not answered."""
         book = owned.book
         now = self._kernel.clock.now()
-        new = book.expect_answers(self._members.detector.list_unproven())
-        if not new and (not book.unproven or now < owned.census_at):
-            return
         owned.census_at = now + CENSUS_PERIOD
+        book.expect_answers(self._members.detector.list_unproven())
         for process in book.unproven:
             self._members.send(process, Census(book.endpoint, book.epoch))
 
@@ -278,7 +285,8 @@
         for owned in self.list_owned():
             self._send(owned.book.expire(now))
             self._send(owned.book.inquire(now))
-            self._take_census(owned)
+            if now >= owned.census_at:
+                self._take_census(owned)
             self._order_next(owned)
 
     def _order_next(self, owned: OwnedEndpoint) -> None:
@@ -343,7 +351,7 @@
             if restarted:
                 log.warning("Endpoint %s has restarted.", owned.name)
                 self._drop_book(owned)
-                self._open(owned.name, owned.address)
+                self._elect()
             elif owned.reports % LIST_EVERY == 0:
                 self._ask_list(owned, owned.book)
 
--- a/roadlift/daemon/pins.py
+++ b/roadlift/daemon/pins.py
@@ -2,15 +2,15 @@
 
 from collections.abc import Callable
 
+from roadlift.bundles.directory import Directory
 from roadlift.core.kernel import Kernel, parts
 from roadlift.daemon.bundles import Bundles
 from roadlift.daemon.members import Members
 from roadlift.daemon.transport import Transport
-from roadlift.membership.members import State
 from roadlift.ownership.election import choose_owner
 from roadlift.pins.seeker import Seeker, Waiter
 from roadlift.pins.table import HeldPin, PinTable
-from roadlift.policy.routing import routers
+from roadlift.policy.routing import BaseRouter, Router, routers
 
 TICK = 0.1  # Seconds between looks at pins and askings.
 
@@ -28,7 +28,6 @@
         self._bundles = kernel.get(Bundles)
         self.table = PinTable(kernel.settings.pin_keep)
         self._seeker = Seeker(self, self.table)
-        self._zones: dict[str, str] = {}
         self._owners: dict[str, str | None] = {}
         self._routed_for: tuple = ()
         self._timers = []
@@ -84,38 +83,41 @@
         return self._members.send(process, message)
 
     def _elect(self, endpoint: str) -> str | None:
-        zone = self._zones.get(endpoint)
-        if zone is None:
+        found = self._bundles.directory.find(endpoint)
+        if found is None:
             return None
-        name = choose_owner(endpoint, self._members.list_zone(zone))
+        name = choose_owner(endpoint, self._members.list_zone(found.zone))
         return self._members.find_process(name) if name else None
 
     def _refresh_router(self) -> None:
         """Route to endpoints that have an owner in their zone alone.
 
         While an availability zone is cut off its instances count as dead
-        here, and its endpoints are passed over.
+        here, and its endpoints are passed over. The rings are built anew only
+        after a change of the endpoints or of the zones.
         """
-        alive = self._members.detector.list_members(State.ALIVE, State.SUSPECT)
-        zones = frozenset(member.zone for member in alive)
-        key = (self._bundles.chain.head, zones)
+        directory = self._bundles.directory
+        key = (directory, self._members.list_zones())
         if key == self._routed_for:
             return
         self._routed_for = key
         self._owners.clear()
-        widths = self._find_engines(zones)
-        router = routers.get(self._kernel.settings.router)(widths)
-        self._seeker.route_by(router, widths)
-
-    def _find_engines(self, zones: frozenset[str]) -> dict[str, int]:
-        """Return the batch widths of the engines in some zones."""
-        bundle = self._bundles.bundle
-        widths = {}
-        for name in bundle.list_names("endpoints"):
-            entry = bundle.get_endpoint(name)
-            if entry["kind"] != "engine":
-                continue
-            self._zones[name] = entry["zone"]
-            if entry["zone"] in zones:
-                widths[name] = entry["width"]
-        return widths
+        self._seeker.route_by(*self._make_router(*key))
+
+    def _make_router(
+        self, directory: Directory, zones: frozenset[str]
+    ) -> tuple[Router, dict[str, int]]:
+        """Return a router for each base model, and the engines' widths."""
+        make = routers.get(self._kernel.settings.router)
+        widths: dict[str, int] = {}
+        by_base: dict[str, list[str]] = {}
+        for zone in directory.list_zones():
+            for engine in directory.list_engines(zone) if zone in zones else ():
+                widths[engine.name] = engine.width
+                by_base.setdefault(engine.base, []).append(engine.name)
+        parts = {base: make(names) for base, names in by_base.items()}
+        return BaseRouter(parts, self._find_base), widths
+
+    def _find_base(self, model: str) -> str:
+        found = self._bundles.find_model(model)
+        return found.adapter["base"] if found else ""
--- a/roadlift/daemon/status.py
+++ b/roadlift/daemon/status.py
@@ -114,22 +114,23 @@
         return {"object": "list", "data": data}
 
     def _set_gauges(self) -> None:
-        metrics = self._kernel.get(Metrics)
-        status = self.describe()
-        owned = self._kernel.get(Owners).list_owned()
-        metrics.set("running", status["running"])
+        get = self._kernel.get
+        metrics = get(Metrics)
+        owned = get(Owners).list_owned()
+        transport = get(Transport)
+        store = get(StorePart).store
+        metrics.set("running", self._front.running)
         metrics.set("owned", len(owned))
-        metrics.set("pins", self._kernel.get(Pins).table.count_pins())
+        metrics.set("pins", get(Pins).table.count_pins())
         metrics.set("loads", sum(one.book.loads for one in owned))
         metrics.set("evictions", sum(one.book.evictions for one in owned))
-        metrics.set("takeovers", status["takeovers"])
-        metrics.set("bundle", status["bundle"]["number"])
-        alive = [m for m in status["members"] if m["state"] == "alive"]
-        metrics.set("members", len(alive))
-        metrics.set("peer_bytes_in", status["peer_bytes"]["in"])
-        metrics.set("peer_bytes_out", status["peer_bytes"]["out"])
-        metrics.set("store_reads", status["store_calls"]["reads"])
-        metrics.set("store_writes", status["store_calls"]["writes"])
+        metrics.set("takeovers", get(Owners).takeovers)
+        metrics.set("bundle", get(Bundles).chain.head.number)
+        metrics.set("members", len(get(Members).list_peers()) + 1)
+        metrics.set("peer_bytes_in", transport.bytes_in)
+        metrics.set("peer_bytes_out", transport.bytes_out)
+        metrics.set("store_reads", store.reads)
+        metrics.set("store_writes", store.writes)
 
 
 def _answer_json(content: Any) -> Answer:
--- a/roadlift/policy/routing.py
+++ b/roadlift/policy/routing.py
@@ -4,7 +4,7 @@
 a pinned copy of the model, and how full each seems from here.
 """
 
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from typing import NamedTuple, Protocol
 
 from roadlift.core.registry import Registry
@@ -86,3 +86,20 @@
         if best is None or best in pinned:
             return Plan(best, ())
         return Plan(None, (best,))
+
+
+class BaseRouter:
+    """Routes a model among the engines of its base model."""
+
+    def __init__(
+        self, routers_by_base: Mapping[str, Router], find_base: Callable[[str], str]
+    ) -> None:
+        self._routers = routers_by_base
+        self._find_base = find_base
+
+    def plan(self, model: str, pinned: Sequence[str], fill: Fill) -> Plan:
+        """Plan a request; without an engine of its base there is none."""
+        router = self._routers.get(self._find_base(model))
+        if router is None:
+            return Plan(None, ())
+        return router.plan(model, pinned, fill)
