--- a/roadlift/membership/detector.py
+++ b/roadlift/membership/detector.py
@@ -9,6 +9,7 @@
 
 import math
 import random
+import zlib
 from collections.abc import Iterable
 from typing import NamedTuple
 
@@ -17,6 +18,7 @@
 from roadlift.membership.messages import Ack, Join, Ping, Probe, Roster
 
 NEWS_IN_MESSAGE = 6  # Members told with one ping or ack.
+MOST_DIFFERENCES = 8  # Messages in a row that may differ in the members known.
 
 
 class Timing(NamedTuple):
@@ -58,8 +60,6 @@
     ) -> None:
         self.own = own
         self.head = 0
-        self.demand = 0
-        self.demands: dict[str, int] = {}
         self.heads: dict[str, int] = {}
         self._clock = clock
         self._rng = rng
@@ -74,6 +74,8 @@
         self._next_period = 0.0
         self._next_rejoin = 0.0
         self._changed = True
+        self._differences = 0
+        self._print: int | None = None
         self._tell(own)
 
     # What is known.
@@ -157,14 +159,14 @@
     def receive(self, sender: str, message: object) -> list[Sending]:
         """Take a message of the process ``sender`` and return the answers."""
         match message:
-            case Ping(serial, members, head, demand):
+            case Ping(serial, members, head, fingerprint):
                 self._learn_all(members)
-                self._note(sender, head, demand)
-                return self._answer(sender, serial)
-            case Ack(serial, members, head, demand):
+                out = self._compare(sender, head, fingerprint)
+                return out + self._answer(sender, serial)
+            case Ack(serial, members, head, fingerprint):
                 self._learn_all(members)
-                self._note(sender, head, demand)
-                return self._finish_probe(serial)
+                out = self._compare(sender, head, fingerprint)
+                return out + self._finish_probe(serial)
             case Probe(serial, target):
                 return self._help(sender, serial, target)
             case Join(member):
@@ -175,16 +177,37 @@
 
     # Helpers.
 
-    def _note(self, sender: str, head: int, demand: int) -> None:
-        name = sender.rpartition("#")[0]
-        self.demands[name] = demand
-        self.heads[name] = head
+    def _compare(self, sender: str, head: int, fingerprint: int) -> list[Sending]:
+        """Ask for all members where news seem to have been missed.
+
+        News on their way make fingerprints differ for some messages; where
+        they still do after that, something is known there and not here.
+        """
+        self.heads[sender.rpartition("#")[0]] = head
+        if fingerprint == self._measure_print():
+            self._differences = 0
+            return []
+        self._differences += 1
+        member = self.find_process(sender)
+        if self._differences < MOST_DIFFERENCES or member is None:
+            return []
+        self._differences = 0
+        return [Sending(member.peer, Join(list(self.own)))]
+
+    def _measure_print(self) -> int:
+        """Return a fingerprint of the processes that are not gone."""
+        if self._print is None:
+            self._print = 0
+            for member in self._members.values():
+                if member.state != State.GONE:
+                    self._print ^= zlib.crc32(member.process.encode())
+        return self._print
 
     def _answer(self, sender: str, serial: int) -> list[Sending]:
         member = self.find_process(sender)
         if member is None:
             return []
-        ack = Ack(serial, self._pick_news(member), self.head, self.demand)
+        ack = Ack(serial, self._pick_news(member), self.head, self._measure_print())
         return [Sending(member.peer, ack)]
 
     def _finish_probe(self, serial: int) -> list[Sending]:
@@ -212,7 +235,8 @@
         helped = on_behalf is not None
         self._probing[self._serial] = _Probing(member.name, now, helped, on_behalf)
         news = self._pick_news(member)
-        return Sending(member.peer, Ping(self._serial, news, self.head, self.demand))
+        ping = Ping(self._serial, news, self.head, self._measure_print())
+        return Sending(member.peer, ping)
 
     def _probe_next(self, now: float) -> list[Sending]:
         while self._order:
@@ -299,6 +323,7 @@
         if member.state == State.GONE:
             self._gone.add(member.process)
         self._members[member.name] = member
+        self._print = None
         self._tell(member)
         self._changed = True
         if member.state == State.SUSPECT:
@@ -316,6 +341,7 @@
     def _change_own(self, state: State) -> None:
         self.own = self.own._replace(state=state, number=self.own.number + 1)
         self._members[self.own.name] = self.own
+        self._print = None
         self._tell(self.own)
         self._changed = True
 
--- a/roadlift/membership/messages.py
+++ b/roadlift/membership/messages.py
@@ -1,7 +1,7 @@
 """Define the heartbeats between instances.
 
 ``members`` are Member tuples as lists; ``head`` is the number of the bundle
-in force at the sender; ``demand`` how many loads wait there.
+in force at the sender; ``print`` a fingerprint of the processes it knows.
 """
 
 from typing import NamedTuple
@@ -16,7 +16,7 @@
     serial: int
     members: list[list]
     head: int
-    demand: int
+    print: int
 
 
 @message("ack")
@@ -26,7 +26,7 @@
     serial: int
     members: list[list]
     head: int
-    demand: int
+    print: int
 
 
 @message("probe")
--- a/tests/membership/detector.feature
+++ b/tests/membership/detector.feature
@@ -56,3 +56,21 @@
       | 2     |
       | 6     |
       | 20    |
+
+  Scenario Outline: Instances that start at once in a bad network find each other
+    Given a network with <lost> lost, 0.1 doubled and 0.2 s of jitter
+    When <count> instances start within a second
+    Then all instances know each other within 40 s
+    When the network is good again
+    Then all instances see each other alive within 30 s
+
+    Examples:
+      | count | lost |
+      | 4     | 0.3  |
+      | 12    | 0.3  |
+      | 30    | 0.1  |
+
+  Scenario: An instance that missed the news of another asks for all
+    Given a deployment of 1 zone with 6 instances and 1 fencing engine
+    When one instance forgets another
+    Then all instances see each other alive within 30 s
--- a/tests/steps/membership_steps.py
+++ b/tests/steps/membership_steps.py
@@ -4,6 +4,8 @@
 
 from roadlift.daemon.leaving import Leaving
 from roadlift.daemon.members import Members
+from standins.hub import Delivery
+from tests.support.deployment import Deployment
 
 
 def _pick(context):
@@ -124,3 +126,39 @@
     writes = sum(cost[2] for cost in context.costs.values())
     assert 0 < reads <= most, reads
     assert writes == 0, writes
+
+
+@when("{count:d} instances start within a second")
+def step_start_many(context, count):
+    """Start instances that know only those before them as seeds."""
+    context.deployment = Deployment(5, context.delivery)
+    hub = context.deployment.hub
+    for index in range(count):
+        hub.start(f"entry-{index:02d}", "zone-a")
+        hub.advance(1.0 / count)
+
+
+@when("one instance forgets another")
+def step_forget(context):
+    """Take a member out of one instance's knowledge, as if never told."""
+    names = sorted(context.deployment.hub.kernels)
+    detector = context.deployment.get(names[0], Members).detector
+    del detector._members[names[-1]]
+    detector._print = None
+
+
+@then("all instances know each other within {limit:g} s")
+def step_known(context, limit):
+    """Check that nobody is unknown to anybody, alive or suspected."""
+    deployment = context.deployment
+    names = list(deployment.hub.kernels)
+    deployment.hub.advance_until(
+        lambda: all(deployment.see(a, b) != "UNKNOWN" for a in names for b in names),
+        limit,
+    )
+
+
+@when("the network is good again")
+def step_good(context):
+    """Let every message arrive."""
+    context.deployment.hub.delivery = Delivery()
