--- a/Makefile
+++ b/Makefile
@@ -30,3 +30,14 @@
 
 docs: $(READY)
 	$(RUN) -m roadlift.conf.reference docs/ref
+
+lint: $(READY)
+	$(VENV)/bin/ruff format --check --quiet .
+	$(VENV)/bin/ruff check --quiet .
+
+test: lint
+	$(RUN) -m tests.run
+
+bench-capacity: $(READY)
+	$(RUN) -m benchmarks.capacity.run
+	$(RUN) -m benchmarks.capacity.page
