Split the book, share the blocking store, and document nested functions

Change: copies.py and orders.py out of book.py; Shape and Terms in the place of seven arguments; BlockingStore serves the tool and the tests; Source in the relay bench; docstrings on nested functions.

--- a/benchmarks/capacity/memory.py
+++ b/benchmarks/capacity/memory.py
@@ -13,10 +13,10 @@
 from roadlift.idempotency.claims import _Record
 from roadlift.membership.detector import Detector
 from roadlift.membership.members import Member
-from roadlift.ownership.book import Book, OrderResult
+from roadlift.ownership.book import Book, Shape
 from roadlift.ownership.messages import Acquire, Grant
+from roadlift.ownership.orders import OrderResult
 from roadlift.pins.table import PinTable
-from roadlift.policy.eviction import AgedFrequencyEvictor
 from roadlift.policy.routing import RingRouter
 
 COPIES = 8  # Copies that each endpoint holds.
@@ -83,7 +83,7 @@
 
 def make_book(name: str = "runner-00001") -> Book:
     """Return a book of an endpoint with all its copies loaded."""
-    book = Book(name, "own#1", 1 << 20, True, COPIES, 8, AgedFrequencyEvictor())
+    book = Book(name, "own#1", 1 << 20, Shape(True, COPIES, 8))
     for index in range(COPIES):
         model = f"adapter-{index:06d}@1"
         ask = Acquire(name, index + 1, model, "interactive", 9.0, True)
--- a/benchmarks/capacity/page.py
+++ b/benchmarks/capacity/page.py
@@ -154,6 +154,7 @@
     tables["machine"] = f"Measured on {machine['cores']} cores, {machine['processor']}."
 
     def replace(match: re.Match) -> str:
+        """Return a mark with its table."""
         name = match.group(1)
         return f"<!-- table {name} -->\n{tables[name]}\n<!-- end -->"
 
--- a/benchmarks/capacity/processor.py
+++ b/benchmarks/capacity/processor.py
@@ -18,11 +18,11 @@
 from roadlift.endpoints.events import EventFrames
 from roadlift.endpoints.openai import OpenAiEngine
 from roadlift.membership.messages import Ping
-from roadlift.ownership.book import Book, OrderResult
+from roadlift.ownership.book import Book, Shape
 from roadlift.ownership.election import choose_owner
 from roadlift.ownership.messages import Acquire, Release
+from roadlift.ownership.orders import OrderResult
 from roadlift.pins.table import PinTable
-from roadlift.policy.eviction import AgedFrequencyEvictor
 from roadlift.policy.routing import RingRouter
 from roadlift.relay.upstream import Answer
 
@@ -73,6 +73,7 @@
         ping = Ping(1, [], 5, 0)
 
         def beat(detector=detector, sender=sender, ping=ping) -> None:
+            """Take a ping at one end and tick at the other."""
             data = encode(Envelope(sender, ping))
             envelope = decode(data)
             detector.receive(envelope.sender, envelope.message)
@@ -91,6 +92,7 @@
         rng = random.Random(1)
 
         def plan(router=router, rng=rng) -> None:
+            """Plan a request for a random model."""
             model = f"adapter-{rng.randrange(53000):06d}@1"
             router.plan(model, (), lambda name: 0.0)
 
@@ -114,6 +116,7 @@
         names = [f"entry-{i:04d}" for i in range(instances)]
 
         def elect(names=names) -> None:
+            """Elect the owners of ten endpoints."""
             for index in range(10):
                 choose_owner(f"runner-{index:05d}", names)
 
@@ -125,7 +128,7 @@
     """Time a pin's whole life at both ends, by the copies at the endpoint."""
     points = []
     for copies in (2, 4, 8, 16):
-        book = Book("e", "own#1", 1 << 20, True, copies, 64, AgedFrequencyEvictor())
+        book = Book("e", "own#1", 1 << 20, Shape(True, copies, 64))
         models = [f"adapter-{index:06d}@1" for index in range(copies)]
         for model in models:
             ask = Acquire("e", 0, model, "interactive", 9.0, True)
@@ -137,6 +140,7 @@
         table = PinTable()
 
         def live(book=book, table=table, models=models) -> None:
+            """Ask for a pin, use it and give it back."""
             model = models[0]
             nonce = table.ask("e", model, 99.0)
             ask = _send(Acquire("e", nonce, model, "interactive", 9.0, True))
@@ -179,6 +183,7 @@
         state = (chain.head, chain.bundle)
 
         def apply(chain=chain, change=change, state=state) -> None:
+            """Apply the change to the same chain again."""
             chain.head, chain.bundle = state
             chain.append(Link(2, change))
 
--- a/benchmarks/policies/engine.py
+++ b/benchmarks/policies/engine.py
@@ -105,6 +105,7 @@
         """Run a request; ``first`` is called at the first token."""
 
         def enter() -> None:
+            """Enter the batch."""
             self._events.call_later(PREFILL, first)
             seconds = PREFILL + STEP * tokens
             self._events.call_later(seconds, lambda: self._leave(done))
--- a/benchmarks/policies/world.py
+++ b/benchmarks/policies/world.py
@@ -7,8 +7,9 @@
 from benchmarks.policies.engine import EngineModel, Events, WeightStore
 from benchmarks.policies.scenarios import Arrival, Deployment, Scenario
 from roadlift.core.errors import RoadliftError
-from roadlift.ownership.book import LOAD, Book, Order, OrderResult, Outgoing
+from roadlift.ownership.book import Book, Outgoing, Shape, Terms
 from roadlift.ownership.messages import Acquire, Level, Reason, Refuse, Release, Report
+from roadlift.ownership.orders import LOAD, Order, OrderResult
 from roadlift.pins.seeker import Seeker, Waiter
 from roadlift.pins.table import HeldPin, PinTable
 from roadlift.policy.admission import DEFAULT_LIMITS, EndpointLimits
@@ -146,7 +147,13 @@
         self._incarnations: dict[str, int] = {}
         self._used: set[str] = set()
         self._gate = LoadGate()
-        self._evictor = evictors.get(world.policy.evictor)()
+        policy = world.policy
+        self._terms = Terms(
+            evictors.get(policy.evictor)(),
+            most_orders=policy.most_orders,
+            holds=HOLDS if policy.holds_batch else NO_HOLDS,
+            limits=DEFAULT_LIMITS if policy.refuses_early else NO_LIMITS,
+        )
         self.loads = 0
         self.evictions = 0
 
@@ -155,18 +162,8 @@
         epoch = self._incarnations.get(endpoint, 0) + 1
         self._incarnations[endpoint] = epoch
         deployment = self._world.deployment
-        self._books[endpoint] = Book(
-            endpoint,
-            self.name,
-            epoch,
-            True,
-            deployment.slots,
-            deployment.width,
-            self._evictor,
-            most_orders=self._world.policy.most_orders,
-            holds=HOLDS if self._world.policy.holds_batch else NO_HOLDS,
-            limits=DEFAULT_LIMITS if self._world.policy.refuses_early else NO_LIMITS,
-        )
+        shape = Shape(True, deployment.slots, deployment.width)
+        self._books[endpoint] = Book(endpoint, self.name, epoch, shape, self._terms)
 
     def start(self, end: float) -> None:
         """Begin the periodic work, up to ``end``."""
@@ -282,6 +279,7 @@
 
     def _repeat(self, period: float, end: float, call: Callable[[], None]) -> None:
         def run() -> None:
+            """Call, and plan the next call."""
             call()
             if self._events.now + period < end:
                 self._events.call_later(period, run)
--- a/benchmarks/relay.py
+++ b/benchmarks/relay.py
@@ -18,68 +18,70 @@
 from pathlib import Path
 
 from demo.fleet import EngineSpec, Fleet, Process
+from standins.http import (
+    Connection,
+    Received,
+    Reply,
+    encode_head,
+    reply_json,
+    serve,
+)
 
 PACE = 0.049  # Seconds between the chunks of a stream.
 EVENT = b"id: 1\ndata: " + b"x" * 48 + b"\n\n"
+CHUNK = b"%x\r\n%b\r\n" % (len(EVENT), EVENT)
+SLICES = 20  # Parts of the pace in which streams get their chunks.
 SETTLE = 2.0  # Seconds after the last stream is open, before measuring.
 
 
-async def run_source(port: int, streams: int) -> None:
-    """Serve streams of events at the pace, as an engine would."""
-    from standins.http import (
-        Connection,
-        Received,
-        Reply,
-        encode_head,
-        reply_json,
-        serve,
-    )
+class Source:
+    """An engine that holds every copy and sends chunks at the pace."""
 
-    copies: dict[str, str] = {}
-    open_streams: set[asyncio.StreamWriter] = set()
-    chunk = b"%x\r\n%b\r\n" % (len(EVENT), EVENT)
-    sent = {"chunks": 0}
+    def __init__(self) -> None:
+        self._copies: list[str] = []
+        self._streams: set[asyncio.StreamWriter] = set()
 
-    async def handle(request: Received, connection: Connection) -> Reply | None:
+    async def run(self, port: int) -> None:
+        """Serve until the process is ended."""
+        server = await serve("127.0.0.1", port, self._handle)
+        sender = asyncio.create_task(self._send_chunks())
+        await server.serve_forever()
+        sender.cancel()
+
+    async def _handle(self, request: Received, connection: Connection) -> Reply | None:
         if request.path == "/v1/models":
-            return reply_json({"data": [{"id": name} for name in copies]})
+            return reply_json({"data": [{"id": name} for name in self._copies]})
         if request.path == "/metrics":
             return Reply(200, b"process_start_time_seconds 1.0")
         if request.path == "/v1/load_lora_adapter":
-            copies[request.read_json()["lora_name"]] = ""
+            self._copies.append(request.read_json()["lora_name"])
             return Reply(200)
-        if request.path == "/sent":
-            return reply_json(sent)
         if not request.path.startswith("/v1/completions"):
             return Reply(200)
         kind = {"Content-Type": "text/event-stream", "Transfer-Encoding": "chunked"}
         await connection.write(encode_head(200, kind))
-        open_streams.add(connection.writer)
+        self._streams.add(connection.writer)
         await connection.writer.wait_closed()
         return None
 
-    async def send_chunks() -> None:
-        # Streams are served in slices of the pace, as tokens are spread.
-        slices = 20
+    async def _send_chunks(self) -> None:
         turn = 0
         while True:
             began = time.monotonic()
-            for index, writer in enumerate(tuple(open_streams)):
-                if index % slices != turn % slices:
-                    continue
-                if writer.is_closing():
-                    open_streams.discard(writer)
-                    continue
-                writer.write(chunk)
-                sent["chunks"] += 1
+            self._send_slice(turn % SLICES)
             turn += 1
             used = time.monotonic() - began
-            await asyncio.sleep(max(0.0, PACE / slices - used))
+            await asyncio.sleep(max(0.0, PACE / SLICES - used))
 
-    server = await serve("127.0.0.1", port, handle)
-    sender = asyncio.create_task(send_chunks())
-    await server.serve_forever()
-    sender.cancel()
+    def _send_slice(self, part: int) -> None:
+        """Send a chunk to a part of the streams, as tokens are spread."""
+        for index, writer in enumerate(tuple(self._streams)):
+            if index % SLICES != part:
+                continue
+            if writer.is_closing():
+                self._streams.discard(writer)
+            else:
+                writer.write(CHUNK)
 
 
 def run_copy(port: int, target: int) -> None:
@@ -240,7 +242,7 @@
     limit = resource.getrlimit(resource.RLIMIT_NOFILE)[1]
     resource.setrlimit(resource.RLIMIT_NOFILE, (min(limit, 65536), limit))
     if args.role == "source":
-        asyncio.run(run_source(args.port, args.value))
+        asyncio.run(Source().run(args.port))
     elif args.role == "copy":
         run_copy(args.port, args.value)
     else:
--- a/roadlift/bundles/roll.py
+++ b/roadlift/bundles/roll.py
@@ -8,7 +8,7 @@
 
 import json
 from collections.abc import Callable
-from typing import NamedTuple, Protocol
+from typing import NamedTuple
 
 import msgpack
 
@@ -28,29 +28,13 @@
     PlatformUnavailable,
     VersionConflict,
 )
-from roadlift.platform.store import ABSENT, Row
+from roadlift.platform.store import ABSENT, BlockingStore, Row
 
 HEAD_KEY = "bundle/head"
 SNAPSHOT_EVERY = 64  # Bundles between two whole ones in the object store.
 MOST_LINKS = 2 * SNAPSHOT_EVERY  # Changes walked back before giving up.
 
 
-class BlockingStore(Protocol):
-    """The part of DirectStore that rolling needs."""
-
-    def read_row(self, key: str) -> Row:
-        """Read a row."""
-
-    def write_row(self, key: str, value: bytes, expected: str) -> Row:
-        """Compare and set a row."""
-
-    def read_object(self, digest: str) -> Row:
-        """Read an object."""
-
-    def write_object(self, digest: str, value: bytes) -> Row:
-        """Write an object."""
-
-
 class HeadRow(NamedTuple):
     """The head row: the newest bundle and the newest whole one."""
 
--- a/roadlift/conf/settings.py
+++ b/roadlift/conf/settings.py
@@ -100,6 +100,7 @@
     defaults = read_environment(os.environ)
 
     def command(*, check: bool = False, **values: Any) -> None:
+        """Pass the flags on as settings."""
         run(Settings(values), check)
 
     parameters = [
--- a/roadlift/core/codec.py
+++ b/roadlift/core/codec.py
@@ -32,6 +32,7 @@
     """Return a decorator that registers a message type under ``tag``."""
 
     def add(kind: Message) -> Message:
+        """Register the type."""
         if tag in _types:
             raise ImproperlyConfigured(f"message tag {tag!r} is registered twice")
         _types[tag] = kind
--- a/roadlift/core/loop.py
+++ b/roadlift/core/loop.py
@@ -70,6 +70,7 @@
         outer = Timer(call)
 
         def run() -> None:
+            """Plan the next call and make this one."""
             if outer.closed:
                 return
             self.call_later(seconds, run)
--- a/roadlift/daemon/bundles.py
+++ b/roadlift/daemon/bundles.py
@@ -153,6 +153,7 @@
             return
 
         def take(row: Row) -> None:
+            """Put this change before the later ones."""
             link = Link(number, row.value)
             self._walk_back(head, number - 1, _read_parent(row.value), [link, *links])
 
@@ -160,6 +161,7 @@
 
     def _read_snapshot(self, head: HeadRow, links: list[Link]) -> None:
         def take(row: Row) -> None:
+            """Put the whole bundle in force, then the changes."""
             snapshot = Snapshot(head.snapshot_number, head.snapshot_digest, row.value)
             peers = self._members.list_peers()
             self._send(self.spreader.take_snapshot(snapshot, peers))
--- a/roadlift/daemon/members.py
+++ b/roadlift/daemon/members.py
@@ -158,6 +158,7 @@
 
     def _prove(self, member: Member) -> None:
         def fail(error: RoadliftError) -> None:
+            """Take a refused connection for the proof."""
             refused = isinstance(error, EndpointUnreachable)
             if refused and error.detail == "ECONNREFUSED":
                 log.warning("Process %s is gone: its port refuses.", member.process)
--- a/roadlift/daemon/owners.py
+++ b/roadlift/daemon/owners.py
@@ -14,7 +14,7 @@
 from roadlift.daemon.takeover import Ask, OnAnswer, Opening, Takeover
 from roadlift.daemon.transport import Transport
 from roadlift.endpoints.api import EngineLoad, engine_apis
-from roadlift.ownership.book import LOAD, Book, Order, OrderResult, Outgoing
+from roadlift.ownership.book import Book, Outgoing, Shape, Terms
 from roadlift.ownership.election import choose_owner
 from roadlift.ownership.messages import (
     Acquire,
@@ -26,6 +26,7 @@
     Release,
     Report,
 )
+from roadlift.ownership.orders import LOAD, Order, OrderResult
 from roadlift.policy.eviction import evictors
 from roadlift.policy.loads import LoadGate, Waiting
 from roadlift.relay.upstream import Address, Answer, Request, fetch
@@ -59,7 +60,7 @@
         self.load = load
         self.reports += 1
         if load.running and self.book is not None:
-            self.fill_sum += min(1.0, load.running / self.book.width)
+            self.fill_sum += min(1.0, load.running / self.book.shape.width)
             self.fills += 1
 
 
@@ -78,7 +79,10 @@
         self._bundles = kernel.get(Bundles)
         self._pins = kernel.get(Pins)
         self._api = engine_apis.get(settings.engine_api)()
-        self._evictor = evictors.get(settings.evictor)()
+        self._terms = Terms(
+            evictors.get(settings.evictor)(),
+            SILENT_PERIODS * settings.report_period,
+        )
         self._gate = LoadGate()
         self._owned: dict[str, OwnedEndpoint] = {}
         self._timers = []
@@ -172,6 +176,7 @@
         """Return a function that asks an endpoint; None is no answer."""
 
         def ask(request: Request, on_answer: OnAnswer) -> None:
+            """Send one request to the endpoint."""
             timeout = self._settings.connect_timeout
             fail = lambda error: on_answer(None)  # noqa: E731
             fetch(self._kernel.dialer, owned.address, request, on_answer, fail, timeout)
@@ -189,11 +194,8 @@
             owned.name,
             self._members.process,
             opening.epoch,
-            endpoint.fences,
-            endpoint.slots,
-            endpoint.width,
-            self._evictor,
-            SILENT_PERIODS * self._settings.report_period,
+            Shape(endpoint.fences, endpoint.slots, endpoint.width),
+            self._terms,
         )
         book.open(opening.names, self._kernel.clock.now())
         owned.book = book
@@ -308,6 +310,7 @@
         path = self._find_path(order.model) if order.verb == LOAD else ""
 
         def finish(result: OrderResult) -> None:
+            """Tell the gate and the book how it ended."""
             if order.verb == LOAD:
                 now = self._kernel.clock.now()
                 self._gate.finish(order.priority, now - began, now)
@@ -318,9 +321,11 @@
                 self._order_next(owned)
 
         def receive(answer: Answer) -> None:
+            """Judge the endpoint's answer."""
             finish(self._api.judge_order(order, answer))
 
         def fail(error: RoadliftError) -> None:
+            """Tell what never left from what is in doubt."""
             never_sent = error.outcome == "not_run"
             finish(OrderResult.REFUSED if never_sent else OrderResult.UNKNOWN)
 
@@ -343,6 +348,7 @@
 
     def _ask_load_report(self, owned: OwnedEndpoint) -> None:
         def receive(answer: Answer | None) -> None:
+            """Look for a restart of the endpoint."""
             if owned.book is None or answer is None:
                 return
             load = self._api.read_load_report(answer)
@@ -361,6 +367,7 @@
         asked_at = self._kernel.clock.now()
 
         def receive(answer: Answer | None) -> None:
+            """Compare the list with the book."""
             if owned.book is not book or answer is None or answer.status != 200:
                 return
             names = self._api.read_list(answer)
--- a/roadlift/daemon/status.py
+++ b/roadlift/daemon/status.py
@@ -142,7 +142,7 @@
     return {
         "endpoint": owned.name,
         "epoch": f"{book.epoch:x}",
-        "slots": book.slots,
+        "slots": book.shape.slots,
         "copies": [
             {
                 "copy": copy.name,
--- a/roadlift/endpoints/api.py
+++ b/roadlift/endpoints/api.py
@@ -8,7 +8,7 @@
 
 from roadlift.core.errors import RoadliftError
 from roadlift.core.registry import Registry
-from roadlift.ownership.book import Order, OrderResult
+from roadlift.ownership.orders import Order, OrderResult
 from roadlift.relay.upstream import Answer, Request
 
 engine_apis: Registry = Registry("engine API")
--- a/roadlift/endpoints/openai.py
+++ b/roadlift/endpoints/openai.py
@@ -18,7 +18,7 @@
     RoadliftError,
 )
 from roadlift.endpoints.api import EngineLoad, engine_apis
-from roadlift.ownership.book import LOAD, Order, OrderResult
+from roadlift.ownership.orders import LOAD, Order, OrderResult
 from roadlift.policy.loads import RANKS
 from roadlift.relay.upstream import Answer, Request
 
--- a/roadlift/idempotency/claims.py
+++ b/roadlift/idempotency/claims.py
@@ -62,10 +62,12 @@
     object: str = ""
 
     def encode(self) -> bytes:
+        """Return the row's value."""
         return json.dumps(self._asdict()).encode()
 
     @classmethod
     def decode(cls, value: bytes) -> "_Record":
+        """Read a row's value."""
         return cls(**json.loads(value))
 
 
@@ -132,9 +134,11 @@
         digest = hashlib.sha256(answer.body).hexdigest()
 
         def keep(_: Row) -> None:
+            """Point the row at the object."""
             self._replace(claim, record._replace(object=digest), 0)
 
         def fail(error: RoadliftError) -> None:
+            """Write the object again later."""
             self._loop.call_later(RETRY_SECONDS, lambda: self.settle(claim, answer))
 
         self._store.write_object(digest, answer.body, keep, fail)
@@ -148,10 +152,12 @@
         self, key: str, record: _Record, expected: str, handlers: _Handlers
     ) -> None:
         def receive(row: Row) -> None:
+            """Hand the claim over."""
             version = row.version
             handlers.on_claim(Claim(key, record.claimant, record.fingerprint, version))
 
         def fail(error: RoadliftError) -> None:
+            """Find out whose claim stands."""
             self._read_back(key, record, error, handlers)
 
         self._store.write_row(key, record.encode(), expected, receive, fail)
@@ -162,10 +168,12 @@
         """Find out whose claim stands after a conflict or a lost reply."""
 
         def receive(row: Row) -> None:
+            """Act on the row as it stands."""
             self._judge(key, record, row, cause, handlers)
 
         def fail(error: RoadliftError) -> None:
             # Our claim may stand although nothing will be sent under it.
+            """Refuse, and take back what may stand."""
             self._loop.call_later(RETRY_SECONDS, lambda: self._abandon(key, record, 0))
             handlers.on_error(IdempotencyUnavailable(error.detail, RETRY_SECONDS))
 
@@ -201,9 +209,11 @@
 
     def _load_answer(self, found: _Record, handlers: _Handlers) -> None:
         def give(body: bytes) -> None:
+            """Pass the stored answer on."""
             handlers.on_answer(StoredAnswer(found.status, found.headers, body))
 
         def fail(error: RoadliftError) -> None:
+            """Tell that the answer can't be read now."""
             handlers.on_error(IdempotencyUnavailable(error.detail, RETRY_SECONDS))
 
         if not found.object:
@@ -219,6 +229,7 @@
         """
 
         def receive(row: Row) -> None:
+            """Release the row if it is ours."""
             is_ours = row.version == ABSENT
             if not is_ours:
                 found = _Record.decode(row.value)
@@ -228,6 +239,7 @@
                 self._store.write_row(key, released, row.version, _ignore, fail)
 
         def fail(_: RoadliftError) -> None:
+            """Look again later."""
             if tries < MOST_RETRIES:
                 self._loop.call_later(
                     RETRY_SECONDS, lambda: self._abandon(key, record, tries + 1)
@@ -243,6 +255,7 @@
         """
 
         def fail(error: RoadliftError) -> None:
+            """Repeat the write, unless it took effect."""
             if isinstance(error, VersionConflict) or tries >= MOST_RETRIES:
                 return
             self._loop.call_later(
--- a/roadlift/management/commands/endpoints.py
+++ b/roadlift/management/commands/endpoints.py
@@ -1,8 +1,23 @@
 """List the endpoints."""
 
+from typing import Any
+
 from roadlift.management.output import print_json, print_table
 from roadlift.management.sources import DEFAULT_ENTRY, ask_all
 
+TITLES = (
+    "ENDPOINT",
+    "OWNER",
+    "READY",
+    "PINNED",
+    "HELD",
+    "RUNNING",
+    "QUEUED",
+    "WAITING",
+    "LOADS",
+    "EVICTIONS",
+)
+
 
 def handle(*, entry: str = DEFAULT_ENTRY, json: bool = False) -> None:
     """List the engines, by their owners: copies, pins and queues.
@@ -24,35 +39,22 @@
     if json:
         print_json(found)
         return
-    rows = []
-    for one in found:
-        ready = [copy for copy in one["copies"] if copy["state"] == "ready"]
-        pinned = [copy for copy in ready if copy["pins"]]
-        held = [c for c in ready if f"~{one['epoch']}." not in c["copy"]]
-        rows.append(
-            (
-                one["endpoint"],
-                one["owner"],
-                f"{len(ready)}/{one['slots']}",
-                len(pinned),
-                len(held) if one["unproven"] else 0,
-                one["running"],
-                one["queued"],
-                one["waiting"],
-                one["loads"],
-                one["evictions"],
-            )
-        )
-    titles = (
-        "ENDPOINT",
-        "OWNER",
-        "READY",
-        "PINNED",
-        "HELD",
-        "RUNNING",
-        "QUEUED",
-        "WAITING",
-        "LOADS",
-        "EVICTIONS",
+    print_table(TITLES, [_make_row(one) for one in found])
+
+
+def _make_row(one: dict[str, Any]) -> tuple:
+    ready = [copy for copy in one["copies"] if copy["state"] == "ready"]
+    pinned = [copy for copy in ready if copy["pins"]]
+    earlier = [copy for copy in ready if f"~{one['epoch']}." not in copy["copy"]]
+    return (
+        one["endpoint"],
+        one["owner"],
+        f"{len(ready)}/{one['slots']}",
+        len(pinned),
+        len(earlier) if one["unproven"] else 0,
+        one["running"],
+        one["queued"],
+        one["waiting"],
+        one["loads"],
+        one["evictions"],
     )
-    print_table(titles, rows)
--- a/roadlift/ownership/__init__.py
+++ b/roadlift/ownership/__init__.py
@@ -5,7 +5,16 @@
 docs/internals/ownership.md has the reasons.
 """
 
-from roadlift.ownership.book import Book, Copy, CopyState
+from roadlift.ownership.book import Book, Shape, Terms
+from roadlift.ownership.copies import Copy, CopyState
 from roadlift.ownership.election import choose_owner, compute_epoch
 
-__all__ = ["Book", "Copy", "CopyState", "choose_owner", "compute_epoch"]
+__all__ = [
+    "Book",
+    "Copy",
+    "CopyState",
+    "Shape",
+    "Terms",
+    "choose_owner",
+    "compute_epoch",
+]
--- a/roadlift/ownership/book.py
+++ b/roadlift/ownership/book.py
@@ -21,10 +21,10 @@
 * ``name_once``: each load has a name of its own.
 """
 
-import enum
 from collections.abc import Callable, Iterable, Mapping
 from typing import NamedTuple
 
+from roadlift.ownership.copies import Copy, CopyState, Pin, note_pin
 from roadlift.ownership.messages import (
     Acquire,
     Count,
@@ -37,111 +37,56 @@
     Report,
 )
 from roadlift.ownership.names import CopyName, parse_copy_name
+from roadlift.ownership.orders import LOAD, UNLOAD, Order, OrderResult
 from roadlift.policy.admission import DEFAULT_LIMITS, EndpointLimits
-from roadlift.policy.eviction import Evictor, ModelUse, UseHistory
+from roadlift.policy.eviction import AgedFrequencyEvictor, Evictor, UseHistory
 from roadlift.policy.loads import HOLDS, RANKS, LoadQueue, Waiting
 
 
-class CopyState(enum.Enum):
-    """How far a copy is."""
+class Outgoing(NamedTuple):
+    """A message to the process ``to``."""
 
-    LOADING = "loading"
-    READY = "ready"
-    UNLOADING = "unloading"
+    to: str
+    message: object
 
 
-class Pin(NamedTuple):
-    """A holder's pin: the asking it answered and its running requests."""
+RECALL_LIMIT = 0.5  # Seconds until a recall counts as unanswered.
+LOAD_SMOOTHING = 0.2  # Weight of the latest load in the expected time.
 
-    nonce: int
-    running: int
 
+TryLoad = Callable[[Waiting], bool]
 
-class Copy:
-    """An adapter's version as loaded at the endpoint."""
 
-    __slots__ = (
-        "name",
-        "model",
-        "epoch",
-        "state",
-        "since",
-        "pins",
-        "use",
-        "recalled_at",
-    )
+class Shape(NamedTuple):
+    """What an endpoint is: whether it fences, its slots and its batch."""
 
-    def __init__(
-        self, name: CopyName, state: CopyState, now: float, use: ModelUse
-    ) -> None:
-        self.name = str(name)
-        self.model = name.model
-        self.epoch = name.epoch
-        self.state = state
-        self.since = now
-        self.pins: dict[str, Pin] = {}
-        self.use = use
-        self.recalled_at: float | None = None
-
-    def enter(self, state: CopyState, now: float) -> None:
-        """Change the state at ``now``."""
-        self.state = state
-        self.since = now
+    fences: bool
+    slots: int
+    width: int
 
-    def count_running(self) -> int:
-        """Return the requests that the holders last reported."""
-        return sum(pin.running for pin in self.pins.values())
 
+class Terms(NamedTuple):
+    """How a book decides.
 
-class Order(NamedTuple):
-    """An order to the endpoint: load or unload ``copy``.
-
-    ``priority`` is the class for which a load is made.
+    ``silence`` is how long, in seconds, a holder may go without a report
+    until it is asked for one; ``most_orders`` how many orders the endpoint
+    is given at once; ``holds`` how long each class is held back for company.
     """
 
-    verb: str
-    copy: str
-    model: str
-    fence: int
-    priority: str = ""
-
+    evictor: Evictor = AgedFrequencyEvictor()
+    silence: float = 3.0
+    most_orders: int = 2
+    holds: Mapping[str, float] = HOLDS
+    limits: EndpointLimits = DEFAULT_LIMITS
 
-class OrderResult(enum.Enum):
-    """How an order ended.
 
-    REFUSED did not take effect; FENCED neither, as another owner has a
-    higher number; of UNKNOWN nobody knows, and it may take effect later.
-    """
-
-    DONE = "done"
-    REFUSED = "refused"
-    FENCED = "fenced"
-    UNKNOWN = "unknown"
-
-
-class Outgoing(NamedTuple):
-    """A message to the process ``to``."""
-
-    to: str
-    message: object
-
-
-RECALL_LIMIT = 0.5  # Seconds until a recall counts as unanswered.
-LOAD_SMOOTHING = 0.2  # Weight of the latest load in the expected time.
-LOAD = "load"
-UNLOAD = "unload"
-
-
-TryLoad = Callable[[Waiting], bool]
+DEFAULT_TERMS = Terms()
 
 
 class Book:
     """The owner's record of one endpoint in one epoch.
 
-    ``holder`` is the owning process; ``silence`` how long, in seconds, a
-    holder may go without a report until it is asked for one; ``most_orders``
-    how many orders the endpoint is given at once; ``holds`` how long each
-    class is held back for company.
+    ``holder`` is the owning process.
     """
 
     def __init__(
@@ -149,34 +94,23 @@
         endpoint: str,
         holder: str,
         epoch: int,
-        fences: bool,
-        slots: int,
-        width: int,
-        evictor: Evictor,
-        silence: float = 3.0,
-        most_orders: int = 2,
-        holds: Mapping[str, float] = HOLDS,
-        limits: EndpointLimits = DEFAULT_LIMITS,
+        shape: Shape,
+        terms: Terms = DEFAULT_TERMS,
     ) -> None:
         self.endpoint = endpoint
         self.holder = holder
         self.epoch = epoch
-        self.fences = fences
-        self.slots = slots
-        self.width = width
+        self.shape = shape
         self.copies: dict[str, Copy] = {}
         self.unproven: set[str] = set()
         self.yielded: set[int] = set()
-        self.waiting = LoadQueue(holds)
+        self.waiting = LoadQueue(terms.holds)
         self.orders: dict[str, Order] = {}
         self.is_superseded = False
         self.evictions = 0
         self.loads = 0
-        self._evictor = evictor
+        self._terms = terms
         self._history = UseHistory()
-        self._silence = silence
-        self._most_orders = most_orders
-        self._limits = limits
         self._asked: set[str] = set()
         self._is_in_doubt = False
         self._load_seconds = 0.5
@@ -229,7 +163,7 @@
         if count.epoch != self.epoch:
             return
         for name, nonce, running, _ in count.pins:
-            _note_pin(self._find_pins(name), sender, Pin(nonce, running))
+            note_pin(self._find_pins(name), sender, Pin(nonce, running))
         self.yielded.update(count.yielded)
         self._asked.add(sender)
         self.unproven.discard(sender)
@@ -281,14 +215,17 @@
     def _keep_waiting(self, sender: str, ask: Acquire, wait: Waiting) -> list[Outgoing]:
         """Queue an asking for a load, unless that would take too long."""
         expected = self._expect_wait(wait)
-        is_late = expected > self._limits.most_load_wait[ask.priority]
+        is_late = expected > self._terms.limits.most_load_wait[ask.priority]
         if is_late or not self.waiting.add(wait):
             return [self._refuse(sender, ask, Reason.FULL, max(1.0, expected))]
         return []
 
     def is_full(self, priority: str) -> bool:
         """Tell whether the endpoint's queue is too long for a class."""
-        return self.count_running() >= self.width * self._limits.full_at[priority]
+        return (
+            self.count_running()
+            >= self.shape.width * self._terms.limits.full_at[priority]
+        )
 
     def release(self, sender: str, message: Release) -> None:
         """Take a pin back, unless it was granted anew since."""
@@ -310,7 +247,7 @@
             if pin is not None and pin.nonce < report.floor:
                 del pins[sender]
         for name, nonce, running, uses in report.pins:
-            _note_pin(self._find_pins(name), sender, Pin(nonce, running))
+            note_pin(self._find_pins(name), sender, Pin(nonce, running))
             if uses and name in self.copies:
                 self.copies[name].use.note(now, uses)
 
@@ -323,7 +260,7 @@
         out = []
         for holder in sorted(holders):
             heard = self._heard_at.setdefault(holder, now)
-            if now - heard >= self._silence:
+            if now - heard >= self._terms.silence:
                 self._heard_at[holder] = now
                 out.append(Outgoing(holder, Inquire(self.endpoint)))
         for gone in set(self._heard_at) - holders:
@@ -357,7 +294,7 @@
         other on their way: each names a copy of its own, and all of an epoch
         have one fencing number.
         """
-        if self.is_superseded or len(self.orders) >= self._most_orders:
+        if self.is_superseded or len(self.orders) >= self._terms.most_orders:
             return None, []
         stray = self._find_stray()
         if stray is not None:
@@ -365,7 +302,7 @@
         wait = self._find_next_wait(now)
         if wait is None:
             return None, []
-        if len(self.copies) < self.slots:
+        if len(self.copies) < self.shape.slots:
             may_load = try_load(wait)
             return (self._begin_load(wait, now) if may_load else None), []
         if self._count_unloads():
@@ -406,7 +343,9 @@
         """Tell whether the rules allow to grant pins on ``copy``."""
         if copy.state is not CopyState.READY:
             return False
-        return copy.epoch == self.epoch or self.fences or copy.epoch in self.yielded
+        return (
+            copy.epoch == self.epoch or self.shape.fences or copy.epoch in self.yielded
+        )
 
     # Helpers.
 
@@ -455,7 +394,7 @@
         ]
 
     def _is_spilling(self, ask: Acquire) -> bool:
-        return not ask.last and self.count_running() >= self.width
+        return not ask.last and self.count_running() >= self.shape.width
 
     def _grant(self, copy: Copy, to: str, nonce: int, now: float) -> Outgoing:
         pin = copy.pins.get(to, Pin(0, 0))
@@ -466,7 +405,9 @@
         running = self.count_running()
         return Outgoing(
             to,
-            Grant(self.endpoint, nonce, copy.name, self.epoch, running, self.width),
+            Grant(
+                self.endpoint, nonce, copy.name, self.epoch, running, self.shape.width
+            ),
         )
 
     def _grant_waiting(self, copy: Copy, now: float) -> list[Outgoing]:
@@ -507,7 +448,7 @@
         if ahead is None:
             # Its model is waited for already, and costs no load of its own.
             return 0.0
-        rounds = (ahead + len(self.orders)) / self._most_orders
+        rounds = (ahead + len(self.orders)) / self._terms.most_orders
         return (1.0 + rounds) * self._load_seconds
 
     def _find_next_wait(self, now: float) -> Waiting | None:
@@ -568,7 +509,9 @@
         spare = [copy for copy in copies if copy.model not in wanted] or copies
         if not spare:
             return None
-        return min(spare, key=lambda copy: self._evictor.measure_worth(copy.use, now))
+        return min(
+            spare, key=lambda copy: self._terms.evictor.measure_worth(copy.use, now)
+        )
 
     def _drop(self, copy: Copy) -> None:
         del self.copies[copy.name]
@@ -579,14 +522,3 @@
         for copy in self.copies.values():
             if self.may_serve(copy):
                 self._ready.setdefault(copy.model, []).append(copy)
-
-
-def _note_pin(pins: dict[str, Pin], holder: str, said: Pin) -> None:
-    """Take what a holder said of its pin, but keep a newer grant's nonce.
-
-    A grant may be on its way while the holder's older word arrives; with the
-    older nonce, giving back the older pin would lose the newer one.
-    """
-    known = pins.get(holder)
-    nonce = max(said.nonce, known.nonce) if known else said.nonce
-    pins[holder] = Pin(nonce, said.running)
--- a/roadlift/platform/store.py
+++ b/roadlift/platform/store.py
@@ -117,6 +117,7 @@
 
     def _call(self, request: Request, on_row: OnRow, on_error: OnError) -> None:
         def receive(answer: Answer) -> None:
+            """Turn the answer into a row or a failure."""
             try:
                 row = read_answer(answer)
             except RoadliftError as error:
@@ -125,17 +126,17 @@
             on_row(row)
 
         def fail(error: RoadliftError) -> None:
+            """Tell that nobody knows of the call."""
             on_error(PlatformUnavailable(str(error)))
 
         fetch(self._dialer, self._address, request, receive, fail, self._timeout)
 
 
-class DirectStore:
-    """The platform's stores as met by the command-line tool, blocking."""
+class BlockingStore:
+    """The platform's stores for a caller that may wait.
 
-    def __init__(self, address: Address, timeout: float = 5.0) -> None:
-        self._address = address
-        self._timeout = timeout
+    A subclass has ``_call``, which sends a request and returns its row.
+    """
 
     def read_row(self, key: str) -> Row:
         """Read a row; an absent one is a row too."""
@@ -150,9 +151,20 @@
         return self._call(build_object_read(digest))
 
     def write_object(self, digest: str, value: bytes) -> Row:
-        """Write an immutable object; writing it again changes nothing."""
+        """Write an immutable object."""
         return self._call(build_object_write(digest, value))
 
+    def _call(self, request: Request) -> Row:
+        raise NotImplementedError
+
+
+class DirectStore(BlockingStore):
+    """The platform's stores as met by the command-line tool."""
+
+    def __init__(self, address: Address, timeout: float = 5.0) -> None:
+        self._address = address
+        self._timeout = timeout
+
     def _call(self, request: Request) -> Row:
         return read_answer(call_directly(self._address, request, self._timeout))
 
--- a/specification/explore.py
+++ b/specification/explore.py
@@ -115,6 +115,7 @@
     transitions: Callable = protocol.transitions
 
     def expand(raw: tuple) -> list:
+        """Return the steps, or none after a break."""
         if seen:
             return []
         steps = transitions(raw)
--- a/tests/steps/policy_steps.py
+++ b/tests/steps/policy_steps.py
@@ -7,10 +7,10 @@
 
 from benchmarks.policies.run import BOUND, list_jobs, run_all
 from benchmarks.policies.world import POLICIES
-from roadlift.ownership.book import LOAD, UNLOAD, Book, OrderResult
+from roadlift.ownership.book import Book, Shape, Terms
 from roadlift.ownership.messages import Acquire, Grant, Reason, Refuse, Report
+from roadlift.ownership.orders import LOAD, UNLOAD, OrderResult
 from roadlift.policy import placement
-from roadlift.policy.eviction import AgedFrequencyEvictor
 from roadlift.policy.loads import LoadGate, Waiting
 from roadlift.policy.placement import RingPlacer
 from roadlift.policy.routing import RingRouter
@@ -95,9 +95,7 @@
 
 
 def _make_book(slots, width, **more):
-    return Book(
-        "e", "owner", 1 << 20, True, slots, width, AgedFrequencyEvictor(), **more
-    )
+    return Book("e", "owner", 1 << 20, Shape(True, slots, width), Terms(**more))
 
 
 def _ask(book, nonce, model, priority, now, holder="h", last=True):
--- a/tests/steps/specification_steps.py
+++ b/tests/steps/specification_steps.py
@@ -7,7 +7,8 @@
 from behave import given, then, when
 
 from roadlift.ownership import book as book_module
-from roadlift.ownership.book import Book, CopyState
+from roadlift.ownership.book import Book
+from roadlift.ownership.copies import CopyState
 from roadlift.pins.table import HeldPin, PinTable
 from specification.explore import OWNERSHIP_LIMITS, WORKERS, explore, judge, list_jobs
 from tests.support.replay import replay_walks
@@ -65,7 +66,7 @@
     "yield_certain": (Book, "yield_epoch", lambda book: [book.epoch]),
     "adopt_once": (Book, "reconcile", _adopt_listed),
     "step_down": (Book, "reconcile", _stay),
-    "newest_pin": (book_module, "_note_pin", _overwrite),
+    "newest_pin": (book_module, "note_pin", _overwrite),
 }
 
 
--- a/tests/support/replay.py
+++ b/tests/support/replay.py
@@ -3,8 +3,10 @@
 import random
 from copy import deepcopy
 
-from roadlift.ownership.book import Book, CopyState, OrderResult
+from roadlift.ownership.book import Book, Shape, Terms
+from roadlift.ownership.copies import CopyState
 from roadlift.ownership.messages import Acquire, Census
+from roadlift.ownership.orders import OrderResult
 from roadlift.pins.table import PinTable
 from roadlift.policy.eviction import RecencyEvictor
 from specification.ownership import HOLDERS, OWNERS, Limits, Ownership, State
@@ -80,8 +82,8 @@
         return self.tables[name].report(ENDPOINT).pins
 
     def _make_book(self, epoch: int) -> Book:
-        evictor = RecencyEvictor()
-        book = Book(ENDPOINT, OWNERS[epoch], epoch, self._fences, 1, 8, evictor)
+        shape, terms = Shape(self._fences, 1, 8), Terms(RecencyEvictor())
+        book = Book(ENDPOINT, OWNERS[epoch], epoch, shape, terms)
         self.books[epoch] = book
         return book
 
--- a/tests/support/stores.py
+++ b/tests/support/stores.py
@@ -1,20 +1,13 @@
 """Reach the platform's stand-in in memory, with faults at a chosen call."""
 
 from roadlift.core.errors import PlatformUnavailable, RoadliftError
-from roadlift.platform.store import (
-    Row,
-    build_object_read,
-    build_object_write,
-    build_read,
-    build_write,
-    read_answer,
-)
+from roadlift.platform.store import BlockingStore, Row, read_answer
 from roadlift.relay.upstream import Answer, Request
 from standins.http import Received
 from standins.platform import Platform
 
 
-class MemoryStore:
+class MemoryStore(BlockingStore):
     """A blocking store; ``faults`` maps the number of a call to its fault.
 
     ``down`` fails without effect and ``lost`` after the effect.
@@ -26,22 +19,6 @@
         self.calls = 0
         self.writes = 0
 
-    def read_row(self, key: str) -> Row:
-        """Read a row."""
-        return self._call(build_read(key))
-
-    def write_row(self, key: str, value: bytes, expected: str) -> Row:
-        """Compare and set a row."""
-        return self._call(build_write(key, value, expected))
-
-    def read_object(self, digest: str) -> Row:
-        """Read an object."""
-        return self._call(build_object_read(digest))
-
-    def write_object(self, digest: str, value: bytes) -> Row:
-        """Write an object."""
-        return self._call(build_object_write(digest, value))
-
     def _call(self, request: Request) -> Row:
         self.calls += 1
         self.writes += request.method == "PUT"
