Release a claim whose caller went away before anything was sent

Cause: by reading: a caller that left while its claim was being made ended the exchange, and the claim's answer then began the run all the same, for nobody. Change: the claim is released; tests of calls with keys whose callers leave at each moment, and of faults amid them, on a paused clock.

--- a/roadlift/daemon/exchange.py
+++ b/roadlift/daemon/exchange.py
@@ -123,10 +123,16 @@
         self._end()
 
     def _on_claim(self, claim: Claim) -> None:
+        if self._is_over:
+            # The caller went away before anything was sent.
+            self._calls.claims.release(claim)
+            return
         self._claim = claim
         self._try()
 
     def _on_stored(self, answer: StoredAnswer) -> None:
+        if self._is_over:
+            return
         headers = {**answer.headers, "X-Roadlift-Replayed": "true"}
         self._first_byte_at = self._kernel.clock.now()
         self._caller.answer(answer.status, headers, answer.body)
