--- a/roadlift/ownership/book.py
+++ b/roadlift/ownership/book.py
@@ -21,6 +21,7 @@
 * ``name_once``: each load has a name of its own.
 """
 
+import math
 from collections.abc import Callable, Iterable, Mapping
 from typing import NamedTuple
 
@@ -40,7 +41,7 @@
 from roadlift.ownership.orders import LOAD, UNLOAD, Order, OrderResult
 from roadlift.policy.admission import DEFAULT_LIMITS, EndpointLimits
 from roadlift.policy.eviction import AgedFrequencyEvictor, Evictor, UseHistory
-from roadlift.policy.loads import HOLDS, RANKS, LoadQueue, Waiting
+from roadlift.policy.loads import HOLDS, QUIET, RANKS, LoadQueue, Waiting
 
 
 class Outgoing(NamedTuple):
@@ -113,6 +114,7 @@
         self._history = UseHistory()
         self._asked: set[str] = set()
         self._is_in_doubt = False
+        self._loaded_at = -math.inf
         self._load_seconds = 0.5
         self._serial = 0
         self._heard_at: dict[str, float] = {}
@@ -426,6 +428,7 @@
 
     def _begin_load(self, wait: Waiting, now: float) -> Order:
         self._serial += 1
+        self._loaded_at = now
         name = CopyName(wait.model, self.epoch, self._serial)
         use = self._history.find(wait.model, now)
         copy = Copy(name, CopyState.LOADING, now, use)
@@ -459,7 +462,8 @@
         """
         loading = {order.model for order in self.orders.values() if order.verb == LOAD}
         full = {name for name in RANKS if self.is_full(name)}
-        return self.waiting.peek(now, loading, full)
+        is_quiet = now - self._loaded_at >= QUIET
+        return self.waiting.peek(now, loading, full, is_quiet)
 
     def _count_unloads(self) -> int:
         return sum(order.verb == UNLOAD for order in self.orders.values())
--- a/roadlift/policy/loads.py
+++ b/roadlift/policy/loads.py
@@ -4,6 +4,7 @@
 its own loads how crowded it is.
 """
 
+import math
 from collections.abc import Container, Mapping
 from typing import NamedTuple
 
@@ -12,6 +13,8 @@
 # made for it. Each that comes meanwhile, or finds the model loaded for
 # another class, saves a load.
 HOLDS = {"interactive": 0.0, "standard": 0.0, "batch": 30.0}
+QUIET_HOLD = 2.0  # Seconds that any class is held at most at a quiet endpoint.
+QUIET = 5.0  # Seconds without a load after which an endpoint is quiet.
 
 MOST_WAITING = 512  # Askings that wait at one endpoint.
 # Seconds, beyond its hold, that a class waits for an uncrowded store.
@@ -66,17 +69,20 @@
         now: float,
         loading: Container[str] = (),
         full: Container[str] = (),
+        is_quiet: bool = False,
     ) -> Waiting | None:
         """Return the first asking that is due for a load, or None.
 
         One whose model is being loaded already, or whose class is held back
-        for company or is one of ``full``, is not due.
+        for company or is one of ``full``, is not due. At a quiet endpoint
+        there is nothing to save by a long hold.
         """
+        most = QUIET_HOLD if is_quiet else math.inf
         due = (
             wait
             for wait in self._waiting
             if wait.model not in loading
-            and now - wait.since >= self._holds[wait.priority]
+            and now - wait.since >= min(most, self._holds[wait.priority])
         )
         return min(due, key=_rank, default=None)
 
