--- a/roadlift/pins/table.py
+++ b/roadlift/pins/table.py
@@ -45,10 +45,15 @@
 
 
 class PinTable:
-    """The pins and open askings of one process."""
+    """The pins and open askings of one process.
 
-    def __init__(self, keep: float = 5.0) -> None:
+    An idle pin is kept for ``keep`` seconds if at least ``worth_keeping``
+    requests ran under it.
+    """
+
+    def __init__(self, keep: float = 5.0, worth_keeping: int = WORTH_KEEPING) -> None:
         self._keep = keep
+        self._worth_keeping = worth_keeping
         self._pins: dict[tuple[str, str], HeldPin] = {}
         self._models: dict[str, list[HeldPin]] = {}
         self._askings: dict[int, _Asking] = {}
@@ -106,7 +111,7 @@
         """
         pin.running -= 1
         pin.idle_since = now
-        is_spent = pin.recalled or pin.begun < WORTH_KEEPING
+        is_spent = pin.recalled or pin.begun < self._worth_keeping
         if is_spent and not pin.running:
             return self._give_back(pin)
         return None
--- a/tests/policy/policy.feature
+++ b/tests/policy/policy.feature
@@ -66,6 +66,16 @@
       | 2      | 1.2 0.3 | to use the 2nd        |
       | 2      | 0.4 0.3 | to use the 2nd        |
 
+  Scenario Outline: A pin that served one request is given back at once
+    When <requests> requests run under a pin, one after the other
+    Then the pin is <kept> when the last one ends
+
+    Examples:
+      | requests | kept       |
+      | 1        | given back |
+      | 2        | kept       |
+      | 5        | kept       |
+
   Scenario: Placement moves few models when an endpoint goes
     When one of 9 endpoints leaves the ring
     Then at most 20% of 2000 models have another first place
--- a/tests/steps/policy_steps.py
+++ b/tests/steps/policy_steps.py
@@ -10,6 +10,7 @@
 from roadlift.ownership.book import Book, Shape, Terms
 from roadlift.ownership.messages import Acquire, Grant, Reason, Refuse, Report
 from roadlift.ownership.orders import LOAD, UNLOAD, OrderResult
+from roadlift.pins.table import PinTable
 from roadlift.policy import placement
 from roadlift.policy.loads import LoadGate, Waiting
 from roadlift.policy.placement import RingPlacer
@@ -362,3 +363,28 @@
 def step_steps(context, steps):
     """Check the mean count."""
     assert 1 < context.steps <= steps, context.steps
+
+
+@when("{requests:d} requests run under a pin, one after the other")
+def step_run_under(context, requests):
+    """Begin each request before the one before it ends."""
+    table = PinTable()
+    nonce = table.ask("e", "m@1", 99.0)
+    pin = table.accept(Grant("e", nonce, "m@1~1.1", 1, 1, 8), 1.0)
+    table.begin(pin)
+    for _ in range(requests - 1):
+        table.begin(pin)
+        assert table.end(pin, 2.0) is None
+    context.release = table.end(pin, 3.0)
+    context.pins = table
+
+
+@then("the pin is {kept} when the last one ends")
+def step_pin_kept(context, kept):
+    """Check what became of the pin, and that a kept one goes later."""
+    if kept == "given back":
+        assert context.release is not None and context.pins.count_pins() == 0
+        return
+    assert context.release is None
+    assert context.pins.return_idle(7.9) == []
+    assert len(context.pins.return_idle(8.0)) == 1
--- a/tests/support/replay.py
+++ b/tests/support/replay.py
@@ -26,7 +26,7 @@
     def __init__(self, fences: bool) -> None:
         self._fences = fences
         self.books: dict[int, Book] = {}
-        self.tables = {name: PinTable() for name in HOLDERS}
+        self.tables = {name: _make_table() for name in HOLDERS}
         self.names: dict[tuple, str] = {}
         self.messages: dict[tuple, object] = {}
         self.orders: dict[tuple, object] = {}
@@ -231,7 +231,7 @@
 
     def _do_crash(self, label, before) -> None:
         name = label[1]
-        self.tables[name] = PinTable()
+        self.tables[name] = _make_table()
         for epoch, owner in OWNERS.items():
             if owner == name:
                 self.books.pop(epoch, None)
@@ -257,6 +257,14 @@
     _do_fence = _do_list = _do_fence_again = _do_nothing
 
 
+def _make_table() -> PinTable:
+    """Return a table that gives no pin back by itself.
+
+    In the specification that is a step of its own.
+    """
+    return PinTable(worth_keeping=0)
+
+
 def replay_walks(fences: bool, limits: Limits, walks: int, seed: int) -> dict:
     """Walk at random through the specification beside the real parts.
 
