Tell no call "not run" of which an earlier try may have run

Change: an exchange keeps the first outcome that is not "not run", and ends with it where a later try is refused; a test on a paused clock.

--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -308,7 +308,7 @@
 
     def _roll(self, turn: int, operator: str) -> None:
         store = DirectStore(self._fleet.platform.address, 2.0)
-        document = make_document(self._fleet, ADAPTERS)
+        document = make_bundle(self._fleet)
         document["adapters"][f"extra-{operator}-{turn}"] = {
             "versions": {"1": "extra/1"},
             "services": ["captions"],
@@ -364,6 +364,17 @@
         self.counts["takeovers"] = sum(self._takeovers.values())
 
 
+def make_bundle(fleet: Fleet) -> dict:
+    """Return the bundle, with no class that waits for company.
+
+    A caller that waits half a minute for a batch load sends little.
+    """
+    document = make_document(fleet, ADAPTERS)
+    for service in document["services"].values():
+        service["priority"] = "interactive"
+    return document
+
+
 def run(seconds: float, seed: int, rule: str, folder: Path) -> dict:
     """Run the soak in a folder and return its summary."""
     settings = {
@@ -384,7 +395,7 @@
         fleet.start_service("labels-1", ZONES[0])
         for index in range(6):
             fleet.start_instance(f"entry-{index}", ZONES[index % 3])
-        fleet.roll(make_document(fleet, ADAPTERS))
+        fleet.roll(make_bundle(fleet))
         soak = Soak(fleet, seed)
         asyncio.run(soak.run(seconds))
         soak.check_journals()
--- a/roadlift/daemon/exchange.py
+++ b/roadlift/daemon/exchange.py
@@ -90,6 +90,7 @@
         self._head: tuple[int, dict[str, str]] | None = None
         self._error_body = bytearray()
         self._tries = 0
+        self._doubt: RoadliftError | None = None
         self._is_over = False
         self._began_at = kernel.clock.now()
         self._first_byte_at: float | None = None
@@ -226,6 +227,8 @@
         self._leave_endpoint()
         if self._is_over:
             return
+        if error.outcome is not Outcome.NOT_RUN:
+            self._doubt = error
         repeatable = self.call.repeatable and not self.call.key
         allowed = may_retry(error, repeatable, self._caller.started)
         if not allowed or self._tries >= MOST_TRIES:
@@ -238,9 +241,15 @@
         self._try()
 
     def _fail(self, error: RoadliftError) -> None:
-        """Give the caller the final answer at once."""
+        """Give the caller the final answer at once.
+
+        A call of which an earlier try may have run is not told "not run",
+        whatever became of the last one.
+        """
         if self._is_over:
             return
+        if error.outcome is Outcome.NOT_RUN and self._doubt is not None:
+            error = self._doubt
         if self._claim is not None:
             self._settle_failure(error)
         counts = {
--- a/tests/daemon/keys.feature
+++ b/tests/daemon/keys.feature
@@ -14,6 +14,17 @@
       | amid the run       |
       | after the answer   |
 
+  Scenario Outline: A call that ran once is not told "not run" by a later try
+    Given a deployment of 1 zone with 1 instances and 1 <kind> engine
+    When a call without a key meets a restart amid its run and then no load ends
+    And 45 s pass
+    Then the engine ran it once and it is told <told>, <outcome>
+
+    Examples:
+      | kind    | told            | outcome |
+      | fencing | connection_lost | unknown |
+      | plain   | connection_lost | unknown |
+
   Scenario Outline: A fault amid a call with a key never runs it twice
     Given a deployment of 1 zone with 2 instances and 1 <kind> engine
     When a call with a key meets <fault>
--- a/tests/steps/key_steps.py
+++ b/tests/steps/key_steps.py
@@ -85,3 +85,22 @@
     assert _count_runs(context) <= 1, _get_engine(context).state.journal
     found = "answered" if context.caller.is_whole else context.caller.error.code
     assert found == told, found
+
+
+@when("a call without a key meets a restart amid its run and then no load ends")
+def step_restart_then_nothing(context):
+    """Let a first try run, and every later one find no endpoint."""
+    context.caller = context.deployment.call("entry-a0", MODEL)
+    _advance_until_running(context)
+    engine = _get_engine(context)
+    engine.state.faults["fail_loads"] = 10_000
+    engine.restart()
+
+
+@then("the engine ran it once and it is told {code}, {outcome}")
+def step_not_unrun(context, code, outcome):
+    """Check what the caller was told of a call whose first try ran."""
+    assert _count_runs(context) == 1
+    error = context.caller.error
+    assert error is not None and not context.caller.is_whole
+    assert (error.code, str(error.outcome)) == (code, outcome), error
