Own nothing before knowing the others, and evict old copies once all agree

A fresh instance had its bundle before the roster: it took endpoints over, asked the few it knew for their pins, and evicted what the others ran on; and an owner that had not heard of the fresh one did the same to it. Change: an instance owns nothing and asks for no pin before it was told all members, or was alone for 3 s; copies of earlier epochs are evicted only after all heartbeats for 4 s came from processes that know the same others. Conclusion: the assumption that was named, members unknown to a new owner, was not rare; it is narrower now, and still an assumption.

--- a/roadlift/daemon/members.py
+++ b/roadlift/daemon/members.py
@@ -15,6 +15,7 @@
 
 TICK = 0.1  # Seconds.
 PROOF_PERIOD = 1.0  # Seconds between tries to prove a suspect dead.
+ALONE_SECONDS = 3.0  # Seconds without a roster after which one is alone.
 JOIN_PERIOD = 1.0  # Seconds between tries to join.
 
 log = PartLog("members")
@@ -49,6 +50,15 @@
         """Return the name of this process."""
         return self.detector.own.process
 
+    @property
+    def is_settled(self) -> bool:
+        """Tell whether this process knows the others, or that it is alone.
+
+        Before that it owns nothing and asks nobody for a pin: its view of
+        who owns what would be wrong.
+        """
+        return self.detector.has_settled(ALONE_SECONDS)
+
     def start(self) -> None:
         """Join the others and begin to probe."""
         kinds = (Ping, Ack, Probe, Join, Roster)
--- a/roadlift/daemon/owners.py
+++ b/roadlift/daemon/owners.py
@@ -14,7 +14,7 @@
 from roadlift.daemon.takeover import Ask, OnAnswer, Opening, Takeover
 from roadlift.daemon.transport import Transport
 from roadlift.endpoints.api import EngineLoad, engine_apis
-from roadlift.ownership.book import Book, Outgoing, Shape, Terms
+from roadlift.ownership.book import UNKNOWN, Book, Outgoing, Shape, Terms
 from roadlift.ownership.election import choose_owner
 from roadlift.ownership.messages import (
     Acquire,
@@ -36,6 +36,9 @@
 WATCH_PERIOD = 1.0  # Seconds between load reports of an endpoint.
 LIST_EVERY = 5  # Load reports between two lists of the loaded copies.
 SILENT_PERIODS = 3  # Report periods until a silent holder is asked.
+# Seconds that heartbeats must agree on the processes known before copies of
+# earlier epochs may be evicted.
+AGREED_SECONDS = 4.0
 CENSUS_PERIOD = 1.0  # Seconds until a census is asked again.
 
 log = PartLog("owners")
@@ -127,6 +130,8 @@
         or of the zone's instances.
         """
         self._drop_dead()
+        if not self._members.is_settled:
+            return
         own = self._members.detector.own
         directory = self._bundles.directory
         zone = tuple(self._members.list_zone(own.zone))
@@ -145,7 +150,7 @@
 
     def _drop_dead(self) -> None:
         for owned in self.list_owned():
-            for process in list(owned.book.unproven):
+            for process in owned.book.unproven - {UNKNOWN}:
                 if self._members.detector.is_gone(process):
                     owned.book.remove_dead(process)
             for copy in owned.book.copies.values():
@@ -216,8 +221,12 @@
         book = owned.book
         now = self._kernel.clock.now()
         owned.census_at = now + CENSUS_PERIOD
-        book.expect_answers(self._members.detector.list_unproven())
-        for process in book.unproven:
+        detector = self._members.detector
+        book.expect_answers(detector.list_unproven())
+        is_old = now - book.opened_at >= AGREED_SECONDS
+        if is_old and detector.has_agreed(AGREED_SECONDS):
+            book.settle()
+        for process in book.unproven - {UNKNOWN}:
             self._members.send(process, Census(book.endpoint, book.epoch))
 
     # Messages.
--- a/roadlift/daemon/pins.py
+++ b/roadlift/daemon/pins.py
@@ -74,9 +74,10 @@
 
     def find_owner(self, endpoint: str) -> str | None:
         """Return the process that should own an endpoint."""
-        if endpoint not in self._owners:
-            self._owners[endpoint] = self._elect(endpoint)
-        return self._owners[endpoint]
+        owner = self._owners.get(endpoint)
+        if owner is None:
+            owner = self._owners[endpoint] = self._elect(endpoint)
+        return owner
 
     def send(self, process: str, message: object) -> bool:
         """Send a message to a process."""
@@ -84,7 +85,7 @@
 
     def _elect(self, endpoint: str) -> str | None:
         found = self._bundles.directory.find(endpoint)
-        if found is None:
+        if found is None or not self._members.is_settled:
             return None
         name = choose_owner(endpoint, self._members.list_zone(found.zone))
         return self._members.find_process(name) if name else None
--- a/roadlift/membership/detector.py
+++ b/roadlift/membership/detector.py
@@ -77,6 +77,8 @@
         self._changed = True
         self._differences = 0
         self._print: int | None = None
+        self._agreed_at: float | None = None
+        self._started_at = clock.now()
         self._tell(own)
 
     # What is known.
@@ -106,6 +108,21 @@
             if member.state != State.GONE and member.name != self.own.name
         ]
 
+    def has_agreed(self, seconds: float) -> bool:
+        """Tell whether all messages for some seconds came from like minds.
+
+        Then the processes known here are those known to the others. One that
+        knows nobody agrees with itself after twice as long.
+        """
+        now = self._clock.now()
+        if not self.list_unproven():
+            return now - self._started_at >= 2 * seconds
+        return self._agreed_at is not None and now - self._agreed_at >= seconds
+
+    def has_settled(self, seconds: float) -> bool:
+        """Tell whether a roster came, or nobody gave one for some seconds."""
+        return self.has_joined or self._clock.now() - self._started_at >= seconds
+
     def is_gone(self, process: str) -> bool:
         """Tell whether a process is proven dead."""
         return process in self._gone
@@ -187,7 +204,10 @@
         self.heads[sender.rpartition("#")[0]] = head
         if fingerprint == self._measure_print():
             self._differences = 0
+            if self._agreed_at is None:
+                self._agreed_at = self._clock.now()
             return []
+        self._agreed_at = None
         self._differences += 1
         member = self.find_process(sender) or self._pick_alive()
         if self._differences < MOST_DIFFERENCES or member is None:
--- a/roadlift/ownership/book.py
+++ b/roadlift/ownership/book.py
@@ -7,7 +7,9 @@
 * ``evict_unpinned``: a copy is unloaded only while nobody holds a pin on it.
 * ``evict_proven``: a copy of an earlier epoch is unloaded only when every
   instance that may hold a pin on it has answered the census or is proven
-  dead. No pin lapses by time, since a paused holder can't be stopped.
+  dead, and the owner has agreed with the others for a while on which
+  instances there are. No pin lapses by time, since a paused holder can't be
+  stopped.
 * ``adopt_fenced``: a copy of an earlier epoch is served from only where the
   endpoint refuses the earlier owner's orders, or that owner has yielded.
 * ``adopt_once``: a copy of an earlier epoch that was not listed when the
@@ -51,6 +53,7 @@
     message: object
 
 
+UNKNOWN = "?"  # Stands for processes that the owner may not have heard of.
 RECALL_LIMIT = 0.5  # Seconds until a recall counts as unanswered.
 LOAD_SMOOTHING = 0.2  # Weight of the latest load in the expected time.
 
@@ -112,6 +115,7 @@
         self.loads = 0
         self._terms = terms
         self._history = UseHistory()
+        self.opened_at = 0.0
         self._asked: set[str] = set()
         self._is_in_doubt = False
         self._loaded_at = -math.inf
@@ -124,6 +128,10 @@
 
     # Taking over.
 
+    def settle(self) -> None:
+        """Learn that no process is unknown that may hold an older pin."""
+        self.unproven.discard(UNKNOWN)
+
     def expect_answers(self, members: Iterable[str]) -> list[str]:
         """Add processes that may hold older pins; return the new ones."""
         new = [name for name in members if name not in self._asked]
@@ -133,6 +141,8 @@
 
     def open(self, names: Iterable[str], now: float) -> None:
         """Take over the copies listed after the fence was raised."""
+        self.opened_at = now
+        self.unproven.add(UNKNOWN)
         for name in map(parse_copy_name, names):
             if name is not None:
                 self._add_copy(name, CopyState.READY, now)
--- a/tests/support/replay.py
+++ b/tests/support/replay.py
@@ -221,6 +221,7 @@
         _, epoch, listed = label
         book = self._make_book(epoch)
         book.open([self.names[copy] for copy in listed], self.now)
+        book.settle()
         book.expect_answers(HOLDERS)
         table = self.tables[OWNERS[epoch]]
         count = table.count(Census(ENDPOINT, epoch), [])
