Test owners that start anew, and measure memory after hard callers

Change: a holder's call of 40 s runs while its owner is killed, starts anew and evicts, in good and bad networks; a fresh instance whose seeds are silent owns nothing; make bench-callers.

--- a/Makefile
+++ b/Makefile
@@ -41,3 +41,6 @@
 bench-capacity: $(READY)
 	$(RUN) -m benchmarks.capacity.run
 	$(RUN) -m benchmarks.capacity.page
+
+bench-callers: $(READY)
+	$(RUN) -m benchmarks.callers
--- a/tests/ownership/failures.feature
+++ b/tests/ownership/failures.feature
@@ -131,3 +131,27 @@
       | 1048576             |
       | 1099511627775       |
       | 9223372036852727807 |
+
+  Scenario Outline: An owner that starts anew knows all holders before it evicts
+    Given a network with <lost> lost, 0.0 doubled and <jitter> s of jitter
+    And a deployment of 1 zone with 5 instances and 1 <kind> engine
+    When an instance that owns nothing has a call of 40 s
+    And the engine's owner is killed and started again
+    And calls for 8 models from every instance that runs
+    And 12 s pass
+    And calls for 8 models from every instance that runs
+    And 12 s pass
+    Then no copy was evicted while it ran
+
+    Examples:
+      | kind    | lost | jitter |
+      | fencing | 0.0  | 0.0    |
+      | plain   | 0.0  | 0.0    |
+      | fencing | 0.2  | 0.5    |
+      | plain   | 0.2  | 0.5    |
+      | plain   | 0.1  | 1.0    |
+
+  Scenario: A fresh instance owns nothing before it was told the others
+    Given a deployment of 1 zone with 3 instances and 2 fencing engines
+    When an instance starts whose seeds are silent for 2 s
+    Then it owns nothing and asks for nothing until it knows the others
--- a/tests/steps/deployment_steps.py
+++ b/tests/steps/deployment_steps.py
@@ -277,3 +277,45 @@
 def step_fits(context):
     """Check that an engine with signed 64-bit numbers can compare it."""
     assert context.epoch < 1 << 63
+
+
+@when("an instance that owns nothing has a call of {seconds:d} s")
+def step_long_call(context, seconds):
+    """Let a holder that owns nothing run a long call."""
+    deployment, hub = context.deployment, context.deployment.hub
+    owner = _find_owner(context)
+    holder = next(name for name in sorted(hub.kernels) if name != owner)
+    engine = hub.get_engine("engine-a0")
+    engine.run_time = float(seconds)
+    deployment.call(holder, "m0@1")
+    hub.advance_until(lambda: bool(engine.state.runs), 60.0)
+    engine.run_time = 0.2
+
+
+@when("an instance starts whose seeds are silent for {seconds:g} s")
+def step_silent_seeds(context, seconds):
+    """Start an instance to which no roster gets through at first."""
+    deployment, hub = context.deployment, context.deployment.hub
+    kernel = hub.start("entry-a9", "zone-a")
+    transport = kernel._parts["transport"]
+    receive, opens = transport.receive, hub.clock.now() + seconds
+
+    def hear(data: bytes) -> None:
+        if b"all" not in data[:60] or hub.clock.now() >= opens:
+            receive(data)
+
+    transport.receive = hear
+    context.early = []
+    for _ in range(int(seconds * 10) - 1):
+        hub.advance(0.1)
+        owned = deployment.get("entry-a9", Owners)._owned
+        context.early += list(owned)
+    context.caller = deployment.call("entry-a9", "m1@1")
+
+
+@then("it owns nothing and asks for nothing until it knows the others")
+def step_owned_late(context):
+    """Check that it owned nothing early, and serves afterwards."""
+    assert context.early == [], context.early
+    context.deployment.settle(20.0)
+    assert context.caller.is_whole, context.caller.error
