--- a/roadlift/daemon/exchange.py
+++ b/roadlift/daemon/exchange.py
@@ -455,7 +455,7 @@
             for endpoint in self._bundles.directory.list_services(self.call.service)
             if endpoint.name not in self._avoided
         ]
-        busy = lambda e: (e.zone != own_zone, self._calls.count(e.name), e.name)  # noqa: E731
+        busy = lambda e: (e.zone != own_zone, self._calls.count(e.name), e.name)
         return min(found, key=busy, default=None)
 
     def _leave_endpoint(self) -> None:
--- a/roadlift/daemon/owners.py
+++ b/roadlift/daemon/owners.py
@@ -183,7 +183,7 @@
         def ask(request: Request, on_answer: OnAnswer) -> None:
             """Send one request to the endpoint."""
             timeout = self._settings.connect_timeout
-            fail = lambda error: on_answer(None)  # noqa: E731
+            fail = lambda error: on_answer(None)
             fetch(self._kernel.dialer, owned.address, request, on_answer, fail, timeout)
 
         return ask
--- a/roadlift/pins/seeker.py
+++ b/roadlift/pins/seeker.py
@@ -181,7 +181,7 @@
     def _pick_crowded(self, search: _Search) -> HeldPin | None:
         """Return a pin at an endpoint that is full, but not too full."""
         pins = self.table.find(search.model)
-        fill = lambda pin: self._measure_fill(pin.endpoint)  # noqa: E731
+        fill = lambda pin: self._measure_fill(pin.endpoint)
         pin = min(pins, key=fill, default=None)
         if pin is None or fill(pin) >= DEFAULT_LIMITS.full_at[search.pick_priority()]:
             return None
--- a/roadlift/policy/eviction.py
+++ b/roadlift/policy/eviction.py
@@ -51,7 +51,7 @@
 
     def _forget(self, now: float) -> None:
         """Drop the half that was used least."""
-        worth = lambda item: item[1].measure_count(now, HALF_LIFE)  # noqa: E731
+        worth = lambda item: item[1].measure_count(now, HALF_LIFE)
         kept = sorted(self._uses.items(), key=worth, reverse=True)
         self._uses = dict(kept[: self._most // 2])
 
