List a book's holders in one place, and look for loads only when one waits

Cause: reading the whole change again: the holders of pins were gathered twice (inquire, and by hand in the owners' part, which passed over pins of copies that are not listed yet); a look for the next load counted the running requests of every copy three times although nothing waited, 20 times a second and endpoint; a counter, a property and a return value were used by nobody. Change: Book.list_holders serves both; the look ends at once on an empty queue; the three unused things are gone. No test or bound was touched. Conclusion: behaviour is as it was, but that early pins of a dead process are dropped too.

--- a/roadlift/daemon/owners.py
+++ b/roadlift/daemon/owners.py
@@ -92,7 +92,6 @@
         self._elected_for: tuple = ()
         self._wanted: set[str] = set()
         self.takeovers = 0
-        self.orders = 0
 
     def start(self) -> None:
         """Begin to elect and to order."""
@@ -118,8 +117,7 @@
 
     def list_owned(self) -> list[OwnedEndpoint]:
         """Return the endpoints whose book is open, by name."""
-        owned = [o for _, o in sorted(self._owned.items()) if o.book is not None]
-        return owned
+        return [o for _, o in sorted(self._owned.items()) if o.book is not None]
 
     # Elections and takeovers.
 
@@ -150,13 +148,9 @@
 
     def _drop_dead(self) -> None:
         for owned in self.list_owned():
-            for process in owned.book.unproven - {UNKNOWN}:
+            for process in owned.book.list_holders() | owned.book.unproven:
                 if self._members.detector.is_gone(process):
                     owned.book.remove_dead(process)
-            for copy in owned.book.copies.values():
-                for process in list(copy.pins):
-                    if self._members.detector.is_gone(process):
-                        owned.book.remove_dead(process)
 
     def _open(self, endpoint: Endpoint) -> None:
         owned = self._owned.get(endpoint.name)
@@ -314,7 +308,6 @@
         return self._gate.try_start(wait, self._kernel.clock.now())
 
     def _give_order(self, owned: OwnedEndpoint, book: Book, order: Order) -> None:
-        self.orders += 1
         began = self._kernel.clock.now()
         path = self._find_path(order.model) if order.verb == LOAD else ""
 
--- a/roadlift/ownership/book.py
+++ b/roadlift/ownership/book.py
@@ -132,12 +132,11 @@
         """Learn that no process is unknown that may hold an older pin."""
         self.unproven.discard(UNKNOWN)
 
-    def expect_answers(self, members: Iterable[str]) -> list[str]:
-        """Add processes that may hold older pins; return the new ones."""
+    def expect_answers(self, members: Iterable[str]) -> None:
+        """Add processes that may hold older pins, each once."""
         new = [name for name in members if name not in self._asked]
         self._asked.update(new)
         self.unproven.update(name for name in new if name != self.holder)
-        return new
 
     def open(self, names: Iterable[str], now: float) -> None:
         """Take over the copies listed after the fence was raised."""
@@ -268,7 +267,7 @@
 
         A lost grant, release or last report would else hold a copy for ever.
         """
-        holders = {name for pins in self._list_pin_tables() for name in pins}
+        holders = self.list_holders()
         out = []
         for holder in sorted(holders):
             heard = self._heard_at.setdefault(holder, now)
@@ -279,6 +278,10 @@
             del self._heard_at[gone]
         return out
 
+    def list_holders(self) -> set[str]:
+        """Return the processes that hold any pin."""
+        return {name for pins in self._list_pin_tables() for name in pins}
+
     def count_running(self) -> int:
         """Return the requests that run at the endpoint, as last reported."""
         return sum(copy.count_running() for copy in self.copies.values())
@@ -471,6 +474,8 @@
         to run.
         """
         loading = {order.model for order in self.orders.values() if order.verb == LOAD}
+        if not len(self.waiting):
+            return None
         full = {name for name in RANKS if self.is_full(name)}
         is_quiet = now - self._loaded_at >= QUIET
         return self.waiting.peek(now, loading, full, is_quiet)
--- a/roadlift/relay/caller.py
+++ b/roadlift/relay/caller.py
@@ -80,11 +80,6 @@
         """Tell whether the sender should pause."""
         return self._held_bytes >= HIGH_WATER
 
-    @property
-    def is_open(self) -> bool:
-        """Tell whether the caller is still there."""
-        return self._socket is not None
-
     def write_head(
         self, status: int, headers: dict[str, str], length: int | None = None
     ) -> None:
