--- a/roadlift/instance/owner.py
+++ b/roadlift/instance/owner.py
@@ -94,9 +94,7 @@
             self._kernel.dialer,
             self.endpoint.address,
             request,
-            lambda answer: self._take_result(
-                plan, order, judge(answer), answer.status
-            ),
+            lambda answer: self._take_result(plan, order, judge(answer), answer.status),
             lambda error: self._take_failure(plan, order, error),
             ORDER_TIMEOUT,
         )
