Hand leases on without a quiet time but for turns, and let them hold 7 s

Cause: a new owner gave no order for 3.5 s behind the lease of the one before, and a lease held 2 s.

The rule of the platform is that holders must not take turns within leaseMs, and that numbers grow.

Change: a taker waits 0.5 s, what an order may be on its way; one that comes back waits the whole time since its own last term, which the row names. A restarted process takes its instance's lease at once and keeps its quiet time. Leases hold 7 s, longer than the cuts and outages seen. An owner that may not order tells it, so that others look at once, and one outside the zone gives the lease to the zone's own instances, which a cut leaves in charge.

--- a/roadlift/conf/settings.py
+++ b/roadlift/conf/settings.py
@@ -71,11 +71,12 @@
     Setting("adapter", str, "", "Plug-in that speaks to the platform of routes."),
     Setting("ready", str, "127.0.0.1:8082", "Address that tells readiness of routes."),
     Setting("zones", str, "", "All availability zones, with commas."),
+    Setting("lease_time", float, 7.0, "Seconds that an owner's lease holds."),
     Setting(
         "holder_quiet_ms",
         int,
         3000,
-        "Milliseconds between the orders of two owners of an engine.",
+        "Milliseconds until an owner that was replaced may own the zone again.",
     ),
     Setting("retry_slack", float, 20.0, "Retries of all instances beside the share."),
     Setting("retry_window", float, 10.0, "Seconds in which retries are counted."),
--- a/roadlift/instance/follower.py
+++ b/roadlift/instance/follower.py
@@ -127,6 +127,11 @@
         """Tell whether enough is known to serve calls."""
         return self.configuration is not None and self.directory.is_known
 
+    @property
+    def is_reachable(self) -> bool:
+        """Tell whether the store answered every table's last read."""
+        return all(reader.is_reachable for reader in self._readers)
+
     def start(self) -> None:
         """Begin to follow the tables."""
         operator = TableReader(
--- a/roadlift/instance/leases.py
+++ b/roadlift/instance/leases.py
@@ -40,7 +40,13 @@
         self._zones = sorted({settings.zone, *filter(None, settings.zones.split(","))})
         quiet = settings.holder_quiet_ms / 1000.0
         self._leases = {
-            zone: Lease(self._process, quiet, self._measure_patience(zone))
+            zone: Lease(
+                self._process,
+                settings.peer,
+                settings.lease_time,
+                quiet,
+                self._measure_patience(zone),
+            )
             for zone in self._zones
         }
         self._heard_at: dict[str, float] = {}
@@ -59,6 +65,11 @@
         """Look no more."""
         self._timer.close()
 
+    @property
+    def is_candidate(self) -> bool:
+        """Tell whether this process takes leases."""
+        return not self._is_leaving
+
     def get(self, zone: str) -> Lease | None:
         """Return the lease of a zone, or None for an unknown zone."""
         return self._leases.get(zone)
@@ -77,20 +88,30 @@
         holder = lease.holder if lease else None
         return holder.address if holder else None
 
-    def note_pulse(self, zone: str) -> None:
-        """Learn that a zone's owner lives and may give orders."""
-        self._heard_at[zone] = self._kernel.clock.now()
+    def note_pulse(self, zone: str, is_ready: bool) -> None:
+        """Learn that a zone's owner lives, and whether it may give orders.
+
+        One that may not keeps no other instance from looking for an owner.
+        """
+        if is_ready:
+            self._heard_at[zone] = self._kernel.clock.now()
+        else:
+            self._heard_at.pop(zone, None)
 
     def release(self) -> None:
         """Give every held lease back, and take none any more."""
         self._is_leaving = True
         for zone in self.list_held():
-            lease = self._leases[zone]
-            record = lease.release(self._kernel.clock.now())
-            log.event("lease_released", zone=zone)
-            self._tell(zone)
-            row = RowWrite(TABLE, zone, record.encode(), lease.version)
-            self._store.write(row, lambda version, time: None, self._log_release)
+            self.hand_back(zone)
+
+    def hand_back(self, zone: str) -> None:
+        """Give the lease of a zone back, so that another may take it."""
+        lease = self._leases[zone]
+        record = lease.release(self._kernel.clock.now())
+        log.event("lease_released", zone=zone)
+        self._tell(zone)
+        row = RowWrite(TABLE, zone, record.encode(), lease.version)
+        self._store.write(row, lambda version, time: None, self._log_release)
 
     def _log_release(self, error: RoadliftError) -> None:
         log.warning("A lease was not given back and will lapse: %s.", error)
@@ -126,7 +147,7 @@
         return heard is not None and now - heard < PULSE_LIMIT
 
     def _write(self, zone: str, lease: Lease, now: float) -> None:
-        record = lease.send(self._kernel.settings.peer, now)
+        record = lease.send(now)
         row = RowWrite(TABLE, zone, record.encode(), lease.version)
 
         def succeed(version: int, time: StoreTime) -> None:
--- a/roadlift/instance/owner.py
+++ b/roadlift/instance/owner.py
@@ -21,6 +21,9 @@
 ORDER_TIMEOUT = 0.15
 REPORT_TIMEOUT = 0.5  # Seconds for the answer to the question for a report.
 REPORT_PAUSE = 0.3  # Seconds between tries to read an engine's report.
+# Seconds between hand-backs of one zone's lease to the zone's own instances:
+# where none of them takes it, the zone has no owner for some seconds.
+HAND_BACK_PERIOD = 10.0
 SUBSCRIBER_LIMIT = 4.0  # Seconds of silence after which a subscriber is gone.
 
 log = PartLog("owner")
@@ -181,9 +184,12 @@
         self.engines: dict[str, OwnedEngine] = {}
 
     def close(self) -> None:
-        """Give no more orders."""
+        """Give no more orders, and tell that an owner may be looked for."""
         for engine in self.engines.values():
             engine.close()
+        pulse = self._make_pulse(self._kernel.clock.now())
+        for address in self._subscribers:
+            self._transport.send(address, pulse)
 
     def update(self) -> None:
         """Take up new engines of the zone, and drop those that left."""
@@ -335,6 +341,7 @@
         self._kernel = kernel
         self._leases = kernel.get(Leases)
         self._terms: dict[str, Term] = {}
+        self._handed_back: dict[str, float] = {}
         self._timer = None
         follower = kernel.get(Follower)
         follower.on_directory.append(self._update)
@@ -375,8 +382,24 @@
 
     def _take_subscription(self, sender: str, message: Subscribe) -> None:
         term = self._terms.get(message.zone)
-        if term is not None:
-            term.take_subscription(message)
+        if term is None:
+            return
+        term.take_subscription(message)
+        if self._may_hand_back(message):
+            self._handed_back[message.zone] = self._kernel.clock.now()
+            self._leases.hand_back(message.zone)
+
+    def _may_hand_back(self, message: Subscribe) -> bool:
+        """Tell whether a lease should go to the zone of its engines.
+
+        When the zone is cut off, an owner inside it goes on for a while.
+        """
+        now = self._kernel.clock.now()
+        if message.home != message.zone or message.zone == self._kernel.settings.zone:
+            return False
+        last = self._handed_back.get(message.zone, float("-inf"))
+        is_due = now - last >= HAND_BACK_PERIOD
+        return is_due and self._leases.get(message.zone).may_order(now)
 
     def _take_ask(self, sender: str, message: Ask) -> None:
         term = self._terms.get(message.zone)
--- a/roadlift/instance/placing.py
+++ b/roadlift/instance/placing.py
@@ -24,8 +24,9 @@
 SPREAD_PRIORITY = 9  # A further copy waits behind every call's own.
 CANDIDATES = 3  # Engines that are asked in turn for one adapter.
 SPREAD_PERIOD = 1.0  # Seconds between askings for further copies of one adapter.
-# Seconds in which an owner that gave no sign is not asked.
-OWNER_LIMIT = 1.5
+# Seconds of silence behind which an owner is not asked: its sign comes each
+# SUBSCRIBE_PERIOD, and one that is lost on a link comes 0.2 to 0.6 s later.
+OWNER_LIMIT = 0.9
 
 log = PartLog("placing")
 
@@ -286,13 +287,13 @@
         ]
         fence, serial = self._news.get(zone, (0, 0))
         own = self._kernel.settings.peer
-        self._transport.send(owner, Subscribe(own, zone, fence, serial, uses))
+        is_candidate = self._leases.is_candidate and self._follower.is_reachable
+        home = self._kernel.settings.zone if is_candidate else ""
+        self._transport.send(owner, Subscribe(own, home, zone, fence, serial, uses))
 
     def _take_pulse(self, sender: str, pulse: Pulse) -> None:
         self._pulses[pulse.zone] = (self._kernel.clock.now(), pulse)
-        if pulse.is_ready:
-            # An owner that may give no orders does not keep others away.
-            self._leases.note_pulse(pulse.zone)
+        self._leases.note_pulse(pulse.zone, pulse.is_ready)
 
     def _take_listing(self, sender: str, listing: Listing) -> None:
         if not self._note_serial(listing, True):
--- a/roadlift/serving/lease.py
+++ b/roadlift/serving/lease.py
@@ -3,23 +3,30 @@
 The lease is a row of the platform's store. Its holder renews it by writing
 it again, with the time of the writing on the store's own clock; another
 instance takes it once the lease's whole time is over since then, or since it
-saw the row first. Four rules keep two holders apart without fences:
+saw the row first, or once it was given back. These rules keep two holders
+apart without fences:
 
 * ``valid_until`` counts from before the last renewing write was sent;
 * the time that is written is not earlier than that, and the time by which a
   taker measures the row's age is not later than the store's;
-* a taker gives no order until a quiet time has passed since the end of the
-  lease before, as the platform counts orders of two instances within that
-  time as a fault;
+* a taker gives no order before the last one of the holder before has surely
+  arrived;
+* an instance that comes back to a lease soon after it held it, with another
+  holder between, gives no order within the quiet time since its own last one:
+  the platform counts orders of holders that take turns as a fault. The row
+  names the holders of the last while, as an instance may have restarted;
 * the fencing number of a term is the row's version at its start: it only
   grows, and no two terms share it.
 
-specification/lease.py explores these rules with delays, lost answers and
-pauses. A row that was never written has had no holder, so its first taker
-need not be quiet.
+A process whose instance holds the lease under an earlier process takes it at
+once: the earlier one is gone, as this one listens at its address.
+
+specification/lease.py explores these rules with delays, lost answers, pauses,
+restarts and returned leases. A row that was never written has had no holder.
 """
 
 import enum
+from collections.abc import Sequence
 from typing import NamedTuple
 
 import msgpack
@@ -27,14 +34,14 @@
 from roadlift.core.errors import MalformedMessage
 from roadlift.serving.interfaces import StoreTime
 
-LEASE_TIME = 2.0  # Seconds that a renewal holds; short, as loads wait for it.
-RENEW_PERIOD = 0.8  # Seconds; two renewals fit into a lease.
+RENEW_PERIOD = 1.0  # Seconds; a renewal is a priced write.
 # Seconds that must be left of the lease for an order: a send that was checked
 # leaves the process within this time unless the process is paused.
 SEND_MARGIN = 0.15
-# Seconds beyond the platform's bound between two holders' orders: what a
-# retransmission can delay an order that was sent in time.
-QUIET_MARGIN = 0.5
+# Seconds that an order which was sent in time may be on its way: what a
+# retransmission can delay it by.
+TRANSIT = 0.5
+MOST_FORMER = 8  # Holders before that a row names at most.
 
 
 class LeaseRecord(NamedTuple):
@@ -42,13 +49,17 @@
 
     ``process`` names one run of an instance; ``address`` is where its peers
     reach it; ``written_at`` is the store's time of the writing in seconds,
-    or None; ``is_released`` tells that the lease was given back.
+    or None; ``is_released`` tells that the lease was given back;
+    ``orders_from`` is the store's time from which the holder gives orders;
+    ``former`` are [address, store's time of the end] of holders before.
     """
 
     process: str
     address: str
     written_at: float | None = None
     is_released: bool = False
+    orders_from: float | None = None
+    former: Sequence[Sequence] = ()
 
     def encode(self) -> bytes:
         """Return the bytes of the row's value."""
@@ -59,10 +70,13 @@
         """Read a row's value, or raise MalformedMessage."""
         try:
             fields = msgpack.unpackb(data)
-            process, address, written_at, is_released = fields
+            if len(fields) != len(cls._fields):
+                raise ValueError(f"{len(fields)} fields")
+            record = cls(*fields)
+            {str(address): float(ended_at) for address, ended_at in record.former}
         except (ValueError, TypeError, msgpack.exceptions.UnpackException) as error:
             raise MalformedMessage(repr(error)) from error
-        return cls(process, address, written_at, is_released)
+        return record
 
 
 class Step(enum.Enum):
@@ -77,14 +91,26 @@
 class Lease:
     """One zone's lease as one process sees it; times are in seconds.
 
-    ``patience`` is how long a candidate waits beyond the lease's time, so
-    that the instances of the zone itself come first.
+    ``process`` runs at ``address``. ``lease_time`` is how long a renewal
+    holds; ``quiet`` how long an instance gives no order after it held the
+    lease, if it holds it again; ``patience`` how long a candidate waits beyond
+    the lease's time, so that the instances of the zone itself come first.
     """
 
-    def __init__(self, process: str, quiet: float, patience: float = 0.0) -> None:
+    def __init__(
+        self,
+        process: str,
+        address: str,
+        lease_time: float,
+        quiet: float,
+        patience: float = 0.0,
+    ) -> None:
         self._process = process
-        self._quiet = quiet + QUIET_MARGIN
+        self._address = address
+        self._lease_time = lease_time
+        self._quiet = quiet + TRANSIT
         self._patience = patience
+        self._planned_from = 0.0
         self._version = 0
         self._seen_at: float | None = None
         self._sent_at = 0.0
@@ -135,8 +161,15 @@
     def _may_take(self, now: float) -> bool:
         if self.record is None:
             return now - self._seen_at >= self._patience
+        if self._is_predecessor(self.record):
+            return True
         return self._measure_rest(now) >= self._patience
 
+    def _is_predecessor(self, record: LeaseRecord) -> bool:
+        """Tell whether an earlier process of this instance is the holder."""
+        is_here = record.address == self._address and not record.is_released
+        return is_here and record.process != self._process
+
     def _measure_rest(self, now: float) -> float:
         """Return the seconds since the lease of the row's holder was over.
 
@@ -147,16 +180,63 @@
         if self.record.written_at is not None and self._time is not None:
             told = self._time.estimate_earliest(now) - self.record.written_at
             age = max(age, told)
-        return age if self.record.is_released else age - LEASE_TIME
+        return age if self.record.is_released else age - self._lease_time
 
-    def send(self, address: str, now: float) -> LeaseRecord:
+    def send(self, now: float) -> LeaseRecord:
         """Begin a write, and return the record to write."""
         self._in_flight = True
         self._sent_at = now
-        return LeaseRecord(self._process, address, self._estimate_store(now))
-
-    def _estimate_store(self, now: float) -> float | None:
-        return None if self._time is None else self._time.estimate_latest(now)
+        if not self.is_held:
+            self._planned_from = now + self._measure_quiet(now)
+        written_at = orders_from = None
+        if self._time is not None:
+            written_at = self._time.estimate_latest(now)
+            orders_from = self._time.estimate_latest(self._planned_from)
+        former = self.record.former if self.is_held else self._list_former(now)
+        return LeaseRecord(
+            self._process, self._address, written_at, False, orders_from, former
+        )
+
+    def _measure_quiet(self, now: float) -> float:
+        """Return the seconds until this process may give orders as a taker."""
+        record = self.record
+        if record is None:
+            return 0.0
+        if record.address == self._address:
+            # The same holder as before, who may have had to be quiet.
+            return max(TRANSIT, self._measure_until(record.orders_from, now))
+        quiet = TRANSIT - max(0.0, self._measure_rest(now))
+        for address, ended_at in record.former:
+            if address == self._address:
+                own = self._measure_until(ended_at + self._quiet, now)
+                quiet = max(quiet, own)
+        return max(0.0, quiet)
+
+    def _measure_until(self, store: float | None, now: float) -> float:
+        """Return the most seconds until a time of the store's clock."""
+        if store is None or self._time is None:
+            return self._quiet
+        return store - self._time.estimate_earliest(now)
+
+    def _list_former(self, now: float) -> list[tuple[str, float]]:
+        """Return the holders before whose return would be a turn."""
+        record = self.record
+        if record is None or self._time is None:
+            return []
+        earliest = self._time.estimate_earliest(now)
+        former = dict(record.former)
+        if record.address != self._address:
+            # Where the row tells no time, its holder's term is over by now.
+            written_at = record.written_at
+            rest = 0.0 if record.is_released else self._lease_time
+            ended_at = earliest if written_at is None else written_at + rest
+            former[record.address] = ended_at
+        recent = [
+            (address, ended_at)
+            for address, ended_at in former.items()
+            if earliest - ended_at < self._quiet
+        ]
+        return sorted(recent, key=lambda one: one[1])[-MOST_FORMER:]
 
     def note_time(self, time: StoreTime) -> None:
         """Learn of the store's clock."""
@@ -212,7 +292,7 @@
         """Stop giving orders, and return the record that gives it back."""
         self.fence = 0
         self.valid_until = 0.0
-        written_at = self._estimate_store(now)
+        written_at = self._time and self._time.estimate_latest(now)
         return self.record._replace(written_at=written_at, is_released=True)
 
     def _accept(self, version: int, record: LeaseRecord, sent_at: float) -> None:
@@ -222,15 +302,12 @@
         self._doubt_since = None
         self.record = record
         self.is_read = True
-        self.valid_until = sent_at + LEASE_TIME
+        self.valid_until = sent_at + self._lease_time
 
     def _begin_term(self, version: int, now: float) -> None:
-        """Begin to hold; ``record`` is still that of the holder before."""
+        """Begin to hold, and to give orders at the time of the last plan."""
         self.fence = version
-        self.orders_from = now
-        if self.record is not None:
-            rest = max(0.0, self._measure_rest(now))
-            self.orders_from = now + max(0.0, self._quiet - rest)
+        self.orders_from = max(now, self._planned_from)
 
     def _drop(self) -> None:
         self.fence = 0
--- a/roadlift/serving/messages.py
+++ b/roadlift/serving/messages.py
@@ -10,10 +10,12 @@
     """Tell an owner that an instance lives and what it used since.
 
     ``uses`` are [engine, base model, adapter, calls begun since, calls that
-    run]; ``fence`` and ``serial`` are of the last news from the owner.
+    run]; ``fence`` and ``serial`` are of the last news from the owner;
+    ``home`` is the instance's own zone where it can take leases, or empty.
     """
 
     address: str
+    home: str
     zone: str
     fence: int
     serial: int
