Weigh loads by the pace of answers, and relieve overloaded engines by copies

The bonus of the own zone was a quarter of the slots, 16 calls.

Change: load is counted in calls, weighed by the time between an engine's events against the median of its service; the bonus of the own zone is 2 calls at most. An adapter that is called again and again gets a copy elsewhere when the least loaded of its engines is much more loaded than the mean.

--- a/roadlift/instance/exchange.py
+++ b/roadlift/instance/exchange.py
@@ -90,6 +90,8 @@
         self._held = bytearray()
         self._frames: EventFrames | None = None
         self._resume_after = call.resume_after
+        self._sent_at = 0.0
+        self._writes = 0
         self._first_byte_at: float | None = None
         self._last_byte_at = 0.0
         self._longest_pause = 0.0
@@ -158,6 +160,7 @@
         guard = Guard(self._deadline - now, version, self._resume_after)
         request = self._format.build_request(self.call, self.route, endpoint, guard)
         self._sends += 1
+        self._sent_at = now
         self._endpoint = endpoint
         self._verdict = None
         self._held.clear()
@@ -224,7 +227,7 @@
         self._leave_endpoint()
         if verdict is Verdict.SUCCEEDED:
             self._runs += 1
-            self._placing.health.note_success(endpoint.id, self._kernel.clock.now())
+            self._note_served(endpoint)
             self._finish()
         elif verdict is Verdict.WRONG_ENDPOINT:
             self._on_wrong_endpoint(endpoint)
@@ -234,6 +237,15 @@
             self._runs += 1
             self._on_failure(EndpointFailed(f"{endpoint.id}: {self._status}"))
 
+    def _note_served(self, endpoint: Endpoint) -> None:
+        now = self._kernel.clock.now()
+        self._placing.health.note_success(endpoint.id, now)
+        if self._frames is None:
+            self._placing.paces.note(endpoint.id, now - self._sent_at, now)
+        elif self._writes > 1:
+            seconds = self._last_byte_at - self._first_byte_at
+            self._placing.paces.note(endpoint.id, seconds / (self._writes - 1), now)
+
     def receive_error(self, error: RoadliftError) -> None:
         """Try again or end the answer as what it is."""
         endpoint = self._endpoint
@@ -258,6 +270,7 @@
         else:
             self._longest_pause = max(self._longest_pause, now - self._last_byte_at)
         self._last_byte_at = now
+        self._writes += 1
         self._caller.write(data)
         if self._caller.is_full and self._line is not None:
             self._line.pause()
--- a/roadlift/instance/placing.py
+++ b/roadlift/instance/placing.py
@@ -1,6 +1,6 @@
 """Find an engine that holds an adapter, or have it loaded."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
 from roadlift.core.kernel import Kernel, parts
@@ -12,9 +12,11 @@
 from roadlift.serving.directory import Endpoint
 from roadlift.serving.health import Health
 from roadlift.serving.messages import Ask, Denial, Listing, News, Pulse, Subscribe
+from roadlift.serving.pace import Paces
 from roadlift.serving.residency import Residency
 from roadlift.serving.selection import (
     Homes,
+    Load,
     Popularity,
     choose_least_loaded,
     find_overloaded,
@@ -99,6 +101,7 @@
         self._told: dict[str, Told] = {}
         self._timers: list = []
         self.health = Health()
+        self.paces = Paces()
         self._transport.subscribe((Pulse,), self._take_pulse)
         self._transport.subscribe((Listing,), self._take_listing)
         self._transport.subscribe((News,), self._take_news)
@@ -139,10 +142,10 @@
                 usable = self._filter_holders(usable, model)
         usable = [one for one in usable if one.id not in excluded]
         chosen = choose_least_loaded(
-            usable, self._kernel.settings.zone, self.count_running
+            usable, self._kernel.settings.zone, self._weigh(usable, now)
         )
         if chosen is not None and model is not None and model.adapter:
-            self._spread_hot(service, model, len(usable), now)
+            self._spread_hot(chosen, model, len(usable), now)
         return chosen
 
     def count_running(self, endpoint: str) -> int:
@@ -157,23 +160,36 @@
             return own
         return max(own, told.running + own - told.own)
 
+    def _weigh(self, endpoints: Iterable[Endpoint], now: float) -> Load:
+        """Return what tells the calls at endpoints, weighed by their pace."""
+        factors = self.paces.compare([one.id for one in endpoints], now)
+        return lambda name: self.count_running(name) * factors.get(name, 1.0)
+
     def note_call(self, service: str, model: Model | None) -> None:
         """Count a caller's call, for what is popular."""
         if model is not None and model.adapter:
             now = self._kernel.clock.now()
             self._popularity.setdefault(service, Popularity()).note(model, now)
 
-    def _spread_hot(self, service: str, model: Model, copies: int, now: float) -> None:
-        """Ask for a further copy of an adapter that is hot for its copies."""
+    def _spread_hot(
+        self, chosen: Endpoint, model: Model, copies: int, now: float
+    ) -> None:
+        """Ask for a further copy of an adapter that is hot for its copies.
+
+        So it is where its share of the calls is large, and where the least
+        loaded of its engines is overloaded.
+        """
+        service = chosen.service
         popularity = self._popularity.get(service)
         if popularity is None or now - self._spread_at.get(model, 0) < SPREAD_PERIOD:
             return
         ready = self._follower.directory.list_ready(service)
-        if popularity.count_copies(model, len(ready), now) <= copies:
+        full = find_overloaded(ready, self._weigh(ready, now))
+        is_relief = chosen.id in full and popularity.is_wanted(model, now)
+        if not is_relief and popularity.count_copies(model, len(ready), now) <= copies:
             return
         self._spread_at[model] = now
         held = self._residency.find(model)
-        full = find_overloaded(ready, self.count_running)
         for endpoint in order_by_zones(self._rank_homes(service, model, now)):
             is_free = endpoint.id not in held and endpoint.id not in full
             if is_free and self._has_owner(endpoint.zone, now):
@@ -256,7 +272,7 @@
         ranked = self._rank_homes(service, model, now)
         possible = [one for one in ranked if one.id not in excluded]
         served = [one for one in possible if self._has_owner(one.zone, now)]
-        full = find_overloaded(ranked, self.count_running)
+        full = find_overloaded(ranked, self._weigh(ranked, now))
         free = [one for one in served if one.id not in full]
         return (free or served or possible or [None])[0]
 
@@ -389,3 +405,4 @@
             if now - at < SPREAD_PERIOD
         }
         self.health.forget(known)
+        self.paces.forget(known)
--- a/roadlift/serving/selection.py
+++ b/roadlift/serving/selection.py
@@ -7,46 +7,53 @@
 from roadlift.serving.calls import Model
 from roadlift.serving.directory import Endpoint
 
-# Calls under way, as a part of an endpoint's slots, that an endpoint of the
-# own zone may have more than one elsewhere before the call crosses zones.
-ZONE_BONUS = 0.25
-# How much fuller than the mean of its service an engine may be that is still
-# the home of an adapter, and the part of its slots that is allowed beside.
-# 1.25 is the usual bound of consistent hashing with bounded loads.
-MOST_FILL = 1.25
-SPARE_FILL = 0.1
+# Calls under way that an endpoint of the own zone may have more than one
+# elsewhere before the call crosses zones, and the same as a part of its slots,
+# of which the less counts. A call ahead costs an engine's next one some 20 ms,
+# whatever its slots: it is the reading of prompts that fills engines.
+ZONE_CALLS = 2.0
+ZONE_PART = 0.25
+# How much more loaded than the mean of its service an engine may be that is
+# still the home of an adapter, and the calls that are allowed beside. 1.25 is
+# the usual bound of consistent hashing with bounded loads.
+MOST_LOAD = 1.25
+SPARE_CALLS = 2.0
 # Part of an engine's fair share of a service's calls that one copy of an
 # adapter may bring it; a hotter adapter gets a further copy. Half leaves room
 # for the other adapters at home there.
 SHARE_PER_COPY = 0.5
+# Calls, as they are remembered, from which on a copy that relieves a loaded
+# engine is worth its place; one instance sees but a part of the calls.
+REPEATED = 1.5
 LEAST_CALLS = 10.0  # Calls, as they are remembered, that a share is taken from.
 HALF_LIFE = 5.0  # Seconds in which a call loses half its weight.
 MOST_MODELS = 1024  # Adapters whose calls are remembered.
 
-Running = Callable[[str], int]
+# Returns the calls under way at an endpoint, weighed by how slow it is.
+Load = Callable[[str], float]
 
 
 def choose_least_loaded(
-    endpoints: Iterable[Endpoint], zone: str, running: Running
+    endpoints: Iterable[Endpoint], zone: str, load: Load
 ) -> Endpoint | None:
     """Return the endpoint with most room, the own zone's before others."""
 
     def measure(endpoint: Endpoint) -> tuple[float, float, str]:
-        """Return how full an endpoint seems; zone and id make an order."""
-        fill = running(endpoint.id) / max(1, endpoint.slots)
-        away = 0.0 if endpoint.zone == zone else ZONE_BONUS
-        return fill + away, away, endpoint.id
+        """Return how loaded an endpoint is; zone and id make an order."""
+        bonus = min(ZONE_CALLS, ZONE_PART * max(1, endpoint.slots))
+        away = 0.0 if endpoint.zone == zone else bonus
+        return load(endpoint.id) + away, away, endpoint.id
 
     return min(endpoints, key=measure, default=None)
 
 
-def find_overloaded(endpoints: Sequence[Endpoint], running: Running) -> set[str]:
-    """Return the endpoints that are much fuller than their mean."""
-    fills = {one.id: running(one.id) / max(1, one.slots) for one in endpoints}
-    if not fills:
+def find_overloaded(endpoints: Sequence[Endpoint], load: Load) -> set[str]:
+    """Return the endpoints that are much more loaded than their mean."""
+    loads = {one.id: load(one.id) for one in endpoints}
+    if not loads:
         return set()
-    most = MOST_FILL * sum(fills.values()) / len(fills) + SPARE_FILL
-    return {name for name, fill in fills.items() if fill > most}
+    most = MOST_LOAD * sum(loads.values()) / len(loads) + SPARE_CALLS
+    return {name for name, calls in loads.items() if calls > most}
 
 
 class Popularity:
@@ -71,6 +78,10 @@
         share = self._measure(model, now) / total
         return max(1, min(engines, math.ceil(share * engines / SHARE_PER_COPY)))
 
+    def is_wanted(self, model: Model, now: float) -> bool:
+        """Tell whether an adapter is called again and again."""
+        return self._measure(model, now) >= REPEATED
+
     def _measure(self, model: Model, now: float) -> float:
         return _decay(self._counts.get(model, (0.0, now)), now)
 
