Serve metrics as text, log each call's decisions, and explain requests

Cause: on-call engineers have only logs and metrics, and the interface routes had neither a metrics address nor a way from a request's id to its cause. A line told that a call had waited, not for which engine, nor what its owner did.

Change: counters and histograms at an address of their own, in the usual text format, by prometheus-client (roadlift/instance/measures.py). A call keeps up to 16 decisions and writes them with its end: all of those that failed or came late, one in 20 of the others; with the configuration's version and the age of the list. Each line names its instance. roadlift/core/events.py lists the events, a test holds it and the calls together, docs/ref/logs.md is made from it. roadlift explain REQUEST-ID [FILES] tells the story of a request and its likely causes; lines that can't be read are counted and named.

--- a/roadlift/conf/checks.py
+++ b/roadlift/conf/checks.py
@@ -11,7 +11,7 @@
 
 _ADDRESSES = ("http", "peer", "platform", "ready")
 _CHOICES = {"interface": ("openai", "routes"), "log_format": ("text", "json")}
-_LISTED_ADDRESSES = ("seeds", "statsd")
+_LISTED_ADDRESSES = ("metrics", "seeds", "statsd")
 _POSITIVE = tuple(
     setting.name for setting in SETTINGS if setting.kind in (int, float)
 )  # Every number among the settings is a size, rate or time above zero.
--- a/roadlift/conf/settings.py
+++ b/roadlift/conf/settings.py
@@ -70,6 +70,7 @@
     Setting("plugins", str, "", "Paths of packages to import, with commas."),
     Setting("adapter", str, "", "Plug-in that speaks to the platform of routes."),
     Setting("ready", str, "127.0.0.1:8082", "Address that tells readiness of routes."),
+    Setting("metrics", str, "", "Address that serves the metrics of routes as text."),
     Setting("zones", str, "", "All availability zones, with commas."),
     Setting("lease_time", float, 7.0, "Seconds that an owner's lease holds."),
     Setting(
--- a/roadlift/core/errors.py
+++ b/roadlift/core/errors.py
@@ -34,6 +34,14 @@
         self.retry_after = retry_after
 
 
+class RequestUnknown(RoadliftError):
+    """No line of the logs tells of the request."""
+
+    code = "request_unknown"
+    status = 404
+    outcome = Outcome.NOT_RUN
+
+
 class ImproperlyConfigured(RoadliftError):
     """A setting is missing or wrong."""
 
--- /dev/null
+++ b/roadlift/core/events.py
@@ -0,0 +1,119 @@
+"""List the events that the logs of the interface ``routes`` hold.
+
+A line is a JSON object with time, level, instance, part, event and the fields
+of the event; a test holds this list and the calls together.
+"""
+
+from typing import NamedTuple
+
+
+class Event(NamedTuple):
+    """One kind of line: who writes it, its fields, and what it tells."""
+
+    part: str
+    name: str
+    fields: tuple[str, ...]
+    meaning: str
+
+
+EVENTS = (
+    Event("daemon", "reload", ("changed", "reason"), "The settings were read again."),
+    Event("exchange", "endpoint_ejected", ("endpoint", "error"), "Too many failed."),
+    Event(
+        "exchange",
+        "send_failed",
+        ("request", "endpoint", "error", "sends", "age", "given_up"),
+        "A send failed; given_up says why no further one follows.",
+    ),
+    Event(
+        "follower",
+        "configuration_in_force",
+        ("version", "routes"),
+        "A configuration replaced the one before.",
+    ),
+    Event(
+        "follower",
+        "endpoint_draining",
+        ("endpoint", "address", "service", "remaining", "version"),
+        "An endpoint takes no new calls.",
+    ),
+    Event("follower", "endpoint_gone", ("endpoint", "version"), "Its entry went."),
+    Event(
+        "follower",
+        "endpoint_ready",
+        ("endpoint", "address", "service", "remaining", "version"),
+        "An endpoint is new, or takes calls again.",
+    ),
+    Event("follower", "history_gone", ("table", "version"), "All is read anew."),
+    Event("follower", "store_lost", ("table", "error"), "The store can't be read."),
+    Event("follower", "store_regained", ("table", "version"), "It can be again."),
+    Event("follower", "version_declared", ("model", "version"), "Older ones retire."),
+    Event(
+        "ingress",
+        "call_ended",
+        (
+            "outcome",
+            "request",
+            "route",
+            "service",
+            "model",
+            "endpoint",
+            "sends",
+            "status",
+            "waited",
+            "first",
+            "pause",
+            "seconds",
+            "error",
+            "configuration",
+            "list_age",
+            "steps",
+            "one_in",
+        ),
+        "A call ended; steps are its decisions. Of those in time one in one_in.",
+    ),
+    Event(
+        "ingress",
+        "call_refused",
+        ("request", "error", "configuration"),
+        "A request was refused before it became a call.",
+    ),
+    Event("ingress", "drained", ("cut",), "The leaving is over; cut calls remain."),
+    Event("ingress", "leaving", ("running",), "SIGTERM came."),
+    Event("ingress", "started", ("version",), "The process serves."),
+    Event("ingress", "stopped", ("cut",), "The process ends."),
+    Event("leases", "lease_gained", ("zone", "fence", "quiet"), "This one owns it."),
+    Event("leases", "lease_lost", ("zone", "reason"), "This one owns it no more."),
+    Event("leases", "lease_released", ("zone",), "It was given back."),
+    Event("owner", "load_denied", ("endpoint", "model"), "No copy there could leave."),
+    Event(
+        "owner",
+        "order",
+        (
+            "action",
+            "endpoint",
+            "model",
+            "version",
+            "sequence",
+            "fence",
+            "is_poll",
+            "tries",
+            "result",
+            "said",
+        ),
+        "An order to an engine, and how it ended.",
+    ),
+    Event(
+        "owner",
+        "report",
+        ("endpoint", "sequence", "held", "arriving"),
+        "What an engine holds was read.",
+    ),
+    Event("owner", "report_failed", ("endpoint", "error"), "It could not be read."),
+    Event(
+        "placing",
+        "spread",
+        ("model", "endpoint", "copies"),
+        "A further copy was asked for.",
+    ),
+)
--- a/roadlift/core/kernel.py
+++ b/roadlift/core/kernel.py
@@ -13,6 +13,7 @@
 
 from roadlift.core.clock import Clock, MonotonicClock
 from roadlift.core.errors import ImproperlyConfigured
+from roadlift.core.logs import LineBuffer
 from roadlift.core.loop import Loop
 from roadlift.core.registry import Registry
 from roadlift.relay.upstream import Dialer, SocketDialer
@@ -40,7 +41,8 @@
 
     ``given`` holds parts that stand in for registered ones, by name;
     ``stamp`` orders the processes of one instance, and seeds what is random.
-    It is the wall clock's milliseconds, but where a test sets it.
+    It is the wall clock's milliseconds, but where a test sets it. ``lines``
+    holds the log's lines where they are written as JSON.
     """
 
     channel = "kernel"
@@ -60,6 +62,7 @@
         self.loop.register(self)
         self.dialer = dialer or SocketDialer(self.loop)
         self.stamp = time.time_ns() // 1_000_000 if stamp is None else stamp
+        self.lines: LineBuffer | None = None
         self._parts: dict[str, Part] = dict(given or {})
         self._is_open = False
 
--- a/roadlift/core/logs.py
+++ b/roadlift/core/logs.py
@@ -58,6 +58,7 @@
         self._most = most
         self._lines = bytearray()
         self.dropped = 0
+        self.dropped_in_all = 0
 
     def emit(self, record: standard.LogRecord) -> None:
         """Hold a line, or count it as dropped."""
@@ -65,13 +66,17 @@
             line = self.format(record).encode() + b"\n"
         except Exception:
             # A field that can't be formatted must not end its request.
-            self.dropped += 1
+            self._drop(1)
             return
         if len(self._lines) + len(line) > self._most:
-            self.dropped += 1
+            self._drop(1)
             return
         self._lines += line
 
+    def _drop(self, count: int) -> None:
+        self.dropped += count
+        self.dropped_in_all += count
+
     def count_held(self) -> int:
         """Return the bytes that wait for the descriptor."""
         return len(self._lines)
@@ -85,7 +90,7 @@
                 return
             except OSError:
                 # Nobody can be told that standard output is gone.
-                self.dropped += self._lines.count(b"\n")
+                self._drop(self._lines.count(b"\n"))
                 self._lines.clear()
                 return
             del self._lines[:sent]
@@ -102,10 +107,15 @@
 class _Formatter(JsonFormatter):
     """Puts the fields of an event beside its time, level and message."""
 
+    def __init__(self, instance: str) -> None:
+        super().__init__()
+        self._instance = instance
+
     def add_fields(self, log_data, record, message_dict) -> None:
         """Build the object of one line."""
         log_data["time"] = round(record.created, 4)
         log_data["level"] = record.levelname.lower()
+        log_data["instance"] = self._instance
         fields = getattr(record, "fields", None)
         if fields is None:
             log_data["message"] = record.getMessage()
@@ -120,10 +130,13 @@
     _events.setLevel(standard.WARNING)
 
 
-def use_json(fileno: int | None = None) -> LineBuffer:
-    """Log JSON lines; the caller flushes the buffer each FLUSH_PERIOD."""
+def use_json(instance: str, fileno: int | None = None) -> LineBuffer:
+    """Log JSON lines that name the instance.
+
+    The caller flushes the buffer each FLUSH_PERIOD.
+    """
     buffer = LineBuffer(sys.stdout.fileno() if fileno is None else fileno)
-    buffer.setFormatter(_Formatter())
+    buffer.setFormatter(_Formatter(instance))
     root = standard.getLogger()
     for handler in list(root.handlers):
         root.removeHandler(handler)
--- a/roadlift/daemon/main.py
+++ b/roadlift/daemon/main.py
@@ -30,14 +30,14 @@
 
     def __init__(self, settings: Settings, lines: logs.LineBuffer | None) -> None:
         super().__init__(settings)
-        self._lines = lines
+        self.lines = lines
         self._file = SettingsFile(settings)
         self._root = ROOTS[settings.interface]
 
     @handler("started")
     def _on_started(self, *args) -> None:
-        if self._lines is not None:
-            self.loop.call_every(logs.FLUSH_PERIOD, self._lines.flush)
+        if self.lines is not None:
+            self.loop.call_every(logs.FLUSH_PERIOD, self.lines.flush)
         self.loop.call_every(FILE_PERIOD, self._file.look)
         self.open([self._root])
         # Circuits sets handlers of its own just before; these go last.
@@ -48,8 +48,8 @@
     @handler("stopped")
     def _on_stopped(self, *args) -> None:
         self.close()
-        if self._lines is not None:
-            self._lines.flush()
+        if self.lines is not None:
+            self.lines.flush()
 
     def _on_signal(self, number: int, frame: object) -> None:
         self.loop.call_later(0, self.find(self._root).leave)
@@ -125,7 +125,7 @@
         return
     lines = None
     if settings.log_format == "json":
-        lines = logs.use_json()
+        lines = logs.use_json(settings.instance)
     else:
         logs.use_text()
     Daemon(settings, lines).run()
--- /dev/null
+++ b/roadlift/explanation/story.py
@@ -0,0 +1,200 @@
+"""Put together what the logs say of one request.
+
+The story is the request's own lines and steps, and what its instances and
+owners logged meanwhile of the endpoints, adapters and zones that it met.
+"""
+
+from collections import Counter
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from roadlift.core.errors import RequestUnknown
+from roadlift.explanation.lines import Line, Log
+
+# Seconds around a request in which other lines may bear on it: an owner that
+# was lost before still is missed, and clocks of instances differ.
+BEFORE = 5.0
+BEHIND = 1.0
+_OWN = ("call_ended", "call_refused", "send_failed")
+_ANYWHERE = (
+    "lease_gained",
+    "lease_lost",
+    "lease_released",
+    "store_lost",
+    "store_regained",
+)
+_HERE = ("started", "leaving", "drained", "stopped", "configuration_in_force")
+
+
+class Event(NamedTuple):
+    """Something of the story; ``at`` is in seconds from the call's arrival."""
+
+    at: float
+    instance: str
+    text: str
+    is_own: bool
+
+
+class Story(NamedTuple):
+    """What became of a request; ``causes`` are the likeliest ones first."""
+
+    request: str
+    outcome: str
+    error: str
+    events: list[Event]
+    causes: list[str]
+
+
+def tell_story(log: Log, request: str) -> Story:
+    """Return the story of a request, or raise RequestUnknown."""
+    own = [line for line in log.lines if line.fields.get("request") == request]
+    if not own:
+        raise RequestUnknown(request)
+    end = next((line for line in own if line.name != "send_failed"), own[-1])
+    began = end.time - end.fields.get("seconds", 0.0)
+    around = [
+        line
+        for line in log.lines
+        if began - BEFORE <= line.time <= end.time + BEHIND and line not in own
+    ]
+    met = _find_met(own, end)
+    context = [line for line in around if _bears(line, end, met)]
+    events = [_tell(line, began, False) for line in context]
+    events += [_tell(line, began, True) for line in own]
+    events += _tell_steps(end, began)
+    events.sort(key=lambda event: event.at)
+    outcome = end.fields.get("outcome", "refused")
+    error = end.fields.get("error") or ""
+    return Story(request, outcome, error, events, _find_causes(end, around, met))
+
+
+def _find_met(own: Iterable[Line], end: Line) -> set[str]:
+    """Return the endpoints that the request was sent to or waited for."""
+    met = {line.fields.get("endpoint") for line in own}
+    met |= {step.get("endpoint") for step in end.fields.get("steps", ())}
+    return {endpoint for endpoint in met if endpoint}
+
+
+def _bears(line: Line, end: Line, met: set[str]) -> bool:
+    """Tell whether another line bears on the request."""
+    if line.name in _ANYWHERE:
+        return True
+    if line.name in _HERE:
+        return line.instance == end.instance
+    if line.name in ("order", "load_denied", "version_declared", "spread"):
+        return line.fields.get("model") == end.fields.get("model")
+    if line.name in _OWN:
+        return False
+    return line.fields.get("endpoint") in met
+
+
+def _tell(line: Line, began: float, is_own: bool) -> Event:
+    fields = " ".join(
+        f"{name}={value}"
+        for name, value in line.fields.items()
+        if name not in ("level", "part", "steps", "request") and value is not None
+    )
+    at = round(line.time - began, 3)
+    return Event(at, line.instance, f"{line.name} {fields}".strip(), is_own)
+
+
+def _tell_steps(end: Line, began: float) -> list[Event]:
+    events = []
+    for step in end.fields.get("steps", ()):
+        details = {key: step[key] for key in step if key not in ("at", "step")}
+        fields = " ".join(f"{key}={value}" for key, value in details.items())
+        text = f"{step['step']} {fields}".strip()
+        events.append(Event(step["at"], end.instance, text, True))
+    return events
+
+
+def _find_causes(end: Line, around: list[Line], met: set[str]) -> list[str]:
+    """Return what the lines around speak for, the likeliest first."""
+    causes = _explain_store(end, around)
+    causes += _explain_wait(end, around, met)
+    causes += _explain_endpoints(end, around, met)
+    return causes or ["nothing else was logged that bears on it"]
+
+
+def _explain_store(end: Line, around: list[Line]) -> list[str]:
+    lost = [line for line in around if line.name == "store_lost"]
+    if not lost or "no_configuration" not in str(end.fields.get("error")):
+        return []
+    return [f"{lost[0].instance} can't read the store: {lost[0].fields.get('error')}"]
+
+
+def _explain_wait(end: Line, around: list[Line], met: set[str]) -> list[str]:
+    """Explain a call that got no adapter, or got it late."""
+    if not _has_waited(end):
+        return []
+    causes = []
+    zones = [
+        f"zone {line.fields['zone']} had no owner ({line.name} at {line.instance})"
+        for line in around
+        if line.name in ("lease_lost", "lease_released")
+    ]
+    causes += list(dict.fromkeys(zones))
+    model = end.fields.get("model")
+    results = Counter(
+        line.fields.get("result")
+        for line in around
+        if line.name == "order" and line.fields.get("endpoint") in met
+    )
+    silent = results.get("unknown", 0)
+    if silent:
+        total = sum(results.values())
+        causes.append(f"{silent} of {total} orders to its engines got no answer")
+    for name, text in (
+        ("report_failed", "{} can't be reached by its owner"),
+        ("endpoint_gone", "{} ended"),
+        ("endpoint_draining", "{} was draining"),
+    ):
+        found = {
+            line.fields["endpoint"]
+            for line in around
+            if line.name == name and line.fields.get("endpoint") in met
+        }
+        causes += [text.format(endpoint) for endpoint in sorted(found)]
+    denials = sum(
+        line.name == "load_denied" and line.fields.get("model") == model
+        for line in around
+    )
+    if denials:
+        causes.append(f"engines were full of adapters in use: {denials} denials")
+    if not causes:
+        causes.append("its adapter was not loaded yet")
+    return causes
+
+
+def _has_waited(end: Line) -> bool:
+    steps = [step["step"] for step in end.fields.get("steps", ())]
+    return "wait" in steps or "no owner" in str(end.fields.get("error"))
+
+
+def _explain_endpoints(end: Line, around: list[Line], met: set[str]) -> list[str]:
+    """Explain a send that failed, by what else failed at its endpoint."""
+    steps = end.fields.get("steps", ())
+    failed = [step for step in steps if step["step"] == "failed"]
+    sent = [step["endpoint"] for step in steps if step["step"] == "send"]
+    is_silent = end.fields.get("error") or end.fields.get("outcome") == "cancelled"
+    if not sent or not (failed or is_silent):
+        return []
+    causes = [f"the call failed: {step['error']}" for step in failed]
+    if not failed:
+        causes = [f"{sent[-1]} did not answer in time"]
+    for endpoint in dict.fromkeys(sent):
+        others = Counter(
+            str(line.fields.get("error")).partition(":")[0]
+            for line in around
+            if line.name == "send_failed" and line.fields.get("endpoint") == endpoint
+        )
+        if others:
+            told = ", ".join(f"{count} {error}" for error, count in others.items())
+            causes.append(f"other sends to {endpoint} failed as well: {told}")
+    causes += [
+        f"{line.fields['endpoint']}: {line.name}"
+        for line in around
+        if line.name in ("endpoint_gone", "endpoint_draining")
+        and line.fields.get("endpoint") in sent
+    ]
+    return list(dict.fromkeys(causes))
--- a/roadlift/instance/exchange.py
+++ b/roadlift/instance/exchange.py
@@ -27,6 +27,7 @@
 
 # Sends of one call at most, those included that did not run.
 MOST_SENDS = 4
+MOST_STEPS = 16  # Decisions of one call that are kept for the logs.
 # Sends that reached no endpoint, beside those: a cut takes most of a service's
 # endpoints away, and each instance learns of them one by one.
 MOST_UNREACHED = 8
@@ -69,6 +70,7 @@
         self._follower = kernel.get(Follower)
         self._format = kernel.get(Platform).adapter.calls
         self._service = route.choose_service(call.id)
+        self._configuration = self._follower.configuration.version
         self._began_at = kernel.clock.now()
         limit = route.timeout
         if call.time_limit is not None:
@@ -88,6 +90,7 @@
         self._runs = 0
         self._doubt: RoadliftError | None = None
         self._is_over = False
+        self._steps: list[dict] = []
         self._status = 0
         self._headers: dict[str, str] = {}
         self._verdict: Verdict | None = None
@@ -120,6 +123,12 @@
         self._caller.end_early()
         self._end("cut", None)
 
+    def _note(self, step: str, **fields: object) -> None:
+        """Keep a decision for the line that the call's end may write."""
+        if len(self._steps) < MOST_STEPS:
+            age = round(self._kernel.clock.now() - self._began_at, 4)
+            self._steps.append({"at": age, "step": step, **fields})
+
     # Sending.
 
     def _try(self) -> None:
@@ -151,10 +160,11 @@
             self._fail(NoEndpoint(f"{model} was not loaded in time", COME_BACK))
             return
         self._waiter = Waiter(
-            self._service, model, self.route.priority, self._on_loaded
+            self._service, model, self.route.priority, self._on_loaded, self._on_asked
         )
         self._wait_timer = self._kernel.loop.call_later(wait, self._on_waited)
         self._wait_began_at = now
+        self._note("wait", longest=round(wait, 3))
         self._placing.await_load(self._waiter, self._excluded)
 
     def _measure_longest_wait(self) -> float:
@@ -164,6 +174,9 @@
             left = min(left, self.route.patience)
         return left * WAIT_PART
 
+    def _on_asked(self, endpoint: Endpoint) -> None:
+        self._note("ask", endpoint=endpoint.id, zone=endpoint.zone)
+
     def _on_waited(self) -> None:
         """Refuse a call for which no load came in time."""
         if self._waiter is not None and not self._is_over:
@@ -174,6 +187,7 @@
         self._waiter = None
         self._wait_timer.close()
         self._waited += self._kernel.clock.now() - self._wait_began_at
+        self._note("loaded")
         self._try()
 
     def _send(self, endpoint: Endpoint) -> None:
@@ -185,6 +199,8 @@
         request = self._format.build_request(self.call, self.route, endpoint, guard)
         self._sends += 1
         self._sent_at = now
+        running = self._placing.count_running(endpoint.id)
+        self._note("send", endpoint=endpoint.id, zone=endpoint.zone, running=running)
         self._endpoint = endpoint
         self._verdict = None
         self._held.clear()
@@ -334,10 +350,14 @@
         elif is_excluded:
             self._excluded.add(endpoint.id)
             if self._placing.health.note_failure(endpoint.id, now):
+                self._ingress.measures.count("roadlift_ejections", self._service)
                 log.event("endpoint_ejected", endpoint=endpoint.id, error=str(error))
         if error.outcome is not Outcome.NOT_RUN:
             self._doubt = error
         reason = self._find_obstacle(error, now)
+        self._ingress.measures.count(
+            "roadlift_failed_sends", self._service, error.code, reason or "no"
+        )
         log.event(
             "send_failed",
             request=self.call.id,
@@ -347,6 +367,7 @@
             age=round(now - self._began_at, 3),
             given_up=reason,
         )
+        self._note("failed", error=str(error), given_up=reason)
         if reason is None:
             if self._frames is not None:
                 self._resume_after = self._frames.cut() or self._resume_after
@@ -431,10 +452,12 @@
         self._timer.close()
         now = self._kernel.clock.now()
         first = self._first_byte_at
+        is_late = self._is_late()
         self._ingress.finish(self)
+        self._measure(outcome, is_late, now)
         self._ingress.log_end(
             outcome,
-            self._is_late(),
+            is_late,
             request=self.call.id,
             route=self.route.name,
             service=self._service,
@@ -447,8 +470,22 @@
             pause=round(self._longest_pause, 4),
             seconds=round(now - self._began_at, 4),
             error=str(error) if error else None,
+            configuration=self._configuration,
+            list_age=round(self._follower.measure_list_age(), 2),
+            steps=self._steps,
         )
 
+    def _measure(self, outcome: str, is_late: bool, now: float) -> None:
+        measures, service = self._ingress.measures, self._service
+        late = "yes" if is_late else "no"
+        measures.count("roadlift_calls", service, outcome, late)
+        measures.observe("roadlift_call_seconds", now - self._began_at, service)
+        if self._first_byte_at is not None:
+            first = self._first_byte_at - self._began_at
+            measures.observe("roadlift_first_seconds", first, service)
+        if self._waited:
+            measures.observe("roadlift_wait_seconds", self._waited, service)
+
     def _is_late(self) -> bool:
         """Tell whether the first byte, or one behind it, came too late."""
         first = self._first_byte_at
--- a/roadlift/instance/follower.py
+++ b/roadlift/instance/follower.py
@@ -9,6 +9,7 @@
 from roadlift.core.errors import HistoryGone, InvalidConfiguration, RoadliftError
 from roadlift.core.kernel import Kernel, parts
 from roadlift.core.logs import PartLog
+from roadlift.instance.measures import Measures
 from roadlift.instance.platform import Platform
 from roadlift.serving.calls import Model
 from roadlift.serving.directory import Directory, Endpoint
@@ -43,7 +44,9 @@
         on_return: Callable[[], None],
     ) -> None:
         self._loop = kernel.loop
+        self._clock = kernel.clock
         self._store = kernel.get(Platform).store
+        self._measures = kernel.get(Measures)
         self._table = table
         self._wait = wait
         self._period = period
@@ -52,6 +55,7 @@
         self._version: int | None = None
         self._is_open = True
         self._round = 0
+        self.answered_at = kernel.clock.now()
         self.is_reachable = True
 
     def start(self) -> None:
@@ -87,6 +91,7 @@
             log.event("store_regained", table=self._table, version=rows.version)
             self._on_return()
         self._version = rows.version
+        self.answered_at = self._clock.now()
         self._on_rows(rows, is_whole)
         self._loop.call_later(self._period, lambda: self._read(number))
 
@@ -96,7 +101,9 @@
         if isinstance(error, HistoryGone):
             log.event("history_gone", table=self._table, version=self._version)
             self._version = None
-        elif self.is_reachable:
+        else:
+            self._measures.count("roadlift_store_failures", self._table)
+        if self.is_reachable and not isinstance(error, HistoryGone):
             self.is_reachable = False
             log.event("store_lost", table=self._table, error=str(error))
         self._loop.call_later(RETRY_PAUSE, lambda: self._read(number))
@@ -107,10 +114,11 @@
     """What this instance knows of the platform's state."""
 
     name = "follower"
-    needs = ("platform",)
+    needs = ("measures", "platform")
 
     def __init__(self, kernel: Kernel) -> None:
         self._kernel = kernel
+        self._measures = kernel.get(Measures)
         self._format = kernel.get(Platform).adapter.state
         self._readers: list[TableReader] = []
         self._timer = None
@@ -161,6 +169,10 @@
         for reader in self._readers:
             reader.close()
 
+    def measure_list_age(self) -> float:
+        """Return the seconds since the list of endpoints was read last."""
+        return self._kernel.clock.now() - self._readers[1].answered_at
+
     def find_version(self, model: Model) -> int:
         """Return the declared version of an adapter, or 0."""
         return self.versions.get(model, 0)
@@ -190,6 +202,7 @@
             return
         self.configuration = configuration
         self.routes = RouteTable(configuration.routes)
+        self._measures.set("roadlift_configuration_version", configuration.version)
         log.event(
             "configuration_in_force",
             version=configuration.version,
--- a/roadlift/instance/ingress.py
+++ b/roadlift/instance/ingress.py
@@ -1,5 +1,6 @@
 """Take callers' requests, find their routes, and leave without a cut."""
 
+from roadlift import __version__
 from roadlift.core.errors import (
     Draining,
     NoConfiguration,
@@ -15,6 +16,7 @@
 from roadlift.instance.exchange import Exchange
 from roadlift.instance.follower import Follower
 from roadlift.instance.leases import Leases
+from roadlift.instance.measures import Measures
 from roadlift.instance.owner import Owner
 from roadlift.instance.placing import Placing
 from roadlift.instance.platform import Platform
@@ -38,7 +40,7 @@
     """The callers' side of an instance."""
 
     name = "ingress"
-    needs = ("follower", "leases", Owner.name, "placing", "platform")
+    needs = ("follower", "leases", "measures", Owner.name, "placing", "platform")
 
     def __init__(self, kernel: Kernel) -> None:
         settings = kernel.settings
@@ -46,6 +48,7 @@
         self._format = kernel.get(Platform).adapter.calls
         self._follower = kernel.get(Follower)
         self._placing = kernel.get(Placing)
+        self.measures = kernel.get(Measures)
         self._exchanges: set[Exchange] = set()
         self._budgets: dict[str, WindowBudget] = {}
         self._served = 0
@@ -71,7 +74,7 @@
         self._server.start()
         self._ready_server.start()
         self._timer = self._kernel.loop.call_every(DRAIN_TICK, self._tick)
-        log.event("started", instance=self._kernel.settings.instance)
+        log.event("started", version=__version__)
 
     def close(self) -> None:
         """Cut what is left."""
@@ -113,6 +116,7 @@
     def finish(self, exchange: Exchange) -> None:
         """Forget an exchange that is over."""
         self._exchanges.discard(exchange)
+        self.measures.set("roadlift_running_calls", len(self._exchanges))
 
     def log_end(self, outcome: str, is_late: bool, **fields: object) -> None:
         """Log how a call ended; of those served in time a sample."""
@@ -139,12 +143,14 @@
             raise Draining(retry_after=0.1)
         exchange = Exchange(self._kernel, self, call, route, caller)
         self._exchanges.add(exchange)
+        self.measures.set("roadlift_running_calls", len(self._exchanges))
         exchange.start()
 
     def _refuse(
         self, received: Received, caller: Connection, error: RoadliftError
     ) -> None:
         call_id = self._format.read_id(received)
+        self.measures.count("roadlift_refusals", error.code)
         log.event(
             "call_refused",
             request=call_id,
--- a/roadlift/instance/leases.py
+++ b/roadlift/instance/leases.py
@@ -5,6 +5,7 @@
 from roadlift.core.errors import MalformedMessage, RoadliftError, VersionConflict
 from roadlift.core.kernel import Kernel, parts
 from roadlift.core.logs import PartLog
+from roadlift.instance.measures import Measures
 from roadlift.instance.platform import Platform
 from roadlift.serving.interfaces import Rows, RowWrite, StoreTime
 from roadlift.serving.lease import Lease, LeaseRecord, Step
@@ -30,12 +31,13 @@
     """
 
     name = "leases"
-    needs = ("platform", "transport")
+    needs = ("measures", "platform", "transport")
 
     def __init__(self, kernel: Kernel) -> None:
         settings = kernel.settings
         self._kernel = kernel
         self._store = kernel.get(Platform).store
+        self._measures = kernel.get(Measures)
         self._process = f"{settings.instance}#{kernel.stamp}"
         self._zones = sorted({settings.zone, *filter(None, settings.zones.split(","))})
         quiet = settings.holder_quiet_ms / 1000.0
@@ -108,6 +110,7 @@
         """Give the lease of a zone back, so that another may take it."""
         lease = self._leases[zone]
         record = lease.release(self._kernel.clock.now())
+        self._count("given_back")
         log.event("lease_released", zone=zone)
         self._tell(zone)
         row = RowWrite(TABLE, zone, record.encode(), lease.version)
@@ -199,14 +202,20 @@
 
     def _tell_gain(self, zone: str, lease: Lease) -> None:
         wait = max(0.0, lease.orders_from - self._kernel.clock.now())
+        self._count("gained")
         log.event("lease_gained", zone=zone, fence=lease.fence, quiet=round(wait, 3))
         self._tell(zone)
 
     def _tell_loss(self, zone: str, lease: Lease, was_held: bool, why: str) -> None:
         if was_held and not lease.is_held:
+            self._count("lost")
             log.event("lease_lost", zone=zone, reason=why)
             self._tell(zone)
 
+    def _count(self, change: str) -> None:
+        self._measures.count("roadlift_lease_changes", change)
+        self._measures.set("roadlift_held_leases", len(self.list_held()))
+
     def _tell(self, zone: str) -> None:
         for listener in self.on_change:
             listener(zone)
--- /dev/null
+++ b/roadlift/instance/measures.py
@@ -0,0 +1,220 @@
+"""Count what an instance of the interface ``routes`` does, and serve it.
+
+The counters and histograms are read as text at an address of their own, in
+the format of Prometheus. docs/ref/metrics.md is generated from MEASURES.
+"""
+
+from typing import NamedTuple
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
+from prometheus_client.exposition import CONTENT_TYPE_LATEST, generate_latest
+
+from roadlift.core.errors import ImproperlyConfigured
+from roadlift.core.kernel import Kernel, parts
+from roadlift.http.connection import Connection
+from roadlift.http.messages import HttpLimits, Received
+from roadlift.http.server import Server
+from roadlift.relay.upstream import Address
+
+PATH = "/metrics"
+# Upper bounds in seconds: around the objectives of some tenths of a second
+# that callers have, and up to the longest that a call may take.
+BUCKETS = (0.025, 0.05, 0.1, 0.15, 0.2, 0.3, 0.4, 0.6, 0.8, 1.0, 1.5, 2.5, 5.0, 10.0)
+_KINDS = {"counter": Counter, "gauge": Gauge, "histogram": Histogram}
+
+
+class Measure(NamedTuple):
+    """One metric; ``advice`` is what an operator does when it rises."""
+
+    name: str
+    kind: str
+    unit: str
+    labels: tuple[str, ...]
+    meaning: str
+    advice: str
+
+
+MEASURES = (
+    Measure(
+        "roadlift_calls",
+        "counter",
+        "calls",
+        ("service", "outcome", "late"),
+        "Calls that ended, by outcome: served, refused, failed, cancelled, cut.",
+        "Look at the logs' `call_ended` of that outcome; its `error` has the cause.",
+    ),
+    Measure(
+        "roadlift_first_seconds",
+        "histogram",
+        "s",
+        ("service",),
+        "Time from a call's arrival to the first byte of its answer.",
+        "See whether waits for loads rise with it, or one engine's pace.",
+    ),
+    Measure(
+        "roadlift_call_seconds",
+        "histogram",
+        "s",
+        ("service",),
+        "Time from a call's arrival to the end of its answer.",
+        "As for the first byte.",
+    ),
+    Measure(
+        "roadlift_wait_seconds",
+        "histogram",
+        "s",
+        ("service",),
+        "Time that calls waited for their adapter, where they had to.",
+        "Look for `load_denied`, orders without an answer, and zones without owner.",
+    ),
+    Measure(
+        "roadlift_refusals",
+        "counter",
+        "requests",
+        ("error",),
+        "Requests refused before a route was followed, by error code.",
+        "`no_configuration`: the store can't be read since the start.",
+    ),
+    Measure(
+        "roadlift_failed_sends",
+        "counter",
+        "sends",
+        ("service", "error", "given_up"),
+        "Sends to endpoints that failed, and why the call was not sent again.",
+        "`retry budget spent`: an endpoint or all fail; see the ejections.",
+    ),
+    Measure(
+        "roadlift_ejections",
+        "counter",
+        "ejections",
+        ("service",),
+        "Endpoints that were passed over for what became of their calls.",
+        "Look at the endpoint; its id is in `endpoint_ejected`.",
+    ),
+    Measure(
+        "roadlift_running_calls",
+        "gauge",
+        "calls",
+        (),
+        "Calls that this instance has taken and not ended.",
+        "Compare with the other instances: the balancer spreads by caller.",
+    ),
+    Measure(
+        "roadlift_orders",
+        "counter",
+        "orders",
+        ("action", "result"),
+        "Orders to engines by result; `unknown` had no answer.",
+        "`unknown` or `conflict`: engines answer late, or another owner orders.",
+    ),
+    Measure(
+        "roadlift_held_leases",
+        "gauge",
+        "zones",
+        (),
+        "Zones whose engines this instance gives orders to.",
+        "All instances together should hold each zone once.",
+    ),
+    Measure(
+        "roadlift_lease_changes",
+        "counter",
+        "changes",
+        ("change",),
+        "Leases gained, lost and given back.",
+        "`lost`: the store was slow or away, or the instance stood still.",
+    ),
+    Measure(
+        "roadlift_configuration_version",
+        "gauge",
+        "version",
+        (),
+        "The configuration in force.",
+        "One that stays behind the others' can't read the store.",
+    ),
+    Measure(
+        "roadlift_store_failures",
+        "counter",
+        "reads",
+        ("table",),
+        "Reads of the platform's store that failed.",
+        "Compare instances: one alone is cut off or turned away.",
+    ),
+    Measure(
+        "roadlift_dropped_lines",
+        "gauge",
+        "lines",
+        (),
+        "Log lines dropped since the start, as nobody read standard output.",
+        "Look at what reads the output; calls are not held by it.",
+    ),
+)
+
+
+@parts.register("measures")
+class Measures:
+    """The metrics of this process, and their address if one is set."""
+
+    name = "measures"
+    needs = ()
+
+    def __init__(self, kernel: Kernel) -> None:
+        self._kernel = kernel
+        self._registry = CollectorRegistry()
+        self._metrics = {
+            one.name: _make_metric(one, self._registry) for one in MEASURES
+        }
+        self._server: Server | None = None
+        address = kernel.settings.metrics
+        if address:
+            limits = HttpLimits()
+            self._server = Server(kernel.loop, Address.parse(address), self, limits)
+
+    def start(self) -> None:
+        """Serve the metrics."""
+        if self._server is not None:
+            self._server.start()
+
+    def close(self) -> None:
+        """Serve no more."""
+        if self._server is not None:
+            self._server.close()
+
+    def count(self, name: str, *labels: str) -> None:
+        """Add one to a counter."""
+        self._find(name, labels).inc()
+
+    def observe(self, name: str, value: float, *labels: str) -> None:
+        """Put a value into a histogram."""
+        self._find(name, labels).observe(value)
+
+    def set(self, name: str, value: float) -> None:
+        """Set a gauge."""
+        self._find(name, ()).set(value)
+
+    def render(self) -> bytes:
+        """Return all metrics as text."""
+        lines = self._kernel.lines
+        if lines is not None:
+            self.set("roadlift_dropped_lines", lines.dropped_in_all)
+        return generate_latest(self._registry)
+
+    def handle(self, received: Received, caller: Connection) -> None:
+        """Answer a request for the metrics."""
+        if received.target.partition("?")[0] != PATH:
+            caller.answer(404, {"Content-Type": "text/plain"}, b"not found\n")
+            return
+        caller.answer(200, {"Content-Type": CONTENT_TYPE_LATEST}, self.render())
+
+    def _find(self, name: str, labels: tuple[str, ...]):
+        try:
+            metric = self._metrics[name]
+        except KeyError:
+            raise ImproperlyConfigured(f"no metric is named {name!r}") from None
+        return metric.labels(*labels) if labels else metric
+
+
+def _make_metric(one: Measure, registry: CollectorRegistry):
+    options = {"buckets": BUCKETS} if one.kind == "histogram" else {}
+    return _KINDS[one.kind](
+        one.name, one.meaning, one.labels, registry=registry, **options
+    )
--- a/roadlift/instance/owner.py
+++ b/roadlift/instance/owner.py
@@ -8,6 +8,7 @@
 from roadlift.daemon.transport import Transport
 from roadlift.instance.follower import Follower
 from roadlift.instance.leases import Leases
+from roadlift.instance.measures import Measures
 from roadlift.instance.platform import Platform
 from roadlift.relay.upstream import Answer, fetch
 from roadlift.serving.calls import Model
@@ -38,6 +39,7 @@
         self._kernel = kernel
         self._orders = kernel.get(Platform).adapter.orders
         self._lease = kernel.get(Leases).get(zone)
+        self._measures = kernel.get(Measures)
         self._process = kernel.settings.instance
         self._timer = None
         self._is_reading = False
@@ -112,6 +114,7 @@
     ) -> None:
         if not self._is_open:
             return
+        self._measures.count("roadlift_orders", str(order.action), result.value)
         log.event(
             "order",
             action=order.action,
@@ -336,7 +339,7 @@
     """The terms of this process as an owner."""
 
     name = "owner"
-    needs = ("follower", "leases", "transport")
+    needs = ("follower", "leases", "measures", "transport")
 
     def __init__(self, kernel: Kernel) -> None:
         self._kernel = kernel
--- a/roadlift/instance/placing.py
+++ b/roadlift/instance/placing.py
@@ -56,12 +56,18 @@
     """A call that waits for an adapter; ``close`` takes it back."""
 
     def __init__(
-        self, service: str, model: Model, priority: int, on_ready: Callable[[], None]
+        self,
+        service: str,
+        model: Model,
+        priority: int,
+        on_ready: Callable[[], None],
+        on_ask: Callable[[Endpoint], None],
     ) -> None:
         self.service = service
         self.model = model
         self.priority = priority
         self.on_ready = on_ready
+        self.on_ask = on_ask
         self.is_open = True
 
     def close(self) -> None:
@@ -266,6 +272,8 @@
         wish.endpoint = endpoint.id
         priority = min((one.priority for one in wish.waiters), default=0)
         self._send_ask(endpoint, model, priority, False)
+        for waiter in wish.waiters:
+            waiter.on_ask(endpoint)
 
     def _choose_home(
         self, service: str, model: Model, excluded: set[str]
--- a/tests/conf/settings.feature
+++ b/tests/conf/settings.feature
@@ -50,6 +50,7 @@
       | settings.md |
       | errors.md   |
       | metrics.md  |
+      | logs.md     |
       | checks.md   |
       | messages.md |
 
--- a/tests/core/logs.feature
+++ b/tests/core/logs.feature
@@ -3,7 +3,7 @@
   Scenario: An event is one object on one line
     Given logs into a pipe
     When the event "lease_gained" with zone "z1" is logged and flushed
-    Then one line is read with event "lease_gained", zone "z1", a time and a level
+    Then one line is read with event "lease_gained", zone "z1", and what all lines have
 
   Scenario: A sentence is one object too
     Given logs into a pipe
--- /dev/null
+++ b/tests/explanation/explanation.feature
@@ -0,0 +1,72 @@
+Feature: Logs alone tell what became of a request
+
+  Log lines are "SECONDS INSTANCE EVENT FIELD=VALUE ..."; steps are
+  "STEP@SECONDS FIELD=VALUE" behind a "|".
+
+  Scenario Outline: The cause of a failure is found
+    Given the log lines
+      """
+      <lines>
+      """
+    When request r1 is explained
+    Then its outcome is <outcome>
+    And a cause is "<cause>"
+
+    Examples: Calls that waited for their adapter
+      | lines | outcome | cause |
+      | 9 b lease_lost zone=z1 reason=late ; 10.5 a call_ended request=r1 outcome=refused error=no_owner_can_load seconds=1 model=m/x \| wait@0 | refused | zone z1 had no owner (lease_lost at b) |
+      | 9 b order endpoint=e1 model=m/y result=unknown ; 9.2 b order endpoint=e1 model=m/y result=accepted ; 10.5 a call_ended request=r1 outcome=served seconds=1 model=m/x \| wait@0, ask@0 endpoint=e1, loaded@0.9, send@0.9 endpoint=e1 | served | 1 of 2 orders to its engines got no answer |
+      | 10 b report_failed endpoint=e1 error=refused ; 10.5 a call_ended request=r1 outcome=cancelled seconds=1 model=m/x \| wait@0, ask@0 endpoint=e1 | cancelled | e1 can't be reached by its owner |
+      | 10 b load_denied endpoint=e1 model=m/x ; 10.5 a call_ended request=r1 outcome=refused seconds=1 model=m/x \| wait@0, ask@0 endpoint=e1 | refused | engines were full of adapters in use: 1 denials |
+      | 10 b load_denied endpoint=e1 model=m/other ; 10.5 a call_ended request=r1 outcome=refused seconds=1 model=m/x \| wait@0, ask@0 endpoint=e1 | refused | its adapter was not loaded yet |
+
+    Examples: Calls that were sent
+      | lines | outcome | cause |
+      | 10 b send_failed request=r2 endpoint=e1 error=connection_lost:_reset ; 10.5 a call_ended request=r1 outcome=failed error=connection_lost seconds=1 \| send@0 endpoint=e1, failed@0.9 error=connection_lost:_reset | failed | other sends to e1 failed as well: 1 connection_lost |
+      | 10.5 a call_ended request=r1 outcome=failed error=endpoint_failed seconds=1 \| send@0 endpoint=e1, failed@0.9 error=endpoint_failed:_500 | failed | the call failed: endpoint_failed:_500 |
+      | 10.5 a call_ended request=r1 outcome=cancelled error=connection_lost seconds=1 \| send@0 endpoint=e1 | cancelled | e1 did not answer in time |
+      | 10 b endpoint_gone endpoint=e1 ; 10.5 a call_ended request=r1 outcome=failed error=cut seconds=1 \| send@0 endpoint=e1 | failed | e1: endpoint_gone |
+
+    Examples: Requests that never became calls
+      | lines | outcome | cause |
+      | 9 a store_lost table=op error=timeout ; 10 a call_refused request=r1 error=no_configuration | refused | a can't read the store: timeout |
+      | 10 a call_refused request=r1 error=no_route | refused | nothing else was logged that bears on it |
+
+  Scenario: The story holds the request's own lines and what bears on them, in order
+    Given the log lines
+      """
+      10.9 a call_ended request=r1 outcome=served seconds=1 model=m/x | wait@0, ask@0.1 endpoint=e1, loaded@0.5, send@0.5 endpoint=e1
+      10.2 b order endpoint=e1 model=m/x result=accepted
+      10.2 b order endpoint=e2 model=m/y result=accepted
+      2.0 b lease_lost zone=z1 reason=old
+      10.3 c endpoint_gone endpoint=e9
+      10.4 c call_ended request=r2 outcome=served seconds=1
+      """
+    When request r1 is explained
+    Then the story is "wait, ask, order, loaded, send, call_ended"
+
+  Scenario: A request that no line names is unknown
+    Given the log lines
+      """
+      10 a call_refused request=r1 error=no_route
+      """
+    When request r9 is explained
+    Then it is said to be unknown
+
+  Scenario Outline: Lines that can't be read are counted and named
+    When the text <text> is read as a log
+    Then it holds <good> events, and <bad> bad lines
+
+    Examples:
+      | text                                                       | good | bad |
+      | {"time": 1, "instance": "a", "event": "started"}           | 1    | 0   |
+      | 12.5 a {"time": 1, "instance": "a", "event": "started"}    | 1    | 0   |
+      | {"time": 1, "instance": "a", "message": "A sentence."}     | 0    | 0   |
+      | {"time": 1, "instance": "a", "event": "sta                 | 0    | 1   |
+      | {"time": "now", "instance": "a", "event": "started"}       | 0    | 1   |
+      | {"instance": "a", "event": "started"}                      | 0    | 1   |
+      | [1, 2]                                                     | 0    | 1   |
+      | plain text                                                 | 0    | 1   |
+
+  Scenario: The catalogue of events is what the code logs
+    Then each event that the code logs stands in the catalogue with its fields
--- /dev/null
+++ b/tests/instance/measures.feature
@@ -0,0 +1,35 @@
+Feature: Metrics are served as text at an address of their own
+
+  Background:
+    Given an installation with instances a and b in zone z1 and c in zone z2
+    And engines e1 and e2 in z1 and e3 in z2, and plain endpoints p1 in z1 and p2 in z2
+
+  Scenario Outline: What happens is counted
+    Given <trouble>
+    When <call> is sent to a
+    And 2 seconds pass
+    Then the metrics of a hold "<sample>"
+
+    Examples:
+      | trouble                        | call                     | sample                                                             |
+      | nothing special                | an idempotent call       | roadlift_calls_total{late="no",outcome="served",service="plain"} 1 |
+      | nothing special                | an idempotent call       | roadlift_first_seconds_count{service="plain"} 1                    |
+      | nothing special                | an idempotent call       | roadlift_running_calls 0                                           |
+      | nothing special                | an idempotent call       | roadlift_configuration_version 2                                   |
+      | nothing special                | a stream of an adapter   | roadlift_wait_seconds_count{service="llm"} 1                       |
+      | nothing special                | a call without a route   | roadlift_refusals_total{error="no_route"} 1                        |
+      | plain endpoints refuse once next | an idempotent call     | roadlift_failed_sends_total{error="refused_by_endpoint",given_up="no",service="plain"} 1 |
+      | all plain endpoints are gone   | an idempotent call       | roadlift_calls_total{late="yes",outcome="refused",service="plain"} 1 |
+
+  Scenario: Each zone's lease is held once
+    Then the instances together hold 2 leases by their metrics
+
+  Scenario Outline: The address answers for the metrics alone
+    When <target> is asked for at the metrics address
+    Then the answer is <status>
+
+    Examples:
+      | target       | status |
+      | /metrics     | 200    |
+      | /metrics?a=b | 200    |
+      | /            | 404    |
--- a/tests/management/commands.feature
+++ b/tests/management/commands.feature
@@ -19,6 +19,7 @@
       | endpoints      | copies, pins and queues                   |
       | burn           | burns its error budget                    |
       | check          | stand in environment variables            |
+      | explain        | what became of a request                  |
 
   Scenario: A session from proposal to report
     Given a platform, an engine and 2 instances in 2 zones
--- a/tests/steps/log_steps.py
+++ b/tests/steps/log_steps.py
@@ -25,7 +25,7 @@
     handlers, verbosity = list(root.handlers), logging.get_verbosity()
     context.reader, context.writer = os.pipe()
     os.set_blocking(context.reader, False)
-    context.buffer = logs.use_json(context.writer)
+    context.buffer = logs.use_json("i-1", context.writer)
     context.log = logs.PartLog("part")
     previous = signal.signal(signal.SIGPIPE, signal.SIG_IGN)
 
@@ -75,12 +75,18 @@
     context.buffer.flush()
 
 
-@then('one line is read with event "{name}", zone "{zone}", a time and a level')
+@then('one line is read with event "{name}", zone "{zone}", and what all lines have')
 def step_line(context, name, zone):
     """Check the object of an event."""
     (line,) = _read_lines(context)
     assert line.pop("time") > 0
-    wanted = {"level": "info", "part": "part", "event": name, "zone": zone}
+    wanted = {
+        "level": "info",
+        "instance": "i-1",
+        "part": "part",
+        "event": name,
+        "zone": zone,
+    }
     assert line == wanted, line
 
 
--- /dev/null
+++ b/tests/steps/measure_steps.py
@@ -0,0 +1,54 @@
+"""Steps on the metrics of an instance of the interface routes."""
+
+from behave import then, when
+
+from roadlift.http.messages import Received
+from roadlift.instance.measures import Measures
+
+
+def _render(entry):
+    return entry.kernel.get(Measures).render().decode()
+
+
+@then('the metrics of a hold "{sample}"')
+def step_hold(context, sample):
+    """Check a sample; its value is written as a whole number here."""
+    text = _render(context.entries.entries["a"])
+    assert f"{sample}.0" in text.splitlines(), text
+
+
+@then("the instances together hold {count:d} leases by their metrics")
+def step_leases(context, count):
+    """Add the gauges up."""
+    held = 0.0
+    for entry in context.entries.entries.values():
+        for line in _render(entry).splitlines():
+            if line.startswith("roadlift_held_leases "):
+                held += float(line.split()[1])
+    assert held == count, held
+
+
+class _Answered:
+    """Keeps the answer that a handler gives."""
+
+    def __init__(self):
+        self.status = 0
+
+    def answer(self, status, headers, body):
+        """Keep the status; a body is always there."""
+        assert body and headers["Content-Type"].startswith("text/plain")
+        self.status = status
+
+
+@when("{target} is asked for at the metrics address")
+def step_ask_metrics(context, target):
+    """Hand a request to what serves the metrics."""
+    context.answered = _Answered()
+    measures = context.entries.entries["a"].kernel.get(Measures)
+    measures.handle(Received("GET", target, {}, b""), context.answered)
+
+
+@then("the answer is {status:d}")
+def step_status(context, status):
+    """Check the status."""
+    assert context.answered.status == status
