Read a report while an unload holds up an engine's other orders

Change: while an unload or a replacement waits and adapters arrive, the report is read each 0.15 s, and what it shows as held is told at once. The explanation names unloads that waited, and leaves polls out that told nothing.

--- a/roadlift/explanation/story.py
+++ b/roadlift/explanation/story.py
@@ -81,6 +81,11 @@
         return True
     if line.name in _HERE:
         return line.instance == end.instance
+    if line.name == "order" and _is_waiting_unload(line, met):
+        return True
+    if line.name == "order" and line.fields.get("is_poll"):
+        is_telling = line.fields.get("result") != "accepted"
+        return is_telling and line.fields.get("model") == end.fields.get("model")
     if line.name in ("order", "load_denied", "version_declared", "spread"):
         return line.fields.get("model") == end.fields.get("model")
     if line.name in _OWN:
@@ -88,6 +93,14 @@
     return line.fields.get("endpoint") in met
 
 
+def _is_waiting_unload(line: Line, met: set[str]) -> bool:
+    """Tell whether an unload began to wait for calls to end at an engine."""
+    fields = line.fields
+    is_accepted = fields.get("result") == "accepted" and not fields.get("is_poll")
+    is_unload = fields.get("action") == "unload"
+    return is_unload and is_accepted and fields.get("endpoint") in met
+
+
 def _tell(line: Line, began: float, is_own: bool) -> Event:
     fields = " ".join(
         f"{name}={value}"
@@ -144,6 +157,12 @@
     if silent:
         total = sum(results.values())
         causes.append(f"{silent} of {total} orders to its engines got no answer")
+    causes += [
+        f"an unload of {line.fields.get('model')} at {line.fields['endpoint']} waited "
+        "for its calls and held up the others"
+        for line in around
+        if line.name == "order" and _is_waiting_unload(line, met)
+    ]
     for name, text in (
         ("report_failed", "{} can't be reached by its owner"),
         ("endpoint_gone", "{} ended"),
--- a/roadlift/instance/owner.py
+++ b/roadlift/instance/owner.py
@@ -15,7 +15,7 @@
 from roadlift.serving.directory import Endpoint
 from roadlift.serving.engine import EngineBook, LoadTimes, Plan
 from roadlift.serving.messages import Ask, Denial, Listing, News, Pulse, Subscribe
-from roadlift.serving.orders import Order, OrderResult
+from roadlift.serving.orders import EngineReport, Order, OrderResult
 
 # Seconds for the answer to an order, which comes within some milliseconds and
 # may be sent again without harm: every unanswered one holds up its engine.
@@ -74,6 +74,8 @@
             return
         while (plan := self.book.plan(now)) is not None:
             self._send(plan)
+        if self.book.take_peek(now):
+            self._fetch_report(self._take_arrivals, self._fail_peek)
         if self.book.denied:
             self.on_change(self)
         wait = self.book.measure_wait(now)
@@ -134,34 +136,54 @@
 
     def _read_report(self) -> None:
         self._is_reading = True
+        self._fetch_report(self._take_report, self._fail_report)
+
+    def _fetch_report(
+        self,
+        on_report: Callable[[EngineReport], None],
+        on_error: Callable[[RoadliftError], None],
+    ) -> None:
+        """Read the engine's report, and pass it on while this is open."""
+
+        def take(answer: Answer) -> None:
+            """Read the answer."""
+            if not self._is_open:
+                return
+            try:
+                report = self._orders.read_report(answer)
+            except RoadliftError as error:
+                on_error(error)
+                return
+            log.event(
+                "report",
+                endpoint=self.endpoint.id,
+                sequence=report.sequence,
+                held=len(report.held),
+                arriving=len(report.arriving),
+            )
+            on_report(report)
+            self.advance()
+
         fetch(
             self._kernel.dialer,
             self.endpoint.address,
             self._orders.build_report(self.endpoint),
-            self._take_report,
-            self._fail_report,
+            take,
+            lambda error: on_error(error) if self._is_open else None,
             REPORT_TIMEOUT,
         )
 
-    def _take_report(self, answer: Answer) -> None:
+    def _take_report(self, report: EngineReport) -> None:
         self._is_reading = False
-        if not self._is_open:
-            return
-        try:
-            report = self._orders.read_report(answer)
-        except RoadliftError as error:
-            self._fail_report(error)
-            return
-        log.event(
-            "report",
-            endpoint=self.endpoint.id,
-            sequence=report.sequence,
-            held=len(report.held),
-            arriving=len(report.arriving),
-        )
         self.book.take_report(report, self._kernel.clock.now())
         self.on_report(self)
-        self.advance()
+
+    def _take_arrivals(self, report: EngineReport) -> None:
+        self.book.note_arrivals(report, self._kernel.clock.now())
+        self.on_change(self)
+
+    def _fail_peek(self, error: RoadliftError) -> None:
+        log.event("report_failed", endpoint=self.endpoint.id, error=str(error))
 
     def _fail_report(self, error: RoadliftError) -> None:
         self._is_reading = False
--- a/roadlift/serving/engine.py
+++ b/roadlift/serving/engine.py
@@ -43,6 +43,9 @@
 # a copy that runs calls would hold up all others until they end.
 PATIENCE = 0.15
 NO_VICTIM_PAUSE = 0.05  # Seconds until a victim is looked for again.
+# Seconds between reports that are read while an order holds up all others and
+# adapters arrive meanwhile. A report costs a hundredth of a load and less.
+PEEK_PERIOD = 0.15
 MOST_WANTED = 64  # Adapters that wait for one engine.
 # Seconds behind the last asking for an adapter at which nobody waits for it
 # any more; instances ask again each 0.3 s while a call waits.
@@ -169,6 +172,7 @@
         self._in_flight: Plan | None = None
         self._again: Plan | None = None
         self._poll: Plan | None = None
+        self._peek_at = 0.0
         self.sequence: int | None = None
         self.copies: dict[Model, Copy] = {}
         self.bases: set[str] = set()
@@ -322,6 +326,9 @@
             return None
         times = [] if self._poll is not None else self._list_poll_times()
         times += self._list_order_times(now)
+        if self._is_blocked():
+            arrivals = self._list_arrivals()
+            times += [max(at, self._peek_at) for at in arrivals]
         if not times:
             return None
         return max(0.0, min(times) - now, self._pause_until - now)
@@ -342,6 +349,33 @@
             return [max(now, self._hold_until)]
         return []
 
+    def _list_arrivals(self) -> list[float]:
+        """Return when adapters on their way are due to be asked after."""
+        return [
+            copy.poll_at
+            for copy in self.copies.values()
+            if copy.state is CopyState.ARRIVING
+        ]
+
+    def take_peek(self, now: float) -> bool:
+        """Tell whether to read a report for the adapters that arrive.
+
+        The engine answers no order while another waits for runs to end.
+        """
+        arrivals = self._list_arrivals()
+        is_due = bool(arrivals) and now >= max(self._peek_at, min(arrivals))
+        if not is_due or not self._is_blocked():
+            return False
+        self._peek_at = now + PEEK_PERIOD
+        return True
+
+    def note_arrivals(self, report: EngineReport, now: float) -> None:
+        """Learn from a report which of the arriving adapters are there."""
+        for held in report.held:
+            copy = self.copies.get(held.model)
+            if copy is not None and copy.state is CopyState.ARRIVING:
+                self._note_held(held.model, copy, held.version, now)
+
     def _is_full(self) -> bool:
         """Tell whether as many adapters are on their way as may be."""
         states = [copy.state for copy in self.copies.values()]
--- a/tests/explanation/explanation.feature
+++ b/tests/explanation/explanation.feature
@@ -20,6 +20,8 @@
       | 10 b load_denied endpoint=e1 model=m/x ; 10.5 a call_ended request=r1 outcome=refused seconds=1 model=m/x \| wait@0, ask@0 endpoint=e1 | refused | engines were full of adapters in use: 1 denials |
       | 10 b load_denied endpoint=e1 model=m/other ; 10.5 a call_ended request=r1 outcome=refused seconds=1 model=m/x \| wait@0, ask@0 endpoint=e1 | refused | its adapter was not loaded yet |
 
+      | 9 b order endpoint=e1 action=unload model=m/y result=accepted ; 10.5 a call_ended request=r1 outcome=refused seconds=1 model=m/x \| wait@0, ask@0 endpoint=e1 | refused | an unload of m/y at e1 waited for its calls and held up the others |
+
     Examples: Calls that were sent
       | lines | outcome | cause |
       | 10 b send_failed request=r2 endpoint=e1 error=connection_lost:_reset ; 10.5 a call_ended request=r1 outcome=failed error=connection_lost seconds=1 \| send@0 endpoint=e1, failed@0.9 error=connection_lost:_reset | failed | other sends to e1 failed as well: 1 connection_lost |
--- a/tests/serving/engine.feature
+++ b/tests/serving/engine.feature
@@ -90,6 +90,20 @@
       | 0 holds a and b, 1 misses a                                | +a +b -a  |
       | 0 holds a and b, 1 reports nothing                         | +a +b -a -b |
 
+  Scenario Outline: A report tells what arrives while an order holds up the others
+    When it happens in the book that "<history>"
+    Then at <at> a report <is read>, and the changes are "<changes>"
+
+    Examples:
+      | history                                                                              | at   | is read     | changes  |
+      | 0 wants b, 0 orders, 0.01 accepted                                                   | 0.1  | is not read |          |
+      | 0 reports a arriving, 0 wants b, 0 orders, 0.01 accepted                             | 1    | is not read |          |
+      | 0 holds a and b, 1 wants c, 1 orders, 1.01 accepted                                  | 1.5  | is not read | +a +b -a |
+      | 0 holds b with a arriving, 1 wants c, 1 orders, 1.01 accepted                        | 1.01 | is read     | +b -b    |
+      | 0 holds b with a arriving, 1 wants c, 1 orders, 1.01 accepted, 1.01 is peeked at     | 1.1  | is not read | +b -b    |
+      | 0 holds b with a arriving, 1 wants c, 1 orders, 1.01 accepted, 1.01 is peeked at     | 1.2  | is read     | +b -b    |
+      | 0 holds b with a arriving, 1 wants c, 1 orders, 1.01 accepted, 1.1 shows a and b     | 1.2  | is not read | +b -b +a |
+
   Scenario Outline: What an engine can't take is denied
     When it happens in the book that "<history>"
     Then a is denied
--- a/tests/steps/engine_steps.py
+++ b/tests/steps/engine_steps.py
@@ -72,10 +72,16 @@
         book.note_missing(_model(words[1]))
     elif did == "holds a and b":
         book.take_report(_report(held=("a", "b")), at)
+    elif did == "holds b with a arriving":
+        book.take_report(_report(held=("b",), arriving=("a",)), at)
     elif did == "reports nothing":
         book.take_report(_report(), at)
     elif did == "reports a arriving":
         book.take_report(_report(arriving=("a",)), at)
+    elif did == "is peeked at":
+        assert book.take_peek(at)
+    elif did == "shows a and b":
+        book.note_arrivals(_report(held=("a", "b")), at)
     elif did == "reports no base":
         book.take_report(_report(bases=()), at)
     else:
@@ -185,3 +191,17 @@
 def step_nothing(context):
     """Check that no order was due."""
     assert context.plan is None, context.plan
+
+
+@then('at {at:g} a report {is_read}, and the changes are "{changes}"')
+def step_peek(context, at, is_read, changes):
+    """Check whether a report is due, and what subscribers are told."""
+    assert context.book.take_peek(at) == (is_read == "is read"), is_read
+    step_changes(context, changes)
+
+
+@then('at {at:g} a report {is_read}, and the changes are ""')
+def step_peek_no_changes(context, at, is_read):
+    """Check whether a report is due, and that nothing is told."""
+    assert context.book.take_peek(at) == (is_read == "is read"), is_read
+    assert context.book.changes == [], context.book.changes
