Let the owner of a zone read the store for the zone's other instances

Change: a zone's owner tells the zone's own instances each change of an endpoint, and how far and how long ago it has read; heartbeats are not passed on. An instance reads by itself while it holds a lease, where the owner's last read is older than 1.4 s, counted from before the message that the owner answers, and the operator's table once when the owner knows a newer row. A gap brings the whole list. Instances tell what they use each 15 ms times their number, 0.25 s at most, as owners answer all of them.

--- a/roadlift/instance/follower.py
+++ b/roadlift/instance/follower.py
@@ -12,8 +12,9 @@
 from roadlift.instance.measures import Measures
 from roadlift.instance.platform import Platform
 from roadlift.serving.calls import Model
-from roadlift.serving.directory import Directory, Endpoint
+from roadlift.serving.directory import Directory, Endpoint, decode_endpoint
 from roadlift.serving.interfaces import Rows
+from roadlift.serving.messages import KnownState, ListNews
 from roadlift.serving.routes import Configuration, RouteTable
 
 # Seconds that a poll waits at the store. A poll whose answer is lost is
@@ -23,6 +24,11 @@
 # Seconds between reads of the list. Two fit into the two seconds after which
 # no call may reach an endpoint that drains; each read is a priced call.
 DIRECTORY_PERIOD = 0.7
+# Seconds behind an owner's read of the list until which an instance of its
+# zone need not read by itself: two periods of the owner's reads. It then
+# learns of an endpoint that leaves within 1.5 s, and the platform allows 2.
+RELAY_LIMIT = 1.4
+REST_LOOK = 0.1  # Seconds between looks whether an instance has to read again.
 RETRY_PAUSE = 0.2  # Seconds behind a read that failed.
 
 log = PartLog("follower")
@@ -42,6 +48,7 @@
         period: float,
         on_rows: Callable[[Rows, bool], None],
         on_return: Callable[[], None],
+        may_rest: Callable[[], bool],
     ) -> None:
         self._loop = kernel.loop
         self._clock = kernel.clock
@@ -52,7 +59,9 @@
         self._period = period
         self._on_rows = on_rows
         self._on_return = on_return
+        self._may_rest = may_rest
         self._version: int | None = None
+        self.is_resting = False
         self._is_open = True
         self._round = 0
         self.answered_at = kernel.clock.now()
@@ -71,10 +80,24 @@
         self._round += 1
         self._read(self._round)
 
+    @property
+    def version(self) -> int:
+        """Return the store's version as of which the table is known."""
+        return self._version or 0
+
+    def skip_to(self, version: int) -> None:
+        """Learn from another instance that nothing is new up to a version."""
+        if self._version is not None:
+            self._version = max(self._version, version)
+
     def _read(self, number: int) -> None:
         """Read; ``number`` is the round, of which only the newest counts."""
         if not self._is_open or number != self._round:
             return
+        self.is_resting = self._version is not None and self._may_rest()
+        if self.is_resting:
+            self._loop.call_later(REST_LOOK, lambda: self._read(number))
+            return
         is_whole = self._version is None
         take = lambda rows: self._take(number, rows, is_whole)
         fail = lambda error: self._fail(number, error)
@@ -126,6 +149,10 @@
         self.routes = RouteTable(())
         self.directory = Directory()
         self.versions: dict[Model, int] = {}
+        self.is_reader = lambda: True
+        self._relayed_until = 0.0
+        self._operator_version = 0
+        self._operator_target = 0
         self.on_configuration: list[Callable[[Configuration], None]] = []
         self.on_version: list[Callable[[Model, int], None]] = []
         self.on_directory: list[Callable[[], None]] = []
@@ -149,6 +176,7 @@
             0.0,
             self._take_operator,
             lambda: None,
+            lambda: self._is_relayed() and self._is_current(),
         )
         directory = TableReader(
             self._kernel,
@@ -157,6 +185,7 @@
             DIRECTORY_PERIOD,
             self._take_directory,
             self._note_return,
+            self._is_relayed,
         )
         self._readers = [operator, directory]
         for reader in self._readers:
@@ -169,6 +198,40 @@
         for reader in self._readers:
             reader.close()
 
+    def describe_state(self) -> KnownState:
+        """Return how far the platform's state is known here.
+
+        The serial of the list is the owner's to count.
+        """
+        reader = self._readers[1]
+        age = self._kernel.clock.now() - reader.answered_at
+        return KnownState(0, reader.version, round(age, 3), self._operator_version)
+
+    def note_state(self, state: KnownState, asked_at: float) -> None:
+        """Learn that an owner, whose list is known here, has read so far."""
+        self._relayed_until = asked_at + RELAY_LIMIT - state.list_age
+        self._operator_target = max(self._operator_target, state.operator_version)
+        if self._readers[1].is_resting:
+            self._readers[1].skip_to(state.list_version)
+            self._readers[1].answered_at = asked_at - state.list_age
+
+    def relay_list(self, news: ListNews) -> None:
+        """Take an owner's news of the list of endpoints."""
+        before = self.directory.revision
+        changed = [decode_endpoint(fields) for fields in news.changed]
+        for endpoint in changed:
+            self._log_change(endpoint, self._readers[1].version)
+        self.directory.relay(changed, news.gone, news.is_whole)
+        self._tell_directory(before)
+
+    def _is_relayed(self) -> bool:
+        """Tell whether an owner reads for this instance."""
+        return not self.is_reader() and self._kernel.clock.now() < self._relayed_until
+
+    def _is_current(self) -> bool:
+        """Tell whether the operator's newest row is known here."""
+        return self._operator_version >= self._operator_target
+
     def measure_list_age(self) -> float:
         """Return the seconds since the list of endpoints was read last."""
         return self._kernel.clock.now() - self._readers[1].answered_at
@@ -184,6 +247,7 @@
 
     def _take_operator(self, rows: Rows, is_whole: bool) -> None:
         for row in rows.rows:
+            self._operator_version = max(self._operator_version, row.version)
             try:
                 configuration = self._format.read_configuration(row)
                 declared = self._format.read_version(row)
--- a/roadlift/instance/owner.py
+++ b/roadlift/instance/owner.py
@@ -12,9 +12,17 @@
 from roadlift.instance.platform import Platform
 from roadlift.relay.upstream import Answer, fetch
 from roadlift.serving.calls import Model
-from roadlift.serving.directory import Endpoint
+from roadlift.serving.directory import Endpoint, encode_endpoint
 from roadlift.serving.engine import EngineBook, LoadTimes, Plan
-from roadlift.serving.messages import Ask, Denial, Listing, News, Pulse, Subscribe
+from roadlift.serving.messages import (
+    Ask,
+    Denial,
+    Listing,
+    ListNews,
+    News,
+    Pulse,
+    Subscribe,
+)
 from roadlift.serving.orders import EngineReport, Order, OrderResult
 
 # Seconds for the answer to an order, which comes within some milliseconds and
@@ -204,6 +212,9 @@
         self._zone = zone
         self._serial = 0
         self._subscribers: dict[str, float] = {}
+        self._home_subscribers: set[str] = set()
+        self._list_serial = 0
+        self._relayed: dict[str, Endpoint] = {}
         self._times = LoadTimes()
         self.fence = fence
         self.engines: dict[str, OwnedEngine] = {}
@@ -212,7 +223,7 @@
         """Give no more orders, and tell that an owner may be looked for."""
         for engine in self.engines.values():
             engine.close()
-        pulse = self._make_pulse(self._kernel.clock.now())
+        pulse = self._make_pulse(self._kernel.clock.now(), 0.0)
         for address in self._subscribers:
             self._transport.send(address, pulse)
 
@@ -232,6 +243,29 @@
         for endpoint, shape in found.values():
             if endpoint.id not in self.engines:
                 self._add(endpoint, shape)
+        self._relay_list()
+
+    def _relay_list(self) -> None:
+        """Tell the zone's own instances what changed in the list."""
+        known = {one.id: one for one in self._follower.directory.list_all()}
+        changed = [one for one in known.values() if self._relayed.get(one.id) != one]
+        gone = set(self._relayed) - set(known)
+        self._relayed = known
+        if not changed and not gone:
+            return
+        self._list_serial += 1
+        encoded = [encode_endpoint(one) for one in changed]
+        news = ListNews(
+            self._zone, self.fence, self._list_serial, False, encoded, list(gone)
+        )
+        for address in self._home_subscribers & set(self._subscribers):
+            self._transport.send(address, news)
+
+    def _send_list(self, address: str) -> None:
+        """Tell one instance the whole list."""
+        encoded = [encode_endpoint(one) for one in self._relayed.values()]
+        news = ListNews(self._zone, self.fence, self._list_serial, True, encoded, [])
+        self._transport.send(address, news)
 
     def _add(self, endpoint: Endpoint, shape) -> None:
         bases = tuple(model.name for model in shape.models)
@@ -263,7 +297,11 @@
         if (message.fence, message.serial) != (self.fence, self._serial):
             for engine in self.engines.values():
                 self._send_listing(message.address, engine)
-        self._transport.send(message.address, self._make_pulse(now))
+        if message.home == self._zone:
+            self._home_subscribers.add(message.address)
+            if message.list_news != [self.fence, self._list_serial]:
+                self._send_list(message.address)
+        self._transport.send(message.address, self._make_pulse(now, message.at))
 
     def take_ask(self, message: Ask) -> None:
         """Load an adapter, or deny it."""
@@ -290,6 +328,7 @@
         for address, heard in list(self._subscribers.items()):
             if now - heard > SUBSCRIBER_LIMIT:
                 del self._subscribers[address]
+                self._home_subscribers.discard(address)
                 for engine in self.engines.values():
                     engine.book.forget_instance(address)
                 self._transport.disconnect(address)
@@ -297,7 +336,8 @@
     def _is_ready(self, now: float) -> bool:
         return self._kernel.get(Leases).get(self._zone).may_order(now)
 
-    def _make_pulse(self, now: float) -> Pulse:
+    def _make_pulse(self, now: float, asked_at: float) -> Pulse:
+        state = self._follower.describe_state()
         return Pulse(
             self._zone,
             self.fence,
@@ -305,6 +345,8 @@
             len(self._subscribers),
             self._is_ready(now),
             [[name, one.book.count_running()] for name, one in self.engines.items()],
+            list(state._replace(list_serial=self._list_serial)),
+            asked_at,
         )
 
     def _send_listing(self, address: str, engine: OwnedEngine) -> None:
@@ -421,7 +463,8 @@
         When the zone is cut off, an owner inside it goes on for a while.
         """
         now = self._kernel.clock.now()
-        if message.home != message.zone or message.zone == self._kernel.settings.zone:
+        is_home = message.home == message.zone and message.is_candidate
+        if not is_home or message.zone == self._kernel.settings.zone:
             return False
         last = self._handed_back.get(message.zone, float("-inf"))
         is_due = now - last >= HAND_BACK_PERIOD
--- a/roadlift/instance/placing.py
+++ b/roadlift/instance/placing.py
@@ -11,7 +11,16 @@
 from roadlift.serving.calls import Model
 from roadlift.serving.directory import Endpoint
 from roadlift.serving.health import Health
-from roadlift.serving.messages import Ask, Denial, Listing, News, Pulse, Subscribe
+from roadlift.serving.messages import (
+    Ask,
+    Denial,
+    KnownState,
+    Listing,
+    ListNews,
+    News,
+    Pulse,
+    Subscribe,
+)
 from roadlift.serving.pace import Paces
 from roadlift.serving.residency import Residency
 from roadlift.serving.selection import (
@@ -25,8 +34,10 @@
 
 SUBSCRIBE_PERIOD = 0.25  # Seconds between messages to each owner at most.
 # The same where calls have begun or ended since, which tell the owner what it
-# may evict and all others how full its engines are.
-TELL_PERIOD = 0.1
+# may evict and all others how full its engines are: so many for each instance,
+# as the owner answers all of them.
+TELL_PERIOD = 0.015
+TELL_TICK = 0.1  # Seconds between looks at what is to be told.
 ASK_PERIOD = 0.3  # Seconds after which an asking is sent again.
 SPREAD_PRIORITY = 9  # A further copy waits behind every call's own.
 CANDIDATES = 3  # Engines that are asked in turn for one adapter.
@@ -105,6 +116,7 @@
         self._uses: dict[str, dict[tuple[str, Model], int]] = {}
         self._running: dict[tuple[str, Model], int] = {}
         self._news: dict[str, tuple[int, int]] = {}
+        self._list_news = (0, 0)
         self._pulses: dict[str, tuple[float, Pulse]] = {}
         self._subscribed_at: dict[str, float] = {}
         self._told: dict[str, Told] = {}
@@ -115,6 +127,8 @@
         self._transport.subscribe((Listing,), self._take_listing)
         self._transport.subscribe((News,), self._take_news)
         self._transport.subscribe((Denial,), self._take_denial)
+        self._transport.subscribe((ListNews,), self._take_list_news)
+        self._follower.is_reader = lambda: bool(self._leases.list_held())
         self._follower.on_directory.append(self._forget_gone)
         self._leases.on_change.append(lambda zone: self._subscribe_zone(zone))
 
@@ -122,7 +136,7 @@
         """Begin to subscribe and to ask again."""
         loop = self._kernel.loop
         self._timers = [
-            loop.call_every(TELL_PERIOD, self._subscribe),
+            loop.call_every(TELL_TICK, self._subscribe),
             loop.call_every(ASK_PERIOD, self._ask_again),
         ]
 
@@ -339,7 +353,10 @@
         now = self._kernel.clock.now()
         for zone in self._leases.list_zones():
             last = self._subscribed_at.get(zone, float("-inf"))
-            if self._uses.get(zone) or now - last >= SUBSCRIBE_PERIOD:
+            period = SUBSCRIBE_PERIOD
+            if self._uses.get(zone):
+                period = min(period, TELL_PERIOD * self.count_instances())
+            if now - last >= period - TELL_TICK / 2:
                 self._subscribe_zone(zone)
 
     def _subscribe_zone(self, zone: str) -> None:
@@ -354,8 +371,19 @@
         fence, serial = self._news.get(zone, (0, 0))
         own = self._kernel.settings.peer
         is_candidate = self._leases.is_candidate and self._follower.is_reachable
-        home = self._kernel.settings.zone if is_candidate else ""
-        self._transport.send(owner, Subscribe(own, home, zone, fence, serial, uses))
+        home = self._kernel.settings.zone
+        subscription = Subscribe(
+            own,
+            home,
+            is_candidate,
+            zone,
+            fence,
+            serial,
+            list(self._list_news),
+            self._kernel.clock.now(),
+            uses,
+        )
+        self._transport.send(owner, subscription)
 
     def _take_pulse(self, sender: str, pulse: Pulse) -> None:
         self._pulses[pulse.zone] = (self._kernel.clock.now(), pulse)
@@ -363,6 +391,20 @@
             own = self.health.count_running(endpoint)
             self._told[endpoint] = Told(running, own, self._kernel.clock.now())
         self._leases.note_pulse(pulse.zone, pulse.is_ready)
+        state = KnownState(*pulse.state)
+        is_current = (pulse.fence, state.list_serial) == self._list_news
+        if pulse.zone == self._kernel.settings.zone and is_current:
+            self._follower.note_state(state, pulse.asked_at)
+
+    def _take_list_news(self, sender: str, news: ListNews) -> None:
+        fence, serial = self._list_news
+        is_next = (news.fence, news.serial) == (fence, serial + 1)
+        if news.zone != self._kernel.settings.zone or self._leases.list_held():
+            return
+        if news.is_whole or is_next:
+            # Behind a gap the next subscription brings the whole list.
+            self._list_news = (news.fence, news.serial)
+            self._follower.relay_list(news)
 
     def _take_listing(self, sender: str, listing: Listing) -> None:
         if not self._note_serial(listing, True):
--- a/roadlift/serving/directory.py
+++ b/roadlift/serving/directory.py
@@ -38,6 +38,20 @@
         return any(model.name == base for model in self.models)
 
 
+def encode_endpoint(endpoint: Endpoint) -> list:
+    """Return an endpoint as a list for a message."""
+    models = [list(model) for model in endpoint.models]
+    address = list(endpoint.address)
+    return [*endpoint._replace(address=address, models=models)]
+
+
+def decode_endpoint(fields: list) -> Endpoint:
+    """Read what encode_endpoint made."""
+    endpoint = Endpoint(*fields)
+    models = tuple(HeldModel(*model) for model in endpoint.models)
+    return endpoint._replace(address=Address(*endpoint.address), models=models)
+
+
 class Directory:
     """The endpoints by id and by service.
 
@@ -81,6 +95,19 @@
         for vanished in set(self._endpoints) - set(endpoints):
             self.remove(vanished, now)
 
+    def relay(
+        self, changed: Iterable[Endpoint], gone: Iterable[str], is_whole: bool
+    ) -> None:
+        """Take what another instance knows, which has borne with the grace."""
+        self.is_known = True
+        kept = set()
+        for endpoint in changed:
+            kept.add(endpoint.id)
+            self.put(endpoint)
+        removed = set(self._endpoints) - kept if is_whole else set(gone)
+        for endpoint_id in removed & set(self._endpoints):
+            self._drop(endpoint_id)
+
     def put(self, endpoint: Endpoint) -> None:
         """Take an entry that is new or has changed."""
         self._missing.discard(endpoint.id)
--- a/roadlift/serving/messages.py
+++ b/roadlift/serving/messages.py
@@ -10,24 +10,45 @@
     """Tell an owner that an instance lives and what it used since.
 
     ``uses`` are [engine, base model, adapter, calls begun since, calls that
-    run]; ``fence`` and ``serial`` are of the last news from the owner;
-    ``home`` is the instance's own zone where it can take leases, or empty.
+    run]; ``fence`` and ``serial`` are of the last news from the owner, and
+    ``list_news`` [fence, serial] of its last news of the list of endpoints;
+    ``home`` is the instance's own zone, ``is_candidate`` whether it can take
+    leases; ``at`` is the instance's own time, which the answer repeats.
     """
 
     address: str
     home: str
+    is_candidate: bool
     zone: str
     fence: int
     serial: int
+    list_news: list
+    at: float
     uses: list
 
 
+class KnownState(NamedTuple):
+    """How far an owner has read the platform's state.
+
+    ``list_serial`` counts the changes of the list of endpoints in its term,
+    as of the store's ``list_version``, which was read ``list_age`` seconds
+    ago; ``operator_version`` is of the operator's newest row.
+    """
+
+    list_serial: int
+    list_version: int
+    list_age: float
+    operator_version: int
+
+
 @message("sp")
 class Pulse(NamedTuple):
     """Tell a subscriber that the owner lives, and how far its news go.
 
     ``instances`` counts those that subscribe; ``is_ready`` tells that the
-    owner may give orders; ``running`` are [engine, calls of all instances].
+    owner may give orders; ``running`` are [engine, calls of all instances];
+    ``state`` are the fields of a KnownState, and ``asked_at`` is repeated from
+    the message that this one answers, or 0.
     """
 
     zone: str
@@ -36,6 +57,8 @@
     instances: int
     is_ready: bool
     running: list
+    state: list
+    asked_at: float
 
 
 @message("sl")
@@ -89,3 +112,19 @@
     endpoint: str
     base: str
     adapter: str
+
+
+@message("sw")
+class ListNews(NamedTuple):
+    """Tell how the list of endpoints changed, to the instances of a zone.
+
+    ``changed`` are endpoints as ``encode_endpoint`` makes them; ``gone`` are
+    ids; with ``is_whole`` the list holds nothing else.
+    """
+
+    zone: str
+    fence: int
+    serial: int
+    is_whole: bool
+    changed: list
+    gone: list
--- a/standins/installation.py
+++ b/standins/installation.py
@@ -9,6 +9,7 @@
 import heapq
 import itertools
 import json
+from collections import Counter
 from collections.abc import Callable
 from typing import NamedTuple
 from urllib.parse import parse_qsl
@@ -438,6 +439,7 @@
         self.runners: dict[str, Runner] = {}
         self.versions: dict[str, int] = {}
         self.cut_from_store: set[MemoryDialer] = set()
+        self.store_calls: Counter[MemoryDialer] = Counter()
 
     def add_runner(self, service: str, name: str, zone: str, base: str) -> Runner:
         """Start a runner that registers itself."""
@@ -466,6 +468,7 @@
             return
         if address == self.store_address:
             line.written = True
+            self.store_calls[dialer] += 1
             if not self.store.is_down and dialer not in self.cut_from_store:
                 self.store.handle(request, line)
             return
--- a/tests/instance/instance.feature
+++ b/tests/instance/instance.feature
@@ -144,6 +144,38 @@
     And an idempotent call is sent to a
     Then it gets 503 within 0.01 seconds
 
+  Scenario: An owner reads the store for the instances of its zone
+    When 5 seconds pass
+    Then the instance of z1 that owns nothing has called the store once at most since
+
+  Scenario Outline: An instance that reads nothing still learns in time of a leaving
+    When 5 seconds pass
+    And <trouble>
+    And p1 drains and 1.9 seconds pass
+    And 20 idempotent calls are sent to the instance of z1 that owns nothing
+    Then all get 200
+    And p1 has run none of them
+
+    Examples:
+      | trouble                               |
+      | nothing happens                       |
+      | the owner of z1 dies                  |
+      | the owner of z1 is cut from the store |
+      | the owner of z1 leaves                |
+
+  Scenario Outline: An instance that reads nothing still learns of a configuration
+    When 5 seconds pass
+    And <trouble>
+    And a route is added and 1.9 seconds pass
+    And a call of the added route is sent to the instance of z1 that owns nothing
+    Then it gets 200 within 0.1 seconds
+
+    Examples:
+      | trouble                               |
+      | nothing happens                       |
+      | the owner of z1 dies                  |
+      | the owner of z1 is cut from the store |
+
   Scenario: A history that is gone is read anew
     When the store forgets its history while p1 vanishes
     And 2 seconds pass
--- a/tests/steps/instance_steps.py
+++ b/tests/steps/instance_steps.py
@@ -28,6 +28,7 @@
     "a stream of an adapter": ("/stream/1", _ADAPTER),
     "a resumable stream": ("/again/1", _STREAM),
     "a call without a route": ("/nowhere/1", {}),
+    "a call of the added route": ("/added/1", {}),
     "a call without an id": ("/idem/1", {"request-id": ""}),
     "an idempotent call with 300 ms": ("/idem/1", {"deadline-ms": "300"}),
     "an idempotent call with the headers of the system": ("/idem/1", _OWN),
@@ -190,12 +191,59 @@
 @when("20 idempotent calls are sent to a")
 def step_send_many(context):
     """Send calls one after the other."""
+    _send_many(context, "a")
+
+
+@when("20 idempotent calls are sent to the instance of z1 that owns nothing")
+def step_send_many_other(context):
+    """Send calls to the instance that others read for."""
+    _send_many(context, context.other)
+
+
+def _send_many(context, name):
     context.first = len(context.entries.callers)
     for _ in range(20):
-        _send(context, "an idempotent call", "a")
+        _send(context, "an idempotent call", name)
         context.entries.advance(0.05)
 
 
+@when("a call of the added route is sent to the instance of z1 that owns nothing")
+def step_send_added(context):
+    """Send a call to the instance that others read for."""
+    _send(context, "a call of the added route", context.other)
+
+
+@when("a route is added and {seconds:g} seconds pass")
+def step_add_route(context, seconds):
+    """Write a further configuration."""
+    added = make_route("/added/", "idempotent", "plain")
+    context.entries.configure([*_ROUTES, added], _SERVICES)
+    context.entries.advance(seconds)
+
+
+@when("nothing happens")
+def step_calm(context):
+    """Note which instance of z1 owns nothing."""
+    _note_other(context)
+
+
+def _note_other(context):
+    """Keep the instance of z1 that has no lease."""
+    owner = _find_owner(context, "z1")
+    context.other = "b" if owner == "a" else "a"
+
+
+@then("the instance of z1 that owns nothing has called the store once at most since")
+def step_rests(context):
+    """Count its calls of 5 further seconds."""
+    _note_other(context)
+    entry = context.entries.entries[context.other]
+    calls = context.entries.installation.store_calls
+    before = calls[entry.dialer]
+    context.entries.advance(5.0)
+    assert calls[entry.dialer] - before <= 1, calls[entry.dialer] - before
+
+
 @when("streams of {count:d} adapters are sent to {name}, one each {gap:g} seconds")
 def step_send_adapters(context, count, name, gap):
     """Send streams of different adapters."""
@@ -296,12 +344,14 @@
 @when("the owner of z1 dies")
 def step_owner_dies(context):
     """Kill the owner."""
+    _note_other(context)
     context.entries.end(_find_owner(context, "z1"))
 
 
 @when("the owner of z1 is cut from the store")
 def step_owner_cut(context):
     """Cut the owner from the store alone."""
+    _note_other(context)
     entry = context.entries.entries[_find_owner(context, "z1")]
     context.entries.installation.cut_from_store.add(entry.dialer)
 
@@ -318,6 +368,7 @@
 @when("the owner of z1 leaves")
 def step_owner_leaves(context):
     """Tell the owner to leave."""
+    _note_other(context)
     context.entries.entries[_find_owner(context, "z1")].ingress.leave()
 
 
