Hold loads of base models to the weight store's rate

A repeated order for a base model was counted as accepted once more, so that the next order met another count.

Change: each zone's owner begins an equal part of the rate; repeating the order takes no part of it and is not counted.

--- a/roadlift/instance/owner.py
+++ b/roadlift/instance/owner.py
@@ -13,7 +13,7 @@
 from roadlift.relay.upstream import Answer, fetch
 from roadlift.serving.calls import Model
 from roadlift.serving.directory import Endpoint, encode_endpoint
-from roadlift.serving.engine import EngineBook, LoadTimes, Plan
+from roadlift.serving.engine import BaseLoads, EngineBook, LoadTimes, Plan
 from roadlift.serving.messages import (
     Ask,
     Denial,
@@ -216,6 +216,7 @@
         self._list_serial = 0
         self._relayed: dict[str, Endpoint] = {}
         self._times = LoadTimes()
+        self._base_loads: BaseLoads | None = None
         self.fence = fence
         self.engines: dict[str, OwnedEngine] = {}
 
@@ -269,7 +270,10 @@
 
     def _add(self, endpoint: Endpoint, shape) -> None:
         bases = tuple(model.name for model in shape.models)
-        book = EngineBook(shape.adapter_slots, bases, self._times)
+        if self._base_loads is None:
+            zones = len(self._kernel.get(Leases).list_zones())
+            self._base_loads = BaseLoads(shape.loads_per_second / zones)
+        book = EngineBook(shape.adapter_slots, bases, self._times, self._base_loads)
         engine = OwnedEngine(self._kernel, self._zone, endpoint, book)
         engine.on_change = self._spread
         engine.on_report = self._spread_listing
--- a/roadlift/serving/engine.py
+++ b/roadlift/serving/engine.py
@@ -122,6 +122,26 @@
     tries: int = 0
 
 
+class BaseLoads:
+    """The share of one owner in the weight store's rate for base models.
+
+    The platform bounds how many loads from the weight store begin within some
+    seconds over all engines; owners have no common count, so each zone's has
+    an equal part. ``rate`` is in loads a second, 0 where none is told.
+    """
+
+    def __init__(self, rate: float) -> None:
+        self._gap = 1.0 / rate if rate > 0 else 0.0
+        self.next_at = 0.0
+
+    def take(self, now: float) -> bool:
+        """Begin a load, if one is due."""
+        if now < self.next_at:
+            return False
+        self.next_at = now + self._gap
+        return True
+
+
 class LoadTimes:
     """How long the loads of an owner's engines take, in seconds.
 
@@ -157,9 +177,17 @@
     tells that the adapter is gone. ``denied`` gathers what will not be loaded.
     """
 
-    def __init__(self, slots: int, bases: tuple[str, ...], times: LoadTimes) -> None:
+    def __init__(
+        self,
+        slots: int,
+        bases: tuple[str, ...],
+        times: LoadTimes,
+        base_loads: "BaseLoads",
+    ) -> None:
         self._slots = slots
         self._times = times
+        self._base_loads = base_loads
+        self._is_base_ordered = False
         self._seen: set[Model] = set()
         self._wanted_bases = bases
         self._base_poll_at = 0.0
@@ -432,6 +460,9 @@
         """Load the base model of an engine that holds none."""
         if self.bases or not self._wanted_bases or now < self._base_poll_at:
             return None
+        if not self._is_base_ordered and not self._base_loads.take(now):
+            self._base_poll_at = self._base_loads.next_at
+            return None
         return Plan(Action.LOAD, Model(self._wanted_bases[0]), None)
 
     def _choose_poll(self, now: float) -> Plan | None:
@@ -499,7 +530,8 @@
         if result is OrderResult.DONE:
             self._finish(plan, now)
         elif result is OrderResult.ACCEPTED:
-            self.sequence += 1
+            is_repeated = not plan.model.adapter and self._is_base_ordered
+            self.sequence += 0 if is_repeated else 1
             self._await(plan, now)
         elif result is OrderResult.UNKNOWN and plan.tries < MOST_RESENDS:
             self._again = plan._replace(tries=plan.tries + 1)
@@ -554,6 +586,7 @@
         """
         if not plan.model.adapter:
             self.bases.add(plan.model.base)
+            self._is_base_ordered = False
             return
         if plan.action is Action.UNLOAD:
             self.sequence += 1
@@ -567,6 +600,7 @@
 
     def _await(self, plan: Plan, now: float) -> None:
         if not plan.model.adapter:
+            self._is_base_ordered = True
             self._base_poll_at = now + BASE_POLL
             return
         copy = self.copies.get(plan.model)
--- a/tests/serving/engine.feature
+++ b/tests/serving/engine.feature
@@ -55,6 +55,9 @@
       | 0 reports no base                                                             | 0    | load the base     |
       | 0 reports no base, 0 orders, 0.01 accepted                                    | 0.1  | none              |
       | 0 reports no base, 0 orders, 0.01 accepted                                    | 0.4  | load the base     |
+      | 0 reports no base, 0 another engine loads its base                            | 0.9  | none              |
+      | 0 reports no base, 0 another engine loads its base                            | 1    | load the base     |
+      | 0 reports no base, 0 orders, 0.01 accepted, 1 another engine loads its base   | 1.1  | load the base     |
       | 0 reports no base, 0 orders, 0.01 done, 0.02 wants a                          | 0.02 | load a            |
       | 0 wants a, 0 orders, 0.01 accepted, 0.04 orders, 0.05 done, 0.06 wants b, 0.06 orders, 0.07 done, 0.08 wants c | 0.1 | none |
 
@@ -73,6 +76,7 @@
       | 0 wants a, 0 orders, 0.01 unknown, 0.01 orders, 0.02 done                | 1        |
       | 0 holds a and b, 1 wants c, 1 orders, 1.01 unknown, 1.01 orders, 1.02 done | 1      |
       | 0 wants a, 0 orders, 0.01 accepted, 0.05 orders, 0.05 unknown            | 1        |
+      | 0 reports no base, 0 orders, 0.01 accepted, 0.4 orders, 0.41 accepted    | 1        |
       | 0 holds a and b, 1 wants c, 1 orders, 1.01 accepted, 1.1 orders, 1.1 done | 1       |
 
   Scenario Outline: What the subscribers are told
--- a/tests/steps/engine_steps.py
+++ b/tests/steps/engine_steps.py
@@ -8,6 +8,7 @@
     MOST_POLL,
     MOST_RESENDS,
     MOST_WANTED,
+    BaseLoads,
     EngineBook,
     LoadTimes,
 )
@@ -36,7 +37,8 @@
 def step_book(context):
     """Make a book that has read its engine's report."""
     context.times = LoadTimes()
-    context.book = EngineBook(2, (_BASE,), context.times)
+    context.base_loads = BaseLoads(1.0)
+    context.book = EngineBook(2, (_BASE,), context.times, context.base_loads)
     context.book.take_report(_report(), 0.0)
 
 
@@ -82,6 +84,8 @@
         assert book.take_peek(at)
     elif did == "shows a and b":
         book.note_arrivals(_report(held=("a", "b")), at)
+    elif did == "another engine loads its base":
+        assert context.base_loads.take(at)
     elif did == "reports no base":
         book.take_report(_report(bases=()), at)
     else:
