--- a/roadlift/serving/selection.py
+++ b/roadlift/serving/selection.py
@@ -18,6 +18,7 @@
 # docs/internals/platform.md has the figures.
 MOST_LOAD = 1.5
 SPARE_CALLS = 6.0
+SPARE_PART = 0.25  # The same as a part of the slots, of which the less counts.
 # Part of an engine's fair share of a service's calls that one copy of an
 # adapter may bring it; a hotter adapter gets a further copy. Swept as well.
 SHARE_PER_COPY = 1.0
@@ -51,7 +52,9 @@
     loads = {one.id: load(one.id) for one in endpoints}
     if not loads:
         return set()
-    most = MOST_LOAD * sum(loads.values()) / len(loads) + SPARE_CALLS
+    slots = min(max(1, one.slots) for one in endpoints)
+    spare = min(SPARE_CALLS, SPARE_PART * slots)
+    most = MOST_LOAD * sum(loads.values()) / len(loads) + spare
     return {name for name, calls in loads.items() if calls > most}
 
 
--- a/tests/serving/serving.feature
+++ b/tests/serving/serving.feature
@@ -110,6 +110,21 @@
       | 0 | 0 | 3 | z2   | a        |
       | 0 | 0 | 1 | z2   | c        |
 
+  Scenario Outline: Engines much more loaded than the mean are overloaded
+    Given engines with <slots> slots that run <calls> calls
+    Then the overloaded ones are "<names>"
+
+    Examples:
+      | slots | calls     | names |
+      | 64    | 0 0 0 0   |       |
+      | 64    | 6 0 0 0   |       |
+      | 64    | 10 0 0 0  | e0    |
+      | 64    | 20 10 10 10 |     |
+      | 64    | 40 10 10 10 | e0  |
+      | 64    | 40 40 10 10 |     |
+      | 12    | 4 0 0 0   |       |
+      | 12    | 5 0 0 0   | e0    |
+
   Scenario Outline: A hot adapter gets as many copies as its share asks for
     Given <calls> calls of which <hot> in 100 are for one adapter, at 9 engines
     Then <copies> engines should hold it <seconds> seconds later
--- a/tests/steps/serving_steps.py
+++ b/tests/steps/serving_steps.py
@@ -12,6 +12,7 @@
     Homes,
     Popularity,
     choose_least_loaded,
+    find_overloaded,
     order_by_zones,
 )
 
@@ -175,6 +176,26 @@
     assert chosen.id == name, chosen.id
 
 
+@given("engines with {slots:d} slots that run {calls} calls")
+def step_loaded(context, slots, calls):
+    """Find the overloaded ones of some engines."""
+    counts = {f"e{index}": int(text) for index, text in enumerate(calls.split())}
+    engines = [_endpoint(name)._replace(slots=slots) for name in counts]
+    context.overloaded = find_overloaded(engines, counts.__getitem__)
+
+
+@then('the overloaded ones are "{names}"')
+def step_overloaded(context, names):
+    """Check which they are."""
+    assert sorted(context.overloaded) == names.split(), context.overloaded
+
+
+@then('the overloaded ones are ""')
+def step_none_overloaded(context):
+    """Check that there is none."""
+    assert not context.overloaded, context.overloaded
+
+
 @given("9 engines")
 def step_engines(context):
     """Make engines."""
