Tell instances the calls at engines only where they differ; split the owner

Cause: each instance got the calls at every engine of a zone 4 to 10 times a second: bytes that grow with instances times engines, 53 KB/s an instance at 667 engines a zone.

--- a/roadlift/instance/placing.py
+++ b/roadlift/instance/placing.py
@@ -55,12 +55,13 @@
 class Told(NamedTuple):
     """The calls that run at an engine as its owner told them.
 
-    ``own`` were this process's calls there ``at`` that time.
+    ``own`` were this process's calls there at that time; the owner is that of
+    ``zone``.
     """
 
     running: int
     own: int
-    at: float
+    zone: str
 
 
 class Waiter:
@@ -179,7 +180,10 @@
         """
         own = self.health.count_running(endpoint)
         told = self._told.get(endpoint)
-        if told is None or self._kernel.clock.now() - told.at > OWNER_LIMIT:
+        if told is None:
+            return own
+        heard, _ = self._pulses[told.zone]
+        if self._kernel.clock.now() - heard > OWNER_LIMIT:
             return own
         return max(own, told.running + own - told.own)
 
@@ -389,7 +393,7 @@
         self._pulses[pulse.zone] = (self._kernel.clock.now(), pulse)
         for endpoint, running in pulse.running:
             own = self.health.count_running(endpoint)
-            self._told[endpoint] = Told(running, own, self._kernel.clock.now())
+            self._told[endpoint] = Told(running, own, pulse.zone)
         self._leases.note_pulse(pulse.zone, pulse.is_ready)
         state = KnownState(*pulse.state)
         is_current = (pulse.fence, state.list_serial) == self._list_news
--- /dev/null
+++ b/roadlift/instance/term.py
@@ -0,0 +1,266 @@
+"""Look after the engines and the subscribers of one zone."""
+
+from roadlift.core.kernel import Kernel
+from roadlift.core.logs import PartLog
+from roadlift.daemon.transport import Transport
+from roadlift.instance.engine import OwnedEngine
+from roadlift.instance.follower import Follower
+from roadlift.instance.leases import Leases
+from roadlift.serving.calls import Model
+from roadlift.serving.directory import Endpoint, encode_endpoint
+from roadlift.serving.engine import BaseLoads, EngineBook, LoadTimes
+from roadlift.serving.messages import (
+    Ask,
+    Denial,
+    Listing,
+    ListNews,
+    News,
+    Pulse,
+    Subscribe,
+)
+
+TELL_ALL_PERIOD = 2.0  # Seconds between tellings of the calls at all engines.
+# Part by which an engine's calls must differ from what was told to be told
+# again: loads are compared by half and more (see serving/selection.py).
+TOLD_PART = 0.2
+SUBSCRIBER_LIMIT = 4.0  # Seconds of silence after which a subscriber is gone.
+
+log = PartLog("owner")
+
+
+class Told:
+    """What one subscriber was told of the calls at engines, and when all."""
+
+    __slots__ = ("all_at", "running")
+
+    def __init__(self) -> None:
+        self.all_at = float("-inf")
+        self.running: dict[str, int] = {}
+
+
+class Term:
+    """This process's time as the owner of one zone."""
+
+    def __init__(self, kernel: Kernel, zone: str, fence: int) -> None:
+        self._kernel = kernel
+        self._transport = kernel.get(Transport)
+        self._follower = kernel.get(Follower)
+        self._zone = zone
+        self._serial = 0
+        self._subscribers: dict[str, float] = {}
+        self._home_subscribers: set[str] = set()
+        self._told: dict[str, Told] = {}
+        self._list_serial = 0
+        self._relayed: dict[str, Endpoint] = {}
+        self._times = LoadTimes()
+        self._base_loads: BaseLoads | None = None
+        self.fence = fence
+        self.engines: dict[str, OwnedEngine] = {}
+
+    def close(self) -> None:
+        """Give no more orders, and tell that an owner may be looked for."""
+        for engine in self.engines.values():
+            engine.close()
+        pulse = self._make_pulse(self._kernel.clock.now(), 0.0, [])
+        for address in self._subscribers:
+            self._transport.send(address, pulse)
+
+    def update(self) -> None:
+        """Take up new engines of the zone, and drop those that left."""
+        configuration = self._follower.configuration
+        if configuration is None:
+            return
+        found = {}
+        for endpoint in self._follower.directory.list_all():
+            service = configuration.services.get(endpoint.service)
+            is_engine = service is not None and service.engine is not None
+            if endpoint.zone == self._zone and is_engine and not endpoint.is_draining:
+                found[endpoint.id] = (endpoint, service.engine)
+        for gone in set(self.engines) - set(found):
+            self.engines.pop(gone).close()
+        for endpoint, shape in found.values():
+            if endpoint.id not in self.engines:
+                self._add(endpoint, shape)
+        self._relay_list()
+
+    def _relay_list(self) -> None:
+        """Tell the zone's own instances what changed in the list."""
+        known = {one.id: one for one in self._follower.directory.list_all()}
+        changed = [one for one in known.values() if self._relayed.get(one.id) != one]
+        gone = set(self._relayed) - set(known)
+        self._relayed = known
+        if not changed and not gone:
+            return
+        self._list_serial += 1
+        encoded = [encode_endpoint(one) for one in changed]
+        news = ListNews(
+            self._zone, self.fence, self._list_serial, False, encoded, list(gone)
+        )
+        for address in self._home_subscribers & set(self._subscribers):
+            self._transport.send(address, news)
+
+    def _send_list(self, address: str) -> None:
+        """Tell one instance the whole list."""
+        encoded = [encode_endpoint(one) for one in self._relayed.values()]
+        news = ListNews(self._zone, self.fence, self._list_serial, True, encoded, [])
+        self._transport.send(address, news)
+
+    def _add(self, endpoint: Endpoint, shape) -> None:
+        bases = tuple(model.name for model in shape.models)
+        if self._base_loads is None:
+            zones = len(self._kernel.get(Leases).list_zones())
+            self._base_loads = BaseLoads(shape.loads_per_second / zones)
+        book = EngineBook(shape.adapter_slots, bases, self._times, self._base_loads)
+        engine = OwnedEngine(self._kernel, self._zone, endpoint, book)
+        engine.on_change = self._spread
+        engine.on_report = self._spread_listing
+        self.engines[endpoint.id] = engine
+        engine.advance()
+
+    def take_version(self, model: Model, version: int) -> None:
+        """Retire the copies of an adapter that are older."""
+        for engine in self.engines.values():
+            engine.book.retire(model, version)
+            self._spread(engine)
+
+    def take_subscription(self, message: Subscribe) -> None:
+        """Count the uses, and tell a subscriber what it lacks."""
+        now = self._kernel.clock.now()
+        self._subscribers[message.address] = now
+        for endpoint, base, adapter, begun, running in message.uses:
+            engine = self.engines.get(endpoint)
+            if engine is None:
+                continue
+            model = Model(base, adapter)
+            if begun:
+                engine.book.note_use(model, begun, now)
+            engine.book.note_running(message.address, model, running)
+        if (message.fence, message.serial) != (self.fence, self._serial):
+            for engine in self.engines.values():
+                self._send_listing(message.address, engine)
+        if message.home == self._zone:
+            self._home_subscribers.add(message.address)
+            if message.list_news != [self.fence, self._list_serial]:
+                self._send_list(message.address)
+        changed = self._list_changed(message.address, now)
+        pulse = self._make_pulse(now, message.at, changed)
+        self._transport.send(message.address, pulse)
+
+    def _list_changed(self, address: str, now: float) -> list:
+        """Return the calls at engines that are not as this instance knows.
+
+        All of them each TELL_ALL_PERIOD, as a message may have been dropped.
+        """
+        told = self._told.setdefault(address, Told())
+        if now - told.all_at >= TELL_ALL_PERIOD:
+            told.all_at = now
+            told.running.clear()
+        changed = []
+        for name, engine in self.engines.items():
+            running = engine.book.count_running()
+            known = told.running.get(name)
+            if known is None or abs(running - known) > TOLD_PART * known:
+                told.running[name] = running
+                changed.append([name, running])
+        return changed
+
+    def take_ask(self, message: Ask) -> None:
+        """Load an adapter, or deny it."""
+        now = self._kernel.clock.now()
+        engine = self.engines.get(message.endpoint)
+        model = Model(message.base, message.adapter)
+        if engine is None or not self._is_ready(now):
+            deny(self._transport, message)
+            return
+        if message.is_missing:
+            engine.book.note_missing(model)
+        if engine.book.holds(model, message.least):
+            version = engine.book.copies[model].version
+            self._tell(message.address, engine, model, version)
+            return
+        if not engine.book.want(model, message.least, message.priority, now):
+            deny(self._transport, message)
+            return
+        engine.advance()
+
+    def tick(self) -> None:
+        """Drop subscribers that fell silent."""
+        now = self._kernel.clock.now()
+        for address, heard in list(self._subscribers.items()):
+            if now - heard > SUBSCRIBER_LIMIT:
+                del self._subscribers[address]
+                self._home_subscribers.discard(address)
+                self._told.pop(address, None)
+                for engine in self.engines.values():
+                    engine.book.forget_instance(address)
+                self._transport.disconnect(address)
+
+    def _is_ready(self, now: float) -> bool:
+        return self._kernel.get(Leases).get(self._zone).may_order(now)
+
+    def _make_pulse(self, now: float, asked_at: float, running: list) -> Pulse:
+        state = self._follower.describe_state()
+        return Pulse(
+            self._zone,
+            self.fence,
+            self._serial,
+            len(self._subscribers),
+            self._is_ready(now),
+            running,
+            list(state._replace(list_serial=self._list_serial)),
+            asked_at,
+        )
+
+    def _send_listing(self, address: str, engine: OwnedEngine) -> None:
+        if engine.book.needs_report and not engine.book.copies:
+            # Nothing is known yet: what the last owner told still stands.
+            return
+        held = [
+            [model.base, model.adapter, version]
+            for model, version in engine.book.list_held().items()
+        ]
+        listing = Listing(
+            self._zone, self.fence, self._serial, engine.endpoint.id, held
+        )
+        self._transport.send(address, listing)
+
+    def _spread_listing(self, engine: OwnedEngine) -> None:
+        """Tell every subscriber all that an engine holds."""
+        engine.book.changes.clear()
+        for address in list(self._subscribers):
+            self._send_listing(address, engine)
+        self._spread(engine)
+
+    def _spread(self, engine: OwnedEngine) -> None:
+        """Tell every subscriber what changed at an engine."""
+        denied, engine.book.denied = engine.book.denied, []
+        for model in denied:
+            log.event("load_denied", endpoint=engine.endpoint.id, model=str(model))
+            denial = Denial(self._zone, engine.endpoint.id, *model)
+            for address in list(self._subscribers):
+                self._transport.send(address, denial)
+        changes, engine.book.changes = engine.book.changes, []
+        for model, version in changes:
+            self._serial += 1
+            for address in list(self._subscribers):
+                self._tell(address, engine, model, version)
+
+    def _tell(
+        self, address: str, engine: OwnedEngine, model: Model, version: int
+    ) -> None:
+        news = News(
+            self._zone,
+            self.fence,
+            self._serial,
+            engine.endpoint.id,
+            model.base,
+            model.adapter,
+            version,
+        )
+        self._transport.send(address, news)
+
+
+def deny(transport: Transport, ask: Ask) -> None:
+    """Tell an instance that what it asked for will not be loaded soon."""
+    denial = Denial(ask.zone, ask.endpoint, ask.base, ask.adapter)
+    transport.send(ask.address, denial)
--- a/roadlift/serving/messages.py
+++ b/roadlift/serving/messages.py
@@ -46,7 +46,8 @@
     """Tell a subscriber that the owner lives, and how far its news go.
 
     ``instances`` counts those that subscribe; ``is_ready`` tells that the
-    owner may give orders; ``running`` are [engine, calls of all instances];
+    owner may give orders; ``running`` are [engine, calls of all instances]
+    where they differ from what this subscriber was told;
     ``state`` are the fields of a KnownState, and ``asked_at`` is repeated from
     the message that this one answers, or 0.
     """
