Serve callers also where the metrics' address is taken

Change: the failure is logged and the instance serves without metrics. The test ended in an error before.

--- a/roadlift/instance/measures.py
+++ b/roadlift/instance/measures.py
@@ -11,6 +11,7 @@
 
 from roadlift.core.errors import ImproperlyConfigured
 from roadlift.core.kernel import Kernel, parts
+from roadlift.core.logs import PartLog
 from roadlift.http.connection import Connection
 from roadlift.http.messages import HttpLimits, Received
 from roadlift.http.server import Server
@@ -150,6 +151,9 @@
 )
 
 
+log = PartLog("measures")
+
+
 @parts.register("measures")
 class Measures:
     """The metrics of this process, and their address if one is set."""
@@ -170,9 +174,15 @@
             self._server = Server(kernel.loop, Address.parse(address), self, limits)
 
     def start(self) -> None:
-        """Serve the metrics."""
-        if self._server is not None:
+        """Serve the metrics; callers are served also where that fails."""
+        if self._server is None:
+            return
+        try:
             self._server.start()
+        except OSError as error:
+            self._server = None
+            address = self._kernel.settings.metrics
+            log.error("The metrics can't be served at %s: %s.", address, error)
 
     def close(self) -> None:
         """Serve no more."""
--- a/tests/instance/measures.feature
+++ b/tests/instance/measures.feature
@@ -33,3 +33,9 @@
       | /metrics     | 200    |
       | /metrics?a=b | 200    |
       | /            | 404    |
+
+  Scenario: An address that is taken keeps no callers waiting
+    Given a socket that listens at an address
+    When an instance d starts whose metrics have that address
+    And an idempotent call is sent to d
+    Then it gets 200 within 0.1 seconds
--- a/tests/steps/measure_steps.py
+++ b/tests/steps/measure_steps.py
@@ -1,6 +1,8 @@
 """Steps on the metrics of an instance of the interface routes."""
 
-from behave import then, when
+import socket
+
+from behave import given, then, when
 
 from roadlift.http.messages import Received
 from roadlift.instance.measures import Measures
@@ -52,3 +54,18 @@
 def step_status(context, status):
     """Check the status."""
     assert context.answered.status == status
+
+
+@given("a socket that listens at an address")
+def step_listen(context):
+    """Take a port of this machine."""
+    context.taken = socket.create_server(("127.0.0.1", 0))
+    context.add_cleanup(context.taken.close)
+
+
+@when("an instance d starts whose metrics have that address")
+def step_start_taken(context):
+    """Start an instance, and let it read the store."""
+    host, port = context.taken.getsockname()
+    context.entries.start("d", "z1", {"metrics": f"{host}:{port}"})
+    context.entries.advance(1.0)
--- a/tests/support/entries.py
+++ b/tests/support/entries.py
@@ -20,7 +20,9 @@
 class Entry:
     """One instance."""
 
-    def __init__(self, deployment: "Entries", name: str, zone: str) -> None:
+    def __init__(
+        self, deployment: "Entries", name: str, zone: str, more: dict[str, str]
+    ) -> None:
         self.name = name
         self.address = deployment.find_address(name)
         self.dialer = MemoryDialer(deployment.installation)
@@ -41,6 +43,7 @@
                 "store_timeout": 0.7,
                 "grace": 2.8,
                 "drain_limit": 8.0,
+                **more,
             }
         )
         self.kernel = Kernel(
@@ -79,9 +82,9 @@
         self._starts += 1
         return self._starts
 
-    def start(self, name: str, zone: str) -> Entry:
-        """Start an instance."""
-        self.entries[name] = Entry(self, name, zone)
+    def start(self, name: str, zone: str, more: dict[str, str] | None = None) -> Entry:
+        """Start an instance; ``more`` are settings beside the usual ones."""
+        self.entries[name] = Entry(self, name, zone, more or {})
         return self.entries[name]
 
     def end(self, name: str) -> None:
