Let an owner's old list replace no newer one

Cause: found on reading the change again. An owner that is cut from the store keeps its lease for 7 s and answers with the list as it last read it. An instance of its zone that had read the store by itself meanwhile, and then lost a message or restarted, was sent that whole list: an endpoint that drains came back into use there (rule DRAIN), and the instance's own reads of changes did not show it again.

Change: news of the list carry the store's version as of which they hold; an instance that knows a newer one ignores them, and reads on by itself until the owner has caught up. The whole list and its changes are made in one place.

--- a/roadlift/instance/follower.py
+++ b/roadlift/instance/follower.py
@@ -198,6 +198,11 @@
         for reader in self._readers:
             reader.close()
 
+    @property
+    def list_version(self) -> int:
+        """Return the store's version as of which the list is known here."""
+        return self._readers[1].version
+
     def describe_state(self) -> KnownState:
         """Return how far the platform's state is known here.
 
--- a/roadlift/instance/placing.py
+++ b/roadlift/instance/placing.py
@@ -407,6 +407,9 @@
         is_next = (news.fence, news.serial) == (fence, serial + 1)
         if news.zone != self._kernel.settings.zone or self._leases.list_held():
             return
+        if news.version < self._follower.list_version:
+            # An owner that is cut from the store knows less than this process.
+            return
         if news.is_whole or is_next:
             # Behind a gap the next subscription brings the whole list.
             self._list_news = (news.fence, news.serial)
--- a/roadlift/instance/term.py
+++ b/roadlift/instance/term.py
@@ -1,5 +1,7 @@
 """Look after the engines and the subscribers of one zone."""
 
+from collections.abc import Iterable
+
 from roadlift.core.kernel import Kernel
 from roadlift.core.logs import PartLog
 from roadlift.daemon.transport import Transport
@@ -104,18 +106,22 @@
         if not changed and not gone:
             return
         self._list_serial += 1
-        encoded = [encode_endpoint(one) for one in changed]
-        news = ListNews(
-            self._zone, self.fence, self._list_serial, False, encoded, list(gone)
-        )
+        news = self._make_list_news(changed, list(gone), False)
         for address in self._home_subscribers & set(self._subscribers):
             self._transport.send(address, news)
 
-    def _send_list(self, address: str) -> None:
-        """Tell one instance the whole list."""
-        encoded = [encode_endpoint(one) for one in self._relayed.values()]
-        news = ListNews(self._zone, self.fence, self._list_serial, True, encoded, [])
-        self._transport.send(address, news)
+    def _make_list_news(
+        self, changed: Iterable[Endpoint], gone: list[str], is_whole: bool
+    ) -> ListNews:
+        return ListNews(
+            self._zone,
+            self.fence,
+            self._list_serial,
+            self._follower.list_version,
+            is_whole,
+            [encode_endpoint(one) for one in changed],
+            gone,
+        )
 
     def _add(self, endpoint: Endpoint, shape) -> None:
         bases = tuple(model.name for model in shape.models)
@@ -153,7 +159,8 @@
         if message.home == self._zone:
             self._home_subscribers.add(message.address)
             if message.list_news != [self.fence, self._list_serial]:
-                self._send_list(message.address)
+                news = self._make_list_news(self._relayed.values(), [], True)
+                self._transport.send(message.address, news)
         changed = self._list_changed(message.address, now)
         pulse = self._make_pulse(now, message.at, changed)
         self._transport.send(message.address, pulse)
--- a/roadlift/serving/messages.py
+++ b/roadlift/serving/messages.py
@@ -130,13 +130,15 @@
 class ListNews(NamedTuple):
     """Tell how the list of endpoints changed, to the instances of a zone.
 
-    ``changed`` are endpoints as ``encode_endpoint`` makes them; ``gone`` are
-    ids; with ``is_whole`` the list holds nothing else.
+    The list is as of the store's ``version``; ``changed`` are endpoints as
+    ``encode_endpoint`` makes them; ``gone`` are ids; with ``is_whole`` the list
+    holds nothing else.
     """
 
     zone: str
     fence: int
     serial: int
+    version: int
     is_whole: bool
     changed: list
     gone: list
--- a/tests/instance/instance.feature
+++ b/tests/instance/instance.feature
@@ -163,6 +163,16 @@
       | the owner of z1 is cut from the store |
       | the owner of z1 leaves                |
 
+  Scenario: An owner's old list does not replace a newer one
+    When 5 seconds pass
+    And the owner of z1 is cut from the store
+    And p1 drains and 1.9 seconds pass
+    And the instance of z1 that owns nothing restarts
+    And 1 second passes
+    And 20 idempotent calls are sent to the instance of z1 that owns nothing
+    Then all get 200
+    And p1 has run none of them
+
   Scenario Outline: An instance that reads nothing still learns of a configuration
     When 5 seconds pass
     And <trouble>
--- a/tests/steps/instance_steps.py
+++ b/tests/steps/instance_steps.py
@@ -365,6 +365,13 @@
     context.entries.start(name, "z1")
 
 
+@when("the instance of z1 that owns nothing restarts")
+def step_other_restarts(context):
+    """Kill it, and start the next process of its instance."""
+    context.entries.end(context.other)
+    context.entries.start(context.other, "z1")
+
+
 @when("the owner of z1 leaves")
 def step_owner_leaves(context):
     """Tell the owner to leave."""
