--- a/roadlift/serving/messages.py
+++ b/roadlift/serving/messages.py
@@ -131,8 +131,8 @@
     """Tell how the list of endpoints changed, to the instances of a zone.
 
     The list is as of the store's ``version``; ``changed`` are endpoints as
-    ``encode_endpoint`` makes them; ``gone`` are ids; with ``is_whole`` the list
-    holds nothing else.
+    ``encode_endpoint`` makes them; ``gone`` are ids; with ``is_whole`` the
+    list holds nothing else.
     """
 
     zone: str
