Place calls by when their first event is expected; order wants by when they are due

Where all places are taken, wants were served by age, so that nearly all were late.

Change: instances tell owners the prompt tokens that are unread, within 4 ms an instance; owners tell all how loaded each engine is, with its free places. A call goes where its first event is expected first, loads, places, prices and zones counted in seconds; a further copy of a loaded adapter costs 0.5 s. One engine is asked at a time and the asking waits there 0.5 s instead of 0.15. Wants that can still be in time go before late ones, by when they are due.

--- /dev/null
+++ b/roadlift/decisions/placement.py
@@ -0,0 +1,107 @@
+"""Choose the engine of a call by when its first event is expected.
+
+Load pattern: prompts of very different length, more adapters in use than one
+engine has places for, and loads that cost time and money. Everything that a
+call would wait for at an engine is put into seconds and compared: the prompts
+ahead, its own prompt at the engine's speed, the load of its adapter, and a
+place for it.
+"""
+
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from roadlift.decisions.loading import LoadWaits, Source
+from roadlift.decisions.reading import ReadingTimes
+from roadlift.serving.directory import Endpoint
+
+# Seconds of waiting that a load from the weight store is as dear as, beside
+# the time that it takes: it is paid for.
+STORE_PRICE = 0.15
+# Seconds that a call's and its answer's bytes between zones are as dear as.
+ZONE_PRICE = 0.04
+# Seconds for each rank of an engine among the homes of an adapter that no
+# engine has: instances that ask at the same moment choose the same one.
+RANK_PRICE = 0.02
+
+
+# Seconds that a further copy of a loaded adapter is as dear as: it takes a
+# place for as long as calls run on it, of which there are few.
+COPY_PRICE = 0.5
+
+
+class Engine(NamedTuple):
+    """What an instance knows of an engine, for one call.
+
+    ``ahead`` are the prompt tokens to be read there before the call's;
+    ``places`` how many further adapters can be loaded now, negative where
+    others wait; ``source`` where the call's adapter is; ``rank`` the engine's
+    among the adapter's homes.
+    """
+
+    endpoint: Endpoint
+    ahead: float
+    places: int
+    source: Source
+    rank: int
+    can_load: bool
+
+
+class Need(NamedTuple):
+    """What a call needs: prompt tokens to be read, in a zone."""
+
+    tokens: int
+    zone: str
+
+
+class Option(NamedTuple):
+    """An engine for a call, and the seconds until the first event there.
+
+    ``cost`` adds what the choice costs beside the time.
+    """
+
+    engine: Engine
+    expected: float
+    cost: float
+
+
+def weigh(
+    need: Need, engine: Engine, reading: ReadingTimes, waits: LoadWaits, now: float
+) -> Option:
+    """Return when a call's first event is expected at an engine."""
+    pace = reading.estimate(engine.endpoint.id, now)
+    delay = waits.estimate(engine.source)
+    price = STORE_PRICE if engine.source is Source.STORE else 0.0
+    if engine.source is not Source.HELD and engine.places <= 0:
+        delay += waits.place_wait * (1 - engine.places)
+    # The prompts ahead are read while the adapter is loaded.
+    expected = max(delay, pace * engine.ahead) + pace * need.tokens
+    if engine.source is Source.STORE:
+        price += RANK_PRICE * engine.rank
+    if engine.endpoint.zone != need.zone:
+        price += ZONE_PRICE
+    return Option(engine, expected, expected + price)
+
+
+def choose_engine(
+    need: Need,
+    engines: Iterable[Engine],
+    reading: ReadingTimes,
+    waits: LoadWaits,
+    now: float,
+) -> Option | None:
+    """Return the best engine of those that can run the call, or None."""
+    options = [
+        weigh(need, engine, reading, waits, now)
+        for engine in engines
+        if engine.source is Source.HELD or engine.can_load
+    ]
+    best = min(options, key=_rank, default=None)
+    held = [one for one in options if one.engine.source is Source.HELD]
+    if not held:
+        return best
+    nearest = min(held, key=_rank)
+    return nearest if nearest.cost <= best.cost + COPY_PRICE else best
+
+
+def _rank(option: Option) -> tuple[float, str]:
+    return option.cost, option.engine.endpoint.id
--- /dev/null
+++ b/roadlift/decisions/reading.py
@@ -0,0 +1,84 @@
+"""Learn how long engines take to read prompts.
+
+Load pattern: prompts from some hundred to tens of thousands of tokens reach
+engines that read them one after the other. The calls ahead tell little of how
+long a further one waits there; the tokens ahead tell it.
+"""
+
+import math
+from collections.abc import Collection
+
+# Seconds a prompt token before anything was observed: of the order in which
+# one current accelerator reads prompts of a large model. A start that is wrong
+# by three times is right after a few calls.
+FIRST_GUESS = 30e-6
+# Tokens from which on a call's time to its first event tells how fast its
+# engine reads: below, the fixed parts of a call outweigh the reading.
+LEAST_TOKENS = 1000
+HALF_LIFE = 5.0  # Seconds in which a sample loses half its weight.
+# Weight, in samples, of the service's mean in the estimate of one engine.
+SHARED_WEIGHT = 2.0
+# Bounds of one sample against the estimate: a call that waited for what is not
+# known here must not make its engine look slow for long.
+MOST_STEP = 3.0
+
+
+class _Mean:
+    """An ageing mean of samples."""
+
+    __slots__ = ("noted_at", "total", "weight")
+
+    def __init__(self) -> None:
+        self.noted_at = 0.0
+        self.total = 0.0
+        self.weight = 0.0
+
+    def note(self, value: float, now: float) -> None:
+        """Take a sample."""
+        fade = math.exp2((self.noted_at - now) / HALF_LIFE)
+        self.total = self.total * fade + value
+        self.weight = self.weight * fade + 1.0
+        self.noted_at = now
+
+    def measure_weight(self, now: float) -> float:
+        """Return the weight that the samples have now."""
+        return self.weight * math.exp2((self.noted_at - now) / HALF_LIFE)
+
+    def measure_mean(self) -> float:
+        """Return the mean of the samples."""
+        return self.total / self.weight
+
+
+class ReadingTimes:
+    """The seconds that each engine takes for a prompt token."""
+
+    def __init__(self) -> None:
+        self._engines: dict[str, _Mean] = {}
+        self._all = _Mean()
+
+    def note(self, endpoint: str, tokens: float, seconds: float, now: float) -> None:
+        """Learn when a call's first event came.
+
+        ``tokens`` are its own and those that were ahead of it.
+        """
+        if tokens < LEAST_TOKENS:
+            return
+        known = self.estimate(endpoint, now)
+        value = min(max(seconds / tokens, known / MOST_STEP), known * MOST_STEP)
+        self._engines.setdefault(endpoint, _Mean()).note(value, now)
+        self._all.note(value, now)
+
+    def estimate(self, endpoint: str, now: float) -> float:
+        """Return an engine's seconds a token."""
+        usual = self._all.measure_mean() if self._all.weight else FIRST_GUESS
+        mean = self._engines.get(endpoint)
+        if mean is None:
+            return usual
+        weight = mean.measure_weight(now)
+        total = weight * mean.measure_mean() + SHARED_WEIGHT * usual
+        return total / (weight + SHARED_WEIGHT)
+
+    def forget(self, known: Collection[str]) -> None:
+        """Drop the engines that are gone."""
+        for endpoint in set(self._engines) - set(known):
+            del self._engines[endpoint]
--- a/roadlift/instance/exchange.py
+++ b/roadlift/instance/exchange.py
@@ -13,6 +13,8 @@
 )
 from roadlift.core.kernel import Kernel
 from roadlift.core.logs import PartLog
+from roadlift.decisions.loading import Source
+from roadlift.decisions.placement import Option
 from roadlift.endpoints.events import EventFrames
 from roadlift.http.messages import drop_hop_by_hop
 from roadlift.instance.follower import Follower
@@ -43,9 +45,6 @@
 OWNERLESS_PAUSE = 1.0
 # Seconds until endpoints that have all refused a call are asked once more.
 ROUND_PAUSE = 0.05
-# Part of the time that its caller stays in which a call waits for a load: one
-# that is refused then can still be served when the caller comes back.
-WAIT_PART = 0.45
 # Seconds of a call's time below which no further send is begun.
 LEAST_TIME = 0.02
 # Statuses that tell a caller that its call did not run.
@@ -98,6 +97,8 @@
         self._frames: EventFrames | None = None
         self._resume_after = call.resume_after
         self._sent_at = 0.0
+        self._is_reading = False
+        self._ahead = 0
         self._writes = 0
         self._first_byte_at: float | None = None
         self._last_byte_at = 0.0
@@ -109,7 +110,6 @@
         """Begin with the first send."""
         now = self._began_at
         self._ingress.get_budget(self._service).note_request(now)
-        self._placing.note_call(self._service, self.call.model)
         self._timer = self._kernel.loop.call_later(
             max(0.0, self._deadline - now), self._on_deadline
         )
@@ -135,9 +135,21 @@
         """Send the call to an endpoint, or wait for one."""
         if self._is_over:
             return
-        endpoint = self._placing.choose(self._service, self.call.model, self._excluded)
-        if endpoint is not None:
-            self._send(endpoint)
+        option = None
+        if self.call.model is None:
+            endpoint = self._placing.choose(self._service, self._excluded)
+            if endpoint is not None:
+                self._send(endpoint)
+                return
+        else:
+            option = self._placing.choose_engine(
+                self._service, self.call, self._excluded
+            )
+            if option is not None and option.engine.source is Source.HELD:
+                self._send(option.engine.endpoint)
+                return
+        if option is not None:
+            self._await_load(option)
             return
         model = self.call.model
         is_servable = self._placing.is_known(self._service)
@@ -150,29 +162,45 @@
         if model is None or not model.adapter or not is_servable:
             self._fail(NoEndpoint(f"service {self._service}", COME_BACK))
             return
-        if not self._placing.can_load(self._service):
-            # Nobody may give orders now; the caller is told so at once.
-            self._fail(NoEndpoint(f"no owner can load {model}", OWNERLESS_PAUSE))
-            return
+        # Nobody may give orders now; the caller is told so at once.
+        self._fail(NoEndpoint(f"no owner can load {model}", OWNERLESS_PAUSE))
+
+    def _await_load(self, option: Option) -> None:
+        """Wait for the call's adapter, or refuse where it would be too long."""
         now = self._kernel.clock.now()
-        wait = self._measure_longest_wait() - (now - self._began_at)
-        if wait <= 0:
-            self._fail(NoEndpoint(f"{model} was not loaded in time", COME_BACK))
+        model = self.call.model
+        stays = self._measure_stay() - (now - self._began_at)
+        if option.expected > stays:
+            back = max(COME_BACK, option.expected - stays)
+            self._fail(NoEndpoint(f"{model} can't be loaded in time", back))
             return
+        # What follows the beginning of a load: the load itself, and the reading.
+        rest = self._placing.estimate_rest(option, self.call)
+        due = self._began_at + self.route.objective - rest
         self._waiter = Waiter(
-            self._service, model, self.route.priority, self._on_loaded, self._on_asked
+            self._service,
+            model,
+            self.route.priority,
+            due,
+            self._on_loaded,
+            self._on_asked,
         )
-        self._wait_timer = self._kernel.loop.call_later(wait, self._on_waited)
+        self._wait_timer = self._kernel.loop.call_later(stays, self._on_waited)
         self._wait_began_at = now
-        self._note("wait", longest=round(wait, 3))
-        self._placing.await_load(self._waiter, self._excluded)
+        self._note(
+            "wait",
+            expected=round(option.expected, 3),
+            source=option.engine.source.value,
+            places=option.engine.places,
+        )
+        self._placing.await_load(self._waiter, option, self.call.tokens_in)
 
-    def _measure_longest_wait(self) -> float:
-        """Return the seconds behind its arrival that a call waits unsent."""
-        left = self._deadline - self._began_at
+    def _measure_stay(self) -> float:
+        """Return the seconds behind its arrival that its caller stays."""
+        stay = self._deadline - self._began_at
         if self.route.patience is not None:
-            left = min(left, self.route.patience)
-        return left * WAIT_PART
+            stay = min(stay, self.route.patience)
+        return stay
 
     def _on_asked(self, endpoint: Endpoint) -> None:
         self._note("ask", endpoint=endpoint.id, zone=endpoint.zone)
@@ -200,11 +228,19 @@
         self._sends += 1
         self._sent_at = now
         running = self._placing.count_running(endpoint.id)
-        self._note("send", endpoint=endpoint.id, zone=endpoint.zone, running=running)
+        self._ahead = self._placing.count_ahead(endpoint.id)
+        self._note(
+            "send",
+            endpoint=endpoint.id,
+            zone=endpoint.zone,
+            running=running,
+            ahead=self._ahead,
+        )
         self._endpoint = endpoint
         self._verdict = None
         self._held.clear()
-        self._placing.begin(endpoint, self.call.model)
+        self._placing.begin(endpoint, self.call)
+        self._is_reading = True
         self._line = self._kernel.dialer.open(
             endpoint.address, request, self, SILENCE_LIMIT
         )
@@ -218,13 +254,33 @@
         if self._line is not None:
             line, self._line = self._line, None
             line.close()
-            self._placing.end(self._endpoint, self.call.model)
+            self._end_send()
 
     def _leave_endpoint(self) -> None:
         """Note that the send under way is over by itself."""
         if self._line is not None:
             self._line = None
-            self._placing.end(self._endpoint, self.call.model)
+            self._end_send()
+
+    def _end_send(self) -> None:
+        self._note_read()
+        self._placing.end(self._endpoint, self.call)
+
+    def _note_read(self) -> None:
+        """Tell once for each send that its prompt is read, or won't be."""
+        if self._is_reading:
+            self._is_reading = False
+            self._placing.note_read(self._endpoint, self.call)
+
+    def _learn_reading(self) -> None:
+        """Learn from a first event how fast the engine reads."""
+        now = self._kernel.clock.now()
+        self._placing.reading_times.note(
+            self._endpoint.id,
+            self._ahead + self.call.tokens_in,
+            now - self._sent_at,
+            now,
+        )
 
     # The receiver of a send.
 
@@ -306,6 +362,9 @@
         if not data:
             return
         now = self._kernel.clock.now()
+        if self._is_reading and self.call.model is not None:
+            self._learn_reading()
+            self._note_read()
         if self._first_byte_at is None:
             self._first_byte_at = now
         else:
--- a/roadlift/instance/placing.py
+++ b/roadlift/instance/placing.py
@@ -5,15 +5,20 @@
 
 from roadlift.core.kernel import Kernel, parts
 from roadlift.core.logs import PartLog
+from roadlift.core.loop import Timer
 from roadlift.daemon.transport import Transport
+from roadlift.decisions.loading import LoadWaits, Source
+from roadlift.decisions.placement import Engine, Need, Option, choose_engine
+from roadlift.decisions.reading import ReadingTimes
 from roadlift.instance.follower import Follower
 from roadlift.instance.leases import Leases
-from roadlift.serving.calls import Model
+from roadlift.serving.calls import Call, Model
 from roadlift.serving.directory import Endpoint
 from roadlift.serving.health import Health
 from roadlift.serving.messages import (
     Ask,
     Denial,
+    EngineLoads,
     KnownState,
     Listing,
     ListNews,
@@ -27,22 +32,20 @@
 from roadlift.serving.selection import (
     Homes,
     Load,
-    Popularity,
     choose_least_loaded,
-    find_overloaded,
-    order_by_zones,
 )
 
 SUBSCRIBE_PERIOD = 0.25  # Seconds between messages to each owner at most.
 # The same where calls have begun or ended since, which tell the owner what it
 # may evict and all others how full its engines are: so many for each instance,
 # as the owner answers all of them.
-TELL_PERIOD = 0.015
+TELL_PERIOD = 0.004
+MOST_TELL_PERIOD = 0.25  # Seconds of that at most.
 TELL_TICK = 0.1  # Seconds between looks at what is to be told.
 ASK_PERIOD = 0.3  # Seconds after which an asking is sent again.
-SPREAD_PRIORITY = 9  # A further copy waits behind every call's own.
-CANDIDATES = 3  # Engines that are asked in turn for one adapter.
-SPREAD_PERIOD = 1.0  # Seconds between askings for further copies of one adapter.
+# Seconds for which an engine is not asked again for an adapter that it was
+# denied for, and between looks at what is to be asked for again.
+DENIAL_PAUSE = 0.1
 # Seconds of silence behind which an owner is not asked: its sign comes each
 # SUBSCRIBE_PERIOD, and one that is lost on a link comes 0.2 to 0.6 s later.
 OWNER_LIMIT = 0.9
@@ -54,14 +57,17 @@
 
 
 class Told(NamedTuple):
-    """The calls that run at an engine as its owner told them.
+    """How loaded an engine is, as its owner told it.
 
-    ``own`` were this process's calls there at that time; the owner is that of
-    ``zone``.
+    ``own`` were this process's calls there at that time, and ``own_reading``
+    the prompt tokens of them that were not read; the owner is of ``zone``.
     """
 
     running: int
+    reading: int
+    places: int
     own: int
+    own_reading: int
     zone: str
 
 
@@ -73,12 +79,14 @@
         service: str,
         model: Model,
         priority: int,
+        due: float,
         on_ready: Callable[[], None],
         on_ask: Callable[[Endpoint], None],
     ) -> None:
         self.service = service
         self.model = model
         self.priority = priority
+        self.due = due
         self.on_ready = on_ready
         self.on_ask = on_ask
         self.is_open = True
@@ -93,9 +101,16 @@
 
     def __init__(self) -> None:
         self.waiters: list[Waiter] = []
+        self.began_at = float("-inf")
         self.asked_at = float("-inf")
         self.endpoint = ""
-        self.denied: set[str] = set()
+        self.engine: Engine | None = None
+        self.tokens = 0
+        self.denied: dict[str, float] = {}
+
+    def measure_slack(self, now: float) -> float:
+        """Return in how many seconds the load must begin for a call in time."""
+        return max((one.due for one in self.waiters if one.is_open), default=now) - now
 
 
 @parts.register("placing")
@@ -112,8 +127,10 @@
         self._leases = kernel.get(Leases)
         self._residency = Residency()
         self._homes = Homes()
-        self._popularity: dict[str, Popularity] = {}
-        self._spread_at: dict[Model, float] = {}
+        self._loading = LoadWaits()
+        self._reading: dict[str, int] = {}
+        self._untold_reading: dict[str, set[str]] = {}
+        self._tell_timers: dict[str, Timer] = {}
         self._wishes: dict[tuple[str, Model], Wish] = {}
         self._uses: dict[str, dict[tuple[str, Model], int]] = {}
         self._running: dict[tuple[str, Model], int] = {}
@@ -125,7 +142,9 @@
         self._timers: list = []
         self.health = Health()
         self.paces = Paces()
+        self.reading_times = ReadingTimes()
         self._transport.subscribe((Pulse,), self._take_pulse)
+        self._transport.subscribe((EngineLoads,), self._take_loads)
         self._transport.subscribe((Listing,), self._take_listing)
         self._transport.subscribe((News,), self._take_news)
         self._transport.subscribe((Loaded,), self._take_loaded)
@@ -140,7 +159,7 @@
         loop = self._kernel.loop
         self._timers = [
             loop.call_every(TELL_TICK, self._subscribe),
-            loop.call_every(ASK_PERIOD, self._ask_again),
+            loop.call_every(DENIAL_PAUSE, self._ask_again),
         ]
 
     def close(self) -> None:
@@ -155,24 +174,90 @@
 
     # Choosing.
 
-    def choose(
-        self, service: str, model: Model | None, excluded: set[str]
-    ) -> Endpoint | None:
-        """Return an endpoint that can run a call now, or None."""
+    def choose(self, service: str, excluded: set[str]) -> Endpoint | None:
+        """Return the endpoint of a plain service for a call, or None."""
         now = self._kernel.clock.now()
-        ready = self._follower.directory.list_ready(service)
-        usable = self.health.list_usable(ready, now)
-        if model is not None:
-            usable = [one for one in usable if one.holds(model.base)]
-            if model.adapter:
-                usable = self._filter_holders(usable, model)
-        usable = [one for one in usable if one.id not in excluded]
-        chosen = choose_least_loaded(
+        usable = self._list_usable(service, excluded, now)
+        return choose_least_loaded(
             usable, self._kernel.settings.zone, self._weigh(usable, now)
         )
-        if chosen is not None and model is not None and model.adapter:
-            self._spread_hot(chosen, model, len(usable), now)
-        return chosen
+
+    def choose_engine(
+        self, service: str, call: Call, excluded: set[str]
+    ) -> Option | None:
+        """Return the best engine for a call, or None where there is none.
+
+        Its adapter may have to be loaded there first.
+        """
+        now = self._kernel.clock.now()
+        usable = self._list_usable(service, excluded, now)
+        need = Need(call.tokens_in, self._kernel.settings.zone)
+        engines = self._view(service, usable, call.model, now)
+        return choose_engine(need, engines, self.reading_times, self._loading, now)
+
+    def estimate_rest(self, option: Option, call: Call) -> float:
+        """Return the seconds from the beginning of a load to a first event."""
+        now = self._kernel.clock.now()
+        pace = self.reading_times.estimate(option.engine.endpoint.id, now)
+        return self._loading.estimate(option.engine.source) + pace * call.tokens_in
+
+    def _list_usable(
+        self, service: str, excluded: set[str], now: float
+    ) -> list[Endpoint]:
+        ready = self._follower.directory.list_ready(service)
+        usable = self.health.list_usable(ready, now)
+        return [one for one in usable if one.id not in excluded]
+
+    def _view(
+        self, service: str, usable: list[Endpoint], model: Model, now: float
+    ) -> list[Engine]:
+        """Return what is known of the engines that hold a base model."""
+        least = self._follower.find_version(model) if model.adapter else 0
+        ranked = self._homes.rank(service, usable, model, len(usable))
+        return [
+            Engine(
+                endpoint,
+                self.count_ahead(endpoint.id),
+                self._count_places(endpoint.id),
+                self._find_source(endpoint.id, model, least),
+                rank,
+                self._has_owner(endpoint.zone, now),
+            )
+            for rank, endpoint in enumerate(ranked)
+            if endpoint.holds(model.base)
+        ]
+
+    def _find_source(self, endpoint: str, model: Model, least: int) -> Source:
+        if not model.adapter or self._residency.holds(endpoint, model, least):
+            return Source.HELD
+        if self._residency.is_at_hand(endpoint, model, least):
+            return Source.AT_HAND
+        return Source.STORE
+
+    def count_ahead(self, endpoint: str) -> int:
+        """Return about how many prompt tokens are to be read at an engine.
+
+        Those of all instances' calls, as its owner told last and as this
+        process's own have changed since.
+        """
+        own = self._reading.get(endpoint, 0)
+        told = self._find_told(endpoint)
+        if told is None:
+            return own
+        return max(own, told.reading + own - told.own_reading)
+
+    def _count_places(self, endpoint: str) -> int:
+        """Return for how many further adapters an engine has places."""
+        told = self._find_told(endpoint)
+        return 1 if told is None else told.places
+
+    def _find_told(self, endpoint: str) -> Told | None:
+        """Return what an owner told of an engine, unless it is old."""
+        told = self._told.get(endpoint)
+        if told is None:
+            return None
+        heard, _ = self._pulses[told.zone]
+        return told if self._kernel.clock.now() - heard <= OWNER_LIMIT else None
 
     def count_running(self, endpoint: str) -> int:
         """Return about how many calls run at an endpoint, of all instances.
@@ -181,12 +266,9 @@
         where no owner tells it, this process's own calls.
         """
         own = self.health.count_running(endpoint)
-        told = self._told.get(endpoint)
+        told = self._find_told(endpoint)
         if told is None:
             return own
-        heard, _ = self._pulses[told.zone]
-        if self._kernel.clock.now() - heard > OWNER_LIMIT:
-            return own
         return max(own, told.running + own - told.own)
 
     def _weigh(self, endpoints: Iterable[Endpoint], now: float) -> Load:
@@ -194,51 +276,40 @@
         factors = self.paces.compare([one.id for one in endpoints], now)
         return lambda name: self.count_running(name) * factors.get(name, 1.0)
 
-    def note_call(self, service: str, model: Model | None) -> None:
-        """Count a caller's call, for what is popular."""
-        if model is not None and model.adapter:
-            now = self._kernel.clock.now()
-            self._popularity.setdefault(service, Popularity()).note(model, now)
-
-    def _spread_hot(
-        self, chosen: Endpoint, model: Model, copies: int, now: float
-    ) -> None:
-        """Ask for a further copy of an adapter that is hot for its copies.
-
-        So it is where its share of the calls is large, and where the least
-        loaded of its engines is overloaded.
-        """
-        service = chosen.service
-        popularity = self._popularity.get(service)
-        if popularity is None or now - self._spread_at.get(model, 0) < SPREAD_PERIOD:
-            return
-        ready = self._follower.directory.list_ready(service)
-        full = find_overloaded(ready, self._weigh(ready, now))
-        is_relief = chosen.id in full and popularity.is_wanted(model, now)
-        if not is_relief and popularity.count_copies(model, len(ready), now) <= copies:
-            return
-        self._spread_at[model] = now
-        held = self._residency.find(model)
-        for endpoint in order_by_zones(self._rank_homes(service, model, now)):
-            is_free = endpoint.id not in held and endpoint.id not in full
-            if is_free and self._has_owner(endpoint.zone, now):
-                log.event(
-                    "spread", model=str(model), endpoint=endpoint.id, copies=copies
-                )
-                self._send_ask(endpoint, model, SPREAD_PRIORITY, False)
-                return
-
-    def begin(self, endpoint: Endpoint, model: Model | None) -> None:
+    def begin(self, endpoint: Endpoint, call: Call) -> None:
         """Count a call as under way at an endpoint."""
         self.health.begin(endpoint.id, self._kernel.clock.now())
-        if model is not None and model.adapter:
-            self._note_use(endpoint, model, 1)
+        if call.model is None:
+            return
+        self._note_reading(endpoint, call.tokens_in)
+        if call.model.adapter:
+            self._note_use(endpoint, call.model, 1)
+
+    def note_read(self, endpoint: Endpoint, call: Call) -> None:
+        """Count a call's prompt as read, or as not to be read any more."""
+        if call.model is not None:
+            self._note_reading(endpoint, -call.tokens_in)
 
-    def end(self, endpoint: Endpoint, model: Model | None) -> None:
+    def end(self, endpoint: Endpoint, call: Call) -> None:
         """Count a call as over."""
         self.health.end(endpoint.id)
-        if model is not None and model.adapter:
-            self._note_use(endpoint, model, -1)
+        if call.model is not None and call.model.adapter:
+            self._note_use(endpoint, call.model, -1)
+
+    def _note_reading(self, endpoint: Endpoint, change: int) -> None:
+        left = self._reading.get(endpoint.id, 0) + change
+        self._reading[endpoint.id] = max(0, left)
+        self._untold_reading.setdefault(endpoint.zone, set()).add(endpoint.id)
+        self._plan_telling(endpoint.zone)
+
+    def _plan_telling(self, zone: str) -> None:
+        """Tell an owner of this process's calls before long."""
+        if zone in self._tell_timers:
+            return
+        period = min(MOST_TELL_PERIOD, TELL_PERIOD * self.count_instances())
+        self._tell_timers[zone] = self._kernel.loop.call_later(
+            period, lambda: self._subscribe_zone(zone)
+        )
 
     def is_known(self, service: str) -> bool:
         """Tell whether a service has an endpoint that takes calls."""
@@ -250,24 +321,25 @@
         ready = self._follower.directory.list_ready(service)
         return any(self._has_owner(zone, now) for zone in {one.zone for one in ready})
 
-    def await_load(self, waiter: Waiter, excluded: set[str]) -> None:
+    def await_load(self, waiter: Waiter, option: Option, tokens: int) -> None:
         """Ask for an adapter; ``on_ready`` is called when to choose again."""
         key = (waiter.service, waiter.model)
-        wish = self._wishes.setdefault(key, Wish())
+        wish = self._wishes.get(key)
+        now = self._kernel.clock.now()
+        if wish is None:
+            wish = self._wishes[key] = Wish()
+            wish.began_at = now
         wish.waiters.append(waiter)
-        if self._kernel.clock.now() - wish.asked_at >= ASK_PERIOD:
-            self._ask(key, wish, excluded)
+        wish.tokens = max(wish.tokens, tokens)
+        if now - wish.asked_at >= ASK_PERIOD:
+            self._ask(key, wish, option.engine)
 
     def note_missing(self, endpoint: str, model: Model) -> None:
         """Learn that an engine refused a call for want of an adapter."""
         self._residency.drop(endpoint, model)
         known = self._follower.directory.get(endpoint)
         if known is not None:
-            self._send_ask(known, model, 0, True)
-
-    def _filter_holders(self, endpoints: list[Endpoint], model: Model) -> list:
-        least = self._follower.find_version(model)
-        return [one for one in endpoints if self._residency.holds(one.id, model, least)]
+            self._send_ask(known, model, 0, 0.0, True)
 
     def _note_use(self, endpoint: Endpoint, model: Model, change: int) -> None:
         """Count a call that begins (1) or ends (-1), for the owner."""
@@ -279,47 +351,68 @@
             self._running[key] = running
         else:
             self._running.pop(key, None)
+        self._plan_telling(endpoint.zone)
 
     # Asking.
 
-    def _ask(self, key: tuple[str, Model], wish: Wish, excluded: set[str]) -> None:
-        service, model = key
-        endpoint = self._choose_home(service, model, excluded | wish.denied)
-        if endpoint is None:
-            wish.denied.clear()
-            return
+    def _ask(self, key: tuple[str, Model], wish: Wish, engine: Engine) -> None:
+        _, model = key
+        endpoint = engine.endpoint
         wish.asked_at = self._kernel.clock.now()
         wish.endpoint = endpoint.id
+        wish.denied.pop(endpoint.id, None)
+        wish.engine = engine
         priority = min((one.priority for one in wish.waiters), default=0)
-        self._send_ask(endpoint, model, priority, False)
+        self._send_ask(endpoint, model, priority, wish.measure_slack(wish.asked_at))
+        told = self._told.get(endpoint.id)
+        if told is not None:
+            self._told[endpoint.id] = told._replace(places=told.places - 1)
         for waiter in wish.waiters:
             waiter.on_ask(endpoint)
 
-    def _choose_home(
-        self, service: str, model: Model, excluded: set[str]
-    ) -> Endpoint | None:
-        """Return the engine at which an adapter should be loaded."""
+    def _repeat_ask(self, key: tuple[str, Model], wish: Wish, now: float) -> None:
+        """Tell the engine's owner that calls still wait, or ask another.
+
+        One engine is asked at a time: a load that is not used takes the place
+        of another.
+        """
+        endpoint = wish.engine.endpoint
+        known = self._follower.directory.get(endpoint.id)
+        is_there = known is not None and not known.is_draining
+        if is_there and self._has_owner(endpoint.zone, now):
+            wish.asked_at = now
+            priority = min((one.priority for one in wish.waiters), default=0)
+            self._send_ask(endpoint, key[1], priority, wish.measure_slack(now))
+        else:
+            self._ask_elsewhere(key, wish)
+
+    def _ask_elsewhere(self, key: tuple[str, Model], wish: Wish) -> None:
+        """Ask the engine that is now the best for an adapter that none holds."""
+        service, model = key
         now = self._kernel.clock.now()
-        ranked = self._rank_homes(service, model, now)
-        possible = [one for one in ranked if one.id not in excluded]
-        limit = OTHER_OWNER_LIMIT
-        served = [one for one in possible if self._has_owner(one.zone, now, limit)]
-        full = find_overloaded(ranked, self._weigh(ranked, now))
-        free = [one for one in served if one.id not in full]
-        return (free or served or possible or [None])[0]
-
-    def _rank_homes(self, service: str, model: Model, now: float) -> list[Endpoint]:
-        """Return the usable engines of a service, an adapter's home first."""
-        ready = self._follower.directory.list_ready(service)
-        usable = self.health.list_usable(ready, now)
-        return self._homes.rank(service, usable, model, len(usable))
+        recent = {name for name, at in wish.denied.items() if now - at < DENIAL_PAUSE}
+        usable = self._list_usable(service, recent, now)
+        need = Need(wish.tokens, self._kernel.settings.zone)
+        engines = self._view(service, usable, model, now)
+        option = choose_engine(need, engines, self.reading_times, self._loading, now)
+        if option is None:
+            return
+        if option.engine.source is Source.HELD:
+            self._wake(model, "")
+        else:
+            self._ask(key, wish, option.engine)
 
     def _has_owner(self, zone: str, now: float, limit: float = OWNER_LIMIT) -> bool:
         heard, pulse = self._pulses.get(zone, (float("-inf"), None))
         return now - heard < limit and pulse.is_ready
 
     def _send_ask(
-        self, endpoint: Endpoint, model: Model, priority: int, is_missing: bool
+        self,
+        endpoint: Endpoint,
+        model: Model,
+        priority: int,
+        slack: float,
+        is_missing: bool = False,
     ) -> None:
         owner = self._leases.find_owner(endpoint.zone)
         if owner is None:
@@ -332,6 +425,7 @@
             model.adapter,
             self._follower.find_version(model),
             priority,
+            slack,
             is_missing,
         )
         self._transport.send(owner, ask)
@@ -342,30 +436,46 @@
             wish.waiters = [one for one in wish.waiters if one.is_open]
             if not wish.waiters:
                 del self._wishes[key]
+            elif wish.endpoint in wish.denied:
+                self._ask_elsewhere(key, wish)
             elif now - wish.asked_at >= ASK_PERIOD:
-                self._ask(key, wish, set())
+                self._repeat_ask(key, wish, now)
 
-    def _wake(self, model: Model) -> None:
+    def _wake(self, model: Model, endpoint: str) -> None:
         """Let the calls that wait for an adapter choose again."""
         for key in [key for key in self._wishes if key[1] == model]:
-            for waiter in self._wishes.pop(key).waiters:
+            wish = self._wishes.pop(key)
+            if wish.endpoint == endpoint:
+                self._learn_wait(wish)
+            for waiter in wish.waiters:
                 if waiter.is_open:
                     waiter.is_open = False
                     waiter.on_ready()
 
+    def _learn_wait(self, wish: Wish) -> None:
+        """Learn from an adapter that came how long such a load takes."""
+        now = self._kernel.clock.now()
+        if wish.engine is None:
+            return
+        if wish.engine.places > 0:
+            self._loading.note(wish.engine.source, now - wish.asked_at)
+            return
+        waited = now - wish.began_at - self._loading.estimate(wish.engine.source)
+        self._loading.note_place(max(0.0, waited) / (1 - wish.engine.places))
+
     # What the owners tell.
 
     def _subscribe(self) -> None:
         now = self._kernel.clock.now()
         for zone in self._leases.list_zones():
             last = self._subscribed_at.get(zone, float("-inf"))
-            period = SUBSCRIBE_PERIOD
-            if self._uses.get(zone):
-                period = min(period, TELL_PERIOD * self.count_instances())
-            if now - last >= period - TELL_TICK / 2:
+            if now - last >= SUBSCRIBE_PERIOD - TELL_TICK / 2:
                 self._subscribe_zone(zone)
 
     def _subscribe_zone(self, zone: str) -> None:
+        timer = self._tell_timers.pop(zone, None)
+        if timer is not None:
+            timer.close()
         owner = self._leases.find_owner(zone)
         if owner is None:
             return
@@ -374,6 +484,10 @@
             [key[0], key[1].base, key[1].adapter, begun, self._running.get(key, 0)]
             for key, begun in self._uses.pop(zone, {}).items()
         ]
+        reading = [
+            [name, self._reading.get(name, 0)]
+            for name in self._untold_reading.pop(zone, ())
+        ]
         fence, serial = self._news.get(zone, (0, 0))
         own = self._kernel.settings.peer
         is_candidate = self._leases.is_candidate and self._follower.is_reachable
@@ -388,20 +502,31 @@
             list(self._list_news),
             self._kernel.clock.now(),
             uses,
+            reading,
         )
         self._transport.send(owner, subscription)
 
     def _take_pulse(self, sender: str, pulse: Pulse) -> None:
         self._pulses[pulse.zone] = (self._kernel.clock.now(), pulse)
-        for endpoint, running in pulse.running:
-            own = self.health.count_running(endpoint)
-            self._told[endpoint] = Told(running, own, pulse.zone)
+        self._note_loads(pulse.zone, pulse.loads)
         self._leases.note_pulse(pulse.zone, pulse.is_ready)
         state = KnownState(*pulse.state)
         is_current = (pulse.fence, state.list_serial) == self._list_news
         if pulse.zone == self._kernel.settings.zone and is_current:
             self._follower.note_state(state, pulse.asked_at)
 
+    def _take_loads(self, sender: str, loads: EngineLoads) -> None:
+        if loads.zone in self._pulses:
+            self._note_loads(loads.zone, loads.loads)
+
+    def _note_loads(self, zone: str, loads: list) -> None:
+        for endpoint, running, reading, places in loads:
+            own = self.health.count_running(endpoint)
+            own_reading = self._reading.get(endpoint, 0)
+            self._told[endpoint] = Told(
+                running, reading, places, own, own_reading, zone
+            )
+
     def _take_list_news(self, sender: str, news: ListNews) -> None:
         fence, serial = self._list_news
         is_next = (news.fence, news.serial) == (fence, serial + 1)
@@ -421,7 +546,7 @@
         held = {Model(base, name): version for base, name, version in listing.held}
         self._residency.replace(listing.endpoint, held)
         for model in held:
-            self._wake(model)
+            self._wake(model, listing.endpoint)
 
     def _take_news(self, sender: str, news: News) -> None:
         if not self._note_serial(news, False):
@@ -432,12 +557,12 @@
                 self._residency.drop(endpoint, model)
                 continue
             self._residency.put(endpoint, model, version)
-            self._wake(model)
+            self._wake(model, endpoint)
 
     def _take_loaded(self, sender: str, loaded: Loaded) -> None:
         model = Model(loaded.base, loaded.adapter)
         self._residency.put(loaded.endpoint, model, loaded.version)
-        self._wake(model)
+        self._wake(model, loaded.endpoint)
 
     def _note_serial(self, message: Listing | News, is_whole: bool) -> bool:
         """Follow an owner's news; False means that they are outdated.
@@ -458,20 +583,20 @@
         model = Model(denial.base, denial.adapter)
         for (service, wanted), wish in list(self._wishes.items()):
             if wanted == model and wish.endpoint == denial.endpoint:
-                wish.denied.add(denial.endpoint)
-                if len(wish.denied) < CANDIDATES:
-                    self._ask((service, wanted), wish, set())
+                told = self._told.get(denial.endpoint)
+                if told is not None and told.places > 0:
+                    self._told[denial.endpoint] = told._replace(places=0)
+                wish.denied[denial.endpoint] = self._kernel.clock.now()
+                self._ask_elsewhere((service, wanted), wish)
 
     def _forget_gone(self) -> None:
         known = {endpoint.id for endpoint in self._follower.directory.list_all()}
         gone = [one for one in self._residency.list_endpoints() if one not in known]
         self._residency.forget(gone)
-        now = self._kernel.clock.now()
-        self._told = {name: told for name, told in self._told.items() if name in known}
-        self._spread_at = {
-            model: at
-            for model, at in self._spread_at.items()
-            if now - at < SPREAD_PERIOD
+        self._reading = {
+            name: tokens for name, tokens in self._reading.items() if name in known
         }
+        self.reading_times.forget(known)
+        self._told = {name: told for name, told in self._told.items() if name in known}
         self.health.forget(known)
         self.paces.forget(known)
--- a/roadlift/instance/term.py
+++ b/roadlift/instance/term.py
@@ -1,6 +1,7 @@
 """Look after the engines and the subscribers of one zone."""
 
 from collections.abc import Iterable
+from typing import NamedTuple
 
 from roadlift.core.kernel import Kernel
 from roadlift.core.logs import PartLog
@@ -14,6 +15,7 @@
 from roadlift.serving.messages import (
     Ask,
     Denial,
+    EngineLoads,
     Listing,
     ListNews,
     Loaded,
@@ -27,23 +29,44 @@
 # another may send a call to a copy that is gone, which the engine refuses.
 NEWS_PERIOD = 0.0015
 MOST_NEWS_PERIOD = 0.1
-TELL_ALL_PERIOD = 2.0  # Seconds between tellings of the calls at all engines.
-# Part by which an engine's calls must differ from what was told to be told
-# again: loads are compared by half and more (see serving/selection.py).
+TELL_ALL_PERIOD = 2.0  # Seconds between tellings of the loads of all engines.
+# Part by which an engine's calls, or the prompt tokens unread there, must differ
+# from what was told to be told again, and the tokens that always matter.
 TOLD_PART = 0.2
+TOLD_TOKENS = 512
+# Seconds for each subscriber between two tellings of loads, and at most: each
+# goes to all subscribers whose knowledge is old.
+LOADS_PERIOD = 0.004
+MOST_LOADS_PERIOD = 0.25
+LOADS_AGE = 0.005  # Seconds for which the measured loads are used again.
 SUBSCRIBER_LIMIT = 4.0  # Seconds of silence after which a subscriber is gone.
 
 log = PartLog("owner")
 
 
+class EngineLoad(NamedTuple):
+    """How loaded an engine is: calls, prompt tokens unread, free places."""
+
+    running: int
+    reading: int
+    places: int
+
+    def differs(self, told: "EngineLoad") -> bool:
+        """Tell whether a subscriber should hear of this load."""
+        calls = abs(self.running - told.running) > TOLD_PART * told.running
+        change = abs(self.reading - told.reading)
+        tokens = change > max(TOLD_TOKENS, TOLD_PART * told.reading)
+        return calls or tokens or self.places != told.places
+
+
 class Told:
-    """What one subscriber was told of the calls at engines, and when all."""
+    """What one subscriber was told of the loads of engines, and when all."""
 
-    __slots__ = ("all_at", "running")
+    __slots__ = ("all_at", "loads")
 
     def __init__(self) -> None:
         self.all_at = float("-inf")
-        self.running: dict[str, int] = {}
+        self.loads: dict[str, EngineLoad] = {}
 
 
 class Term:
@@ -60,11 +83,14 @@
         self._told: dict[str, Told] = {}
         self._changes: list[list] = []
         self._news_timer = None
+        self._loads_timer = None
         self._askers: dict[tuple[str, Model], set[str]] = {}
         self._list_serial = 0
         self._relayed: dict[str, Endpoint] = {}
         self._times = LoadTimes()
         self._base_loads: BaseLoads | None = None
+        self._loads: dict[str, EngineLoad] = {}
+        self._loads_at = float("-inf")
         self.fence = fence
         self.engines: dict[str, OwnedEngine] = {}
 
@@ -75,6 +101,8 @@
         if self._news_timer is not None:
             self._news_timer.close()
             self._send_news()
+        if self._loads_timer is not None:
+            self._loads_timer.close()
         pulse = self._make_pulse(self._kernel.clock.now(), 0.0, [])
         for address in self._subscribers:
             self._transport.send(address, pulse)
@@ -153,6 +181,11 @@
             if begun:
                 engine.book.note_use(model, begun, now)
             engine.book.note_running(message.address, model, running)
+        for endpoint, tokens in message.reading:
+            if endpoint in self.engines:
+                self.engines[endpoint].book.note_reading(message.address, tokens)
+        if message.uses or message.reading:
+            self._plan_loads()
         if (message.fence, message.serial) != (self.fence, self._serial):
             for engine in self.engines.values():
                 self._send_listing(message.address, engine)
@@ -166,23 +199,50 @@
         self._transport.send(message.address, pulse)
 
     def _list_changed(self, address: str, now: float) -> list:
-        """Return the calls at engines that are not as this instance knows.
+        """Return the loads of engines that are not as this instance knows.
 
         All of them each TELL_ALL_PERIOD, as a message may have been dropped.
         """
         told = self._told.setdefault(address, Told())
         if now - told.all_at >= TELL_ALL_PERIOD:
             told.all_at = now
-            told.running.clear()
+            told.loads.clear()
         changed = []
-        for name, engine in self.engines.items():
-            running = engine.book.count_running()
-            known = told.running.get(name)
-            if known is None or abs(running - known) > TOLD_PART * known:
-                told.running[name] = running
-                changed.append([name, running])
+        for name, load in self._measure_loads(now).items():
+            known = told.loads.get(name)
+            if known is None or load.differs(known):
+                told.loads[name] = load
+                changed.append([name, *load])
         return changed
 
+    def _measure_loads(self, now: float) -> dict[str, EngineLoad]:
+        """Return the loads of the engines, measured once for all messages."""
+        if now - self._loads_at >= LOADS_AGE:
+            self._loads_at = now
+            self._loads = {
+                name: EngineLoad(
+                    engine.book.count_running(),
+                    engine.book.count_reading(),
+                    engine.book.count_places(now),
+                )
+                for name, engine in self.engines.items()
+            }
+        return self._loads
+
+    def _plan_loads(self) -> None:
+        """Tell the subscribers of changed loads before long."""
+        if self._loads_timer is None:
+            period = min(MOST_LOADS_PERIOD, LOADS_PERIOD * len(self._subscribers))
+            self._loads_timer = self._kernel.loop.call_later(period, self._tell_loads)
+
+    def _tell_loads(self) -> None:
+        self._loads_timer = None
+        now = self._kernel.clock.now()
+        for address in self._subscribers:
+            changed = self._list_changed(address, now)
+            if changed:
+                self._transport.send(address, EngineLoads(self._zone, changed))
+
     def take_ask(self, message: Ask) -> None:
         """Load an adapter, or deny it."""
         now = self._kernel.clock.now()
@@ -198,7 +258,9 @@
             loaded = Loaded(message.endpoint, *model, version)
             self._transport.send(message.address, loaded)
             return
-        if not engine.book.want(model, message.least, message.priority, now):
+        if not engine.book.want(
+            model, message.least, message.priority, message.slack, now
+        ):
             deny(self._transport, message)
             return
         asked = self._askers.setdefault((message.endpoint, model), set())
@@ -225,7 +287,7 @@
     def _is_ready(self, now: float) -> bool:
         return self._kernel.get(Leases).get(self._zone).may_order(now)
 
-    def _make_pulse(self, now: float, asked_at: float, running: list) -> Pulse:
+    def _make_pulse(self, now: float, asked_at: float, loads: list) -> Pulse:
         state = self._follower.describe_state()
         return Pulse(
             self._zone,
@@ -233,7 +295,7 @@
             self._serial,
             len(self._subscribers),
             self._is_ready(now),
-            running,
+            loads,
             list(state._replace(list_serial=self._list_serial)),
             asked_at,
         )
@@ -272,6 +334,8 @@
             if version >= 0:
                 for address in self._askers.pop((name, model), ()):
                     self._transport.send(address, Loaded(name, *model, version))
+        if changes or denied:
+            self._plan_loads()
         if self._changes and self._news_timer is None:
             period = min(MOST_NEWS_PERIOD, NEWS_PERIOD * len(self._subscribers))
             self._news_timer = self._kernel.loop.call_later(period, self._send_news)
--- a/roadlift/serving/engine.py
+++ b/roadlift/serving/engine.py
@@ -41,11 +41,13 @@
 # Seconds that an adapter waits for a copy that runs nothing to make way, or to
 # be replaced. Then it is denied, and asked for at another engine: an order for
 # a copy that runs calls would hold up all others until they end.
-PATIENCE = 0.15
+PATIENCE = 0.5
 NO_VICTIM_PAUSE = 0.05  # Seconds until a victim is looked for again.
 # Seconds between reports that are read while an order holds up all others and
 # adapters arrive meanwhile. A report costs a hundredth of a load and less.
 PEEK_PERIOD = 0.15
+# Seconds by which a want of the next lower priority stands behind.
+PRIORITY_STEP = 0.1
 MOST_WANTED = 64  # Adapters that wait for one engine.
 # Seconds behind the last asking for an adapter at which nobody waits for it
 # any more; instances ask again each 0.3 s while a call waits.
@@ -98,13 +100,17 @@
 
 
 class Want(NamedTuple):
-    """An adapter that is asked for; times are in seconds."""
+    """An adapter that is asked for; times are in seconds.
+
+    ``due`` is until when its load must begin for a call to be in time.
+    """
 
     model: Model
     least: int
     priority: int
     since: float
     asked_at: float
+    due: float
 
 
 class Plan(NamedTuple):
@@ -194,6 +200,7 @@
         self._evictor = AgedFrequencyEvictor()
         self._uses = UseHistory()
         self._running: dict[Model, dict[str, int]] = {}
+        self._reading: dict[str, int] = {}
         self._wanted: dict[Model, Want] = {}
         self._pause_until = 0.0
         self._hold_until = 0.0
@@ -250,12 +257,40 @@
         """Return the calls that run on adapters, of all instances."""
         return sum(sum(counts.values()) for counts in self._running.values())
 
+    def note_reading(self, instance: str, tokens: int) -> None:
+        """Learn how many prompt tokens of an instance's calls are unread."""
+        if tokens:
+            self._reading[instance] = tokens
+        else:
+            self._reading.pop(instance, None)
+
+    def count_reading(self) -> int:
+        """Return the prompt tokens to be read, of all instances' calls."""
+        return sum(self._reading.values())
+
+    def count_places(self, now: float) -> int:
+        """Return how many further adapters could be loaded now.
+
+        A negative number tells how many wait beyond that.
+        """
+        taken = sum(
+            copy.state is not CopyState.HELD or not self._is_quiet(model, now)
+            for model, copy in self.copies.items()
+        )
+        waiting = sum(model not in self.copies for model in self._wanted)
+        if self._is_blocked():
+            taken = self._slots
+        return self._slots - taken - waiting
+
     def forget_instance(self, instance: str) -> None:
         """Drop what an instance told that is gone."""
+        self._reading.pop(instance, None)
         for model in list(self._running):
             self.note_running(instance, model, 0)
 
-    def want(self, model: Model, least: int, priority: int, now: float) -> bool:
+    def want(
+        self, model: Model, least: int, priority: int, slack: float, now: float
+    ) -> bool:
         """Ask for an adapter; False means that too many wait."""
         known = self._wanted.get(model)
         if known is None and len(self._wanted) >= MOST_WANTED:
@@ -264,7 +299,8 @@
         if known is not None:
             least = max(least, known.least)
             priority = min(priority, known.priority)
-        self._wanted[model] = Want(model, least, priority, since, now)
+        due = max(now + slack, known.due) if known else now + slack
+        self._wanted[model] = Want(model, least, priority, since, now, due)
         return True
 
     def is_wanted(self, model: Model) -> bool:
@@ -422,7 +458,7 @@
         if plan is not None or now < self._hold_until or self._is_blocked():
             return plan
         self._drop_stale(now)
-        for want in sorted(self._wanted.values(), key=_rank):
+        for want in sorted(self._wanted.values(), key=lambda one: _rank(one, now)):
             copy = self.copies.get(want.model)
             if copy is None:
                 plan = self._choose_load(want, now)
@@ -631,5 +667,11 @@
             self.denied.append(plan.model)
 
 
-def _rank(want: Want) -> tuple[int, float]:
-    return want.priority, want.since
+def _rank(want: Want, now: float) -> tuple[bool, float]:
+    """Order wants: those still in time by when they are due, then the late.
+
+    Where places are short, an order by age alone makes every call late.
+    """
+    if want.due < now:
+        return True, want.since
+    return False, want.due + PRIORITY_STEP * want.priority
--- a/roadlift/serving/messages.py
+++ b/roadlift/serving/messages.py
@@ -10,8 +10,9 @@
     """Tell an owner that an instance lives and what it used since.
 
     ``uses`` are [engine, base model, adapter, calls begun since, calls that
-    run]; ``fence`` and ``serial`` are of the last news from the owner, and
-    ``list_news`` [fence, serial] of its last news of the list of endpoints;
+    run], ``reading`` [engine, prompt tokens of the instance's calls that are
+    not read yet], where either changed; ``fence`` and ``serial`` are of the
+    last news from the owner, and ``list_news`` [fence, serial] of its last news of the list of endpoints;
     ``home`` is the instance's own zone, ``is_candidate`` whether it can take
     leases; ``at`` is the instance's own time, which the answer repeats.
     """
@@ -25,6 +26,7 @@
     list_news: list
     at: float
     uses: list
+    reading: list
 
 
 class KnownState(NamedTuple):
@@ -46,8 +48,7 @@
     """Tell a subscriber that the owner lives, and how far its news go.
 
     ``instances`` counts those that subscribe; ``is_ready`` tells that the
-    owner may give orders; ``running`` are [engine, calls of all instances]
-    where they differ from what this subscriber was told;
+    owner may give orders; ``loads`` are as in EngineLoads;
     ``state`` are the fields of a KnownState, and ``asked_at`` is repeated from
     the message that this one answers, or 0.
     """
@@ -57,11 +58,23 @@
     serial: int
     instances: int
     is_ready: bool
-    running: list
+    loads: list
     state: list
     asked_at: float
 
 
+@message("se")
+class EngineLoads(NamedTuple):
+    """Tell a subscriber how loaded engines are, where that changed.
+
+    ``loads`` are [engine, calls that run there, prompt tokens that are not
+    read yet, free places for adapters], of all instances.
+    """
+
+    zone: str
+    loads: list
+
+
 @message("sl")
 class Listing(NamedTuple):
     """Tell all that an engine holds, as [base model, adapter, version]."""
@@ -102,7 +115,8 @@
     """Ask an owner to load an adapter at an engine.
 
     ``least`` is the oldest version that will do; ``priority`` 0 is the most
-    urgent; ``is_missing`` tells that the engine has just refused a call for
+    urgent; ``slack`` is in how many seconds the load must begin for a call that
+    waits to be served in time, negative where it is too late for all; ``is_missing`` tells that the engine has just refused a call for
     want of the adapter.
     """
 
@@ -113,6 +127,7 @@
     adapter: str
     least: int
     priority: int
+    slack: float
     is_missing: bool
 
 
--- a/roadlift/serving/residency.py
+++ b/roadlift/serving/residency.py
@@ -5,10 +5,16 @@
 time and no promise.
 """
 
+from collections import OrderedDict
 from collections.abc import Iterable, Mapping
 
 from roadlift.serving.calls import Model
 
+# Adapters of one engine that are remembered after they left it: about what an
+# engine keeps in its own memory. Where it keeps fewer, a load that was taken
+# for a short one comes from the weight store.
+MOST_RECENT = 64
+
 
 class Residency:
     """The versions of the adapters at engines, by engine and by adapter."""
@@ -16,6 +22,7 @@
     def __init__(self) -> None:
         self._by_endpoint: dict[str, dict[Model, int]] = {}
         self._by_model: dict[Model, dict[str, int]] = {}
+        self._recent: dict[str, OrderedDict[Model, int]] = {}
 
     def find(self, model: Model) -> Mapping[str, int]:
         """Return the version of an adapter by the engines that hold it."""
@@ -26,6 +33,11 @@
         version = self._by_model.get(model, {}).get(endpoint)
         return version is not None and version >= least
 
+    def is_at_hand(self, endpoint: str, model: Model, least: int) -> bool:
+        """Tell whether an engine held an adapter of late, at ``least``."""
+        version = self._recent.get(endpoint, {}).get(model)
+        return version is not None and version >= least
+
     def list_held(self, endpoint: str) -> Mapping[Model, int]:
         """Return the adapters of an engine."""
         return self._by_endpoint.get(endpoint, {})
@@ -37,13 +49,22 @@
 
     def drop(self, endpoint: str, model: Model) -> None:
         """Learn that an engine does not hold an adapter."""
-        if self._by_endpoint.get(endpoint, {}).pop(model, None) is None:
+        version = self._by_endpoint.get(endpoint, {}).pop(model, None)
+        if version is None:
             return
+        self._remember(endpoint, model, version)
         holders = self._by_model[model]
         del holders[endpoint]
         if not holders:
             del self._by_model[model]
 
+    def _remember(self, endpoint: str, model: Model, version: int) -> None:
+        recent = self._recent.setdefault(endpoint, OrderedDict())
+        recent[model] = version
+        recent.move_to_end(model)
+        if len(recent) > MOST_RECENT:
+            recent.popitem(last=False)
+
     def replace(self, endpoint: str, held: Mapping[Model, int]) -> None:
         """Learn of all that an engine holds."""
         for model in list(self.list_held(endpoint)):
@@ -57,6 +78,7 @@
         for endpoint in endpoints:
             self.replace(endpoint, {})
             self._by_endpoint.pop(endpoint, None)
+            self._recent.pop(endpoint, None)
 
     def list_endpoints(self) -> list[str]:
         """Return the engines of which anything is known."""
