Price places by how many are free, and let a cut stream wait for a load

Cause: a further copy cost the same whether an engine had one place free or nine; and a stream that was cut behind its caller's first patience was given up, as what was left was counted from the call's arrival.

Change: a load costs 0.5 s a last place, less the more are free; a caller of a stream stays for its patience behind the last event.

--- a/roadlift/decisions/placement.py
+++ b/roadlift/decisions/placement.py
@@ -24,9 +24,9 @@
 RANK_PRICE = 0.02
 
 
-# Seconds that a further copy of a loaded adapter is as dear as: it takes a
-# place for as long as calls run on it, of which there are few.
-COPY_PRICE = 0.5
+# Seconds that an engine's last place is as dear as; of several that are free,
+# each is as much cheaper. A copy takes it for as long as calls run on it.
+PLACE_PRICE = 0.5
 
 
 class Engine(NamedTuple):
@@ -75,6 +75,8 @@
         delay += waits.place_wait * (1 - engine.places)
     # The prompts ahead are read while the adapter is loaded.
     expected = max(delay, pace * engine.ahead) + pace * need.tokens
+    if engine.source is not Source.HELD:
+        price += PLACE_PRICE / max(1, engine.places)
     if engine.source is Source.STORE:
         price += RANK_PRICE * engine.rank
     if engine.endpoint.zone != need.zone:
@@ -95,13 +97,6 @@
         for engine in engines
         if engine.source is Source.HELD or engine.can_load
     ]
-    best = min(options, key=_rank, default=None)
-    held = [one for one in options if one.engine.source is Source.HELD]
-    if not held:
-        return best
-    nearest = min(held, key=_rank)
-    return nearest if nearest.cost <= best.cost + COPY_PRICE else best
-
-
-def _rank(option: Option) -> tuple[float, str]:
-    return option.cost, option.engine.endpoint.id
+    return min(
+        options, key=lambda one: (one.cost, one.engine.endpoint.id), default=None
+    )
--- a/roadlift/instance/exchange.py
+++ b/roadlift/instance/exchange.py
@@ -169,7 +169,7 @@
         """Wait for the call's adapter, or refuse where it would be too long."""
         now = self._kernel.clock.now()
         model = self.call.model
-        stays = self._measure_stay() - (now - self._began_at)
+        stays = self._measure_stay(now)
         if option.expected > stays:
             back = max(COME_BACK, option.expected - stays)
             self._fail(NoEndpoint(f"{model} can't be loaded in time", back))
@@ -195,12 +195,13 @@
         )
         self._placing.await_load(self._waiter, option, self.call.tokens_in)
 
-    def _measure_stay(self) -> float:
-        """Return the seconds behind its arrival that its caller stays."""
-        stay = self._deadline - self._began_at
+    def _measure_stay(self, now: float) -> float:
+        """Return the seconds that the caller stays without a further event."""
+        until = self._deadline
         if self.route.patience is not None:
-            stay = min(stay, self.route.patience)
-        return stay
+            heard = self._began_at if self._writes == 0 else self._last_byte_at
+            until = min(until, heard + self.route.patience)
+        return until - now
 
     def _on_asked(self, endpoint: Endpoint) -> None:
         self._note("ask", endpoint=endpoint.id, zone=endpoint.zone)
