Leave engines that went silent while they generate

Change: a process that hears nothing for 0.6 s on any generating stream of an engine leaves it, and sends the streams that may run again to another.

--- a/roadlift/instance/exchange.py
+++ b/roadlift/instance/exchange.py
@@ -264,6 +264,7 @@
             self._end_send()
 
     def _end_send(self) -> None:
+        self._placing.silence.end(self._endpoint.id, self)
         self._note_read()
         self._placing.end(self._endpoint, self.call)
 
@@ -273,6 +274,27 @@
             self._is_reading = False
             self._placing.note_read(self._endpoint, self.call)
 
+    def _note_event(self, now: float) -> None:
+        """Learn from an event of a stream."""
+        if self._is_reading:
+            self._learn_reading()
+            self._note_read()
+            watch = self._placing.silence
+            watch.begin(self._endpoint.id, self, self._on_silent, now)
+        self._placing.silence.note(self._endpoint.id, now)
+
+    def _on_silent(self) -> None:
+        """Leave an engine that went silent, where the call may run again."""
+        may_resend = self.route.is_repeatable and self._runs + 1 < self.route.attempts
+        if self._line is None or not may_resend:
+            return
+        line = self._line
+        self._leave_endpoint()
+        line.close()
+        self._runs += 1
+        error = StreamCut(f"{self._endpoint.id}: silent")
+        self._on_failure(error, False)
+
     def _learn_reading(self) -> None:
         """Learn from a first event how fast the engine reads."""
         now = self._kernel.clock.now()
@@ -363,9 +385,8 @@
         if not data:
             return
         now = self._kernel.clock.now()
-        if self._is_reading and self.call.model is not None:
-            self._learn_reading()
-            self._note_read()
+        if self.call.model is not None:
+            self._note_event(now)
         if self._first_byte_at is None:
             self._first_byte_at = now
         else:
--- a/roadlift/instance/placing.py
+++ b/roadlift/instance/placing.py
@@ -10,6 +10,7 @@
 from roadlift.decisions.loading import LoadWaits, Source
 from roadlift.decisions.placement import Engine, Need, Option, choose_engine
 from roadlift.decisions.reading import ReadingTimes
+from roadlift.decisions.silence import SilenceWatch
 from roadlift.instance.follower import Follower
 from roadlift.instance.leases import Leases
 from roadlift.serving.calls import Call, Model
@@ -46,6 +47,7 @@
 # Seconds for which an engine is not asked again for an adapter that it was
 # denied for, and between looks at what is to be asked for again.
 DENIAL_PAUSE = 0.1
+SILENCE_TICK = 0.1  # Seconds between looks for engines that went silent.
 # Seconds of silence behind which an owner is not asked: its sign comes each
 # SUBSCRIBE_PERIOD, and one that is lost on a link comes 0.2 to 0.6 s later.
 OWNER_LIMIT = 0.9
@@ -143,6 +145,7 @@
         self.health = Health()
         self.paces = Paces()
         self.reading_times = ReadingTimes()
+        self.silence = SilenceWatch()
         self._transport.subscribe((Pulse,), self._take_pulse)
         self._transport.subscribe((EngineLoads,), self._take_loads)
         self._transport.subscribe((Listing,), self._take_listing)
@@ -160,6 +163,7 @@
         self._timers = [
             loop.call_every(TELL_TICK, self._subscribe),
             loop.call_every(DENIAL_PAUSE, self._ask_again),
+            loop.call_every(SILENCE_TICK, self._look_for_silence),
         ]
 
     def close(self) -> None:
@@ -201,6 +205,12 @@
         pace = self.reading_times.estimate(option.engine.endpoint.id, now)
         return self._loading.estimate(option.engine.source) + pace * call.tokens_in
 
+    def _look_for_silence(self) -> None:
+        now = self._kernel.clock.now()
+        for endpoint in self.silence.look(now):
+            self.health.note_absence(endpoint, now)
+            log.event("endpoint_silent", endpoint=endpoint)
+
     def _list_usable(
         self, service: str, excluded: set[str], now: float
     ) -> list[Endpoint]:
