--- a/roadlift/serving/engine.py
+++ b/roadlift/serving/engine.py
@@ -47,7 +47,7 @@
 # adapters arrive meanwhile. A report costs a hundredth of a load and less.
 PEEK_PERIOD = 0.15
 # Seconds by which a want of the next lower priority stands behind.
-PRIORITY_STEP = 0.1
+PRIORITY_STEP = -0.3
 MOST_WANTED = 64  # Adapters that wait for one engine.
 # Seconds behind the last asking for an adapter at which nobody waits for it
 # any more; instances ask again each 0.3 s while a call waits.
