Let engines read the prompts of late calls last

Cause: a call that can't be in time any more was read before those that could, for the same work and three tenths of the use.

Change: a call that is expected to be late where it is sent has a priority four ranks lower at the engine.

--- a/roadlift/instance/exchange.py
+++ b/roadlift/instance/exchange.py
@@ -47,6 +47,9 @@
 ROUND_PAUSE = 0.05
 # Seconds of a call's time below which no further send is begun.
 LEAST_TIME = 0.02
+# By how much the priority of a call that is late is put back, so that engines
+# read the prompts first of those that can still be served in time.
+LATE_STEP = 4
 # Statuses that tell a caller that its call did not run.
 _PROMISES = (408, 421, 429, 503)
 _EVENT_STREAM = "text/event-stream"
@@ -225,12 +228,17 @@
         version = None
         if self.call.model is not None and self.call.model.adapter:
             version = self._follower.find_version(self.call.model) or None
-        guard = Guard(self._deadline - now, version, self._resume_after)
+        self._ahead = self._placing.count_ahead(endpoint.id)
+        guard = Guard(
+            self._deadline - now,
+            self._choose_priority(endpoint, now),
+            version,
+            self._resume_after,
+        )
         request = self._format.build_request(self.call, self.route, endpoint, guard)
         self._sends += 1
         self._sent_at = now
         running = self._placing.count_running(endpoint.id)
-        self._ahead = self._placing.count_ahead(endpoint.id)
         self._note(
             "send",
             endpoint=endpoint.id,
@@ -247,6 +255,16 @@
             endpoint.address, request, self, SILENCE_LIMIT
         )
 
+    def _choose_priority(self, endpoint: Endpoint, now: float) -> int:
+        """Return the priority of a send: a late call's is behind all others."""
+        priority = self.route.priority
+        if self.call.model is None or self._writes:
+            return priority
+        pace = self._placing.reading_times.estimate(endpoint.id, now)
+        expected = pace * (self._ahead + self.call.tokens_in)
+        is_late = now + expected - self._began_at > self.route.objective
+        return priority + LATE_STEP if is_late else priority
+
     def _drop_line(self) -> None:
         """Close the send under way; the endpoint cancels its run."""
         if self._waiter is not None:
