Wait for an owner that is due instead of refusing

Change: within 1.2 s of the last sign of an owner, or of the start, a call waits for one; behind that it is refused at once, as an outage is under way.

--- a/roadlift/instance/exchange.py
+++ b/roadlift/instance/exchange.py
@@ -18,7 +18,7 @@
 from roadlift.endpoints.events import EventFrames
 from roadlift.http.messages import drop_hop_by_hop
 from roadlift.instance.follower import Follower
-from roadlift.instance.placing import Placing, Waiter
+from roadlift.instance.placing import OWNER_RETURN, Placing, Waiter
 from roadlift.instance.platform import Platform
 from roadlift.relay.caller import Caller
 from roadlift.relay.upstream import Line
@@ -43,6 +43,7 @@
 COME_BACK = 0.2
 # The same where no owner may give orders: a good part of a takeover.
 OWNERLESS_PAUSE = 1.0
+OWNER_TICK = 0.05  # Seconds between looks for an owner that is due.
 # Seconds until endpoints that have all refused a call are asked once more.
 ROUND_PAUSE = 0.05
 # Seconds of a call's time below which no further send is begun.
@@ -159,6 +160,7 @@
         if option is not None:
             self._await_load(option)
             return
+        now = self._kernel.clock.now()
         model = self.call.model
         is_servable = self._placing.is_known(self._service)
         if is_servable and self._excluded and not self._is_second_round:
@@ -170,6 +172,10 @@
         if model is None or not model.adapter or not is_servable:
             self._fail(NoEndpoint(f"service {self._service}", COME_BACK))
             return
+        if self._placing.is_owner_due() and self._measure_stay(now) > OWNER_RETURN:
+            self._note("wait", expected=OWNER_RETURN)
+            self._kernel.loop.call_later(OWNER_TICK, self._try)
+            return
         # Nobody may give orders now; the caller is told so at once.
         self._fail(NoEndpoint(f"no owner can load {model}", OWNERLESS_PAUSE))
 
--- a/roadlift/instance/placing.py
+++ b/roadlift/instance/placing.py
@@ -59,6 +59,11 @@
 log = PartLog("placing")
 
 
+# Seconds within which an owner is followed by another, or is back behind a
+# restart of all: calls wait so long for one, and are refused behind that.
+OWNER_RETURN = 1.2
+
+
 class Told(NamedTuple):
     """How loaded an engine is, as its owner told it.
 
@@ -163,6 +168,7 @@
         self._subscribed_at: dict[str, float] = {}
         self._told: dict[str, Told] = {}
         self._timers: list = []
+        self._started_at = 0.0
         self.health = Health()
         self.paces = Paces()
         self.reading_times = ReadingTimes()
@@ -181,6 +187,7 @@
 
     def start(self) -> None:
         """Begin to subscribe and to ask again."""
+        self._started_at = self._kernel.clock.now()
         loop = self._kernel.loop
         self._timers = [
             loop.call_every(TELL_TICK, self._subscribe),
@@ -353,6 +360,12 @@
         ready = self._follower.directory.list_ready(service)
         return any(self._has_owner(zone, now) for zone in {one.zone for one in ready})
 
+    def is_owner_due(self) -> bool:
+        """Tell whether there was an owner a moment ago, or none yet."""
+        heard = [at for at, pulse in self._pulses.values() if pulse.is_ready]
+        last = max(heard, default=self._started_at)
+        return self._kernel.clock.now() - last < OWNER_RETURN
+
     def await_load(self, waiter: Waiter, option: Option) -> None:
         """Ask for an adapter; ``on_ready`` is called when to choose again."""
         key = (waiter.service, waiter.model)
