Let all calls leave a silent engine, for another

Change: all silent engines are marked before any call chooses again, calls exclude the one that they leave, and those without an event leave as well.

--- a/roadlift/decisions/silence.py
+++ b/roadlift/decisions/silence.py
@@ -16,44 +16,65 @@
 MOST_GAP = 0.3
 
 
+class _Watched:
+    """The calls of this process at one engine, and when it was heard last."""
+
+    __slots__ = ("calls", "generating", "heard_at")
+
+    def __init__(self, now: float) -> None:
+        self.calls: dict[object, Callable[[], None]] = {}
+        self.generating: set[object] = set()
+        self.heard_at = now
+
+
 class SilenceWatch:
-    """The generating streams of this process, by engine."""
+    """The calls of this process at engines, to notice which went silent."""
 
     def __init__(self, silence: float = SILENCE) -> None:
         self._silence = silence
-        self._heard: dict[str, float] = {}
-        self._streams: dict[str, dict[object, Callable[[], None]]] = {}
+        self._engines: dict[str, _Watched] = {}
         self._looked_at: float | None = None
 
     def begin(
-        self, endpoint: str, stream: object, on_silent: Callable[[], None], now: float
+        self, endpoint: str, call: object, on_silent: Callable[[], None], now: float
     ) -> None:
-        """Watch a stream from its first event on."""
-        self._streams.setdefault(endpoint, {})[stream] = on_silent
-        self._heard[endpoint] = now
-
-    def note(self, endpoint: str, now: float) -> None:
-        """Learn that an engine sent something."""
-        self._heard[endpoint] = now
-
-    def end(self, endpoint: str, stream: object) -> None:
-        """Watch a stream no more."""
-        streams = self._streams.get(endpoint, {})
-        streams.pop(stream, None)
-        if not streams:
-            self._streams.pop(endpoint, None)
-            self._heard.pop(endpoint, None)
-
-    def look(self, now: float) -> list[str]:
-        """Return the engines that went silent, and tell their streams."""
+        """Watch a call that was sent; ``on_silent`` lets it leave the engine."""
+        watched = self._engines.setdefault(endpoint, _Watched(now))
+        watched.calls[call] = on_silent
+
+    def note_event(self, endpoint: str, call: object, now: float) -> None:
+        """Learn of an event of a call, which generates from now on."""
+        watched = self._engines.get(endpoint)
+        if watched is not None:
+            watched.generating.add(call)
+            watched.heard_at = now
+
+    def end(self, endpoint: str, call: object) -> None:
+        """Watch a call no more."""
+        watched = self._engines.get(endpoint)
+        if watched is None:
+            return
+        watched.calls.pop(call, None)
+        watched.generating.discard(call)
+        if not watched.calls:
+            del self._engines[endpoint]
+
+    def find_silent(self, now: float) -> list[str]:
+        """Return the engines that went silent while they generate."""
         last, self._looked_at = self._looked_at, now
         if last is None or now - last > MOST_GAP:
-            self._heard = {name: now for name in self._heard}
+            for watched in self._engines.values():
+                watched.heard_at = now
             return []
-        silent = [
-            name for name, heard in self._heard.items() if now - heard > self._silence
+        return [
+            name
+            for name, watched in self._engines.items()
+            if watched.generating and now - watched.heard_at > self._silence
         ]
-        for name in silent:
-            for on_silent in list(self._streams.get(name, {}).values()):
+
+    def leave(self, endpoint: str) -> None:
+        """Let all calls leave an engine."""
+        watched = self._engines.get(endpoint)
+        if watched is not None:
+            for on_silent in list(watched.calls.values()):
                 on_silent()
-        return silent
--- a/roadlift/instance/exchange.py
+++ b/roadlift/instance/exchange.py
@@ -277,6 +277,8 @@
         self._held.clear()
         self._placing.begin(endpoint, self.call)
         self._is_reading = True
+        if self.call.model is not None:
+            self._placing.silence.begin(endpoint.id, self, self._on_silent, now)
         self._line = self._kernel.dialer.open(
             endpoint.address, request, self, SILENCE_LIMIT
         )
@@ -324,9 +326,7 @@
         if self._is_reading:
             self._learn_reading()
             self._note_read()
-            watch = self._placing.silence
-            watch.begin(self._endpoint.id, self, self._on_silent, now)
-        self._placing.silence.note(self._endpoint.id, now)
+        self._placing.silence.note_event(self._endpoint.id, self, now)
 
     def _on_silent(self) -> None:
         """Leave an engine that went silent, where the call may run again."""
@@ -337,8 +337,8 @@
         self._leave_endpoint()
         line.close()
         self._runs += 1
-        error = StreamCut(f"{self._endpoint.id}: silent")
-        self._on_failure(error, False)
+        self._excluded.add(self._endpoint.id)
+        self._on_failure(StreamCut(f"{self._endpoint.id}: silent"), False)
 
     def _learn_reading(self) -> None:
         """Learn from a first event how fast the engine reads."""
--- a/roadlift/instance/placing.py
+++ b/roadlift/instance/placing.py
@@ -236,9 +236,13 @@
 
     def _look_for_silence(self) -> None:
         now = self._kernel.clock.now()
-        for endpoint in self.silence.look(now):
+        silent = self.silence.find_silent(now)
+        for endpoint in silent:
             self.health.note_absence(endpoint, now)
             log.event("endpoint_silent", endpoint=endpoint)
+        # All are known to be silent before a call chooses another engine.
+        for endpoint in silent:
+            self.silence.leave(endpoint)
 
     def _list_usable(
         self, service: str, excluded: set[str], now: float
