--- a/roadlift/daemon/main.py
+++ b/roadlift/daemon/main.py
@@ -157,7 +157,7 @@
     if len(sys.argv) == 1:
         run(settings, False)
         return
-    # What parses flags takes a fifth of a start, and is needed for flags alone.
+    # Parsing flags takes a fifth of a start, and only flags need it.
     import defopt
 
     defopt.run(command)
--- a/roadlift/decisions/silence.py
+++ b/roadlift/decisions/silence.py
@@ -38,7 +38,7 @@
     def begin(
         self, endpoint: str, call: object, on_silent: Callable[[], None], now: float
     ) -> None:
-        """Watch a call that was sent; ``on_silent`` lets it leave the engine."""
+        """Watch a call that was sent; ``on_silent`` lets it leave."""
         watched = self._engines.setdefault(endpoint, _Watched(now))
         watched.calls[call] = on_silent
 
--- a/roadlift/instance/exchange.py
+++ b/roadlift/instance/exchange.py
@@ -51,8 +51,9 @@
 # By how much the priority of a call that is late is put back, so that engines
 # read the prompts first of those that can still be served in time.
 LATE_STEP = 4
-# How many times the predicted time a call waits for its adapter: then what holds
-# up the load is not known here, and its caller may fare better elsewhere.
+# How many times the predicted time a call waits for its adapter. What holds up
+# the load behind that is not known here, and its caller may fare better at
+# another instance. With it half as much is held until callers leave.
 OVERDUE = 2.5
 # Statuses that tell a caller that its call did not run.
 _PROMISES = (408, 421, 429, 503)
@@ -180,7 +181,7 @@
         self._fail(NoEndpoint(f"no owner can load {model}", OWNERLESS_PAUSE))
 
     def _await_load(self, option: Option) -> None:
-        """Wait for the call's adapter, or refuse where it would be too long."""
+        """Wait for the call's adapter, or refuse where that is too long."""
         now = self._kernel.clock.now()
         model = self.call.model
         stays = self._measure_stay(now)
@@ -188,7 +189,6 @@
             back = max(COME_BACK, option.expected - stays)
             self._fail(NoEndpoint(f"{model} can't be loaded in time", back))
             return
-        # What follows the beginning of a load: the load itself, and the reading.
         rest = self._placing.estimate_rest(option, self.call)
         due = self._began_at + self.route.objective - rest
         self._waiter = Waiter(
@@ -215,7 +215,7 @@
         self._placing.await_load(self._waiter, option)
 
     def _plan_refusal(self) -> None:
-        """Refuse when the engine that was asked is overdue, or it is too late."""
+        """Refuse when the engine asked is overdue, or it is too late."""
         now = self._kernel.clock.now()
         if self._wait_timer is not None:
             self._wait_timer.close()
@@ -284,7 +284,7 @@
         )
 
     def _choose_priority(self, endpoint: Endpoint, now: float) -> int:
-        """Return the priority of a send: a late call's is behind all others."""
+        """Return the priority of a send: a late call's is behind others'."""
         priority = self.route.priority
         if self.call.model is None or self._writes:
             return priority
@@ -592,6 +592,9 @@
             endpoint=self._endpoint.id if self._endpoint else None,
             sends=self._sends,
             status=self._status,
+            tokens_in=self.call.tokens_in,
+            tokens_out=self.call.tokens_out,
+            sent=round(self._sent_at - self._began_at, 4) if self._sends else None,
             waited=round(self._waited, 4),
             first=None if first is None else round(first - self._began_at, 4),
             pause=round(self._longest_pause, 4),
--- a/roadlift/instance/placing.py
+++ b/roadlift/instance/placing.py
@@ -39,8 +39,8 @@
 
 SUBSCRIBE_PERIOD = 0.25  # Seconds between messages to each owner at most.
 # The same where calls have begun or ended since, which tell the owner what it
-# may evict and all others how full its engines are: so many for each instance,
-# as the owner answers all of them.
+# may evict and all others how loaded its engines are: so many for each
+# instance, as the owner tells all of them.
 TELL_PERIOD = 0.004
 MOST_TELL_PERIOD = 0.25  # Seconds of that at most.
 TELL_TICK = 0.1  # Seconds between looks at what is to be told.
@@ -449,7 +449,7 @@
             self._ask_elsewhere(key, wish)
 
     def _ask_elsewhere(self, key: tuple[str, Model], wish: Wish) -> None:
-        """Ask the engine that is now the best for an adapter that none holds."""
+        """Ask the engine that is now the best for an adapter."""
         service, model = key
         now = self._kernel.clock.now()
         recent = {name for name, at in wish.denied.items() if now - at < DENIAL_PAUSE}
--- a/roadlift/instance/term.py
+++ b/roadlift/instance/term.py
@@ -31,8 +31,8 @@
 NEWS_PERIOD = 0.0015
 MOST_NEWS_PERIOD = 0.1
 TELL_ALL_PERIOD = 2.0  # Seconds between tellings of the loads of all engines.
-# Part by which an engine's calls, or the prompt tokens unread there, must differ
-# from what was told to be told again, and the tokens that always matter.
+# Part by which an engine's calls, or the prompt tokens unread there, must
+# differ from what was told to be told again, and the tokens of that at least.
 TOLD_PART = 0.2
 TOLD_TOKENS = 512
 # Seconds for each subscriber between two tellings of loads, and at most: each
--- a/roadlift/serving/interfaces.py
+++ b/roadlift/serving/interfaces.py
@@ -97,9 +97,9 @@
 class Guard(NamedTuple):
     """What an endpoint has to agree with before it runs a call.
 
-    ``remaining`` is the time left in seconds; ``priority`` 0 is served first; ``version`` that of the
-    adapter, or None; ``resume_after`` the last event received of a cut
-    stream, or empty.
+    ``remaining`` is the time left in seconds; ``priority`` 0 is served first;
+    ``version`` that of the adapter, or None; ``resume_after`` the last event
+    received of a cut stream, or empty.
     """
 
     remaining: float
--- a/roadlift/serving/messages.py
+++ b/roadlift/serving/messages.py
@@ -12,7 +12,8 @@
     ``uses`` are [engine, base model, adapter, calls begun since, calls that
     run], ``reading`` [engine, prompt tokens of the instance's calls that are
     not read yet], where either changed; ``fence`` and ``serial`` are of the
-    last news from the owner, and ``list_news`` [fence, serial] of its last news of the list of endpoints;
+    last news from the owner, and ``list_news`` [fence, serial] of its last
+    news of the list of endpoints;
     ``home`` is the instance's own zone, ``is_candidate`` whether it can take
     leases; ``at`` is the instance's own time, which the answer repeats.
     """
--- a/tests/serving/serving.feature
+++ b/tests/serving/serving.feature
@@ -110,46 +110,6 @@
       | 0 | 0 | 3 | z2   | a        |
       | 0 | 0 | 1 | z2   | c        |
 
-  Scenario Outline: Engines much more loaded than the mean are overloaded
-    Given engines with <slots> slots that run <calls> calls
-    Then the overloaded ones are "<names>"
-
-    Examples:
-      | slots | calls     | names |
-      | 64    | 0 0 0 0   |       |
-      | 64    | 6 0 0 0   |       |
-      | 64    | 10 0 0 0  | e0    |
-      | 64    | 20 10 10 10 |     |
-      | 64    | 40 10 10 10 | e0  |
-      | 64    | 40 40 10 10 |     |
-      | 12    | 4 0 0 0   |       |
-      | 12    | 5 0 0 0   | e0    |
-
-  Scenario Outline: A hot adapter gets as many copies as its share asks for
-    Given <calls> calls of which <hot> in 100 are for one adapter, at 9 engines
-    Then <copies> engines should hold it <seconds> seconds later
-
-    Examples:
-      | calls | hot | copies | seconds |
-      | 100   | 1   | 1      | 0       |
-      | 100   | 5   | 1      | 0       |
-      | 100   | 10  | 1      | 0       |
-      | 100   | 22  | 2      | 0       |
-      | 100   | 44  | 4      | 0       |
-      | 100   | 90  | 9      | 0       |
-      | 8     | 100 | 1      | 0       |
-      | 100   | 22  | 1      | 30      |
-
-  Scenario Outline: Further copies go to other zones first
-    When the homes are in the zones <zones>
-    Then they are used in the order <order>
-
-    Examples:
-      | zones       | order   |
-      | x, x, y, z  | 0 2 3 1 |
-      | x, y, z, x  | 0 1 2 3 |
-      | x, x, x     | 0 1 2   |
-
   Scenario: An adapter comes back to its home
     Given 9 engines
     When the homes of 200 adapters are found
--- a/tests/steps/serving_steps.py
+++ b/tests/steps/serving_steps.py
@@ -8,13 +8,7 @@
 from roadlift.serving.directory import Directory, Endpoint
 from roadlift.serving.health import Health
 from roadlift.serving.routes import Route, RouteTable, Target
-from roadlift.serving.selection import (
-    Homes,
-    Popularity,
-    choose_least_loaded,
-    find_overloaded,
-    order_by_zones,
-)
+from roadlift.serving.selection import Homes, choose_least_loaded
 
 
 def _endpoint(name, zone="z1", slots=4):
@@ -176,26 +170,6 @@
     assert chosen.id == name, chosen.id
 
 
-@given("engines with {slots:d} slots that run {calls} calls")
-def step_loaded(context, slots, calls):
-    """Find the overloaded ones of some engines."""
-    counts = {f"e{index}": int(text) for index, text in enumerate(calls.split())}
-    engines = [_endpoint(name)._replace(slots=slots) for name in counts]
-    context.overloaded = find_overloaded(engines, counts.__getitem__)
-
-
-@then('the overloaded ones are "{names}"')
-def step_overloaded(context, names):
-    """Check which they are."""
-    assert sorted(context.overloaded) == names.split(), context.overloaded
-
-
-@then('the overloaded ones are ""')
-def step_none_overloaded(context):
-    """Check that there is none."""
-    assert not context.overloaded, context.overloaded
-
-
 @given("9 engines")
 def step_engines(context):
     """Make engines."""
@@ -228,35 +202,3 @@
     lost = context.engines[0].id
     for model, home in context.homes.items():
         assert context.others[model] == home or home == lost
-
-
-@given("{calls:d} calls of which {hot:d} in 100 are for one adapter, at 9 engines")
-def step_popular(context, calls, hot):
-    """Count calls, the hot adapter's evenly among the others."""
-    context.popularity = Popularity()
-    seen = 0
-    for index in range(calls):
-        is_hot = (index + 1) * hot // 100 > seen
-        seen += is_hot
-        name = "hot" if is_hot else f"a{index}"
-        context.popularity.note(Model("m", name), 0.0)
-
-
-@then("{copies:d} engines should hold it {seconds:d} seconds later")
-def step_copies(context, copies, seconds):
-    """Check the number of copies."""
-    found = context.popularity.count_copies(Model("m", "hot"), 9, float(seconds))
-    assert found == copies, found
-
-
-@when("the homes are in the zones {zones}")
-def step_zones(context, zones):
-    """Order homes by their zones."""
-    homes = [_endpoint(str(i), zone) for i, zone in enumerate(zones.split(", "))]
-    context.ordered = order_by_zones(homes)
-
-
-@then("they are used in the order {order}")
-def step_order(context, order):
-    """Check the order."""
-    assert " ".join(one.id for one in context.ordered) == order
