Open silent connections between instances anew; count predicted waits

Cause: a path between instances may go silent for good without a reset; what is sent on it is lost until TCP gives up, which takes many seconds. And nothing told how often a call waited in vain although its load was predicted in time.

Change: heartbeats of ZeroMQ each 0.4 s, and a new connection behind 1.2 s of silence; a counter of predicted waits by what came of them. A scenario has a stream that goes silent resumed at another engine within 1.2 s; it fails without the watch.

--- a/roadlift/daemon/transport.py
+++ b/roadlift/daemon/transport.py
@@ -17,6 +17,10 @@
 
 QUEUE = 1000  # Messages held for a peer, or from all of them.
 DRAIN_PERIOD = 0.05  # Seconds; ZeroMQ's descriptor is edge-triggered.
+# Milliseconds between heartbeats on a connection, and of silence behind which it
+# is opened anew: a path can go silent for good without a reset.
+HEARTBEAT_PERIOD = 400
+HEARTBEAT_LIMIT = 1200
 MOST_DRAINED = 500  # Messages taken before other sockets get their turn.
 
 log = PartLog("transport")
@@ -103,6 +107,8 @@
         opened.setsockopt(zmq.LINGER, 0)
         opened.setsockopt(zmq.SNDHWM, QUEUE)
         opened.setsockopt(zmq.RCVHWM, QUEUE)
+        opened.setsockopt(zmq.HEARTBEAT_IVL, HEARTBEAT_PERIOD)
+        opened.setsockopt(zmq.HEARTBEAT_TIMEOUT, HEARTBEAT_LIMIT)
         opened.setsockopt(zmq.RECONNECT_IVL, 50)
         opened.setsockopt(zmq.RECONNECT_IVL_MAX, 1000)
         return opened
--- a/roadlift/instance/exchange.py
+++ b/roadlift/instance/exchange.py
@@ -240,13 +240,19 @@
         """Refuse a call for which no load came in time."""
         if self._waiter is not None and not self._is_over:
             model = self.call.model
+            self._count_wait("overdue")
             self._fail(NoEndpoint(f"{model} was not loaded in time", COME_BACK))
 
+    def _count_wait(self, outcome: str) -> None:
+        measures = self._ingress.measures
+        measures.count("roadlift_predicted_waits", self._service, outcome)
+
     def _on_loaded(self) -> None:
         self._waiter = None
         self._wait_timer.close()
         self._waited += self._kernel.clock.now() - self._wait_began_at
         self._note("loaded")
+        self._count_wait("loaded")
         self._try()
 
     def _send(self, endpoint: Endpoint) -> None:
--- a/roadlift/instance/measures.py
+++ b/roadlift/instance/measures.py
@@ -68,6 +68,15 @@
         "Time that calls waited for their adapter, where they had to.",
         "Look for `load_denied`, orders without an answer, and zones without owner.",
     ),
+    Measure(
+        "roadlift_predicted_waits",
+        "counter",
+        "calls",
+        ("service", "outcome"),
+        "Calls that began to wait for a load as it was predicted in time, by what "
+        "came: loaded, or overdue and refused.",
+        "Many overdue: look for `load_denied` and orders without an answer.",
+    ),
     Measure(
         "roadlift_refusals",
         "counter",
--- a/standins/installation.py
+++ b/standins/installation.py
@@ -240,9 +240,10 @@
     """A runner: it loads adapters, answers calls and reports.
 
     ``faults`` are played one a call: a Reply is given in place of the
-    answer, "mute" answers nothing, "cut" ends a stream in its middle and
-    "lose" runs the call and loses its answer. Of the next ``lost_orders``,
-    none is answered; every second is carried out late.
+    answer, "mute" answers nothing, "cut" ends a stream in its middle,
+    "stall" leaves it there and "lose" runs the call and loses its answer. Of
+    the next ``lost_orders``, none is answered; every second is carried out
+    late.
     """
 
     def __init__(
@@ -416,6 +417,8 @@
             line.receiver.receive_body(event[:5])
             line.fail(ConnectionLost("reset"))
             return
+        if fault == "stall" and number == 1:
+            return
         line.receiver.receive_body(event)
         send = lambda: self._send_event(line, number + 1, fault)
         self._timeline.call_later(EVENT_GAP, send)
--- a/tests/instance/instance.feature
+++ b/tests/instance/instance.feature
@@ -61,6 +61,13 @@
     Then it gets 200 within 0.4 seconds
     And its body is the events 0, 1 and 2
 
+  Scenario: A stream that goes silent is resumed at another engine
+    Given engines leave a stream silent next
+    When a resumable stream is sent to a
+    And 1.2 seconds pass
+    Then it gets 200 within 0.1 seconds
+    And its body is the events 0, 1 and 2
+
   Scenario: A cut stream that may not be resumed ends without its end
     Given engines cut a stream next
     When a stream is sent to a
--- a/tests/steps/instance_steps.py
+++ b/tests/steps/instance_steps.py
@@ -43,6 +43,7 @@
     "answer 200 without a stamp": [Reply(200, {"request-id": ""})],
     "are mute": ["mute"],
     "cut a stream": ["cut"],
+    "leave a stream silent": ["stall"],
 }
 _ROUTES = [
     make_route("/idem/", "idempotent", "plain"),
