--- a/roadlift/daemon/transport.py
+++ b/roadlift/daemon/transport.py
@@ -17,8 +17,8 @@
 
 QUEUE = 1000  # Messages held for a peer, or from all of them.
 DRAIN_PERIOD = 0.05  # Seconds; ZeroMQ's descriptor is edge-triggered.
-# Milliseconds between heartbeats on a connection, and of silence behind which it
-# is opened anew: a path can go silent for good without a reset.
+# Milliseconds between heartbeats on a connection, and of silence behind which
+# it is opened anew: a path can go silent for good without a reset.
 HEARTBEAT_PERIOD = 400
 HEARTBEAT_LIMIT = 1200
 MOST_DRAINED = 500  # Messages taken before other sockets get their turn.
--- /dev/null
+++ b/tests/support/proxies.py
@@ -0,0 +1,65 @@
+"""Forward TCP connections on loopback, and let them go silent."""
+
+import select
+import socket
+import threading
+
+CHUNK = 65536
+TICK = 0.05  # Seconds between looks whether the proxy is to end.
+
+
+class Proxy:
+    """Forwards each connection to an address; ``close`` ends it."""
+
+    def __init__(self, target: tuple[str, int]) -> None:
+        self._target = target
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        self._pairs: dict[socket.socket, socket.socket] = {}
+        self._silent: set[socket.socket] = set()
+        self._is_over = False
+        self._thread = threading.Thread(target=self._run, daemon=True)
+        self.address = f"127.0.0.1:{self._listener.getsockname()[1]}"
+
+    def start(self) -> None:
+        """Begin to accept."""
+        self._thread.start()
+
+    def close(self) -> None:
+        """Close all connections."""
+        self._is_over = True
+        self._thread.join()
+        for one in [self._listener, *self._pairs]:
+            one.close()
+
+    def silence(self) -> None:
+        """Forward nothing more on the connections that are open."""
+        self._silent.update(self._pairs)
+
+    def _run(self) -> None:
+        while not self._is_over:
+            heard = [one for one in self._pairs if one not in self._silent]
+            ready, _, _ = select.select([self._listener, *heard], [], [], TICK)
+            for one in ready:
+                if one is self._listener:
+                    self._accept()
+                elif one in self._pairs and one not in self._silent:
+                    self._forward(one)
+
+    def _accept(self) -> None:
+        near, _ = self._listener.accept()
+        far = socket.create_connection(self._target)
+        self._pairs[near], self._pairs[far] = far, near
+
+    def _forward(self, one: socket.socket) -> None:
+        other = self._pairs[one]
+        try:
+            data = one.recv(CHUNK)
+            if data:
+                other.sendall(data)
+                return
+        except OSError:
+            # Either side is gone, so both are closed below.
+            data = b""
+        for end in (one, other):
+            self._pairs.pop(end, None)
+            end.close()
