End a call's exchange behind an error of our own

Change: the exchange ends itself, with one answer. Test: a broken choice of endpoints is answered 500, and no call stays under way; it failed before.

--- a/roadlift/instance/exchange.py
+++ b/roadlift/instance/exchange.py
@@ -133,6 +133,11 @@
         self._caller.end_early()
         self._end("cut", None)
 
+    def abort(self, error: Exception) -> None:
+        """End with a failure, behind an error of this process's own."""
+        log.error("A call broke its exchange: %r.", error)
+        self._fail(RoadliftError(type(error).__name__))
+
     def _note(self, step: str, **fields: object) -> None:
         """Keep a decision for the line that the call's end may write."""
         if len(self._steps) < MOST_STEPS:
--- a/roadlift/instance/ingress.py
+++ b/roadlift/instance/ingress.py
@@ -145,7 +145,11 @@
         exchange = Exchange(self._kernel, self, call, route, caller)
         self._exchanges.add(exchange)
         self.measures.set("roadlift_running_calls", len(self._exchanges))
-        exchange.start()
+        try:
+            exchange.start()
+        except Exception as error:
+            # The exchange answers, so that no send of it stays under way.
+            exchange.abort(error)
 
     def _refuse(
         self, received: Received, caller: Connection, error: RoadliftError
--- a/tests/instance/instance.feature
+++ b/tests/instance/instance.feature
@@ -93,6 +93,12 @@
     Then it gets 503 within 0.01 seconds
     And d is not ready
 
+  Scenario: An error of the instance's own leaves no call under way
+    Given the choice of an endpoint breaks at a
+    When an idempotent call is sent to a
+    Then it gets 500 within 0.01 seconds
+    And a has no call under way
+
   Scenario: A caller that goes away cancels its run
     Given plain endpoints are mute next
     When an idempotent call is sent to a
--- a/tests/steps/instance_steps.py
+++ b/tests/steps/instance_steps.py
@@ -83,6 +83,23 @@
     return [one for name, one in runners.items() if name.startswith(letter)]
 
 
+@given("the choice of an endpoint breaks at {name}")
+def step_break_choice(context, name):
+    """Let what chooses raise an error of no kind that is expected."""
+
+    def choose(service, excluded):
+        """Break."""
+        raise KeyError(service)
+
+    context.entries.entries[name].ingress._placing.choose = choose
+
+
+@then("{name} has no call under way")
+def step_no_call(context, name):
+    """Check that the instance has forgotten all calls."""
+    assert not context.entries.entries[name].ingress._exchanges
+
+
 @given("plain endpoints {fault} next")
 def step_plain_fault(context, fault):
     """Let a call to a plain endpoint go wrong."""
