--- a/roadlift/instance/exchange.py
+++ b/roadlift/instance/exchange.py
@@ -18,8 +18,9 @@
 from roadlift.endpoints.events import EventFrames
 from roadlift.http.messages import drop_hop_by_hop
 from roadlift.instance.follower import Follower
-from roadlift.instance.placing import OWNER_RETURN, Placing, Waiter
+from roadlift.instance.placing import OWNER_RETURN, Placing
 from roadlift.instance.platform import Platform
+from roadlift.instance.waiting import Waiter
 from roadlift.relay.caller import Caller
 from roadlift.relay.upstream import Line
 from roadlift.serving.calls import Call, Kind
--- a/roadlift/instance/placing.py
+++ b/roadlift/instance/placing.py
@@ -1,7 +1,6 @@
 """Find an engine that holds an adapter, or have it loaded."""
 
-from collections.abc import Callable, Iterable
-from typing import NamedTuple
+from collections.abc import Iterable
 
 from roadlift.core.kernel import Kernel, parts
 from roadlift.core.logs import PartLog
@@ -12,8 +11,10 @@
 from roadlift.decisions.reading import ReadingTimes
 from roadlift.decisions.silence import SilenceWatch
 from roadlift.decisions.urgency import Urgency
+from roadlift.decisions.workload import EngineLoad, Workload
 from roadlift.instance.follower import Follower
 from roadlift.instance.leases import Leases
+from roadlift.instance.waiting import Waiter, Wish
 from roadlift.serving.calls import Call, Model
 from roadlift.serving.directory import Endpoint
 from roadlift.serving.health import Health
@@ -64,83 +65,6 @@
 OWNER_RETURN = 1.2
 
 
-class Told(NamedTuple):
-    """How loaded an engine is, as its owner told it.
-
-    ``own`` were this process's calls there at that time, and ``own_reading``
-    the prompt tokens of them that were not read; the owner is of ``zone``.
-    """
-
-    running: int
-    reading: int
-    places: int
-    own: int
-    own_reading: int
-    zone: str
-
-
-class Waiter:
-    """A call that waits for an adapter; ``close`` takes it back."""
-
-    def __init__(
-        self,
-        service: str,
-        model: Model,
-        priority: int,
-        due: float,
-        hold: float,
-        tokens: int,
-        on_ready: Callable[[], None],
-        on_ask: Callable[[Endpoint], None],
-    ) -> None:
-        self.service = service
-        self.model = model
-        self.priority = priority
-        self.due = due
-        self.hold = hold
-        self.tokens = tokens
-        self.on_ready = on_ready
-        self.on_ask = on_ask
-        self.is_open = True
-        self._release: Callable[[], None] | None = None
-
-    def commit(self, release: Callable[[], None]) -> None:
-        """Count as coming to an engine until ``release`` is called."""
-        self.release()
-        self._release = release
-
-    def release(self) -> None:
-        """Count as coming to no engine."""
-        release, self._release = self._release, None
-        if release is not None:
-            release()
-
-    def close(self) -> None:
-        """Wait no more."""
-        self.is_open = False
-        self.release()
-
-
-class Wish:
-    """The waiters for one adapter, and the engine that was asked for it."""
-
-    def __init__(self) -> None:
-        self.waiters: list[Waiter] = []
-        self.began_at = float("-inf")
-        self.asked_at = float("-inf")
-        self.endpoint = ""
-        self.engine: Engine | None = None
-        self.denied: dict[str, float] = {}
-
-    def measure_urgency(self, now: float) -> Urgency:
-        """Return how urgent the load is for the calls that wait."""
-        waiting = [one for one in self.waiters if one.is_open]
-        priority = min((one.priority for one in waiting), default=0)
-        due = max((one.due for one in waiting), default=now)
-        hold = max((one.hold for one in waiting), default=0.0)
-        return Urgency(priority, due - now, hold / max(1, len(waiting)))
-
-
 @parts.register("placing")
 class Placing:
     """What this process knows of loaded adapters, and asks for."""
@@ -156,7 +80,7 @@
         self._residency = Residency()
         self._homes = Homes()
         self._loading = LoadWaits()
-        self._reading: dict[str, int] = {}
+        self._workload = Workload()
         self._untold_reading: dict[str, set[str]] = {}
         self._tell_timers: dict[str, Timer] = {}
         self._wishes: dict[tuple[str, Model], Wish] = {}
@@ -166,7 +90,6 @@
         self._list_news = (0, 0)
         self._pulses: dict[str, tuple[float, Pulse]] = {}
         self._subscribed_at: dict[str, float] = {}
-        self._told: dict[str, Told] = {}
         self._timers: list = []
         self._started_at = 0.0
         self.health = Health()
@@ -193,6 +116,7 @@
             loop.call_every(TELL_TICK, self._subscribe),
             loop.call_every(DENIAL_PAUSE, self._ask_again),
             loop.call_every(SILENCE_TICK, self._look_for_silence),
+            loop.call_every(TELL_TICK, self._pass_over_silent),
         ]
 
     def close(self) -> None:
@@ -261,7 +185,7 @@
             Engine(
                 endpoint,
                 self.count_ahead(endpoint.id),
-                self._count_places(endpoint.id),
+                self._workload.count_places(endpoint.id),
                 self._find_source(endpoint.id, model, least),
                 rank,
                 self._has_owner(endpoint.zone, now),
@@ -278,29 +202,8 @@
         return Source.STORE
 
     def count_ahead(self, endpoint: str) -> int:
-        """Return about how many prompt tokens are to be read at an engine.
-
-        Those of all instances' calls, as its owner told last and as this
-        process's own have changed since.
-        """
-        own = self._reading.get(endpoint, 0)
-        told = self._find_told(endpoint)
-        if told is None:
-            return own
-        return max(own, told.reading + own - told.own_reading)
-
-    def _count_places(self, endpoint: str) -> int:
-        """Return for how many further adapters an engine has places."""
-        told = self._find_told(endpoint)
-        return 1 if told is None else told.places
-
-    def _find_told(self, endpoint: str) -> Told | None:
-        """Return what an owner told of an engine, unless it is old."""
-        told = self._told.get(endpoint)
-        if told is None:
-            return None
-        heard, _ = self._pulses[told.zone]
-        return told if self._kernel.clock.now() - heard <= OWNER_LIMIT else None
+        """Return about how many prompt tokens are to be read at an engine."""
+        return self._workload.count_ahead(endpoint)
 
     def count_running(self, endpoint: str) -> int:
         """Return about how many calls run at an endpoint, of all instances.
@@ -309,10 +212,7 @@
         where no owner tells it, this process's own calls.
         """
         own = self.health.count_running(endpoint)
-        told = self._find_told(endpoint)
-        if told is None:
-            return own
-        return max(own, told.running + own - told.own)
+        return self._workload.count_running(endpoint, own)
 
     def _weigh(self, endpoints: Iterable[Endpoint], now: float) -> Load:
         """Return what tells the calls at endpoints, weighed by their pace."""
@@ -340,8 +240,7 @@
             self._note_use(endpoint, call.model, -1)
 
     def _note_reading(self, endpoint: Endpoint, change: int) -> None:
-        left = self._reading.get(endpoint.id, 0) + change
-        self._reading[endpoint.id] = max(0, left)
+        self._workload.change_reading(endpoint.id, change)
         self._untold_reading.setdefault(endpoint.zone, set()).add(endpoint.id)
         self._plan_telling(endpoint.zone)
 
@@ -376,8 +275,7 @@
         wish = self._wishes.get(key)
         now = self._kernel.clock.now()
         if wish is None:
-            wish = self._wishes[key] = Wish()
-            wish.began_at = now
+            wish = self._wishes[key] = Wish(now)
         wish.waiters.append(waiter)
         if now - wish.asked_at >= ASK_PERIOD:
             self._ask(key, wish, option.engine)
@@ -423,9 +321,7 @@
         wish.denied.pop(endpoint.id, None)
         wish.engine = engine
         self._send_ask(endpoint, model, wish.measure_urgency(wish.asked_at))
-        told = self._told.get(endpoint.id)
-        if told is not None:
-            self._told[endpoint.id] = told._replace(places=told.places - 1)
+        self._workload.take_place(endpoint.id)
         for waiter in wish.waiters:
             self._commit(waiter, endpoint)
             waiter.on_ask(endpoint)
@@ -548,7 +444,7 @@
             for key, begun in self._uses.pop(zone, {}).items()
         ]
         reading = [
-            [name, self._reading.get(name, 0)]
+            [name, self._workload.count_own_reading(name)]
             for name in self._untold_reading.pop(zone, ())
         ]
         fence, serial = self._news.get(zone, (0, 0))
@@ -584,11 +480,16 @@
 
     def _note_loads(self, zone: str, loads: list) -> None:
         for endpoint, running, reading, places in loads:
+            load = EngineLoad(running, reading, places)
             own = self.health.count_running(endpoint)
-            own_reading = self._reading.get(endpoint, 0)
-            self._told[endpoint] = Told(
-                running, reading, places, own, own_reading, zone
-            )
+            self._workload.note_told(endpoint, zone, load, own)
+
+    def _pass_over_silent(self) -> None:
+        """Use nothing that owners told which fell silent."""
+        now = self._kernel.clock.now()
+        heard = {zone: at for zone, (at, _) in self._pulses.items()}
+        silent = [zone for zone, at in heard.items() if now - at > OWNER_LIMIT]
+        self._workload.pass_over(silent)
 
     def _take_list_news(self, sender: str, news: ListNews) -> None:
         fence, serial = self._list_news
@@ -646,9 +547,7 @@
         model = Model(denial.base, denial.adapter)
         for (service, wanted), wish in list(self._wishes.items()):
             if wanted == model and wish.endpoint == denial.endpoint:
-                told = self._told.get(denial.endpoint)
-                if told is not None and told.places > 0:
-                    self._told[denial.endpoint] = told._replace(places=0)
+                self._workload.deny_place(denial.endpoint)
                 wish.denied[denial.endpoint] = self._kernel.clock.now()
                 self._ask_elsewhere((service, wanted), wish)
 
@@ -656,10 +555,7 @@
         known = {endpoint.id for endpoint in self._follower.directory.list_all()}
         gone = [one for one in self._residency.list_endpoints() if one not in known]
         self._residency.forget(gone)
-        self._reading = {
-            name: tokens for name, tokens in self._reading.items() if name in known
-        }
+        self._workload.forget(known)
         self.reading_times.forget(known)
-        self._told = {name: told for name, told in self._told.items() if name in known}
         self.health.forget(known)
         self.paces.forget(known)
--- a/roadlift/instance/term.py
+++ b/roadlift/instance/term.py
@@ -1,12 +1,12 @@
 """Look after the engines and the subscribers of one zone."""
 
 from collections.abc import Iterable
-from typing import NamedTuple
 
 from roadlift.core.kernel import Kernel
 from roadlift.core.logs import PartLog
 from roadlift.daemon.transport import Transport
 from roadlift.decisions.urgency import Urgency
+from roadlift.decisions.workload import EngineLoad
 from roadlift.instance.engine import OwnedEngine
 from roadlift.instance.follower import Follower
 from roadlift.instance.leases import Leases
@@ -31,10 +31,6 @@
 NEWS_PERIOD = 0.0015
 MOST_NEWS_PERIOD = 0.1
 TELL_ALL_PERIOD = 2.0  # Seconds between tellings of the loads of all engines.
-# Part by which an engine's calls, or the prompt tokens unread there, must
-# differ from what was told to be told again, and the tokens of that at least.
-TOLD_PART = 0.2
-TOLD_TOKENS = 512
 # Seconds for each subscriber between two tellings of loads, and at most: each
 # goes to all subscribers whose knowledge is old.
 LOADS_PERIOD = 0.004
@@ -45,21 +41,6 @@
 log = PartLog("owner")
 
 
-class EngineLoad(NamedTuple):
-    """How loaded an engine is: calls, prompt tokens unread, free places."""
-
-    running: int
-    reading: int
-    places: int
-
-    def differs(self, told: "EngineLoad") -> bool:
-        """Tell whether a subscriber should hear of this load."""
-        calls = abs(self.running - told.running) > TOLD_PART * told.running
-        change = abs(self.reading - told.reading)
-        tokens = change > max(TOLD_TOKENS, TOLD_PART * told.reading)
-        return calls or tokens or self.places != told.places
-
-
 class Told:
     """What one subscriber was told of the loads of engines, and when all."""
 
--- a/tests/decisions/decisions.feature
+++ b/tests/decisions/decisions.feature
@@ -51,6 +51,25 @@
     When 8 calls of 8000 tokens from z1 are placed one after the other
     Then each of a and b gets 4 of them
 
+  Scenario Outline: What was sent since an owner told is added to it
+    When it happens to the load of e in z that "<history>"
+    Then <ahead> tokens are ahead there, and <places> places are free
+
+    Examples:
+      | history                                       | ahead | places |
+      | nothing                                       | 0     | 1      |
+      | sends 500                                     | 500   | 1      |
+      | told 9000 and 3                               | 9000  | 3      |
+      | told 9000 and 3, sends 500                    | 9500  | 3      |
+      | sends 500, told 9000 and 3, reads 500         | 8500  | 3      |
+      | sends 500, told 0 and 3                       | 500   | 3      |
+      | told 9000 and 3, asks, asks                   | 9000  | 1      |
+      | told 9000 and 3, is denied                    | 9000  | 0      |
+      | told 9000 and -2, is denied                   | 9000  | -2     |
+      | told 9000 and 3, sends 500, z is silent       | 500   | 1      |
+      | told 9000 and 3, z is silent, z is heard      | 9000  | 3      |
+      | told 9000 and 3, sends 500, e is gone         | 0     | 1      |
+
   Scenario Outline: A slow engine is given less to read
     Given the engines "<engines>"
     When a was seen to take <seconds> seconds for 10000 tokens 20 times
--- a/tests/steps/decision_steps.py
+++ b/tests/steps/decision_steps.py
@@ -9,6 +9,7 @@
 from roadlift.decisions.reading import ReadingTimes
 from roadlift.decisions.silence import SilenceWatch
 from roadlift.decisions.urgency import Urgency, merge_want
+from roadlift.decisions.workload import EngineLoad, Workload
 from roadlift.relay.upstream import Address
 from roadlift.serving.calls import Model
 from roadlift.serving.directory import Endpoint
@@ -68,6 +69,41 @@
     assert found == [count, count], context.placed
 
 
+def _change_load(workload, did):
+    words = did.split()
+    if words[0] == "sends":
+        workload.change_reading("e", int(words[1]))
+    elif words[0] == "reads":
+        workload.change_reading("e", -int(words[1]))
+    elif words[0] == "told":
+        load = EngineLoad(0, int(words[1]), int(words[3]))
+        workload.note_told("e", "z", load, 0)
+    elif did == "asks":
+        workload.take_place("e")
+    elif did == "is denied":
+        workload.deny_place("e")
+    elif did == "e is gone":
+        workload.forget(())
+    elif did != "nothing":
+        workload.pass_over({"z"} if did == "z is silent" else ())
+
+
+@when('it happens to the load of e in z that "{history}"')
+def step_load_history(context, history):
+    """Let owners tell, and calls come and go."""
+    context.workload = Workload()
+    for did in history.split(", "):
+        _change_load(context.workload, did)
+
+
+@then("{ahead:d} tokens are ahead there, and {places:d} places are free")
+def step_load(context, ahead, places):
+    """Check what is known of the engine."""
+    workload = context.workload
+    found = workload.count_ahead("e"), workload.count_places("e")
+    assert found == (ahead, places), found
+
+
 @when(
     "{name} was seen to take {seconds:g} seconds for {tokens:d} tokens {times:d} times"
 )
