--- a/roadlift/instance/exchange.py
+++ b/roadlift/instance/exchange.py
@@ -18,8 +18,9 @@
 from roadlift.endpoints.events import EventFrames
 from roadlift.http.messages import drop_hop_by_hop
 from roadlift.instance.follower import Follower
-from roadlift.instance.placing import OWNER_RETURN, Placing, Waiter
+from roadlift.instance.placing import OWNER_RETURN, Placing
 from roadlift.instance.platform import Platform
+from roadlift.instance.waiting import Waiter
 from roadlift.relay.caller import Caller
 from roadlift.relay.upstream import Line
 from roadlift.serving.calls import Call, Kind
@@ -133,6 +134,11 @@
         self._caller.end_early()
         self._end("cut", None)
 
+    def abort(self, error: Exception) -> None:
+        """End with a failure, behind an error of this process's own."""
+        log.error("A call broke its exchange: %r.", error)
+        self._fail(RoadliftError(type(error).__name__))
+
     def _note(self, step: str, **fields: object) -> None:
         """Keep a decision for the line that the call's end may write."""
         if len(self._steps) < MOST_STEPS:
