Consider ten engines for an adapter, and those that hold it

Cause: at 75 instances and 45 engines all instances choose by the same loads, known up to half a second late, and so the same engine; and a choice costs time for each engine of a service.

Change: an adapter goes to one of its first ten homes, or to a holder. Nothing changes where a service has ten engines or fewer, as on the small sites.

--- a/roadlift/instance/placing.py
+++ b/roadlift/instance/placing.py
@@ -49,6 +49,10 @@
 # Seconds for which an engine is not asked again for an adapter that it was
 # denied for, and between looks at what is to be asked for again.
 DENIAL_PAUSE = 0.1
+# Engines that are considered for one adapter, beside those that hold it. Many
+# instances know the same, some tenths of a second late, and would all choose
+# the same one of all engines; the homes of adapters differ.
+MOST_CANDIDATES = 10
 SILENCE_TICK = 0.1  # Seconds between looks for engines that went silent.
 # Seconds of silence behind which an owner is not asked: its sign comes each
 # SUBSCRIBE_PERIOD, and one that is lost on a link comes 0.2 to 0.6 s later.
@@ -178,9 +182,13 @@
     def _view(
         self, service: str, usable: list[Endpoint], model: Model, now: float
     ) -> list[Engine]:
-        """Return what is known of the engines that hold a base model."""
+        """Return what is known of the engines that a call may go to."""
         least = self._follower.find_version(model) if model.adapter else 0
-        ranked = self._homes.rank(service, usable, model, len(usable))
+        ranked = self._homes.rank(service, usable, model, MOST_CANDIDATES)
+        holders = self._residency.find(model)
+        ranked += [one for one in usable if one.id in holders and one not in ranked]
+        if not model.adapter:
+            ranked = usable
         return [
             Engine(
                 endpoint,
