Choose an engine in one place, and drop what nothing calls

Placing held the same five lines twice, for a call and for an adapter that is asked for again; ranked the homes of a base model and threw them away; and kept can_load and a second limit for owners that nothing uses since calls are placed by time. Behaviour is as before: 483 scenarios of the parts passed.

--- a/roadlift/instance/placing.py
+++ b/roadlift/instance/placing.py
@@ -57,9 +57,6 @@
 # Seconds of silence behind which an owner is not asked: its sign comes each
 # SUBSCRIBE_PERIOD, and one that is lost on a link comes 0.2 to 0.6 s later.
 OWNER_LIMIT = 0.9
-# The same while others are there to be asked: an asking too many costs less
-# than a call that waits for a dead owner.
-OTHER_OWNER_LIMIT = 0.5
 
 log = PartLog("placing")
 
@@ -150,10 +147,15 @@
 
         Its adapter may have to be loaded there first.
         """
+        return self._find_best(service, call.model, call.tokens_in, excluded)
+
+    def _find_best(
+        self, service: str, model: Model, tokens: int, excluded: set[str]
+    ) -> Option | None:
         now = self._kernel.clock.now()
         usable = self._list_usable(service, excluded, now)
-        need = Need(call.tokens_in, self._kernel.settings.zone)
-        engines = self._view(service, usable, call.model, now)
+        need = Need(tokens, self._kernel.settings.zone)
+        engines = self._view(service, usable, model, now)
         return choose_engine(need, engines, self.reading_times, self._loading, now)
 
     def estimate_rest(self, option: Option, call: Call) -> float:
@@ -184,11 +186,7 @@
     ) -> list[Engine]:
         """Return what is known of the engines that a call may go to."""
         least = self._follower.find_version(model) if model.adapter else 0
-        ranked = self._homes.rank(service, usable, model, MOST_CANDIDATES)
-        holders = self._residency.find(model)
-        ranked += [one for one in usable if one.id in holders and one not in ranked]
-        if not model.adapter:
-            ranked = usable
+        ranked = self._list_candidates(service, usable, model)
         return [
             Engine(
                 endpoint,
@@ -202,6 +200,18 @@
             if endpoint.holds(model.base)
         ]
 
+    def _list_candidates(
+        self, service: str, usable: list[Endpoint], model: Model
+    ) -> list[Endpoint]:
+        """Return the engines for a model, the homes of an adapter first."""
+        if not model.adapter:
+            return usable
+        ranked = self._homes.rank(service, usable, model, MOST_CANDIDATES)
+        holders = self._residency.find(model)
+        return ranked + [
+            one for one in usable if one.id in holders and one not in ranked
+        ]
+
     def _find_source(self, endpoint: str, model: Model, least: int) -> Source:
         if not model.adapter or self._residency.holds(endpoint, model, least):
             return Source.HELD
@@ -265,12 +275,6 @@
         """Tell whether a service has an endpoint that takes calls."""
         return bool(self._follower.directory.list_ready(service))
 
-    def can_load(self, service: str) -> bool:
-        """Tell whether any engine of a service has an owner that orders."""
-        now = self._kernel.clock.now()
-        ready = self._follower.directory.list_ready(service)
-        return any(self._has_owner(zone, now) for zone in {one.zone for one in ready})
-
     def is_owner_due(self) -> bool:
         """Tell whether there was an owner a moment ago, or none yet."""
         heard = [at for at, pulse in self._pulses.values() if pulse.is_ready]
@@ -357,13 +361,10 @@
         service, model = key
         now = self._kernel.clock.now()
         recent = {name for name, at in wish.denied.items() if now - at < DENIAL_PAUSE}
-        usable = self._list_usable(service, recent, now)
         for waiter in wish.waiters:
             waiter.release()
         tokens = max((one.tokens for one in wish.waiters), default=0)
-        need = Need(tokens, self._kernel.settings.zone)
-        engines = self._view(service, usable, model, now)
-        option = choose_engine(need, engines, self.reading_times, self._loading, now)
+        option = self._find_best(service, model, tokens, recent)
         if option is None:
             return
         if option.engine.source is Source.HELD:
@@ -371,9 +372,9 @@
         else:
             self._ask(key, wish, option.engine)
 
-    def _has_owner(self, zone: str, now: float, limit: float = OWNER_LIMIT) -> bool:
+    def _has_owner(self, zone: str, now: float) -> bool:
         heard, pulse = self._pulses.get(zone, (float("-inf"), None))
-        return now - heard < limit and pulse.is_ready
+        return now - heard < OWNER_LIMIT and pulse.is_ready
 
     def _send_ask(
         self,
