Say of failed sends which ask for the same work, and how far they came

Cause: two streams that came again under other ids could be told from others only by model and token counts, and a call that ended an engine from one that only ran there only by the absence of a first event. Change: send_failed bears the identity of the call's work (method, host, target, model, body) and how far the answer had come.

--- a/roadlift/core/events.py
+++ b/roadlift/core/events.py
@@ -29,8 +29,18 @@
     Event(
         "exchange",
         "send_failed",
-        ("request", "endpoint", "error", "sends", "age", "given_up"),
-        "A send failed; given_up says why no further one follows.",
+        (
+            "request",
+            "endpoint",
+            "error",
+            "sends",
+            "age",
+            "given_up",
+            "identity",
+            "got",
+        ),
+        "A send failed; given_up says why no further one follows. Calls of one "
+        "identity ask for the same work; got is nothing, head or events.",
     ),
     Event(
         "follower",
--- a/roadlift/instance/exchange.py
+++ b/roadlift/instance/exchange.py
@@ -25,6 +25,7 @@
 from roadlift.relay.upstream import Line
 from roadlift.serving.calls import Call, Kind
 from roadlift.serving.directory import Endpoint
+from roadlift.serving.identity import identify
 from roadlift.serving.interfaces import Guard, Verdict
 from roadlift.serving.routes import Route
 
@@ -109,6 +110,7 @@
         self._is_reading = False
         self._ahead = 0
         self._writes = 0
+        self._events = 0  # Reads of the present send's body.
         self._first_byte_at: float | None = None
         self._last_byte_at = 0.0
         self._longest_pause = 0.0
@@ -218,6 +220,7 @@
         )
         self._endpoint = endpoint
         self._verdict = None
+        self._events = 0
         self._held.clear()
         self._placing.begin(endpoint, self.call)
         self._is_reading = True
@@ -310,6 +313,7 @@
 
     def receive_body(self, data: bytes) -> None:
         """Pass whole events on; hold other answers until they are whole."""
+        self._events += 1
         if self._verdict is not Verdict.SUCCEEDED:
             self._held += data[: MOST_HELD - len(self._held)]
             return
@@ -434,6 +438,8 @@
             sends=self._sends,
             age=round(now - self._began_at, 3),
             given_up=reason,
+            identity=identify(self.call).hex(),
+            got=self._describe_answer(),
         )
         self._note("failed", error=str(error), given_up=reason)
         if reason is None:
@@ -447,6 +453,12 @@
         else:
             self._fail(error)
 
+    def _describe_answer(self) -> str:
+        """Return how far the last send's answer has come."""
+        if self._verdict is None:
+            return "nothing"
+        return "events" if self._events else "head"
+
     def _may_pass_failure(self) -> bool:
         is_failure = self._status >= 400 and self._status not in _PROMISES
         return is_failure and not self._caller.started
