Send calls that end engines in the soak, and excuse what runners broke off

Cause: the check for calls cut at a drain fired on streams that the soak had told a runner to break off; and no run of processes had calls that end engines. Change: the stand-in tells which calls it spoiled, and they are counted apart; a hazard sends a deadly call each 0.2 to 0.8 s for 8 s, at times three at once; more than three runs behind the third end and 3.5 s are a violation.

--- a/benchmarks/routes.py
+++ b/benchmarks/routes.py
@@ -34,6 +34,10 @@
 VERSION_LIMIT = 5.0  # Seconds from a version's naming to its use at most.
 ROUTE_LIMIT = 3.0  # Seconds in which an added route is in force.
 CALM = 4.0  # Seconds behind a disturbance in which an instance is excused.
+CONTACT = 3.5  # Seconds in which all know of a call that ended three engines.
+MOST_DEADLY = 3  # Runs of it behind that at most, as of engines under it.
+DEADLY_SPAN = 8.0  # Seconds for which such a call comes again.
+DEADLY_GAP = (0.2, 0.8)  # Seconds until it does, at least and at most.
 MOST_FROZEN = 10.0  # Seconds that an instance stands still: beyond its lease.
 FAULT_GAP = (0.2, 1.5)  # Seconds between two faults, at least and at most.
 VIOLATIONS = (
@@ -49,6 +53,7 @@
     "fence_goes_back",
     "late_route",
     "route_reverted",
+    "deadly_again",
     "no_recovery",
 )
 _MIX = (
@@ -71,6 +76,14 @@
     is_whole: bool
 
 
+class Cut(NamedTuple):
+    """A call that ended early at an instance that was leaving."""
+
+    call_id: str
+    instance: str
+    after: float
+
+
 class Channel:
     """A caller's connection to one instance, kept while it is open."""
 
@@ -85,21 +98,24 @@
             self._writer.close()
             self._writer = None
 
-    async def call(self, method: str, path: str, headers: dict[str, str]) -> Answer:
+    async def call(
+        self, method: str, path: str, headers: dict[str, str], body: bytes = b""
+    ) -> Answer:
         """Send a request; status 0 is an answer that did not come."""
         try:
-            return await asyncio.wait_for(self._call(method, path, headers), 8.0)
+            return await asyncio.wait_for(self._call(method, path, headers, body), 8.0)
         except (OSError, asyncio.IncompleteReadError, TimeoutError, ValueError):
             self.close()
             return Answer(0, {}, b"", False)
 
-    async def _call(self, method, path, headers) -> Answer:
+    async def _call(self, method, path, headers, content) -> Answer:
         if self._writer is None:
             opened = await asyncio.open_connection(*self._address, limit=1 << 22)
             self._reader, self._writer = opened
-        lines = [f"{method} {path} HTTP/1.1", "Host: h.example", "Content-Length: 0"]
+        lines = [f"{method} {path} HTTP/1.1", "Host: h.example"]
+        lines += [f"Content-Length: {len(content)}"]
         lines += [f"{name}: {value}" for name, value in headers.items()]
-        self._writer.write("\r\n".join([*lines, "", ""]).encode())
+        self._writer.write("\r\n".join([*lines, "", ""]).encode() + content)
         head = (await self._reader.readuntil(b"\r\n\r\n")).decode("latin-1")
         first, *rest = head.rstrip().split("\r\n")
         pairs = [line.split(":", 1) for line in rest]
@@ -233,6 +249,8 @@
         self._said: dict[str, str] = {}
         self._kinds: dict[str, str] = {}
         self._sent_to: dict[str, tuple[str, float]] = {}
+        self._excused: dict[str, bool] = {}
+        self._cuts: list[Cut] = []
         self.counts: Counter[str] = Counter()
         self.violations: Counter[str] = Counter(dict.fromkeys(VIOLATIONS, 0))
         self.details: list[str] = []
@@ -245,10 +263,12 @@
         await asyncio.gather(*callers, self._run_faults(), self._watch_routes())
         await self._check_recovery()
 
-    def note(self, violation: str, detail: str) -> None:
-        """Note a violation."""
+    def note(self, violation: str, detail: str, after: float | None = None) -> None:
+        """Note a violation, seen so many seconds after the beginning."""
+        if after is None:
+            after = round(time.monotonic() - self._began, 1)
         if self.noticed_after is None:
-            self.noticed_after = round(time.monotonic() - self._began, 1)
+            self.noticed_after = after
         self.violations[violation] += 1
         self.details.append(f"{violation}: {detail}")
 
@@ -314,7 +334,8 @@
         if leaving_at is None or began > leaving_at + 2.5:
             return
         if self._disturbed.get(name, 0.0) < began - CALM:
-            self.note("cut_by_drain", f"{call_id} at {name}")
+            after = round(time.monotonic() - self._began, 1)
+            self._cuts.append(Cut(call_id, name, after))
 
     # Faults.
 
@@ -329,6 +350,7 @@
             (self._spoil_runner, 8),
             (self._add_route, 3),
             (self._name_version, 3),
+            (self._send_deadly, 1),
         )
         tasks = []
         calls, weights = zip(*faults, strict=True)
@@ -423,6 +445,35 @@
     async def _name_version(self) -> None:
         await self._command(version=f"x{self._draw.randrange(_HOT)}")
 
+    async def _send_deadly(self) -> None:
+        """Send a call that ends engines, again and again, for a while."""
+        number = self.counts["send_deadly"]
+        await self._command(deadly=f"deadly {number}")
+        until = min(self._end, time.monotonic() + DEADLY_SPAN)
+        tasks = []
+        while time.monotonic() < until:
+            copies = self._draw.choice((1, 1, 1, 3))
+            tasks += [
+                asyncio.create_task(self._call_deadly(number)) for _ in range(copies)
+            ]
+            await asyncio.sleep(self._draw.uniform(*DEADLY_GAP))
+        await asyncio.gather(*tasks)
+
+    async def _call_deadly(self, number: int) -> None:
+        name = self._pick_instance()
+        self._serial += 1
+        call_id = f"d{self._serial}"
+        began = time.monotonic()
+        self._sent_to[call_id] = (name, began)
+        last = max(self._disturbed.get(name, 0.0), self._store_disturbed)
+        self._excused[call_id] = last > began - CALM or name in self._leaving_at
+        headers = make_headers(Wanted(call_id, f"base/x{number % ADAPTERS}", 4.0))
+        channel = Channel(self._deployment.instances[name].address)
+        body = f"deadly {number}".encode()
+        answer = await channel.call("POST", "/long/deadly", headers, body)
+        channel.close()
+        self.counts[f"deadly_{answer.status}"] += 1
+
     # Configurations.
 
     async def _watch_routes(self) -> None:
@@ -489,6 +540,9 @@
                 self.note("false_not_run", f"{call_id} {kind}")
             if said == "served" and not runs[call_id]:
                 self.note("lost_answer", f"{call_id} {kind}")
+        self._check_cuts(set(found["spoiled"]))
+        for runs in found["deadly"]:
+            self._check_deadly(runs)
         for run in found["runs"]:
             self._check_version(run["id"], run["old_for"])
         for name in found["overfull"]:
@@ -498,6 +552,25 @@
         self.counts["runs"] = len(found["runs"])
         self.counts["store_calls"] = found["store_calls"]
 
+    def _check_cuts(self, spoiled: set[str]) -> None:
+        """Note the calls that were cut at a drain, but not by a runner."""
+        for cut in self._cuts:
+            if cut.call_id in spoiled:
+                self.counts["cut_by_runner"] += 1
+                continue
+            self.note("cut_by_drain", f"{cut.call_id} at {cut.instance}", cut.after)
+
+    def _check_deadly(self, runs: list[str]) -> None:
+        """Count the runs of a deadly call that all should have known of."""
+        sent = [(self._sent_to[call_id][1], call_id) for call_id in runs]
+        self.counts["deadly_runs"] += len(sent)
+        if len(sent) < MOST_DEADLY:
+            return
+        known_at = sent[MOST_DEADLY - 1][0] + CONTACT
+        late = [one for at, one in sent if at > known_at and not self._excused[one]]
+        if len(late) > MOST_DEADLY:
+            self.note("deadly_again", f"{len(sent)} runs, {late}")
+
     def _check_version(self, call_id: str, old_for: float) -> None:
         """A run on an old version is excused where its news were held up."""
         name, began = self._sent_to.get(call_id, ("", 0.0))
@@ -557,6 +630,7 @@
     for seed in range(args.seed, args.seed + args.seeds):
         with tempfile.TemporaryDirectory() as temporary:
             folder = args.logs or Path(temporary)
+            folder.mkdir(parents=True, exist_ok=True)
             summary = run(args.seconds, seed, args.instances, folder, args.rule)
         print(json.dumps(summary, indent=2), flush=True)
         is_broken = is_broken or any(summary["violations"].values())
--- a/standins/broken.py
+++ b/standins/broken.py
@@ -9,6 +9,7 @@
 
 from roadlift.daemon import main as daemon
 from roadlift.endpoints.events import EventFrames
+from roadlift.instance.crashledger import CrashLedger
 from roadlift.instance.exchange import Exchange
 from roadlift.instance.follower import Follower
 from roadlift.instance.ingress import Ingress
@@ -87,6 +88,11 @@
     Follower._apply = keep
 
 
+def _forget_ends() -> None:
+    """Run calls under which engines ended, again and again."""
+    CrashLedger.judge = lambda self, identify: None
+
+
 def _pass_bytes_on() -> None:
     """Pass a stream's bytes on, also parts of events."""
     EventFrames.take_whole = lambda self, data: data
@@ -102,6 +108,7 @@
     "versions": _ignore_versions,
     "configurations": _ignore_configurations,
     "whole_events": _pass_bytes_on,
+    "crashes": _forget_ends,
 }
 
 
--- a/standins/loopback.py
+++ b/standins/loopback.py
@@ -133,6 +133,7 @@
     def __init__(self, loop: Loop) -> None:
         self._loop = loop
         self.installation = Installation(loop.clock, LoopTimeline(loop))
+        self._runners: list[Runner] = []
         self._named: dict[str, tuple[int, float]] = {}
         self._runs: list[dict] = []
 
@@ -149,12 +150,21 @@
         runner.slots = 6
         runner.restart()
         self.installation.runners[name] = runner
+        self._runners.append(runner)
         handler = RunnerHandler(self, runner)
-        Server(self._loop, runner.address, handler, HttpLimits()).start()
+        server = Server(self._loop, runner.address, handler, HttpLimits())
+        runner.on_end = server.close
+        runner.on_return = server.start
+        server.start()
         self._beat(runner)
 
+    def _find_runner(self, name: str) -> Runner | None:
+        """Return a runner, or None while it is away."""
+        return self.installation.runners.get(name)
+
     def _beat(self, runner: Runner) -> None:
-        self._write(runner)
+        if self._find_runner(runner.id) is not None:
+            self._write(runner)
         self._loop.call_later(BEAT, lambda: self._beat(runner))
 
     def _write(self, runner: Runner) -> None:
@@ -179,13 +189,22 @@
             store.put("op", command["put"], command["content"])
         if "version" in command:
             self._name_version(command["version"])
+        if "deadly" in command:
+            self.installation.deadly.add(command["deadly"].encode())
         if "restart" in command:
-            runner = self.installation.runners[command["restart"]]
+            self._restart(command["restart"])
+        if "fault" in command:
+            self._spoil(command["runner"], command["fault"])
+
+    def _restart(self, name: str) -> None:
+        runner = self._find_runner(name)
+        if runner is not None:
             runner.restart()
             self._write(runner)
-        if "fault" in command:
-            runner = self.installation.runners[command["runner"]]
-            fault = command["fault"]
+
+    def _spoil(self, name: str, fault: str) -> None:
+        runner = self._find_runner(name)
+        if runner is not None:
             runner.faults.append(_FAULTS.get(fault, fault))
 
     def _name_version(self, adapter: str) -> None:
@@ -197,9 +216,12 @@
 
     def describe(self) -> dict:
         """Return what was run and ordered, and what was found wrong."""
-        runners = self.installation.runners.values()
+        runners = self._runners
+        deadly = self.installation.deadly_runs.values()
         return {
             "runs": self._runs,
+            "spoiled": sorted(self.installation.spoiled),
+            "deadly": [[run.call_id for run in runs] for runs in deadly],
             "orders": {
                 one.id: [
                     [at, order["holder"], order["fence"]] for at, order in one.orders
