Give a lease back that reaches no engine, and tell how old knowledge is

Cause: an owner that is cut from all engines of its zone, but not from the store, renewed its lease for as long as that lasted and denied each load. And no line said how old what a call was placed by is. Change: where no report of two or more engines can be read, the lease goes to a candidate of the zone, once in 10 s. Each send in call_ended bears the age of the sign of the engine's owner.

--- a/benchmarks/routes.py
+++ b/benchmarks/routes.py
@@ -350,7 +350,7 @@
             (self._spoil_runner, 8),
             (self._add_route, 3),
             (self._name_version, 3),
-            (self._send_deadly, 1),
+            (self._send_deadly, 3),
         )
         tasks = []
         calls, weights = zip(*faults, strict=True)
--- a/roadlift/core/events.py
+++ b/roadlift/core/events.py
@@ -116,7 +116,8 @@
             "steps",
             "one_in",
         ),
-        "A call ended; steps are its decisions. Of those in time one in one_in.",
+        "A call ended; steps are its decisions, with the age of the sign of the "
+        "engine's owner at each send. Of those in time one in one_in.",
     ),
     Event(
         "ingress",
--- a/roadlift/instance/exchange.py
+++ b/roadlift/instance/exchange.py
@@ -1,5 +1,7 @@
 """Carry one call of a route to an endpoint and its answer back."""
 
+from math import isfinite
+
 from roadlift.core.errors import (
     ConnectionLost,
     EndpointFailed,
@@ -245,6 +247,7 @@
             zone=endpoint.zone,
             running=running,
             ahead=self._ahead,
+            **self._describe_knowledge(endpoint),
         )
         self._endpoint = endpoint
         self._verdict = None
@@ -259,6 +262,17 @@
             endpoint.address, request, self, SILENCE_LIMIT
         )
 
+    def _describe_knowledge(self, endpoint: Endpoint) -> dict[str, float]:
+        """Return the age in seconds of what an engine was chosen by.
+
+        That is since the owner of its zone gave the last sign that came here:
+        a change of the engine's load behind it is not known yet.
+        """
+        if self.call.model is None:
+            return {}
+        silence = self._knowledge.measure_silence(endpoint.zone)
+        return {"sign": round(silence, 3)} if isfinite(silence) else {}
+
     def _choose_priority(self, endpoint: Endpoint, now: float) -> int:
         """Return the priority of a send: a late call's is behind others'."""
         priority = self.route.priority
--- a/roadlift/instance/owner.py
+++ b/roadlift/instance/owner.py
@@ -79,16 +79,18 @@
     def consider_hand_back(self, message: Heartbeat) -> None:
         """Give a lease back where a subscriber is better placed for it.
 
-        That is one of the zone itself, or one whose link bears what an owner
-        sends where this process's does not. When the zone is cut off, an
-        owner inside it goes on for a while.
+        That is one of the zone itself, one whose link bears what an owner
+        sends where this process's does not, or any one where this process
+        reaches none of the zone's engines. When the zone is cut off, an owner
+        inside it goes on for a while.
         """
         zone = message.home
         settings = self._kernel.settings
         if zone not in self._terms or not message.is_candidate:
             return
         is_weak = settings.link_mbps < OWNER_LINK <= message.link_mbps
-        if zone == settings.zone and not is_weak:
+        is_lost = self._terms[zone].reaches_none
+        if zone == settings.zone and not is_weak and not is_lost:
             return
         now = self._kernel.clock.now()
         last = self._handed_back.get(zone, float("-inf"))
--- a/roadlift/instance/term.py
+++ b/roadlift/instance/term.py
@@ -81,6 +81,12 @@
         self.fence = fence
         self.engines: dict[str, OwnedEngine] = {}
 
+    @property
+    def reaches_none(self) -> bool:
+        """Tell whether no engine of the zone answers, of two or more."""
+        books = [engine.book for engine in self.engines.values()]
+        return len(books) > 1 and all(book.is_unreachable for book in books)
+
     def close(self) -> None:
         """Give no more orders, and tell that an owner may be looked for."""
         for engine in self.engines.values():
--- a/standins/installation.py
+++ b/standins/installation.py
@@ -555,6 +555,7 @@
         self.ports = itertools.count(1000)
         self.versions: dict[str, int] = {}
         self.cut_from_store: set[MemoryDialer] = set()
+        self.cut_from_runners: set[MemoryDialer] = set()
         self.store_calls: Counter[MemoryDialer] = Counter()
         # Bodies of calls under which a runner ends, and the runs of each.
         self.deadly: set[bytes] = set()
@@ -612,6 +613,8 @@
             if not self.store.is_down and dialer not in self.cut_from_store:
                 self.store.handle(request, line)
             return
+        if dialer in self.cut_from_runners:
+            return
         found = [one for one in self.runners.values() if one.address == address]
         if not found:
             line.fail(ConnectionRefused("refused"))
--- a/tests/instance/links.feature
+++ b/tests/instance/links.feature
@@ -19,3 +19,15 @@
     When the owner of z1 has a link of 120000 bytes a second, which was busy for 1 second
     And 8 seconds pass
     Then what the owner sends leaves it within 0.3 seconds
+
+  Scenario: An owner that reaches none of its engines gives its lease back
+    The path from an owner to the engines of its zone was cut, the one to the store was
+    not. It renewed its lease for as long as that lasted, and denied each load as
+    "unreachable"; other instances of the zone reached the engines all the while.
+
+    Given an instance d in z1 with a link of 1000 Mbit/s, and e with one of 1000
+    And 12 adapters that are called in turn at e and c, 10 calls a second
+    When the owner of z1 is cut from all endpoints
+    And 6 seconds pass
+    Then z1 has another owner
+    And 90 in 100 calls of 6 seconds are served
--- a/tests/steps/link_steps.py
+++ b/tests/steps/link_steps.py
@@ -37,15 +37,21 @@
     _call_in_turn(context, count, 1.0 / rate)
 
 
+@given("{count:d} adapters that are called in turn at e and c, {rate:d} calls a second")
+def step_called_there(context, count, rate):
+    """Call the adapters at two instances in turn, at a rate."""
+    _call_in_turn(context, count, 1.0 / rate, ["e", "c"])
+
+
 @given("{count:d} adapters that are called in turn, all the time")
 def step_called(context, count):
     """Call the adapters at the instances in turn."""
     _call_in_turn(context, count, _CALL_PERIOD)
 
 
-def _call_in_turn(context, count, period):
+def _call_in_turn(context, count, period, names=None):
     entries = context.entries
-    names = list(entries.entries)
+    names = names or list(entries.entries)
     context.stay = 20
     context.called = []
 
@@ -102,13 +108,34 @@
 def step_link(context, rate, seconds):
     """Give the owner a link with a backlog."""
     entries = context.entries
-    (context.owner,) = [
+    context.owner = _find_owner(entries)
+    entries.link_rates[context.owner] = rate
+    entries.carry(context.owner, "", bytes(rate * seconds))
+
+
+def _find_owner(entries):
+    """Return the name of the instance that owns z1."""
+    (owner,) = [
         name
         for name, entry in entries.entries.items()
         if "z1" in entry.kernel.get(Leases).list_held()
     ]
-    entries.link_rates[context.owner] = rate
-    entries.carry(context.owner, "", bytes(rate * seconds))
+    return owner
+
+
+@when("the owner of z1 is cut from all endpoints")
+def step_cut(context):
+    """Let no request of the owner reach an endpoint."""
+    context.owner = _find_owner(context.entries)
+    dialer = context.entries.entries[context.owner].dialer
+    context.entries.installation.cut_from_runners.add(dialer)
+
+
+@then("z1 has another owner")
+def step_other_owner(context):
+    """Check that the lease was given back and taken."""
+    owner = _find_owner(context.entries)
+    assert owner != context.owner, owner
 
 
 @then("what the owner sends leaves it within {seconds:g} seconds")
