Split what follows a call out of the exchange, and tell loads in one place

Change: progress.py follows a call's steps, first byte and pauses; ToldLoads lists what is to be told.

--- a/roadlift/decisions/workload.py
+++ b/roadlift/decisions/workload.py
@@ -6,7 +6,7 @@
 second long prompt behind a first one that nobody has told of yet.
 """
 
-from collections.abc import Collection
+from collections.abc import Collection, Mapping
 from typing import NamedTuple
 
 from roadlift.serving.loads import FIRST_DURATION, measure_queue
@@ -17,6 +17,7 @@
 TOLD_TOKENS = 512
 # Places of an engine of which nothing is told: enough to be asked.
 UNTOLD_PLACES = 1
+TELL_ALL_PERIOD = 2.0  # Seconds between tellings of the loads of all engines.
 
 
 class EngineLoad(NamedTuple):
@@ -43,6 +44,30 @@
         return calls or tokens or pace or not is_same
 
 
+class ToldLoads:
+    """The loads of engines as one listener, or a group, was told them."""
+
+    def __init__(self) -> None:
+        self._loads: dict[str, EngineLoad] = {}
+        self._all_at = float("-inf")
+
+    def list_changed(self, loads: Mapping[str, EngineLoad], now: float) -> list:
+        """Return the loads that differ from what was told, as to be told now.
+
+        All of them each TELL_ALL_PERIOD, as a message may have been dropped.
+        """
+        if now - self._all_at >= TELL_ALL_PERIOD:
+            self._all_at = now
+            self._loads.clear()
+        changed = []
+        for name, load in loads.items():
+            known = self._loads.get(name)
+            if known is None or load.differs(known):
+                self._loads[name] = load
+                changed.append([name, *load])
+        return changed
+
+
 class _Told(NamedTuple):
     """A load as a zone's owner told it, and the own part at that time."""
 
--- a/roadlift/instance/aggregator.py
+++ b/roadlift/instance/aggregator.py
@@ -13,7 +13,7 @@
 
 from roadlift.core.kernel import Kernel, parts
 from roadlift.daemon.transport import Transport
-from roadlift.decisions.workload import EngineLoad
+from roadlift.decisions.workload import ToldLoads
 from roadlift.instance.follower import Follower
 from roadlift.instance.knowledge import Knowledge
 from roadlift.instance.leases import Leases
@@ -40,7 +40,6 @@
 # all of them.
 DIGEST_PERIOD = 0.003
 MOST_DIGEST_PERIOD = 0.15
-TELL_ALL_PERIOD = 2.0  # Seconds between tellings of the loads of all engines.
 SUBSCRIBER_LIMIT = 4.0  # Seconds of silence after which a subscriber is gone.
 # Seconds of silence after which a subscriber is offered no lease: it sends a
 # heartbeat each 0.25 s.
@@ -81,8 +80,7 @@
         self._stream = zlib.crc32(process.encode()) or 1
         self._news = NewsLog()
         self._changes: list[Change] = []
-        self._told: dict[str, EngineLoad] = {}
-        self._told_all_at = float("-inf")
+        self._told = ToldLoads()
         self._digest_timer = None
         self._subscribers: dict[str, Subscriber] = {}
         self._heirs: dict[str, Subscriber] = {}
@@ -252,7 +250,8 @@
         """Tell every subscriber what changed since the last time."""
         self._digest_timer = None
         changes, self._changes = self._changes, []
-        loads = self._list_changed_loads()
+        now = self._kernel.clock.now()
+        loads = self._told.list_changed(self._knowledge.list_loads(), now)
         if not changes and not loads:
             return
         since = self._news.add(changes)
@@ -260,23 +259,6 @@
         digest = Digest(self._stream, since, self._news.serial, packed, loads)
         self._transport.send_all(self._subscribers, digest)
 
-    def _list_changed_loads(self) -> list:
-        """Return the loads that are not as the subscribers know.
-
-        All of them each TELL_ALL_PERIOD, as a message may have been dropped.
-        """
-        now = self._kernel.clock.now()
-        if now - self._told_all_at >= TELL_ALL_PERIOD:
-            self._told_all_at = now
-            self._told.clear()
-        changed = []
-        for name, load in self._knowledge.list_loads().items():
-            known = self._told.get(name)
-            if known is None or load.differs(known):
-                self._told[name] = load
-                changed.append([name, *load])
-        return changed
-
     def _catch_up(self, message: Heartbeat, now: float) -> None:
         """Send a subscriber what it lacks of what is known of engines."""
         known = message.serial if message.stream == self._stream else None
--- a/roadlift/instance/exchange.py
+++ b/roadlift/instance/exchange.py
@@ -25,6 +25,7 @@
 from roadlift.instance.knowledge import OWNER_RETURN, Knowledge
 from roadlift.instance.placing import Placing
 from roadlift.instance.platform import Platform
+from roadlift.instance.progress import Progress
 from roadlift.relay.caller import Caller
 from roadlift.relay.upstream import Line
 from roadlift.serving.calls import Call, Kind
@@ -35,7 +36,6 @@
 
 # Sends of one call at most, those included that did not run.
 MOST_SENDS = 4
-MOST_STEPS = 16  # Decisions of one call that are kept for the logs.
 # Sends that reached no endpoint, beside those: a cut takes most of a service's
 # endpoints away, and each instance learns of them one by one.
 MOST_UNREACHED = 8
@@ -107,7 +107,7 @@
         self._runs = 0
         self._doubt: RoadliftError | None = None
         self._is_over = False
-        self._steps: list[dict] = []
+        self._progress = Progress(self._began_at)
         self._status = 0
         self._headers: dict[str, str] = {}
         self._verdict: Verdict | None = None
@@ -117,11 +117,7 @@
         self._sent_at = 0.0
         self._is_reading = False
         self._ahead = 0
-        self._writes = 0
         self._events = 0  # Reads of the present send's body.
-        self._first_byte_at: float | None = None
-        self._last_byte_at = 0.0
-        self._longest_pause = 0.0
         caller.on_gone = self._on_gone
         caller.on_drained = self._on_drained
 
@@ -149,9 +145,7 @@
 
     def _note(self, step: str, **fields: object) -> None:
         """Keep a decision for the line that the call's end may write."""
-        if len(self._steps) < MOST_STEPS:
-            age = round(self._kernel.clock.now() - self._began_at, 4)
-            self._steps.append({"at": age, "step": step, **fields})
+        self._progress.note_step(self._kernel.clock.now(), step, **fields)
 
     # Sending.
 
@@ -221,8 +215,7 @@
         """Return the seconds that the caller stays without a further event."""
         until = self._deadline
         if self.route.patience is not None:
-            heard = self._began_at if self._writes == 0 else self._last_byte_at
-            until = min(until, heard + self.route.patience)
+            until = min(until, self._progress.last_at + self.route.patience)
         return until - now
 
     def _send(self, endpoint: Endpoint) -> None:
@@ -276,7 +269,7 @@
     def _choose_priority(self, endpoint: Endpoint, now: float) -> int:
         """Return the priority of a send: a late call's is behind others'."""
         priority = self.route.priority
-        if self.call.model is None or self._writes:
+        if self.call.model is None or self._progress.writes:
             return priority
         pace = self._placing.reading_times.estimate(endpoint.id, now)
         expected = pace * (self._ahead + self.call.tokens_in)
@@ -404,10 +397,11 @@
         self._placing.health.note_success(endpoint.id, now)
         if self._frames is None:
             self._placing.paces.note(endpoint.id, now - self._sent_at, now)
-        elif self._writes > 1:
-            seconds = self._last_byte_at - self._first_byte_at
+        elif self._progress.writes > 1:
+            seconds = self._progress.generation
+            gaps = self._progress.writes - 1
             self._placing.generations.note(self.route.name, seconds)
-            self._placing.paces.note(endpoint.id, seconds / (self._writes - 1), now)
+            self._placing.paces.note(endpoint.id, seconds / gaps, now)
 
     def receive_error(self, error: RoadliftError) -> None:
         """Try again or end the answer as what it is."""
@@ -433,12 +427,7 @@
         now = self._kernel.clock.now()
         if self.call.model is not None:
             self._note_event(now)
-        if self._first_byte_at is None:
-            self._first_byte_at = now
-        else:
-            self._longest_pause = max(self._longest_pause, now - self._last_byte_at)
-        self._last_byte_at = now
-        self._writes += 1
+        self._progress.note_write(now)
         self._caller.write(data)
         if self._caller.is_full and self._line is not None:
             self._line.pause()
@@ -447,7 +436,7 @@
         if self._caller.started:
             self._caller.finish()
         else:
-            self._first_byte_at = self._kernel.clock.now()
+            self._progress.note_whole(self._kernel.clock.now())
             self._answer_held()
         self._end("served", None)
 
@@ -593,8 +582,8 @@
         self._is_over = True
         self._timer.close()
         now = self._kernel.clock.now()
-        first = self._first_byte_at
-        is_late = self._is_late()
+        first = self._progress.first_after
+        is_late = self._progress.is_late(self.route)
         self._ingress.finish(self)
         self._measure(outcome, is_late, now)
         self._ingress.log_end(
@@ -611,13 +600,13 @@
             tokens_out=self.call.tokens_out,
             sent=round(self._sent_at - self._began_at, 4) if self._sends else None,
             waited=round(self._wait.seconds, 4),
-            first=None if first is None else round(first - self._began_at, 4),
-            pause=round(self._longest_pause, 4),
+            first=None if first is None else round(first, 4),
+            pause=round(self._progress.longest_pause, 4),
             seconds=round(now - self._began_at, 4),
             error=str(error) if error else None,
             configuration=self._configuration,
             list_age=round(self._follower.measure_list_age(), 2),
-            steps=self._steps,
+            steps=self._progress.steps,
         )
 
     def _measure(self, outcome: str, is_late: bool, now: float) -> None:
@@ -625,16 +614,8 @@
         late = "yes" if is_late else "no"
         measures.count("roadlift_calls", service, outcome, late)
         measures.observe("roadlift_call_seconds", now - self._began_at, service)
-        if self._first_byte_at is not None:
-            first = self._first_byte_at - self._began_at
+        first = self._progress.first_after
+        if first is not None:
             measures.observe("roadlift_first_seconds", first, service)
         if self._wait.seconds:
             measures.observe("roadlift_wait_seconds", self._wait.seconds, service)
-
-    def _is_late(self) -> bool:
-        """Tell whether the first byte, or one behind it, came too late."""
-        first = self._first_byte_at
-        if first is None or first - self._began_at > self.route.objective:
-            return True
-        most = self.route.pause_objective
-        return most is not None and self._longest_pause > most
--- a/roadlift/instance/term.py
+++ b/roadlift/instance/term.py
@@ -6,7 +6,7 @@
 from roadlift.decisions.crashes import WEAK, Sign
 from roadlift.decisions.denials import Denials
 from roadlift.decisions.urgency import Urgency
-from roadlift.decisions.workload import EngineLoad
+from roadlift.decisions.workload import EngineLoad, ToldLoads
 from roadlift.instance.crashledger import CrashLedger
 from roadlift.instance.engine import OwnedEngine
 from roadlift.instance.follower import Follower
@@ -35,7 +35,6 @@
 # at once; another may send a call to a copy that is gone, which the engine
 # refuses.
 NEWS_PERIOD = 0.05
-TELL_ALL_PERIOD = 2.0  # Seconds between tellings of the loads of all engines.
 LOADS_PERIOD = 0.05  # Seconds between two tellings of loads.
 PULSE_PERIOD = 0.2  # Seconds between two signs to one subscriber.
 LOADS_AGE = 0.005  # Seconds for which the measured loads are used again.
@@ -44,16 +43,6 @@
 log = PartLog("owner")
 
 
-class Told:
-    """What one subscriber was told of the loads of engines, and when all."""
-
-    __slots__ = ("all_at", "loads")
-
-    def __init__(self) -> None:
-        self.all_at = float("-inf")
-        self.loads: dict[str, EngineLoad] = {}
-
-
 class Term:
     """This process's time as the owner of one zone."""
 
@@ -67,7 +56,7 @@
         self._subscribers: dict[str, float] = {}
         self._members: dict[str, int] = {}
         self._pulsed_at: dict[str, float] = {}
-        self._told: dict[str, Told] = {}
+        self._told: dict[str, ToldLoads] = {}
         self._completeness = Completeness()
         self._changes: list[Change] = []
         self._news_timer = None
@@ -175,21 +164,9 @@
         self._transport.send(address, self._make_pulse(address, now, changed))
 
     def _list_changed(self, address: str, now: float) -> list:
-        """Return the loads of engines that are not as this instance knows.
-
-        All of them each TELL_ALL_PERIOD, as a message may have been dropped.
-        """
-        told = self._told.setdefault(address, Told())
-        if now - told.all_at >= TELL_ALL_PERIOD:
-            told.all_at = now
-            told.loads.clear()
-        changed = []
-        for name, load in self._measure_loads(now).items():
-            known = told.loads.get(name)
-            if known is None or load.differs(known):
-                told.loads[name] = load
-                changed.append([name, *load])
-        return changed
+        """Return the loads of engines that are not as this instance knows."""
+        told = self._told.setdefault(address, ToldLoads())
+        return told.list_changed(self._measure_loads(now), now)
 
     def _measure_loads(self, now: float) -> dict[str, EngineLoad]:
         """Return the loads of the engines, measured once for all messages."""
