Count the ends of endpoints on the other interface too

Cause: the interface of whole completions has the same gap: a call whose engine ended was sent to the next one, up to eight times, and again when its caller came back. Change: the ledger and the check of an endpoint's end are shared; each instance of this interface knows its own.

--- a/roadlift/instance/crashledger.py
+++ b/roadlift/crashes/ledger.py
@@ -1,7 +1,8 @@
 """Know which work ends the endpoints that are given it.
 
 Work is a call that an endpoint runs, or an adapter that an engine loads. What
-is learned here is told to others by instance/crashes.py.
+is learned here is told to others by instance/crashes.py; the interface
+``openai`` has each instance know its own.
 """
 
 import zlib
@@ -11,7 +12,6 @@
 from roadlift.core.kernel import Kernel, parts
 from roadlift.core.logs import PartLog
 from roadlift.decisions.crashes import Crashes, Sign
-from roadlift.instance.measures import Measures
 
 log = PartLog("crashes")
 
@@ -25,11 +25,10 @@
     """
 
     name = "crashledger"
-    needs = ("measures",)
+    needs = ()
 
     def __init__(self, kernel: Kernel) -> None:
         self._clock = kernel.clock
-        self._measures = kernel.get(Measures)
         self.crashes = Crashes(zlib.crc32(kernel.settings.peer.encode()) / 2**32)
         self.on_news: list[Callable[[list[Sign]], None]] = []
         self.on_change: list[Callable[[bytes], None]] = []
@@ -97,6 +96,5 @@
                 ends=self.crashes.count_ends(identity),
                 seconds=round(seconds, 1),
             )
-        self._measures.set("roadlift_barred_work", self.crashes.count_refused())
         for listener in self.on_change:
             listener(identity)
--- a/roadlift/daemon/calls.py
+++ b/roadlift/daemon/calls.py
@@ -1,23 +1,34 @@
 """Keep what all exchanges of a process share."""
 
+from collections import Counter
+
 from roadlift.core.kernel import Kernel, parts
+from roadlift.core.logs import PartLog
+from roadlift.crashes.ends import End, EndCheck
+from roadlift.crashes.ledger import CrashLedger
 from roadlift.daemon.bundles import StorePart
 from roadlift.daemon.members import Members
+from roadlift.decisions.crashes import Sign
 from roadlift.idempotency.claims import Claims
 from roadlift.retries.rules import RetryBudget
 
+log = PartLog("crashes")
+
 
 @parts.register("calls")
 class Calls:
-    """The retry budget, the claims and the calls that run at services."""
+    """The retry budget, the claims, the ends and the calls at services."""
 
     name = "calls"
-    needs = ("members", "store")
+    needs = (CrashLedger.name, "members", "store")
 
     def __init__(self, kernel: Kernel) -> None:
         store = kernel.get(StorePart).store
         self.budget = RetryBudget(kernel.settings.retry_share)
         self.claims = Claims(store, kernel.loop, kernel.get(Members).process)
+        self.ledger = kernel.get(CrashLedger)
+        self.ends = EndCheck(kernel, self._note_end)
+        self._ended: Counter[str] = Counter()
         self._running: dict[str, int] = {}
 
     def start(self) -> None:
@@ -37,3 +48,14 @@
     def end(self, endpoint: str) -> None:
         """Count a call at an endpoint as over."""
         self._running[endpoint] -= 1
+
+    def _note_end(self, end: End) -> None:
+        """Learn that an endpoint ended; it comes back under the same name."""
+        self._ended[end.endpoint] += 1
+        run = f"{end.endpoint}#{self._ended[end.endpoint]}"
+        suspects = [[name.hex(), weight] for name, weight in end.suspects.items()]
+        log.event(
+            "endpoint_ended", endpoint=end.endpoint, cut=end.cut, suspects=suspects
+        )
+        signs = [Sign(name, run, weight, 0.0) for name, weight in end.suspects.items()]
+        self.ledger.learn(signs)
--- a/roadlift/daemon/exchange.py
+++ b/roadlift/daemon/exchange.py
@@ -10,6 +10,7 @@
 from roadlift.bundles.directory import Endpoint
 from roadlift.burn.record import Sample
 from roadlift.core.errors import (
+    ConnectionLost,
     EndpointFailed,
     NoEndpoint,
     Outcome,
@@ -19,6 +20,7 @@
 )
 from roadlift.core.kernel import Kernel
 from roadlift.core.logs import PartLog
+from roadlift.crashes.ends import KNOWN_DELAY
 from roadlift.daemon.bundles import Bundles
 from roadlift.daemon.calls import Calls
 from roadlift.daemon.members import Members
@@ -37,6 +39,7 @@
 from roadlift.relay.caller import Caller
 from roadlift.relay.upstream import Address, Line, Request
 from roadlift.retries.rules import may_retry
+from roadlift.serving.identity import compute_identity
 
 MOST_TRIES = 8
 MOST_ERROR_BODY = 4096  # Bytes kept of an endpoint's error.
@@ -87,7 +90,9 @@
         self._kept = bytearray() if call.key else None
         self._kept_head: tuple[int, dict[str, str]] = (0, {})
         self._upstream: Line | None = None
+        self._address: Address | None = None
         self._head: tuple[int, dict[str, str]] | None = None
+        self._has_body = False  # Of the try under way.
         self._error_body = bytearray()
         self._tries = 0
         self._doubt: RoadliftError | None = None
@@ -105,7 +110,7 @@
         self._metrics.count("requests")
         self._calls.budget.earn()
         if not self.call.key:
-            self._try()
+            self._attempt()
             return
         organisation = self._service["organisation"] if self._service else ""
         key = compute_key(organisation, self.call.key)
@@ -129,7 +134,7 @@
             self._calls.claims.release(claim)
             return
         self._claim = claim
-        self._try()
+        self._attempt()
 
     def _on_stored(self, answer: StoredAnswer) -> None:
         if self._is_over:
@@ -139,9 +144,28 @@
         self._caller.answer(answer.status, headers, answer.body)
         self._end()
 
+    def _attempt(self) -> None:
+        """Try, unless endpoints ended while they ran the same call."""
+        if self._is_over:
+            return
+        obstacle = self._calls.ledger.judge(self._identify)
+        if obstacle is not None:
+            self._fail(obstacle)
+            return
+        self._try()
+
+    def _identify(self) -> bytes:
+        call = self.call
+        texts = ("call", call.method, call.service, call.path, call.model)
+        return compute_identity(texts, call.body)
+
     def _try(self) -> None:
         raise NotImplementedError
 
+    def _name_endpoint(self) -> str:
+        """Return the endpoint of the try under way, or empty."""
+        raise NotImplementedError
+
     def _leave_endpoint(self) -> None:
         """Give up what was held for the endpoint of the last try."""
 
@@ -152,12 +176,14 @@
     def _send(self, address: Address, request: Request) -> None:
         self._tries += 1
         self._head = None
+        self._has_body = False
         self._kept_head = (0, {})
         if self._kept is not None:
             self._kept.clear()
         self._open(address, request)
 
     def _open(self, address: Address, request: Request) -> None:
+        self._address = address
         timeout = self._settings.answer_timeout
         self._upstream = self._kernel.dialer.open(address, request, self, timeout)
 
@@ -187,6 +213,7 @@
         if self._is_refusal:
             self._error_body += data[: MOST_ERROR_BODY - len(self._error_body)]
             return
+        self._has_body = True
         if self._first_byte_at is None:
             self._first_byte_at = self._kernel.clock.now()
         self._pass(data)
@@ -200,6 +227,11 @@
 
     def receive_error(self, error: RoadliftError) -> None:
         """Try again or end the answer as what it is."""
+        endpoint = self._name_endpoint()
+        if isinstance(error, ConnectionLost) and endpoint:
+            has_begun = self._head is not None and not self._has_body
+            ends, identity = self._calls.ends, self._identify()
+            ends.note_cut(endpoint, self._address, identity, has_begun)
         if self._head is not None and not self._is_refusal:
             error = StreamCut(error.detail)
         self._on_failure(error)
@@ -215,6 +247,7 @@
         raise NotImplementedError
 
     def _finish(self) -> None:
+        self._calls.ledger.clear(self._identify)
         self._leave_endpoint()
         if self._claim is not None:
             status, headers = self._kept_head
@@ -238,7 +271,10 @@
             self._fail(error)
             return
         self._metrics.count("retries")
-        self._try()
+        if isinstance(error, ConnectionLost | StreamCut):
+            self._kernel.loop.call_later(KNOWN_DELAY, self._attempt)
+        else:
+            self._attempt()
 
     def _fail(self, error: RoadliftError) -> None:
         """Give the caller the final answer at once.
@@ -324,7 +360,6 @@
         self._resume_from: dict[str, str] = {}
         self._placing_since = 0.0
         self._is_waiting = False
-        self._address: Address | None = None
 
     @property
     def _priority(self) -> str:
@@ -353,16 +388,18 @@
             self._on_failure(NoEndpoint(pin.endpoint))
             return
         self._pin = pin
-        self._address = endpoint.address
         request = self._api.build_run(
             self.call.path, self.call.content, pin.copy, self._priority
         )
-        self._send(self._address, request)
+        self._send(endpoint.address, request)
 
     def _on_no_pin(self, error: RoadliftError) -> None:
         self._is_waiting = False
         self._fail(error)
 
+    def _name_endpoint(self) -> str:
+        return self._pin.endpoint if self._pin is not None else ""
+
     def _leave_endpoint(self) -> None:
         if self._pin is not None:
             pin, self._pin = self._pin, None
@@ -458,6 +495,9 @@
         busy = lambda e: (e.zone != own_zone, self._calls.count(e.name), e.name)
         return min(found, key=busy, default=None)
 
+    def _name_endpoint(self) -> str:
+        return self._endpoint
+
     def _leave_endpoint(self) -> None:
         if self._endpoint:
             self._calls.end(self._endpoint)
--- a/roadlift/instance/crashnews.py
+++ b/roadlift/instance/crashnews.py
@@ -11,10 +11,10 @@
 from roadlift.core.kernel import Kernel
 from roadlift.core.logs import PartLog
 from roadlift.core.loop import Timer
+from roadlift.crashes.ledger import CrashLedger
 from roadlift.daemon.transport import Transport
 from roadlift.decisions.crashes import Sign
 from roadlift.instance.aggregator import Aggregator
-from roadlift.instance.crashledger import CrashLedger
 from roadlift.instance.leases import Leases
 from roadlift.instance.subscription import Subscription
 from roadlift.serving.crashsigns import read_signs
--- a/roadlift/instance/crashrows.py
+++ b/roadlift/instance/crashrows.py
@@ -13,8 +13,8 @@
 from roadlift.core.kernel import Kernel
 from roadlift.core.logs import PartLog
 from roadlift.core.loop import Timer
+from roadlift.crashes.ledger import CrashLedger
 from roadlift.decisions.crashes import MOST_CALLS
-from roadlift.instance.crashledger import CrashLedger
 from roadlift.instance.follower import Follower, TableReader
 from roadlift.instance.leases import Leases
 from roadlift.instance.platform import Platform
--- a/roadlift/instance/exchange.py
+++ b/roadlift/instance/exchange.py
@@ -15,12 +15,13 @@
 )
 from roadlift.core.kernel import Kernel
 from roadlift.core.logs import PartLog
+from roadlift.crashes.ends import KNOWN_DELAY
+from roadlift.crashes.ledger import CrashLedger
 from roadlift.decisions.loading import Source
 from roadlift.endpoints.events import EventFrames
 from roadlift.http.messages import drop_hop_by_hop
 from roadlift.instance.adapterwait import COME_BACK, AdapterWait, Waiting
-from roadlift.instance.crashes import KNOWN_DELAY, CrashWatch
-from roadlift.instance.crashledger import CrashLedger
+from roadlift.instance.crashes import CrashWatch
 from roadlift.instance.follower import Follower
 from roadlift.instance.knowledge import OWNER_RETURN, Knowledge
 from roadlift.instance.placing import Placing
--- a/roadlift/instance/term.py
+++ b/roadlift/instance/term.py
@@ -2,12 +2,12 @@
 
 from roadlift.core.kernel import Kernel
 from roadlift.core.logs import PartLog
+from roadlift.crashes.ledger import CrashLedger
 from roadlift.daemon.transport import Transport
 from roadlift.decisions.crashes import WEAK, Sign
 from roadlift.decisions.denials import Denials
 from roadlift.decisions.urgency import Urgency
 from roadlift.decisions.workload import EngineLoad, ToldLoads
-from roadlift.instance.crashledger import CrashLedger
 from roadlift.instance.engine import OwnedEngine
 from roadlift.instance.follower import Follower
 from roadlift.instance.leases import Leases
--- a/roadlift/serving/identity.py
+++ b/roadlift/serving/identity.py
@@ -22,16 +22,19 @@
     """Return the identity of a call, IDENTITY_SIZE bytes."""
     model = str(call.model) if call.model is not None else ""
     texts = ("call", call.method, call.host.lower(), call.target, model)
-    return _compute(texts, call.body)
+    return compute_identity(texts, call.body)
 
 
 def identify_load(model: Model, version: int) -> bytes:
     """Return the identity of the load of an adapter, IDENTITY_SIZE bytes."""
-    return _compute(("load", *model, str(version)))
+    return compute_identity(("load", *model, str(version)))
 
 
-def _compute(texts: Iterable[str], body: bytes = b"") -> bytes:
-    """Return a digest of parts, each with its length: no two lists agree."""
+def compute_identity(texts: Iterable[str], body: bytes = b"") -> bytes:
+    """Return a digest of parts, each with its length: no two lists agree.
+
+    The first text names the kind of work.
+    """
     digest = hashlib.sha256()
     for data in (*(text.encode("utf-8", "surrogateescape") for text in texts), body):
         digest.update(len(data).to_bytes(8))
--- a/standins/broken.py
+++ b/standins/broken.py
@@ -7,9 +7,9 @@
 import sys
 from collections.abc import Callable
 
+from roadlift.crashes.ledger import CrashLedger
 from roadlift.daemon import main as daemon
 from roadlift.endpoints.events import EventFrames
-from roadlift.instance.crashledger import CrashLedger
 from roadlift.instance.exchange import Exchange
 from roadlift.instance.follower import Follower
 from roadlift.instance.ingress import Ingress
--- a/standins/hub.py
+++ b/standins/hub.py
@@ -17,7 +17,13 @@
 from roadlift.conf.settings import Settings
 from roadlift.core.clock import ManualClock
 from roadlift.core.codec import Envelope, decode, encode
-from roadlift.core.errors import ConnectionLost, EndpointUnreachable, RequestTimeout
+from roadlift.core.errors import (
+    ConnectionLost,
+    ConnectionRefused,
+    EndpointUnreachable,
+    RequestTimeout,
+    SendingRevoked,
+)
 from roadlift.core.kernel import Kernel
 from roadlift.core.traffic import RECEIVED, SENT, Traffic
 from roadlift.relay.upstream import Address, Receiver, Request
@@ -110,6 +116,10 @@
             handler(envelope.sender, envelope.message)
 
 
+CRASH_DELAY = 0.05  # Seconds from a deadly run's beginning to the engine's end.
+RETURN_DELAY = 2.0  # Seconds until an engine that ended is back.
+
+
 class HubLine:
     """A call in flight through the hub."""
 
@@ -157,6 +167,22 @@
         self.load_time = 0.2
         self.run_time = 0.2
         self.state = EngineState(slots, fences, hub.clock.now)
+        # Prompts under which the engine ends, for some seconds.
+        self.deadly: set[str] = set()
+        self.deadly_runs = 0
+        self.is_down = False
+
+    def crash(self) -> None:
+        """End, and be back with nothing a while later."""
+        if self.is_down:
+            return
+        self.is_down = True
+        self.state.restart()
+        self._hub.call_later(RETURN_DELAY, self._return)
+
+    def _return(self) -> None:
+        self.is_down = False
+        self.state.restart()
 
     def restart(self) -> None:
         """Lose everything; calls in flight lose their connections."""
@@ -220,6 +246,9 @@
         answer = make_answer(path, prompt, call.get("max_tokens", 4), False)
         finish = lambda: self._finish_run(number, answer, line)
         self._hub.call_later(self.run_time, finish)
+        if call["prompt"] in self.deadly:
+            self.deadly_runs += 1
+            self._hub.call_later(CRASH_DELAY, self.crash)
 
     def _finish_run(self, number: int, answer: dict, line: HubLine) -> None:
         if line.is_closed:
@@ -463,7 +492,11 @@
         self._run_in(sender, lambda: line.receiver.receive_error(error))
 
     def _answer(self, address, request, line) -> None:
-        if address in self.engines:
+        if address in self.engines and self.engines[address].is_down:
+            line.receive_error(ConnectionRefused("ECONNREFUSED"))
+        elif request.may_send is not None and not request.may_send():
+            line.receive_error(SendingRevoked())
+        elif address in self.engines:
             self.engines[address].handle(request, line)
         elif address == PLATFORM:
             self._answer_platform(request, line)
