List and lift what is refused for ends of endpoints; cut instances from the store in the soak

Cause: an operator saw barred work only in raw lines and could lift it only by a call to the store; the soak had no cuts of single paths. Change: roadlift barred and unbar; each instance of the soak reaches the store by a proxy of its own, which holds one way or both, resets or silences connections.

--- a/benchmarks/routes.py
+++ b/benchmarks/routes.py
@@ -1,11 +1,12 @@
 """Soak instances of the interface ``routes`` as real processes under faults.
 
 Seeded and bounded. Callers keep their connections open and send calls all the
-while, as instances are killed, stopped, frozen and told to leave, the store
-falls silent or loses answers, engines start again under their names and play
-faults, and the operator adds routes and names versions; faults overlap. What
-callers were told is compared with what the runners noted. Prints JSON, and
-fails where a count of violations is above zero.
+while, as instances are killed, stopped, frozen, told to leave and cut from the
+store, the store falls silent or loses answers, engines start again under their
+names, play faults and end under calls, and the operator adds routes and names
+versions; faults overlap. What callers were told is compared with what the
+runners noted. Prints JSON, and fails where a count of violations is above
+zero.
 """
 
 import argparse
@@ -25,6 +26,7 @@
 from roadlift.relay.upstream import Address
 from tests.support.callers import PROMISES, Wanted, find_runner, make_headers
 from tests.support.entries import SERVICES, describe_configuration, make_route
+from tests.support.proxies import Proxy, Way
 
 ZONES = ("z1", "z2", "z3")
 ADAPTERS = 40
@@ -38,6 +40,7 @@
 MOST_DEADLY = 3  # Runs of it behind that at most, as of engines under it.
 DEADLY_SPAN = 12.0  # Seconds for which such a call comes again.
 DEADLY_GAP = (0.2, 0.8)  # Seconds until it does, at least and at most.
+MOST_CUT = 5.0  # Seconds for which an instance is cut from the store.
 MOST_FROZEN = 10.0  # Seconds that an instance stands still: beyond its lease.
 FAULT_GAP = (0.2, 1.5)  # Seconds between two faults, at least and at most.
 VIOLATIONS = (
@@ -63,6 +66,7 @@
     ("idem", "/idem/1", 2),
 )
 _STREAMS = ("stream", "again")
+_CUTS = (frozenset(Way), frozenset({Way.REQUESTS}), frozenset({Way.ANSWERS}))
 _REPEATABLE = ("idem", "again")
 _HOT = 3  # Adapters of which new versions are named.
 
@@ -151,6 +155,7 @@
         self._folder = folder
         self._daemon = ["standins.broken", rule] if rule else ["roadlift.daemon.main"]
         self._ports: dict[str, int] = {}
+        self.proxies: dict[str, Proxy] = {}
         self.site = self._make_site()
         self.instances = {
             f"entry-{index}": self._make_instance(f"entry-{index}", ZONES[index % 3])
@@ -178,6 +183,8 @@
         return Process("site", command, self._find_port("store"), log)
 
     def _make_instance(self, name: str, zone: str) -> Process:
+        proxy = Proxy(("127.0.0.1", self._find_port("store")))
+        self.proxies[name] = proxy
         values = {
             "instance": name,
             "zone": zone,
@@ -185,7 +192,7 @@
             "http": f"127.0.0.1:{self._find_port(name)}",
             "ready": f"127.0.0.1:{self._find_port(name + '/ready')}",
             "peer": f"127.0.0.1:{self._find_port(name + '/peer')}",
-            "platform": f"127.0.0.1:{self._find_port('store')}",
+            "platform": proxy.address,
             "interface": "routes",
             "adapter": "platform",
             "plugins": "platform/adapter",
@@ -207,6 +214,8 @@
         self.site.start()
         self.site.wait_until("/control")
         self.write_configuration()
+        for proxy in self.proxies.values():
+            proxy.start()
         for process in self.instances.values():
             process.start()
 
@@ -214,6 +223,8 @@
         """End every process that this deployment started."""
         for process in (*self.instances.values(), self.site):
             process.kill()
+        for proxy in self.proxies.values():
+            proxy.close()
 
     def command(self, **fields: object) -> None:
         """Give the site a command."""
@@ -345,6 +356,8 @@
             (self._freeze, 3),
             (self._leave, 3),
             (self._silence_store, 2),
+            (self._cut_from_store, 3),
+            (self._reset_store, 2),
             (self._lose_answers, 2),
             (self._restart_engine, 3),
             (self._spoil_runner, 8),
@@ -424,6 +437,27 @@
         await self._command(is_down=False)
         self._store_disturbed = time.monotonic()
 
+    async def _cut_from_store(self) -> None:
+        """Let nothing pass between an instance and the store, or one way."""
+        name = self._take_instance()
+        if name is None:
+            return
+        proxy = self._deployment.proxies[name]
+        self._disturbed[name] = time.monotonic() + 60.0
+        proxy.held = self._draw.choice(_CUTS)
+        await asyncio.sleep(self._draw.uniform(0.3, MOST_CUT))
+        proxy.held = frozenset()
+        self._disturbed[name] = time.monotonic()
+
+    async def _reset_store(self) -> None:
+        """Reset an instance's connections to the store, or silence them."""
+        name = self._take_instance()
+        if name is None:
+            return
+        self._disturbed[name] = time.monotonic()
+        proxy = self._deployment.proxies[name]
+        self._draw.choice((proxy.reset, proxy.silence))()
+
     async def _lose_answers(self) -> None:
         await self._command(lose_answers=2, lose_polls=1)
 
--- a/roadlift/core/errors.py
+++ b/roadlift/core/errors.py
@@ -42,6 +42,14 @@
     outcome = Outcome.NOT_RUN
 
 
+class UnknownWork(RoadliftError):
+    """No call or load of that identity is refused."""
+
+    code = "unknown_work"
+    status = 404
+    outcome = Outcome.NOT_RUN
+
+
 class ImproperlyConfigured(RoadliftError):
     """A setting is missing or wrong."""
 
--- a/tests/management/commands.feature
+++ b/tests/management/commands.feature
@@ -21,6 +21,8 @@
       | check          | stand in environment variables            |
       | explain        | what became of a request                  |
       | unserved       | the adapters that were never served       |
+      | barred         | what is refused for ends of endpoints     |
+      | unbar          | Let work in again                         |
 
   Scenario: A session from proposal to report
     Given a platform, an engine and 2 instances in 2 zones
