Show the interface routes in the demo, and lay what it shares out

Cause: the demo showed one interface; what starts instances of the other stood in the soak, its configuration and callers in the tests' support. Change: demo/installation.py starts them for both; configuration, callers and proxies stand with the stand-ins; make install prints no pages of warnings.

--- a/Makefile
+++ b/Makefile
@@ -10,11 +10,12 @@
 
 $(READY): pyproject.toml
 	$(PYTHON) -m venv $(VENV)
-	$(VENV)/bin/pip install --quiet --disable-pip-version-check --editable '.[test]'
+	$(VENV)/bin/pip install -qq --disable-pip-version-check --editable '.[test]'
 	touch $(READY)
 
 demo: $(READY)
 	$(RUN) -m demo.run --seconds 20
+	$(RUN) -m demo.routes --seconds 10
 
 model: $(READY)
 	$(RUN) -m specification.explore
--- a/benchmarks/routes.py
+++ b/benchmarks/routes.py
@@ -14,7 +14,6 @@
 import json
 import random
 import signal
-import socket
 import sys
 import tempfile
 import time
@@ -22,13 +21,10 @@
 from pathlib import Path
 from typing import NamedTuple
 
-from demo.fleet import Process
-from roadlift.relay.upstream import Address
-from tests.support.callers import PROMISES, Wanted, find_runner, make_headers
-from tests.support.entries import SERVICES, describe_configuration, make_route
-from tests.support.proxies import Proxy, Way
+from demo.installation import Answer, Channel, Deployment
+from standins.callers import PROMISES, Wanted, find_runner, make_headers
+from standins.proxies import Way
 
-ZONES = ("z1", "z2", "z3")
 ADAPTERS = 40
 CALLERS = 24
 EVENTS = 3  # Events of a whole stream.
@@ -71,15 +67,6 @@
 _HOT = 3  # Adapters of which new versions are named.
 
 
-class Answer(NamedTuple):
-    """An answer: ``is_whole`` tells that it was framed to its end."""
-
-    status: int
-    headers: dict[str, str]
-    body: bytes
-    is_whole: bool
-
-
 class Cut(NamedTuple):
     """A call that ended early at an instance that was leaving."""
 
@@ -88,158 +75,6 @@
     after: float
 
 
-class Channel:
-    """A caller's connection to one instance, kept while it is open."""
-
-    def __init__(self, address: Address) -> None:
-        self._address = address
-        self._reader: asyncio.StreamReader | None = None
-        self._writer: asyncio.StreamWriter | None = None
-
-    def close(self) -> None:
-        """Drop the connection."""
-        if self._writer is not None:
-            self._writer.close()
-            self._writer = None
-
-    async def call(
-        self, method: str, path: str, headers: dict[str, str], body: bytes = b""
-    ) -> Answer:
-        """Send a request; status 0 is an answer that did not come."""
-        try:
-            return await asyncio.wait_for(self._call(method, path, headers, body), 8.0)
-        except (OSError, asyncio.IncompleteReadError, TimeoutError, ValueError):
-            self.close()
-            return Answer(0, {}, b"", False)
-
-    async def _call(self, method, path, headers, content) -> Answer:
-        if self._writer is None:
-            opened = await asyncio.open_connection(*self._address, limit=1 << 22)
-            self._reader, self._writer = opened
-        lines = [f"{method} {path} HTTP/1.1", "Host: h.example"]
-        lines += [f"Content-Length: {len(content)}"]
-        lines += [f"{name}: {value}" for name, value in headers.items()]
-        self._writer.write("\r\n".join([*lines, "", ""]).encode() + content)
-        head = (await self._reader.readuntil(b"\r\n\r\n")).decode("latin-1")
-        first, *rest = head.rstrip().split("\r\n")
-        pairs = [line.split(":", 1) for line in rest]
-        found = {name.lower(): value.strip() for name, value in pairs}
-        body, is_whole = await self._read_body(found)
-        if found.get("connection") == "close" or not is_whole:
-            self.close()
-        return Answer(int(first.split()[1]), found, body, is_whole)
-
-    async def _read_body(self, headers) -> tuple[bytes, bool]:
-        body = bytearray()
-        try:
-            if headers.get("transfer-encoding") != "chunked":
-                length = int(headers.get("content-length", 0))
-                return await self._reader.readexactly(length), True
-            while True:
-                line = await self._reader.readuntil(b"\r\n")
-                data = await self._reader.readexactly(int(line, 16) + 2)
-                if len(data) == 2:
-                    return bytes(body), True
-                body += data[:-2]
-        except (asyncio.IncompleteReadError, ConnectionError):
-            return bytes(body), False
-
-
-class Deployment:
-    """The processes: instances, and one for the store and the runners.
-
-    ``rule`` is taken out of the instances' code; empty for none.
-    """
-
-    def __init__(self, folder: Path, instances: int, rule: str = "") -> None:
-        self._folder = folder
-        self._daemon = ["standins.broken", rule] if rule else ["roadlift.daemon.main"]
-        self._ports: dict[str, int] = {}
-        self.proxies: dict[str, Proxy] = {}
-        self.site = self._make_site()
-        self.instances = {
-            f"entry-{index}": self._make_instance(f"entry-{index}", ZONES[index % 3])
-            for index in range(instances)
-        }
-        self.routes = 0
-
-    def _find_port(self, name: str) -> int:
-        if name not in self._ports:
-            with socket.socket() as probe:
-                probe.bind(("127.0.0.1", 0))
-                self._ports[name] = probe.getsockname()[1]
-        return self._ports[name]
-
-    def _make_site(self) -> Process:
-        command = [sys.executable, "-m", "standins.loopback"]
-        command += ["--port", str(self._find_port("store"))]
-        for number, zone in enumerate(ZONES):
-            for service, kind, count in (("llm", "e", 2), ("plain", "p", 1)):
-                for index in range(count):
-                    name = f"{kind}{number}{index}"
-                    port = self._find_port(name)
-                    command += ["--runner", f"{service},{name},{zone},{port}"]
-        log = self._folder / "site.log"
-        return Process("site", command, self._find_port("store"), log)
-
-    def _make_instance(self, name: str, zone: str) -> Process:
-        proxy = Proxy(("127.0.0.1", self._find_port("store")))
-        self.proxies[name] = proxy
-        values = {
-            "instance": name,
-            "zone": zone,
-            "zones": ",".join(ZONES),
-            "http": f"127.0.0.1:{self._find_port(name)}",
-            "ready": f"127.0.0.1:{self._find_port(name + '/ready')}",
-            "peer": f"127.0.0.1:{self._find_port(name + '/peer')}",
-            "platform": proxy.address,
-            "interface": "routes",
-            "adapter": "platform",
-            "plugins": "platform/adapter",
-            "retry_share": "0.2",
-            "retry_slack": "50",
-            "store_timeout": "0.7",
-            "grace": "2.8",
-            "drain_limit": "8",
-            "log_format": "json",
-        }
-        command = [sys.executable, "-m", *self._daemon]
-        for key, value in values.items():
-            command += [f"--{key.replace('_', '-')}", value]
-        log = self._folder / f"{name}.log"
-        return Process(name, command, self._find_port(name), log)
-
-    def start(self) -> None:
-        """Start everything, and wait until calls are served."""
-        self.site.start()
-        self.site.wait_until("/control")
-        self.write_configuration()
-        for proxy in self.proxies.values():
-            proxy.start()
-        for process in self.instances.values():
-            process.start()
-
-    def close(self) -> None:
-        """End every process that this deployment started."""
-        for process in (*self.instances.values(), self.site):
-            process.kill()
-        for proxy in self.proxies.values():
-            proxy.close()
-
-    def command(self, **fields: object) -> None:
-        """Give the site a command."""
-        self.site.ask("POST", "/control", fields)
-
-    def write_configuration(self) -> None:
-        """Write the next version, with the routes that were added so far."""
-        added = [
-            make_route(f"/added-{number}/", "idempotent", "plain")
-            for number in range(1, self.routes + 1)
-        ]
-        content = describe_configuration(self.routes + 2, added, SERVICES, 6)
-        self.command(put="config", content=content)
-
-
 class Soak:
     """The callers, the faults, and what is found."""
 
--- a/demo/fleet.py
+++ b/demo/fleet.py
@@ -31,6 +31,15 @@
     step: float = 0.005
 
 
+def run_tool(*arguments: str) -> str:
+    """Run the command-line tool and return what it printed."""
+    command = [sys.executable, "-m", "roadlift.management.main", *arguments]
+    done = subprocess.run(command, capture_output=True, text=True, cwd=ROOT)
+    if done.returncode:
+        raise RuntimeError(f"{arguments}: {done.stdout}{done.stderr}")
+    return done.stdout
+
+
 class Process:
     """One child process with its address."""
 
@@ -189,14 +198,6 @@
             }
         return entries
 
-    def run_tool(self, *arguments: str) -> str:
-        """Run the command-line tool and return what it printed."""
-        command = [sys.executable, "-m", "roadlift.management.main", *arguments]
-        done = subprocess.run(command, capture_output=True, text=True, cwd=ROOT)
-        if done.returncode:
-            raise RuntimeError(f"{arguments}: {done.stdout}{done.stderr}")
-        return done.stdout
-
     def roll(self, document: dict) -> dict:
         """Propose, sign and roll a bundle with the command-line tool."""
         self.wait_for_members()
@@ -204,12 +205,12 @@
         path.write_text(json.dumps(document))
         platform = ["--platform", str(self.platform.address)]
         entry = str(next(iter(self.instances.values())).address)
-        said = self.run_tool(
+        said = run_tool(
             "bundle", "propose", str(path), "--operator", "ann", *platform, "--json"
         )
         digest = json.loads(said)["digest"]
-        self.run_tool("bundle", "sign", digest, "--operator", "ben", *platform)
-        said = self.run_tool(
+        run_tool("bundle", "sign", digest, "--operator", "ben", *platform)
+        said = run_tool(
             "bundle", "roll", digest, "--wait", "--entry", entry, *platform, "--json"
         )
         return json.loads(said)
--- a/demo/run.py
+++ b/demo/run.py
@@ -11,7 +11,7 @@
 from pathlib import Path
 
 from demo.client import Reply, call, complete, expect_text, read_text
-from demo.fleet import EngineSpec, Fleet, make_document
+from demo.fleet import EngineSpec, Fleet, make_document, run_tool
 from roadlift.management.output import print_table
 
 ADAPTERS = 3000
@@ -124,9 +124,9 @@
         asyncio.run(demo.send(seconds))
         demo.check_journals()
         entry = str(fleet.instances["entry-0"].address)
-        print(fleet.run_tool("instances", "--entry", entry))
-        print(fleet.run_tool("endpoints", "--entry", entry))
-        print(fleet.run_tool("burn", "--entry", entry, "--html", str(page)))
+        print(run_tool("instances", "--entry", entry))
+        print(run_tool("endpoints", "--entry", entry))
+        print(run_tool("burn", "--entry", entry, "--html", str(page)))
     finally:
         fleet.close()
     print_table(("WHAT", "COUNT"), sorted(demo.counts.items()))
--- a/tests/steps/adapter_steps.py
+++ b/tests/steps/adapter_steps.py
@@ -20,7 +20,8 @@
 from roadlift.serving.interfaces import StoredRow, adapters
 from roadlift.serving.lease import LeaseRecord
 from roadlift.serving.orders import Action, Order
-from tests.support.entries import ROOT, make_route
+from standins.configuration import make_route
+from tests.support.entries import ROOT
 
 _ADAPTER = adapters.get("platform")
 # Names that only the platform's protocol has.
--- a/tests/steps/suspension_steps.py
+++ b/tests/steps/suspension_steps.py
@@ -7,7 +7,7 @@
 
 from roadlift.core.clock import BootClock
 from roadlift.instance.leases import Leases
-from tests.support.entries import BASE
+from standins.configuration import BASE
 
 
 @given("instances whose clock {counts} suspended time")
--- a/tests/steps/transport_steps.py
+++ b/tests/steps/transport_steps.py
@@ -9,7 +9,7 @@
 from roadlift.core.loop import Loop
 from roadlift.daemon.transport import Transport
 from roadlift.serving.messages import Denial
-from tests.support.proxies import Proxy
+from standins.proxies import Proxy
 
 
 def _find_port():
