--- a/benchmarks/routes.py
+++ b/benchmarks/routes.py
@@ -22,8 +22,8 @@
 from typing import NamedTuple
 
 from demo.installation import Answer, Channel, Deployment
-from standins.callers import PROMISES, Wanted, find_runner, make_headers
 from standins.proxies import Way
+from tests.support.callers import PROMISES, Wanted, find_runner, make_headers
 
 ADAPTERS = 40
 CALLERS = 24
--- a/demo/installation.py
+++ b/demo/installation.py
@@ -11,8 +11,8 @@
 
 from demo.fleet import Process
 from roadlift.relay.upstream import Address
-from standins.configuration import SERVICES, describe_configuration, make_route
 from standins.proxies import Proxy
+from tests.support.configuration import SERVICES, describe_configuration, make_route
 
 ZONES = ("z1", "z2", "z3")
 ADAPTER_SLOTS = 6  # Adapters that an engine holds at once.
--- a/demo/routes.py
+++ b/demo/routes.py
@@ -19,7 +19,7 @@
 from demo.fleet import run_tool
 from demo.installation import ADAPTER_SLOTS, Channel, Deployment
 from roadlift.management.output import print_table
-from standins.callers import PROMISES, Wanted, make_headers
+from tests.support.callers import PROMISES, Wanted, make_headers
 
 INSTANCES = 4
 ADAPTERS = 40
--- a/tests/steps/adapter_steps.py
+++ b/tests/steps/adapter_steps.py
@@ -20,7 +20,7 @@
 from roadlift.serving.interfaces import StoredRow, adapters
 from roadlift.serving.lease import LeaseRecord
 from roadlift.serving.orders import Action, Order
-from standins.configuration import make_route
+from tests.support.configuration import make_route
 from tests.support.entries import ROOT
 
 _ADAPTER = adapters.get("platform")
--- a/tests/steps/aggregator_steps.py
+++ b/tests/steps/aggregator_steps.py
@@ -10,7 +10,7 @@
 from roadlift.instance.subscription import Subscription
 from roadlift.serving.calls import Model
 from roadlift.serving.messages import OperatorNews
-from standins.configuration import BASE
+from tests.support.configuration import BASE
 
 _SPAN = 5.0  # Seconds over which messages are counted.
 
--- a/tests/steps/crash_steps.py
+++ b/tests/steps/crash_steps.py
@@ -4,7 +4,7 @@
 
 from roadlift.instance.follower import Follower
 from roadlift.instance.leases import Leases
-from standins.configuration import BASE, ROUTES, SERVICES
+from tests.support.configuration import BASE, ROUTES, SERVICES
 from tests.support.entries import Entries
 
 _ZONES = {"a": "z1", "b": "z1", "d": "z1", "c": "z2", "f": "z2", "g": "z2"}
--- a/tests/steps/instance_steps.py
+++ b/tests/steps/instance_steps.py
@@ -7,8 +7,8 @@
 from roadlift.instance.leases import Leases
 from roadlift.instance.platform import Platform
 from roadlift.serving.calls import Model
-from standins.configuration import BASE, ROUTES, SERVICES, make_route
 from standins.installation import Reply
+from tests.support.configuration import BASE, ROUTES, SERVICES, make_route
 from tests.support.entries import Entries
 
 _STREAM = {"model": BASE, "token-count": "10,20", "prompt-prefix": "ab:10"}
--- a/tests/steps/link_steps.py
+++ b/tests/steps/link_steps.py
@@ -3,7 +3,7 @@
 from behave import given, then, when
 
 from roadlift.instance.leases import Leases
-from standins.configuration import BASE, ROUTES, SERVICES
+from tests.support.configuration import BASE, ROUTES, SERVICES
 
 _CALL_PERIOD = 0.02  # Seconds between two calls.
 # By how many the adapter of a call is further than that of the call before, so
--- a/tests/steps/measure_steps.py
+++ b/tests/steps/measure_steps.py
@@ -8,7 +8,7 @@
 from roadlift.http.messages import Received
 from roadlift.instance.leases import Leases
 from roadlift.instance.measures import Measures
-from standins.configuration import BASE
+from tests.support.configuration import BASE
 
 
 class _EventKeeper(logging.Handler):
--- a/tests/steps/suspension_steps.py
+++ b/tests/steps/suspension_steps.py
@@ -7,7 +7,7 @@
 
 from roadlift.core.clock import BootClock
 from roadlift.instance.leases import Leases
-from standins.configuration import BASE
+from tests.support.configuration import BASE
 
 
 @given("instances whose clock {counts} suspended time")
--- a/tests/steps/usage_steps.py
+++ b/tests/steps/usage_steps.py
@@ -3,8 +3,8 @@
 from behave import given, then, when
 
 from roadlift.instance.owner import Owner
-from standins.configuration import BASE
 from standins.installation import EVENT_GAP
+from tests.support.configuration import BASE
 
 
 @given("engines generate for {seconds:g} seconds")
--- a/tests/support/entries.py
+++ b/tests/support/entries.py
@@ -8,9 +8,9 @@
 from roadlift.http.messages import Received
 from roadlift.instance.ingress import Ingress
 from roadlift.instance.platform import import_plugins
-from standins.configuration import describe_routes
 from standins.hub import HubCaller, HubTransport
 from standins.installation import DELAY, Installation, MemoryDialer
+from tests.support.configuration import describe_routes
 
 ROOT = Path(__file__).resolve().parent.parent.parent
 STEP = 0.01  # Seconds of the clock between rounds of the loops.
