--- a/roadlift/instance/ingress.py
+++ b/roadlift/instance/ingress.py
@@ -81,7 +81,8 @@
             kernel.loop, Address.parse(settings.ready), _Readiness(self), HttpLimits()
         )
         self._follower.on_configuration.append(self._take_limits)
-        kernel.get(CrashLedger).on_change.append(self._withdraw)
+        self._ledger = kernel.get(CrashLedger)
+        self._ledger.on_change.append(self._withdraw)
 
     @property
     def is_ready(self) -> bool:
@@ -199,6 +200,8 @@
 
     def _withdraw(self, identity: bytes) -> None:
         """End the calls that turn out to end endpoints."""
+        if not self._ledger.crashes.is_refused(identity):
+            return
         for exchange in list(self._exchanges):
             exchange.withdraw(identity)
 
