Play drawn orders of deadly calls, ends and news

Cause: the bound on ends was shown by tables alone. Change: 320 draws of one and three calls at 1 to 40 instances, with news that take up to a second: each runs twice, and as often as it came before all knew; calls beside two ends are not refused.

--- a/tests/decisions/crashes.feature
+++ b/tests/decisions/crashes.feature
@@ -29,6 +29,19 @@
     When each instance tells each other all it knows, in an order that is drawn
     Then all instances refuse the same calls and have the same checksum
 
+  Scenario Outline: In any order of <calls> deadly calls at <instances> instances
+    Given <draws> draws in which signs reach others within 1 second, or a row does
+    When <calls> deadly calls come each 0.2 to 0.8 seconds to <instances> instances
+    Then each runs twice, and as often as it came before all knew of its second end
+    And calls that only ran beside two ends are not refused
+
+    Examples:
+      | calls | instances | draws |
+      | 1     | 1         | 100   |
+      | 1     | 6         | 100   |
+      | 3     | 6         | 100   |
+      | 3     | 40        | 20    |
+
   Scenario Outline: What another instance or a row says of signs is checked
     Then the signs "<signs>" are malformed
 
--- a/tests/steps/sign_steps.py
+++ b/tests/steps/sign_steps.py
@@ -125,3 +125,96 @@
     other = _CALL._replace(**_OTHERS[difference])
     is_same = identify(other) == identify(_CALL)
     assert is_same == (same == "the same")
+
+
+class _Order:
+    """One drawn order of calls, ends and news at several instances."""
+
+    LIFE = 0.13  # Seconds from a run's beginning until its end is known there.
+    SPAN = 40.0  # Seconds for which the calls come.
+    ENGINES = 12
+    BESIDE = 3  # Other calls that run on an engine when it ends.
+
+    def __init__(self, seed, instances):
+        self._draw = random.Random(seed)
+        self.ledgers = [Crashes(number / instances) for number in range(instances)]
+        self._news = []
+        self._lives = [0] * self.ENGINES
+        self._others = 0
+        self.runs = {}
+        self.known_at = {}
+        self.refused_for = {}
+
+    def play(self, calls):
+        """Send the deadly calls, and let news arrive between them."""
+        due = sorted((self._draw.random(), name) for name in range(calls))
+        while due[0][0] < self.SPAN:
+            now, name = due.pop(0)
+            self._deliver(now)
+            self._send(now, f"deadly{name}")
+            due.append((now + self._draw.uniform(0.2, 0.8), name))
+            due.sort()
+        self._deliver(self.SPAN + 2.0)
+
+    def _send(self, now, name):
+        ledger = self._draw.choice(self.ledgers)
+        if ledger.measure_refusal(_name(name), now):
+            return
+        self.runs.setdefault(name, []).append(now)
+        engine = self._draw.randrange(self.ENGINES)
+        self._lives[engine] += 1
+        run = f"e{engine}#{self._lives[engine]}"
+        signs = [Sign(_name(name), run, STRONG, 0.0)]
+        for _ in range(self.BESIDE):
+            other = f"other{self._draw.randrange(40)}"
+            signs.append(Sign(_name(other), run, WEAK, 0.0))
+        known = now + self.LIFE
+        arrivals = [known + self._draw.random() for _ in self.ledgers]
+        arrivals[self.ledgers.index(ledger)] = known
+        self._news += zip(arrivals, self.ledgers, [signs] * len(arrivals), strict=True)
+        ends = len(self.runs[name])
+        if ends == 2:
+            self.known_at[name] = max(arrivals)
+
+    def _deliver(self, now):
+        """Let what is due arrive, and see who else is refused for it."""
+        for at, ledger, signs in [one for one in self._news if one[0] <= now]:
+            ledger.merge(signs, at)
+            for sign in signs:
+                seconds = ledger.measure_refusal(sign.identity, at)
+                known = self.refused_for.get(sign.identity, (0.0, 0))
+                ends = ledger.count_ends(sign.identity)
+                self.refused_for[sign.identity] = max(known, (seconds, ends))
+        self._news = [one for one in self._news if one[0] > now]
+
+
+@given("{count:d} draws in which signs reach others within 1 second, or a row does")
+def step_orders(context, count):
+    """Choose the seeds."""
+    context.seeds = range(count)
+
+
+@when("{calls:d} deadly calls come each 0.2 to 0.8 seconds to {instances:d} instances")
+def step_play(context, calls, instances):
+    """Play each draw."""
+    context.orders = [_Order(seed, instances) for seed in context.seeds]
+    for order in context.orders:
+        order.play(calls)
+
+
+@then("each runs twice, and as often as it came before all knew of its second end")
+def step_bound(context):
+    """Count the runs behind that time."""
+    for order in context.orders:
+        for name, runs in order.runs.items():
+            late = [at for at in runs[2:] if at > order.known_at[name]]
+            assert not late, (name, runs, order.known_at[name])
+
+
+@then("calls that only ran beside two ends are not refused")
+def step_others(context):
+    """Look at what became of the others."""
+    for order in context.orders:
+        for identity, (seconds, ends) in order.refused_for.items():
+            is_other = identity.startswith(b"other")
+            assert not (is_other and ends <= 2 and seconds), (identity, seconds)
