--- a/demo/fleet.py
+++ b/demo/fleet.py
@@ -3,6 +3,7 @@
 import contextlib
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -16,6 +17,7 @@
 from roadlift.store.client import call_directly
 
 ROOT = Path(__file__).resolve().parent.parent
+PORTS = (12_000, 30_000)  # Below those that outgoing connections take.
 START_LIMIT = 20.0  # Seconds for a process to answer.
 
 
@@ -31,6 +33,19 @@
     step: float = 0.005
 
 
+def choose_port() -> int:
+    """Return a port that is free, and that no outgoing connection takes.
+
+    One out of the system's own range was taken by a connection of another
+    program until the process that was to listen there had started.
+    """
+    while True:
+        port = random.SystemRandom().randrange(*PORTS)
+        with socket.socket() as probe, contextlib.suppress(OSError):
+            probe.bind(("127.0.0.1", port))
+            return port
+
+
 def run_tool(*arguments: str) -> str:
     """Run the command-line tool and return what it printed."""
     command = [sys.executable, "-m", "roadlift.management.main", *arguments]
@@ -260,9 +275,7 @@
     def find_port(self, name: str) -> int:
         """Return the port of a name, the same each time."""
         if name not in self._ports:
-            with socket.socket() as probe:
-                probe.bind(("127.0.0.1", 0))
-                self._ports[name] = probe.getsockname()[1]
+            self._ports[name] = choose_port()
         return self._ports[name]
 
     def _start(self, name: str, module: str, flags: list[str]) -> Process:
--- a/demo/installation.py
+++ b/demo/installation.py
@@ -4,12 +4,11 @@
 """
 
 import asyncio
-import socket
 import sys
 from pathlib import Path
 from typing import NamedTuple
 
-from demo.fleet import Process
+from demo.fleet import Process, choose_port
 from roadlift.relay.upstream import Address
 from standins.proxies import Proxy
 from tests.support.configuration import SERVICES, describe_configuration, make_route
@@ -104,9 +103,7 @@
 
     def _find_port(self, name: str) -> int:
         if name not in self._ports:
-            with socket.socket() as probe:
-                probe.bind(("127.0.0.1", 0))
-                self._ports[name] = probe.getsockname()[1]
+            self._ports[name] = choose_port()
         return self._ports[name]
 
     def _make_site(self) -> Process:
--- a/roadlift/daemon/main.py
+++ b/roadlift/daemon/main.py
@@ -17,6 +17,7 @@
 from roadlift.instance.platform import import_plugins
 
 EXIT_BAD_SETTINGS = 78  # EX_CONFIG of sysexits.h.
+EXIT_NOT_STARTED = 69  # EX_UNAVAILABLE of sysexits.h.
 
 
 class Root(NamedTuple):
@@ -51,12 +52,26 @@
         if self.lines is not None:
             self.loop.call_every(logs.FLUSH_PERIOD, self.lines.flush)
         self.loop.call_every(FILE_PERIOD, self._file.look)
-        self.open([self._root])
+        self._open_parts()
         # Circuits sets handlers of its own just before; these go last.
         signal.signal(signal.SIGTERM, self._on_signal)
         signal.signal(signal.SIGINT, self._on_signal)
         signal.signal(signal.SIGHUP, self._on_reload)
 
+    def _open_parts(self) -> None:
+        """Start the parts, or end: what runs the process starts it again.
+
+        The loop bears errors of handlers. A process whose address was taken
+        for a moment lived on without serving anybody, for good.
+        """
+        try:
+            self.open([self._root])
+        except Exception as error:
+            log.error("The process can't start: %r.", error)
+            if self.lines is not None:
+                self.lines.flush()
+            raise SystemExit(EXIT_NOT_STARTED) from error
+
     @handler("stopped")
     def _on_stopped(self, *args) -> None:
         self.close()
--- a/standins/proxies.py
+++ b/standins/proxies.py
@@ -42,7 +42,8 @@
     def close(self) -> None:
         """Close all connections."""
         self._is_over = True
-        self._thread.join()
+        if self._thread.ident is not None:
+            self._thread.join()
         for one in [self._listener, *self._pairs]:
             one.close()
 
--- a/tests/core/start.feature
+++ b/tests/core/start.feature
@@ -13,3 +13,16 @@
       | pkg_resources            |
       | defopt                   |
       | roadlift.daemon.exchange |
+
+  Scenario Outline: A daemon whose <address> address is taken ends
+    "ZMQError('Address already in use')" was logged at a start, and the process went on
+    without serving anybody: every call to that instance failed until the end of the run.
+
+    Given a program that listens where the <address> address is to be
+    When a daemon of the interface routes is started
+    Then it ends with 69 within 10 seconds
+
+    Examples:
+      | address |
+      | peer    |
+      | http    |
