Know callers by their organisations' keys, and let no revoked key run

Cause: callers' keys were not read at all. A key went on to the endpoint, one that no configuration held ran, and a revoked one ran on; nothing said as of when an instance's configuration was true.

Change: keys are digests from where they are read, also in rows that instances pass on; the organisation's name is set for endpoints whatever the caller sent. An instance knows as of when its configuration is true (before the store was asked, by the clock that counts suspension; a relay tells its own age) and refuses calls with keys, at the door and at each send, once that is older than revoke_ms less 0.4 s: 503, never 401. A table of several pages is as of its first page. Allowances are counted by aggregators (not judged yet).

--- a/roadlift/conf/checks.py
+++ b/roadlift/conf/checks.py
@@ -12,9 +12,13 @@
 _ADDRESSES = ("http", "peer", "platform", "ready")
 _CHOICES = {"interface": ("openai", "routes"), "log_format": ("text", "json")}
 _LISTED_ADDRESSES = ("metrics", "seeds", "statsd")
+# Limits of which 0 says that there is none, or nothing beyond them.
+_NOT_NEGATIVE = ("allowance_over", "allowance_slack", "revoke_ms")
 _POSITIVE = tuple(
-    setting.name for setting in SETTINGS if setting.kind in (int, float)
-)  # Every number among the settings is a size, rate or time above zero.
+    setting.name
+    for setting in SETTINGS
+    if setting.kind in (int, float) and setting.name not in _NOT_NEGATIVE
+)  # Every other number among the settings is a size, rate or time above zero.
 
 
 @register
@@ -48,6 +52,18 @@
     return found
 
 
+@register
+def check_limits(settings: Settings) -> list[Finding]:
+    """Check that limits which may be 0 are not below it."""
+    found = []
+    for name in _NOT_NEGATIVE:
+        value = getattr(settings, name)
+        if not value >= 0:
+            message = f"{name}: 0 or a number above it was expected: {value!r}"
+            found.append(Finding("settings.E007", message, "Leave it at its default."))
+    return found
+
+
 @register
 def check_plugins(settings: Settings) -> list[Finding]:
     """Check that the named plug-ins are registered."""
--- a/roadlift/conf/settings.py
+++ b/roadlift/conf/settings.py
@@ -82,6 +82,25 @@
     ),
     Setting("retry_slack", float, 20.0, "Retries of all instances beside the share."),
     Setting("retry_window", float, 10.0, "Seconds in which retries are counted."),
+    Setting(
+        "revoke_ms",
+        int,
+        0,
+        "Milliseconds for which a revoked key may be served; 0 is no limit.",
+    ),
+    Setting(
+        "allowance_over",
+        float,
+        0.0,
+        "Part by which the allowances of organisations may be passed.",
+    ),
+    Setting(
+        "allowance_slack",
+        float,
+        0.0,
+        "Amount by which they may be passed beside, in each window.",
+    ),
+    Setting("allowance_window", float, 8.0, "Seconds in which use is counted."),
     Setting("log_format", str, "text", "Format of the logs: text or json."),
     Setting("engine_api", str, "openai", "Plug-in that speaks to the engines."),
 )
--- a/roadlift/core/errors.py
+++ b/roadlift/core/errors.py
@@ -113,6 +113,30 @@
     outcome = Outcome.NOT_RUN
 
 
+class UnknownKey(RoadliftError):
+    """No organisation of the configuration in force holds the caller's key."""
+
+    code = "unknown_key"
+    status = 401
+    outcome = Outcome.NOT_RUN
+
+
+class StaleConfiguration(RoadliftError):
+    """Keys may have been revoked since the configuration was known last."""
+
+    code = "stale_configuration"
+    status = 503
+    outcome = Outcome.NOT_RUN
+
+
+class OverAllowance(RoadliftError):
+    """The caller's organisation has used up what it may have run."""
+
+    code = "over_allowance"
+    status = 429
+    outcome = Outcome.NOT_RUN
+
+
 class NoConfiguration(RoadliftError):
     """The instance has not heard of any configuration yet."""
 
--- a/roadlift/core/events.py
+++ b/roadlift/core/events.py
@@ -71,7 +71,7 @@
     Event(
         "follower",
         "configuration_in_force",
-        ("version", "routes"),
+        ("version", "routes", "organisations"),
         "A configuration replaced the one before.",
     ),
     Event(
@@ -98,6 +98,7 @@
             "outcome",
             "request",
             "route",
+            "organisation",
             "service",
             "model",
             "endpoint",
@@ -122,8 +123,24 @@
     Event(
         "ingress",
         "call_refused",
-        ("request", "error", "configuration"),
-        "A request was refused before it became a call.",
+        (
+            "request",
+            "error",
+            "configuration",
+            "configuration_age",
+            "organisation",
+            "share",
+            "used",
+            "demand",
+            "news_age",
+            "left_out",
+        ),
+        "A request was refused before it became a call, with what decided it where "
+        "callers have keys: for how long a change of the configuration may have "
+        "gone unnoticed, the caller's organisation, this instance's share of its "
+        "allowance, what it used here, what it asks for a second, and the age of "
+        "the aggregator's news. Of one error 20 lines a second are written; "
+        "left_out counts those before this line that were not.",
     ),
     Event(
         "ingress",
--- a/roadlift/explanation/story.py
+++ b/roadlift/explanation/story.py
@@ -123,7 +123,8 @@
 
 def _find_causes(end: Line, around: list[Line], met: set[str]) -> list[str]:
     """Return what the lines around speak for, the likeliest first."""
-    causes = _explain_store(end, around)
+    causes = _explain_refusal(end)
+    causes += _explain_store(end, around)
     causes += _explain_endpoints(end, around, met)
     if not causes:
         # A call that an endpoint failed has waited enough to be sent.
@@ -131,6 +132,28 @@
     return causes or ["nothing else was logged that bears on it"]
 
 
+def _explain_refusal(end: Line) -> list[str]:
+    """Explain a request that was refused by its key, or by what is known."""
+    code = str(end.fields.get("error")).partition(":")[0]
+    fields = end.fields
+    age = fields.get("configuration_age")
+    if code == "unknown_key":
+        version = fields.get("configuration")
+        return [
+            f"no organisation of configuration {version}, known as of {age} s ago, "
+            "holds its key"
+        ]
+    if code == "stale_configuration":
+        return [f"{end.instance} knew the configuration as of {age} s ago only"]
+    if code == "over_allowance":
+        return [
+            f"organisation {fields.get('organisation')} asked for "
+            f"{fields.get('demand')} a second here, where {fields.get('share')} of its "
+            f"allowance was free, by news {fields.get('news_age')} s old"
+        ]
+    return []
+
+
 def _explain_store(end: Line, around: list[Line]) -> list[str]:
     lost = [line for line in around if line.name == "store_lost"]
     if not lost or "no_configuration" not in str(end.fields.get("error")):
--- a/roadlift/instance/aggregator.py
+++ b/roadlift/instance/aggregator.py
@@ -204,6 +204,7 @@
             follower.list_version,
             round(follower.measure_list_age(), 3),
             follower.operator_version,
+            follower.measure_operator_age(),
             asked_at,
         )
         return self._transport.send(address, reply)
--- a/roadlift/instance/crashrows.py
+++ b/roadlift/instance/crashrows.py
@@ -62,7 +62,7 @@
         self._reader = TableReader(
             kernel,
             TABLE,
-            WAIT,
+            lambda: WAIT,
             POLL_PAUSE,
             self._take_rows,
             lambda: None,
--- a/roadlift/instance/exchange.py
+++ b/roadlift/instance/exchange.py
@@ -20,6 +20,7 @@
 from roadlift.decisions.loading import Source
 from roadlift.endpoints.events import EventFrames
 from roadlift.http.messages import drop_hop_by_hop
+from roadlift.instance.access import Pass
 from roadlift.instance.adapterwait import COME_BACK, AdapterWait, Waiting
 from roadlift.instance.crashes import CrashWatch
 from roadlift.instance.follower import Follower
@@ -68,10 +69,17 @@
     """One call, its sends and its answer; also the receiver of each send."""
 
     def __init__(
-        self, kernel: Kernel, ingress, call: Call, route: Route, caller: Caller
+        self,
+        kernel: Kernel,
+        ingress,
+        call: Call,
+        route: Route,
+        granted: Pass,
+        caller: Caller,
     ) -> None:
         self.call = call
-        self.route = route
+        self.route = route = granted.apply_priority(route)
+        self._pass = granted
         self._kernel = kernel
         self._ingress = ingress
         self._caller = caller
@@ -169,7 +177,7 @@
         """Send the call to an endpoint, or wait for one."""
         if self._is_over:
             return
-        obstacle = self._ledger.judge(self._identify)
+        obstacle = self._pass.judge() or self._ledger.judge(self._identify)
         if obstacle is not None:
             self._fail(obstacle)
             return
@@ -245,9 +253,11 @@
             self._choose_priority(endpoint, now),
             version,
             self._resume_after,
+            self._pass.name,
         )
         request = self._format.build_request(self.call, self.route, endpoint, guard)
         self._sends += 1
+        self._pass.begin()
         self._sent_at = now
         running = self._placing.count_running(endpoint.id)
         self._note(
@@ -486,6 +496,8 @@
                 log.event("endpoint_ejected", endpoint=endpoint.id, error=str(error))
         if error.outcome is not Outcome.NOT_RUN:
             self._doubt = error
+        else:
+            self._pass.give_back()
         reason = self._find_obstacle(error, now)
         self._ingress.measures.count(
             "roadlift_failed_sends", self._service, error.code, reason or "no"
@@ -566,7 +578,7 @@
             self._caller.end_early()
         else:
             headers = dict(self._format.describe(self.call.id))
-            if error.outcome is Outcome.NOT_RUN:
+            if error.status in _PROMISES:
                 headers["Retry-After"] = f"{error.retry_after or COME_BACK:g}"
             self._caller.answer_error(error, headers)
         self._end("refused" if error.outcome is Outcome.NOT_RUN else "failed", error)
@@ -601,6 +613,7 @@
         first = self._progress.first_after
         is_late = self._progress.is_late(self.route)
         self._ingress.finish(self)
+        self._pass.end(outcome)
         self._measure(outcome, is_late, now)
         self._ingress.log_end(
             outcome,
@@ -608,6 +621,7 @@
             self.call.model,
             request=self.call.id,
             route=self.route.name,
+            organisation=self._pass.name,
             service=self._service,
             endpoint=self._endpoint.id if self._endpoint else None,
             sends=self._sends,
--- a/roadlift/instance/follower.py
+++ b/roadlift/instance/follower.py
@@ -16,6 +16,8 @@
 from roadlift.core.logs import PartLog
 from roadlift.instance.measures import Measures
 from roadlift.instance.platform import Platform
+from roadlift.organisations.freshness import Freshness, RelayedState
+from roadlift.organisations.keys import KeyTable
 from roadlift.serving.calls import Model
 from roadlift.serving.directory import Directory, Endpoint, decode_endpoint
 from roadlift.serving.interfaces import Rows, StoredRow
@@ -41,6 +43,12 @@
 # Subscribers of one aggregator that read the store, as far as possible, while
 # it can't. All of 39 would be some 110 calls a second, by arithmetic.
 MOST_READERS = 4
+# Parts of the time for which a revoked key may still be served: seconds that a
+# poll waits at the store at most, so that what is passed on is never older
+# than a third of that time, and seconds behind which an instance reads the
+# table itself, whoever else may read it.
+POLL_PART = 0.15
+OLD_PART = 0.45
 REST_LOOK = 0.2  # Seconds between looks whether an instance has to read again.
 RETRY_PAUSE = 0.2  # Seconds behind a read that failed.
 
@@ -50,15 +58,16 @@
 class TableReader:
     """Reads one table whole, then its changes, for as long as it is open.
 
-    ``period`` is in seconds: 0 polls again at once, waiting at the store;
-    ``retry_pause`` is behind a read that failed, likewise.
+    ``period`` is in seconds: 0 polls again at once, waiting at the store for
+    what ``measure_wait`` returns; ``retry_pause`` is behind a read that
+    failed, likewise.
     """
 
     def __init__(
         self,
         kernel: Kernel,
         table: str,
-        wait: float,
+        measure_wait: Callable[[], float],
         period: float,
         on_rows: Callable[[Rows, bool], None],
         on_return: Callable[[], None],
@@ -70,7 +79,7 @@
         self._store = kernel.get(Platform).store
         self._measures = kernel.get(Measures)
         self._table = table
-        self._wait = wait
+        self._measure_wait = measure_wait
         self._period = period
         self._on_rows = on_rows
         self._on_return = on_return
@@ -127,7 +136,7 @@
         if is_whole:
             self._store.read(self._table, take, fail)
         else:
-            wait = self._wait if self._is_sound else 0.0
+            wait = self._measure_wait() if self._is_sound else 0.0
             self._store.follow(self._table, self._version, wait, take, fail)
 
     def _take(self, number: int, rows: Rows, is_whole: bool) -> None:
@@ -182,6 +191,8 @@
         self._operator_target = 0
         self._grace_until = 0.0
         self.operator_version = 0
+        self.freshness = Freshness()
+        self.keys: KeyTable | None = None
         self.operator_rows = OperatorRows()
         self.on_configuration: list[Callable[[Configuration], None]] = []
         self.on_version: list[Callable[[Model, int], None]] = []
@@ -203,7 +214,7 @@
         operator = TableReader(
             self._kernel,
             self._format.operator_table,
-            OPERATOR_WAIT,
+            self._measure_operator_wait,
             0.0,
             self._take_operator,
             lambda: None,
@@ -212,7 +223,7 @@
         directory = TableReader(
             self._kernel,
             self._format.directory_table,
-            0.0,
+            lambda: 0.0,
             DIRECTORY_PERIOD,
             self._take_directory,
             self._note_return,
@@ -246,6 +257,18 @@
             self._readers[1].skip_to(list_version)
             self._readers[1].answered_at = asked_at - list_age
 
+    def note_operator_age(self, version: int, age: float, asked_at: float) -> None:
+        """Learn how old an aggregator's knowledge of the operator's rows is.
+
+        ``age`` is in seconds as of when it answered what it was asked at
+        ``asked_at``, by this process's clock.
+        """
+        self.freshness.note_relay(RelayedState(version, asked_at - age))
+
+    def measure_operator_age(self) -> float:
+        """Return the seconds for which a change may have gone unnoticed."""
+        return self.freshness.measure_age(self._kernel.clock.now())
+
     def note_heard(self, until: float, members: int) -> None:
         """Learn that an aggregator with so many subscribers lives.
 
@@ -282,8 +305,21 @@
         """Tell whether the list need not be read now."""
         return self.is_relayed() or self._is_others_turn(1, DIRECTORY_PERIOD)
 
+    def _measure_operator_wait(self) -> float:
+        """Return the seconds that a poll of the operator's table waits."""
+        limit = self._kernel.settings.revoke_ms / 1000.0
+        return min(OPERATOR_WAIT, limit * POLL_PART) if limit else OPERATOR_WAIT
+
+    def _is_operator_old(self) -> bool:
+        """Tell whether calls with keys will soon be refused for their age."""
+        limit = self._kernel.settings.revoke_ms / 1000.0
+        is_limited = bool(limit) and self.keys is not None
+        return is_limited and self.measure_operator_age() > limit * OLD_PART
+
     def _may_rest_operator(self) -> bool:
         """Tell whether the operator's table need not be read now."""
+        if self._is_operator_old():
+            return False
         if not self.is_relayed():
             return self._is_others_turn(0, OPERATOR_WAIT)
         is_current = self.operator_version >= self._operator_target
@@ -314,12 +350,15 @@
         self._take_rows(rows.rows)
         if rows.rows:
             self._note_operator_version(max(row.version for row in rows.rows))
+        if rows.is_complete:
+            self.freshness.note_read(rows.time.asked_at)
 
     def _take_rows(self, rows: Iterable[StoredRow]) -> None:
         """Put the operator's rows in force."""
         for row in rows:
-            self.operator_rows.put(row)
             try:
+                row = self._format.conceal(row)
+                self.operator_rows.put(row)
                 configuration = self._format.read_configuration(row)
                 declared = self._format.read_version(row)
             except InvalidConfiguration as error:
@@ -335,6 +374,7 @@
         before = self.operator_version
         if version > before:
             self.operator_version = version
+            self.freshness.note_version(version)
             _tell(self.on_operator, before)
 
     def _apply(self, configuration: Configuration) -> None:
@@ -344,11 +384,15 @@
             return
         self.configuration = configuration
         self.routes = RouteTable(configuration.routes)
+        self.keys = None
+        if configuration.organisations is not None:
+            self.keys = KeyTable(configuration.organisations)
         self._measures.set("roadlift_configuration_version", configuration.version)
         log.event(
             "configuration_in_force",
             version=configuration.version,
             routes=len(configuration.routes),
+            organisations=len(configuration.organisations or ()),
         )
         _tell(self.on_configuration, configuration)
 
@@ -400,6 +444,8 @@
         before = self.directory.revision
         self.directory.expire(self._kernel.clock.now())
         self._tell_directory(before)
+        age = self.measure_operator_age()
+        self._measures.set("roadlift_configuration_age_seconds", age)
 
     def _tell_directory(self, before: int) -> None:
         if self.directory.revision != before:
--- a/roadlift/instance/ingress.py
+++ b/roadlift/instance/ingress.py
@@ -14,6 +14,7 @@
 from roadlift.http.connection import Connection
 from roadlift.http.messages import HttpLimits, Received
 from roadlift.http.server import Server
+from roadlift.instance.access import Access
 from roadlift.instance.aggregator import Aggregator
 from roadlift.instance.control import ControlCosts
 from roadlift.instance.crashes import CrashWatch
@@ -24,11 +25,12 @@
 from roadlift.instance.owner import Owner
 from roadlift.instance.placing import Placing
 from roadlift.instance.platform import Platform
+from roadlift.instance.refusals import RefusalLog
 from roadlift.instance.served import ServedAdapters
 from roadlift.relay.upstream import Address
 from roadlift.retries.window import WindowBudget
-from roadlift.serving.calls import Model
-from roadlift.serving.routes import Configuration
+from roadlift.serving.calls import Call, Model
+from roadlift.serving.routes import Configuration, Route
 
 DRAIN_TICK = 0.1  # Seconds between looks at how far the leaving is.
 # Seconds before the limit of leaving at which a process ends by itself: what
@@ -47,6 +49,7 @@
 
     name = "ingress"
     needs = (
+        Access.name,
         Aggregator.name,
         ControlCosts.name,
         CrashLedger.name,
@@ -65,11 +68,13 @@
         self._format = kernel.get(Platform).adapter.calls
         self._follower = kernel.get(Follower)
         self._placing = kernel.get(Placing)
+        self._access = kernel.get(Access)
         self.measures = kernel.get(Measures)
         self._exchanges: set[Exchange] = set()
         self._budgets: dict[str, WindowBudget] = {}
         self._served = 0
         self._adapters = ServedAdapters(kernel)
+        self._refusals = RefusalLog(kernel.clock)
         self.is_over = False
         limit = max(settings.grace, settings.drain_limit - END_MARGIN)
         self._drain = Drain(kernel.clock, settings.grace, limit)
@@ -128,13 +133,15 @@
 
     def handle(self, received: Received, caller: Connection) -> None:
         """Begin the exchange of a request, or refuse it."""
+        call = None
         try:
-            self._begin(received, caller)
+            call = self._read(received)
+            self._begin(call, caller)
         except RoadliftError as error:
-            self._refuse(received, caller, error)
+            self._refuse(received, caller, error, call)
         except Exception as error:
             log.error("A request broke the ingress: %r.", error)
-            self._refuse(received, caller, RoadliftError(type(error).__name__))
+            self._refuse(received, caller, RoadliftError(type(error).__name__), call)
 
     def finish(self, exchange: Exchange) -> None:
         """Forget an exchange that is over."""
@@ -155,21 +162,30 @@
         name = str(model) if model else None
         log.event("call_ended", outcome=outcome, model=name, **fields)
 
-    def _begin(self, received: Received, caller: Connection) -> None:
+    def _read(self, received: Received) -> Call:
         if self._follower.configuration is None:
             raise NoConfiguration(retry_after=1.0)
-        call = self._format.read_call(received)
+        return self._format.read_call(received)
+
+    def _find_route(self, call: Call) -> Route:
         host = call.host.partition(":")[0].lower()
         route = self._follower.routes.find(host, call.path)
         if route is None:
+            # An old configuration may lack a route as well as hold a key.
+            self._access.check_age()
             raise NoRoute(f"{host}{call.path}")
+        return route
+
+    def _begin(self, call: Call, caller: Connection) -> None:
+        route = self._find_route(call)
         if not self._follower.directory.is_known:
             raise NoConfiguration("no endpoint is known yet", 1.0)
         phase = self._drain.measure_phase(1, 0)
         if phase >= Phase.ENDED or (phase is Phase.CLOSED and route.is_long):
             # A stream that began now might be cut at the end of the leaving.
             raise Draining(retry_after=0.1)
-        exchange = Exchange(self._kernel, self, call, route, caller)
+        granted = self._access.admit(call, route)
+        exchange = Exchange(self._kernel, self, call, route, granted, caller)
         self._exchanges.add(exchange)
         self.measures.set("roadlift_running_calls", len(self._exchanges))
         try:
@@ -179,15 +195,20 @@
             exchange.abort(error)
 
     def _refuse(
-        self, received: Received, caller: Connection, error: RoadliftError
+        self,
+        received: Received,
+        caller: Connection,
+        error: RoadliftError,
+        call: Call | None,
     ) -> None:
         call_id = self._format.read_id(received)
         self.measures.count("roadlift_refusals", error.code)
-        log.event(
-            "call_refused",
-            request=call_id,
-            error=str(error),
-            configuration=self._describe_configuration(),
+        self._refusals.note(
+            error.code,
+            call_id,
+            str(error),
+            self._describe_configuration(),
+            self._access.describe(call),
         )
         headers = dict(self._format.describe(call_id)) if call_id else {}
         if error.retry_after is not None:
--- a/roadlift/instance/measures.py
+++ b/roadlift/instance/measures.py
@@ -117,6 +117,32 @@
         "Calls and loads that are refused as endpoints ended under the same.",
         "`work_barred` has their identities; deleting the row lets one in again.",
     ),
+    Measure(
+        "roadlift_organisation_calls",
+        "counter",
+        "calls",
+        ("organisation", "outcome"),
+        "Calls of organisations that ended, by outcome, or refused as over their "
+        "allowance; beyond 64 organisations all others are one.",
+        "`over_allowance`: see `call_refused` for the part, the use and the demand.",
+    ),
+    Measure(
+        "roadlift_allowance_part",
+        "gauge",
+        "part",
+        ("organisation",),
+        "Part of an organisation's allowance that is this instance's, of the 32 that "
+        "are asked for most; it binds while the allowance is nearly used up.",
+        "Far below the instance's part of the calls: see if its aggregator is heard.",
+    ),
+    Measure(
+        "roadlift_configuration_age_seconds",
+        "gauge",
+        "s",
+        (),
+        "Time for which a change of the configuration may have gone unnoticed here.",
+        "Near `revoke_ms` calls with keys are refused: see if the store is reached.",
+    ),
     Measure(
         "roadlift_running_calls",
         "gauge",
@@ -259,9 +285,9 @@
         """Put a value into a histogram."""
         self._find(name, labels).observe(value)
 
-    def set(self, name: str, value: float) -> None:
+    def set(self, name: str, value: float, *labels: str) -> None:
         """Set a gauge."""
-        self._find(name, ()).set(value)
+        self._find(name, labels).set(value)
 
     def render(self) -> bytes:
         """Return all metrics as text."""
--- a/roadlift/instance/sourcestream.py
+++ b/roadlift/instance/sourcestream.py
@@ -217,6 +217,10 @@
         if not reply.is_complete:
             self._doubt()
             self.plan()
+        if reply.asked_at:
+            self._follower.note_operator_age(
+                reply.operator_version, reply.operator_age, reply.asked_at
+            )
         if reply.asked_at and reply.list_serial == self._list_serial:
             self._follower.note_state(
                 reply.list_version, age, reply.operator_version, reply.asked_at
--- /dev/null
+++ b/roadlift/organisations/fleet.py
@@ -0,0 +1,266 @@
+"""Add up what a fleet uses of organisations' allowances, at an aggregator.
+
+Uses are told as totals, so that a lost message costs nothing. An instance
+that falls silent is taken to use on what it was asked for last. See
+``shares`` for what is made of it.
+"""
+
+from collections.abc import Iterable, Iterator, Mapping
+from typing import NamedTuple
+
+from roadlift.organisations.shares import FREE_PART, MOST_DEBT, NEWS_LIMIT, Limits
+from roadlift.serving.routes import Allowance
+
+# Amounts a second that are asked for below which a use is told no more.
+LEAST_DEMAND = 1.0
+
+
+class Use(NamedTuple):
+    """What was used of an allowance since a process began.
+
+    ``demand`` is what is asked for, a second.
+    """
+
+    name: str
+    spent: float
+    demand: float
+
+
+class FleetState(NamedTuple):
+    """What an aggregator tells an instance of an organisation.
+
+    It speaks for a ``part`` of the allowance, of which ``level`` is left,
+    and in which ``demand`` is asked for, a second. ``counted`` is what it
+    has counted of the instance's own use.
+    """
+
+    name: str
+    is_free: bool
+    part: float
+    demand: float
+    level: float
+    counted: float
+
+
+class _Teller:
+    """What one instance, or another aggregator, told last."""
+
+    __slots__ = ("_presumed_at", "counted", "heard_at", "members", "process", "uses")
+
+    def __init__(self, process: int, now: float) -> None:
+        self.process = process
+        self.heard_at = now
+        self.members = 0
+        self.uses: dict[str, Use] = {}
+        self.counted: dict[str, float] = {}
+        self._presumed_at = now
+
+    def take(self, uses: Iterable[Use], is_first: bool, now: float) -> Iterator[Use]:
+        """Keep what was told; yield what was used since the last time.
+
+        The first telling is the beginning: others may have counted what was
+        used before it.
+        """
+        self.heard_at = self._presumed_at = now
+        self.uses = {use.name: use for use in uses}
+        for use in self.uses.values():
+            before = self.counted.get(use.name, use.spent if is_first else 0.0)
+            self.counted[use.name] = use.spent
+            yield use._replace(spent=use.spent - before)
+
+    def presume(self, now: float) -> Iterator[Use]:
+        """Yield what is used meanwhile, where nothing was told for a while."""
+        if now - self.heard_at < NEWS_LIMIT:
+            return
+        seconds, self._presumed_at = now - self._presumed_at, now
+        for use in self.uses.values():
+            amount = use.demand * seconds
+            self.counted[use.name] = self.counted.get(use.name, 0.0) + amount
+            yield use._replace(spent=amount)
+
+
+class _Level:
+    """What is left of a burst; it rises with the rate."""
+
+    __slots__ = ("_advanced_at", "value")
+
+    def __init__(self, now: float) -> None:
+        self._advanced_at = now
+        self.value = 0.0
+
+    def advance(self, rate: float, burst: float, now: float) -> None:
+        """Rise up to the burst."""
+        self.value = min(burst, self.value + rate * (now - self._advanced_at))
+        self._advanced_at = now
+
+
+class FleetUse:
+    """The uses of all organisations, of members and of other aggregators."""
+
+    def __init__(self, limits: Limits) -> None:
+        self._limits = limits
+        self._allowances: Mapping[str, Allowance] = {}
+        self._members: dict[str, _Teller] = {}
+        self._others: dict[str, _Teller] = {}
+        self._totals: dict[str, float] = {}
+        self._levels: dict[str, _Level] = {}
+        self._instances = 0
+        self._is_whole = False
+
+    def set_allowances(self, allowances: Mapping[str, Allowance]) -> None:
+        """Go by other allowances; what was used stays counted."""
+        self._allowances = allowances
+        for known in (self._levels, self._totals):
+            for name in set(known) - set(allowances):
+                del known[name]
+
+    # What is told.
+
+    def note_member(
+        self, address: str, process: int, uses: Iterable[Use], now: float
+    ) -> None:
+        """Take what a process at an address told of its own use."""
+        for use in self._note(self._members, address, process, uses, now):
+            self._count(use, now)
+
+    def note_other(
+        self,
+        address: str,
+        process: int,
+        members: int,
+        uses: Iterable[Use],
+        now: float,
+    ) -> None:
+        """Take what another aggregator told of its members' use."""
+        for use in self._note(self._others, address, process, uses, now):
+            self._spend(use, now)
+        self._others[address].members = members
+
+    def _note(
+        self,
+        tellers: dict[str, _Teller],
+        address: str,
+        process: int,
+        uses: Iterable[Use],
+        now: float,
+    ) -> Iterator[Use]:
+        known = tellers.get(address)
+        is_first = known is None or known.process != process
+        if is_first:
+            known = tellers[address] = _Teller(process, now)
+        return known.take(uses, is_first, now)
+
+    def _count(self, use: Use, now: float) -> None:
+        """Count the use of a member, which other aggregators are told of."""
+        self._totals[use.name] = self._totals.get(use.name, 0.0) + use.spent
+        self._spend(use, now)
+
+    def _spend(self, use: Use, now: float) -> None:
+        allowance = self._allowances.get(use.name)
+        if allowance is None:
+            return
+        level = self._advance(use.name, allowance, now)
+        most_debt = allowance.rate * MOST_DEBT
+        level.value = max(-most_debt, level.value - use.spent)
+
+    def forget_member(self, address: str) -> None:
+        """Drop an instance that tells another aggregator from now on."""
+        self._members.pop(address, None)
+
+    def keep_others(self, addresses: Iterable[str], now: float) -> None:
+        """Learn which other aggregators there are, and see who is heard."""
+        expected = set(addresses)
+        for address in set(self._others) - expected:
+            del self._others[address]
+        self._presume(now)
+        others = self._others.values()
+        heard = sum(now - one.heard_at < NEWS_LIMIT for one in others)
+        self._is_whole = heard == len(expected)
+        if self._is_whole:
+            self._instances = len(self._members) + sum(one.members for one in others)
+
+    def _presume(self, now: float) -> None:
+        """Count on what silent members use, and forget them in the end."""
+        for address, member in list(self._members.items()):
+            for use in member.presume(now):
+                self._count(use, now)
+            if now - member.heard_at > self._limits.window:
+                del self._members[address]
+
+    # What is made of it.
+
+    @property
+    def is_whole(self) -> bool:
+        """Tell whether all aggregators are heard."""
+        return self._is_whole
+
+    def count_members(self) -> int:
+        """Return how many instances tell their use here."""
+        return len(self._members)
+
+    def list_totals(self) -> list[Use]:
+        """Return what the members used, for other aggregators."""
+        demands: dict[str, float] = {}
+        self._add_demands(self._members, demands)
+        return [
+            Use(name, self._totals.get(name, 0.0), demand)
+            for name, demand in demands.items()
+        ]
+
+    def describe(self, address: str, now: float) -> list[FleetState]:
+        """Return what an instance has to know.
+
+        That is what it uses itself, and what is not free.
+        """
+        member = self._members.get(address)
+        demands = self._measure_demands()
+        part = self._measure_part()
+        found = []
+        for name, allowance in self._allowances.items():
+            level = self._advance(name, allowance, now)
+            least = FREE_PART * allowance.burst * self._limits.factor * part
+            is_free = part > 0 and level.value >= least
+            is_used = member is not None and name in member.uses
+            if is_free and not is_used:
+                continue
+            demand = demands.get(name, 0.0)
+            counted = member.counted.get(name, 0.0) if member else 0.0
+            state = FleetState(name, is_free, part, demand, level.value, counted)
+            found.append(state)
+        return found
+
+    def _advance(self, name: str, allowance: Allowance, now: float) -> _Level:
+        """Return what is left of an allowance now."""
+        level = self._levels.get(name)
+        if level is None:
+            level = self._levels[name] = _Level(now)
+        scale = self._limits.factor * self._measure_part()
+        level.advance(allowance.rate * scale, allowance.burst * scale, now)
+        return level
+
+    def _measure_part(self) -> float:
+        """Return the part of allowances that this aggregator speaks for.
+
+        Where others are not heard, that is its members' part of the
+        instances that there were when all were.
+        """
+        if self._is_whole:
+            return 1.0
+        if not self._instances:
+            return 0.0
+        return min(1.0, len(self._members) / self._instances)
+
+    def _measure_demands(self) -> dict[str, float]:
+        """Return what is asked for, a second, where this one speaks for."""
+        demands: dict[str, float] = {}
+        self._add_demands(self._members, demands)
+        if self._is_whole:
+            self._add_demands(self._others, demands)
+        return demands
+
+    def _add_demands(
+        self, tellers: Mapping[str, _Teller], demands: dict[str, float]
+    ) -> None:
+        for teller in tellers.values():
+            for use in teller.uses.values():
+                demands[use.name] = demands.get(use.name, 0.0) + use.demand
--- /dev/null
+++ b/roadlift/organisations/freshness.py
@@ -0,0 +1,57 @@
+"""Know as of when the operator's rows are known.
+
+A key that was taken away must not be served for long anywhere, also where an
+instance is cut off, suspended, just started, or hears only others that are
+cut off themselves. So what counts is not when news came but the moment before
+the store was asked, by the clock that counts suspended time. Who passes rows
+on tells how old its own knowledge is; the receiver counts that from before it
+asked for the telling, so a relay can make knowledge older and never younger.
+"""
+
+from typing import NamedTuple
+
+
+class RelayedState(NamedTuple):
+    """What another instance told of its knowledge of the operator's rows.
+
+    It knows all rows up to ``version`` as of the time ``known_at``, in
+    seconds of this process's clock.
+    """
+
+    version: int
+    known_at: float
+
+
+class Freshness:
+    """As of when all rows are known here, in seconds of this process."""
+
+    def __init__(self) -> None:
+        self._version = 0
+        self._lacking: RelayedState | None = None
+        self.known_at = float("-inf")
+
+    def note_read(self, asked_at: float) -> None:
+        """Learn that the store was read whole, or all that changed of it."""
+        self.known_at = max(self.known_at, asked_at)
+
+    def note_relay(self, state: RelayedState) -> None:
+        """Learn how far another instance knows the rows.
+
+        It counts once all of those rows are known here too.
+        """
+        if state.version <= self._version:
+            self.known_at = max(self.known_at, state.known_at)
+        else:
+            self._lacking = state
+
+    def note_version(self, version: int) -> None:
+        """Learn that all rows up to a version are known here."""
+        self._version = max(self._version, version)
+        lacking = self._lacking
+        if lacking is not None and lacking.version <= self._version:
+            self._lacking = None
+            self.known_at = max(self.known_at, lacking.known_at)
+
+    def measure_age(self, now: float) -> float:
+        """Return the seconds for which a change may have gone unnoticed."""
+        return now - self.known_at
--- /dev/null
+++ b/roadlift/organisations/keys.py
@@ -0,0 +1,45 @@
+"""Find the organisation of a caller's key without keeping the key.
+
+A key is turned into a digest where it is read, from a caller or from the
+configuration, so that no part of a process can log it or pass it on. A table
+looks digests up by a second digest under a secret of the process: how long a
+look-up takes tells a caller nothing of the keys that are there, and it does
+not grow with their number.
+"""
+
+import hashlib
+import os
+from collections.abc import Iterable
+
+from roadlift.serving.routes import Organisation
+
+DIGEST_SIZE = 20  # Bytes.
+SECRET_SIZE = 32  # Bytes.
+
+
+def digest_key(key: str) -> str:
+    """Return what stands for a key everywhere behind the place it is read."""
+    return hashlib.blake2b(key.encode(), digest_size=DIGEST_SIZE).hexdigest()
+
+
+class KeyTable:
+    """The organisations of one configuration, by their keys' digests."""
+
+    def __init__(self, organisations: Iterable[Organisation]) -> None:
+        self._secret = os.urandom(SECRET_SIZE)
+        self._owners = {
+            self._hide(key): organisation
+            for organisation in organisations
+            for key in organisation.keys
+        }
+
+    def __len__(self) -> int:
+        return len(self._owners)
+
+    def find(self, key: str) -> Organisation | None:
+        """Return the organisation that holds a key, by the key's digest."""
+        return self._owners.get(self._hide(key)) if key else None
+
+    def _hide(self, key: str) -> bytes:
+        data = key.encode()
+        return hashlib.blake2b(data, digest_size=DIGEST_SIZE, key=self._secret).digest()
--- /dev/null
+++ b/roadlift/organisations/sharing.py
@@ -0,0 +1,75 @@
+"""Two ways to share an organisation's allowance out among instances.
+
+``EvenSharing`` needs the number of instances alone; ``DemandSharing`` goes by
+what aggregators add up. benchmarks/allowances.py compares them.
+"""
+
+from collections.abc import Callable, Iterable
+from typing import Protocol
+
+from roadlift.organisations.fleet import FleetState
+from roadlift.organisations.shares import NEWS_LIMIT, Meter, Share
+
+
+class Sharing(Protocol):
+    """How an instance learns its share of an organisation's allowance."""
+
+    def update(self, name: str, meter: Meter, now: float) -> None:
+        """Put the share that holds now in force, before a call is judged."""
+
+
+class EvenSharing:
+    """Give each instance that is known the same part, whatever is asked."""
+
+    def __init__(self, count_instances: Callable[[], int]) -> None:
+        self._count_instances = count_instances
+
+    def update(self, name: str, meter: Meter, now: float) -> None:
+        """Set an equal part where the number of instances has changed."""
+        part = 1.0 / max(1, self._count_instances())
+        if meter.share.part != part:
+            meter.set_share(Share(False, part, 0.0), now)
+
+
+class DemandSharing:
+    """Go by what the aggregator told last, while that stands."""
+
+    def __init__(self) -> None:
+        self._states: dict[str, FleetState] = {}
+        self._new: set[str] = set()
+        self._heard_at = float("-inf")
+
+    @property
+    def heard_at(self) -> float:
+        """Return as of when the news are, in seconds of this process."""
+        return self._heard_at
+
+    def note_news(self, states: Iterable[FleetState], asked_at: float) -> None:
+        """Take the answer to what was told at a time."""
+        if asked_at < self._heard_at:
+            return
+        self._heard_at = asked_at
+        self._states = {state.name: state for state in states}
+        self._new = set(self._states)
+
+    def update(self, name: str, meter: Meter, now: float) -> None:
+        """Set the share by news; without any, keep the part of before."""
+        if now - self._heard_at > NEWS_LIMIT:
+            meter.keep_part(now)
+            return
+        state = self._states.get(name)
+        if state is None:
+            # An organisation that is not named is free.
+            if not meter.share.is_free:
+                meter.set_share(meter.share._replace(is_free=True), now)
+        elif name in self._new:
+            self._new.discard(name)
+            meter.set_share(_find_share(state, meter, now), now)
+
+
+def _find_share(state: FleetState, meter: Meter, now: float) -> Share:
+    """Return an instance's share by what it is asked for itself."""
+    own = meter.demand.measure(now)
+    weight = own / max(own, state.demand) if own else 0.0
+    untold = meter.spent - state.counted
+    return Share(state.is_free, weight * state.part, weight * state.level - untold)
--- a/roadlift/serving/calls.py
+++ b/roadlift/serving/calls.py
@@ -39,7 +39,8 @@
     ``id`` is unlike that of every other call, also of the same caller's own
     retries; ``headers`` are those to pass on; ``time_limit`` is how long the
     caller waits, in seconds from the call's arrival, or None;
-    ``resume_after`` is the last event that the caller has of a cut stream.
+    ``resume_after`` is the last event that the caller has of a cut stream;
+    ``key`` is the digest of the caller's key, or empty.
     """
 
     id: str
@@ -54,6 +55,7 @@
     tokens_in: int = 0
     tokens_out: int = 0
     resume_after: str = ""
+    key: str = ""
 
     @property
     def path(self) -> str:
--- a/roadlift/serving/interfaces.py
+++ b/roadlift/serving/interfaces.py
@@ -45,11 +45,16 @@
 
 
 class Rows(NamedTuple):
-    """Rows as of the store's ``version``."""
+    """Rows as of the store's ``version``.
+
+    ``time`` is of the answer that brought the first of them. Where the rows
+    are not ``is_complete``, more have changed up to now.
+    """
 
     rows: Sequence[StoredRow]
     version: int
     time: StoreTime
+    is_complete: bool = True
 
 
 class RowWrite(NamedTuple):
@@ -111,13 +116,16 @@
 
     ``remaining`` is the time left in seconds; ``priority`` 0 is served first;
     ``version`` that of the adapter, or None; ``resume_after`` the last event
-    received of a cut stream, or empty.
+    received of a cut stream, or empty. ``organisation`` is the name of the
+    one whose call it is, empty for nobody's, or None where there are none:
+    the caller's credentials are passed on only there.
     """
 
     remaining: float
     priority: int
     version: int | None = None
     resume_after: str = ""
+    organisation: str | None = None
 
 
 class CallFormat(Protocol):
@@ -163,6 +171,9 @@
     operator_table: str
     directory_table: str
 
+    def conceal(self, row: StoredRow) -> StoredRow:
+        """Return a row with digests in place of keys, as it is passed on."""
+
     def read_configuration(self, row: StoredRow) -> Configuration | None:
         """Return the configuration, or None where the row is another."""
 
--- a/roadlift/serving/messages.py
+++ b/roadlift/serving/messages.py
@@ -186,7 +186,7 @@
     ``owners`` are the fields of OwnerSigns. The list of endpoints, as of
     ``list_serial`` of the stream and the store's ``list_version``, was read
     ``list_age`` seconds ago; ``operator_version`` is of the operator's newest
-    row.
+    row as of ``operator_age`` seconds ago.
     """
 
     address: str
@@ -201,6 +201,7 @@
     list_version: int
     list_age: float
     operator_version: int
+    operator_age: float
     asked_at: float
 
 
@@ -295,3 +296,41 @@
 
     address: str
     checksum: int
+
+
+@message("ou")
+class OrganisationUse(NamedTuple):
+    """Tell an aggregator what an instance used of organisations' allowances.
+
+    ``process`` tells the runs of an instance apart; ``uses`` are the fields
+    of Uses; ``at`` is the instance's own time, which the answer repeats.
+    With ``is_leaving`` it tells another aggregator from now on.
+    """
+
+    address: str
+    process: int
+    uses: list
+    at: float
+    is_leaving: bool
+
+
+@message("ot")
+class OrganisationTotals(NamedTuple):
+    """Tell another aggregator what all instances that tell this one used.
+
+    ``members`` counts them; ``uses`` are the fields of Uses.
+    """
+
+    address: str
+    process: int
+    members: int
+    uses: list
+
+
+@message("os")
+class OrganisationStates(NamedTuple):
+    """Tell an instance how much is left of allowances, as FleetStates."""
+
+    address: str
+    states: list
+    asked_at: float
--- a/roadlift/serving/routes.py
+++ b/roadlift/serving/routes.py
@@ -24,7 +24,8 @@
     the whole answer) and ``pause_objective`` (between events) are in
     seconds; ``priority`` 0 is the most urgent; ``attempts`` is on how many
     endpoints a call may run; ``patience`` is after how many seconds without a
-    first event callers leave a stream, where that is known.
+    first event callers leave a stream, where that is known; calls of a route
+    that ``is_open`` need no key.
     """
 
     name: str
@@ -39,6 +40,7 @@
     is_resumable: bool = False
     pause_objective: float | None = None
     patience: float | None = None
+    is_open: bool = False
 
     @property
     def is_repeatable(self) -> bool:
@@ -103,13 +105,48 @@
     engine: EngineShape | None = None
 
 
+class Allowance(NamedTuple):
+    """What an organisation may have run, over all instances.
+
+    ``rate`` is a second, ``burst`` beside it, in tokens where ``is_tokens``,
+    else in calls; a call that names no tokens counts as ``plain_tokens``.
+    """
+
+    rate: float
+    burst: float
+    is_tokens: bool = False
+    plain_tokens: int = 0
+
+    def measure(self, tokens: int) -> float:
+        """Return what a call of so many tokens, or of none, uses."""
+        if not self.is_tokens:
+            return 1.0
+        return float(tokens or self.plain_tokens)
+
+
+class Organisation(NamedTuple):
+    """Who calls; ``keys`` are the digests of its keys, see digest_key.
+
+    ``priority`` goes before that of routes, where there is one.
+    """
+
+    name: str
+    keys: frozenset[str]
+    priority: int | None = None
+    allowance: Allowance | None = None
+
+
 class Configuration(NamedTuple):
-    """A whole configuration; a higher version replaces a lower one."""
+    """A whole configuration; a higher version replaces a lower one.
+
+    ``organisations`` is None where callers need no keys.
+    """
 
     version: int
     routes: tuple[Route, ...]
     services: Mapping[str, Service]
     limits: HttpLimits
+    organisations: tuple[Organisation, ...] | None = None
 
 
 class RouteTable:
--- a/tests/adapter/adapter.feature
+++ b/tests/adapter/adapter.feature
@@ -177,3 +177,54 @@
   Scenario: The template gives settings that pass the checks
     When the template is filled with the values of an example
     Then its settings have no findings
+
+  Scenario: The template gives the limits on keys and allowances where there are some
+    When the template is filled with the values of an example with organisations
+    Then its settings have no findings
+    And the setting revoke_ms is 5000
+    And the setting allowance_over is 0.1
+    And the setting allowance_slack is 110000
+    And the setting allowance_window is 8
+
+  Scenario Outline: A caller's key is read as its digest
+    When a request with Authorization: <field> is read
+    Then its key is that of <key>
+
+    Examples:
+      | field           | key        |
+      | Token abc       | abc        |
+      | token abc       | abc        |
+      | TOKEN   abc     | abc        |
+      | Token abc, Token d | abc, Token d |
+      | Bearer abc      | nobody     |
+      | abc             | nobody     |
+      | Token           | an empty text |
+
+  Scenario Outline: The organisations of a configuration are read
+    When a configuration with <change> is read
+    Then its organisations are <result>
+
+    Examples:
+      | change                        | result                                       |
+      | nothing special               | none in use                                  |
+      | no tenant                     | nobody                                       |
+      | a tenant                      | t 2 keys priority 1 tokens 5.0 + 7.0 plain 200 |
+      | a tenant without an allowance | t 2 keys priority None                       |
+      | a tenant counted in requests  | t 2 keys priority 1 calls 5.0 + 7.0 plain 200 |
+      | a tenant without a name       | invalid_configuration                        |
+      | a tenant whose key is a number | invalid_configuration                       |
+      | tenants that are a text       | invalid_configuration                        |
+
+  Scenario Outline: What is passed on of a configuration holds no key
+    When a configuration with <change> is concealed
+    Then it holds no key, and is read as the same organisations
+
+    Examples:
+      | change                        |
+      | a tenant                      |
+      | a tenant without an allowance |
+
+  Scenario: A table of several pages is known as of its first page
+    Given a table of 3 rows that is read in pages of 2
+    When a row of the first page changes while the second is read
+    Then the table is as of the version and the time before the first page
--- a/tests/steps/adapter_steps.py
+++ b/tests/steps/adapter_steps.py
@@ -20,7 +20,7 @@
 from roadlift.serving.interfaces import StoredRow, adapters
 from roadlift.serving.lease import LeaseRecord
 from roadlift.serving.orders import Action, Order
-from tests.support.configuration import make_route
+from tests.support.configuration import make_route, make_tenants
 from tests.support.entries import ROOT
 
 _ADAPTER = adapters.get("platform")
@@ -116,6 +116,7 @@
         route["kind"] = "sometimes"
     elif change == "no routes":
         del content["routes"]
+    content.update(make_tenants(change))
     row = _row("config", content)
     if change == "text in place of JSON":
         row = StoredRow("config", b"hello", 1)
@@ -395,15 +396,46 @@
 }
 
 
+_WITH_ORGANISATIONS = {
+    **_EXAMPLE,
+    "bounds.strictRevoke": True,
+    "bounds.revokeMs": 5000,
+    "bounds.quotaWindowS": 8,
+    "bounds.quotaBurst": 0.1,
+    "bounds.quotaSlack": 110000,
+}
+
+
 @when("the template is filled with the values of an example")
-def step_fill(context):
+def step_fill_example(context):
     """Fill the placeholders as the platform does."""
+    _fill_template(context, _EXAMPLE)
+
+
+@when("the template is filled with the values of an example with organisations")
+def step_fill_organisations(context):
+    """Fill the placeholders where callers have keys."""
+    _fill_template(context, _WITH_ORGANISATIONS)
+
+
+@then("the setting {name:w} is {value:g}")
+def step_setting(context, name, value):
+    """Check one setting of the template."""
+    assert context.filled[name] == value, context.filled[name]
+
+
+def _fill_template(context, example):
     text = (ROOT / "deploy/node.json").read_text()
     text = re.sub(r"\{\{#zones\}\}.*\{\{/zones\}\}", "z1,z2", text)
+    text = re.sub(
+        r"\{\{#([^}]+)\}\}(.*)\{\{/\1\}\}",
+        lambda match: match[2] if example.get(match[1]) else "",
+        text,
+    )
 
     def fill(match):
         name, _, how = match[1].partition("|")
-        value = _EXAMPLE[name]
+        value = example[name]
         return json.dumps(value) if how == "json" else str(value)
 
     context.filled = json.loads(re.sub(r"\{\{([^}]+)\}\}", fill, text))
--- a/tests/support/configuration.py
+++ b/tests/support/configuration.py
@@ -74,3 +74,33 @@
     make_route("/again/", "streaming", "llm", resumable=True, gapGoalMs=400),
 ]
 SERVICES = {"plain": False, "llm": True}
+
+
+def make_tenant(name: str, keys: list[str], **more: object) -> dict:
+    """Return a tenant as the operator writes it."""
+    return {"name": name, "apiKeys": keys, **more}
+
+
+_ALLOWANCE = {
+    "unit": "generate",
+    "plainTokens": 200,
+    "ratePerS": 5.0,
+    "burst": 7.0,
+}
+_KEYS = ["first-key", "second-key"]
+_TENANTS = {
+    "no tenant": [],
+    "a tenant": [make_tenant("t", _KEYS, priority=1, **_ALLOWANCE)],
+    "a tenant without an allowance": [make_tenant("t", _KEYS, ratePerS=0)],
+    "a tenant counted in requests": [
+        make_tenant("t", _KEYS, priority=1, **{**_ALLOWANCE, "unit": "request"})
+    ],
+    "a tenant without a name": [{"apiKeys": _KEYS}],
+    "a tenant whose key is a number": [make_tenant("t", [7])],
+    "tenants that are a text": "t",
+}
+
+
+def make_tenants(change: str) -> dict:
+    """Return the part of a configuration that a test names, or nothing."""
+    return {"tenants": _TENANTS[change]} if change in _TENANTS else {}
