--- a/roadlift/organisations/fleet.py
+++ b/roadlift/organisations/fleet.py
@@ -218,7 +218,7 @@
         found = []
         for name, allowance in self._allowances.items():
             level = self._advance(name, allowance, now)
-            least = FREE_PART * allowance.burst * self._limits.factor * part
+            least = FREE_PART * allowance.burst * part
             is_free = part > 0 and level.value >= least
             is_used = member is not None and name in member.uses
             if is_free and not is_used:
@@ -234,8 +234,8 @@
         level = self._levels.get(name)
         if level is None:
             level = self._levels[name] = _Level(now)
-        scale = self._limits.factor * self._measure_part()
-        level.advance(allowance.rate * scale, allowance.burst * scale, now)
+        part = self._measure_part()
+        level.advance(allowance.rate * part, allowance.burst * part, now)
         return level
 
     def _measure_part(self) -> float:
@@ -245,7 +245,7 @@
         instances that there were when all were.
         """
         if self._is_whole:
-            return 1.0
+            return self._limits.factor
         if not self._instances:
             return 0.0
         return min(1.0, len(self._members) / self._instances)
--- a/roadlift/organisations/shares.py
+++ b/roadlift/organisations/shares.py
@@ -23,7 +23,10 @@
 from roadlift.serving.routes import Allowance
 
 # Seconds behind the last news in which they stand: three periods of telling.
-NEWS_LIMIT = 1.0
+NEWS_LIMIT = 0.8
+# What an instance that hears nobody may use of its part: others may have
+# begun to ask for more meanwhile.
+KEPT_PART = 0.8
 # Part of the burst that must be left for an organisation to be free. What is
 # used until all know that it is not any more, some 0.6 s later, is owed then.
 FREE_PART = 0.5
@@ -47,7 +50,7 @@
 
     @property
     def factor(self) -> float:
-        """Return by what rates and bursts are multiplied in use.
+        """Return by what allowances are multiplied where all are heard.
 
         Half of what they may be passed by is kept for news on their way.
         """
@@ -97,7 +100,8 @@
         """Go on with the part that was told last, as nothing is told now."""
         if self.share.is_free:
             self._advance(now)
-            self.share = self.share._replace(is_free=False)
+            part = self.share.part * KEPT_PART
+            self.share = self.share._replace(is_free=False, part=part)
 
     def take(self, amount: float, now: float) -> float:
         """Take an amount and return 0, or the seconds until there is room.
@@ -121,7 +125,7 @@
 
     def _measure(self, whole: float) -> float:
         """Return this instance's part of a rate or burst."""
-        return whole * self._limits.factor * self.share.part
+        return whole * self.share.part
 
     def _advance(self, now: float) -> None:
         """Let the level rise up to the part of the burst."""
