Spread the calls of plain services by all instances' loads, and turn away those too many

Cause: an instance has no call to a plain service under way most of the time and so nothing but ties, which went to the lowest name of its own zone; nobody knew what stood in the queues. The zone with most callers queued and refused while others stood idle, and full queues made what was served late.

Change: instances tell their aggregator four times a second what is under way, asked for and served (with what they use of allowances); sums by zone are told back. A zone sends abroad what is too much at home, ties are drawn, what can't run in time is refused at once, and a call that failed is sent again only where slots are to spare.

--- a/benchmarks/allowances.py
+++ b/benchmarks/allowances.py
@@ -13,7 +13,7 @@
 from collections.abc import Callable, Iterator
 from typing import NamedTuple
 
-from roadlift.instance.allowances import TELL_PERIOD
+from roadlift.instance.sharing import TELL_PERIOD
 from roadlift.organisations.fleet import FleetUse, Use
 from roadlift.organisations.shares import Limits, Meter
 from roadlift.organisations.sharing import DemandSharing, EvenSharing, Sharing
--- /dev/null
+++ b/roadlift/decisions/rates.py
@@ -0,0 +1,47 @@
+"""Fading means: amounts a second of late, and what is under way of late."""
+
+import math
+
+
+class Rate:
+    """A fading mean of amounts a second; ``span`` is in seconds."""
+
+    __slots__ = ("_noted_at", "_span", "_total")
+
+    def __init__(self, span: float, now: float) -> None:
+        self._span = span
+        self._noted_at = now
+        self._total = 0.0
+
+    def note(self, amount: float, now: float) -> None:
+        """Count an amount."""
+        self._total = self.measure(now) * self._span + amount
+        self._noted_at = now
+
+    def measure(self, now: float) -> float:
+        """Return the amount a second of late."""
+        fade = math.exp((self._noted_at - now) / self._span)
+        return self._total * fade / self._span
+
+
+class Level:
+    """A fading mean of a count that goes up and down."""
+
+    __slots__ = ("_count", "_mean", "_noted_at", "_span")
+
+    def __init__(self, span: float, now: float) -> None:
+        self._span = span
+        self._mean = 0.0
+        self._count = 0
+        self._noted_at = now
+
+    def change(self, count: int, now: float) -> None:
+        """Count what begins, or, below 0, ends."""
+        self._mean = self.measure(now)
+        self._noted_at = now
+        self._count += count
+
+    def measure(self, now: float) -> float:
+        """Return the mean of late."""
+        fade = math.exp((self._noted_at - now) / self._span)
+        return self._count + (self._mean - self._count) * fade
--- a/roadlift/instance/exchange.py
+++ b/roadlift/instance/exchange.py
@@ -111,6 +111,7 @@
         self._endpoint: Endpoint | None = None
         self._excluded: set[str] = set()
         self._is_second_round = False
+        self._is_let_in = False
         self._sends = 0
         self._unreached = 0
         self._runs = 0
@@ -186,6 +187,8 @@
             return
         option = None
         if self.call.model is None:
+            if self._is_refused():
+                return
             endpoint = self._placing.choose(self._service, self._excluded)
             if endpoint is not None:
                 self._send(endpoint)
@@ -224,6 +227,16 @@
         # Nobody may give orders now; the caller is told so at once.
         self._fail(NoEndpoint(f"no owner can load {model}", OWNERLESS_PAUSE))
 
+    def _is_refused(self) -> bool:
+        """Refuse a call that its full service can't run in time."""
+        if self._is_let_in:
+            return False
+        self._is_let_in = True
+        wait = self._placing.refuse(self._service)
+        if wait is not None:
+            self._fail(NoEndpoint(f"service {self._service} is full", wait))
+        return wait is not None
+
     def _identify(self) -> bytes:
         """Return the identity of the call's work; computed once."""
         if self._identity is None:
@@ -319,7 +332,8 @@
     def _end_send(self) -> None:
         self._placing.silence.end(self._endpoint.id, self)
         self._note_read()
-        self._placing.end(self._endpoint, self.call)
+        has_run = self._verdict in (Verdict.SUCCEEDED, Verdict.FAILED)
+        self._placing.end(self._endpoint, self.call, has_run)
         self._end_turn()
 
     def _end_turn(self) -> None:
@@ -557,6 +571,10 @@
                 return "may not run twice"
             if self._runs >= self.route.attempts:
                 return "all attempts used"
+            if self.call.model is None and not self._placing.has_spare_room(
+                self._service
+            ):
+                return "no slot to spare"
         if self._caller.started and self._frames is None:
             return "answer begun"
         instances = self._knowledge.count_instances()
--- a/roadlift/instance/ingress.py
+++ b/roadlift/instance/ingress.py
@@ -27,6 +27,7 @@
 from roadlift.instance.platform import Platform
 from roadlift.instance.refusals import RefusalLog
 from roadlift.instance.served import ServedAdapters
+from roadlift.instance.sharing import SharedUse
 from roadlift.relay.upstream import Address
 from roadlift.retries.window import WindowBudget
 from roadlift.serving.calls import Call, Model
@@ -60,6 +61,7 @@
         Owner.name,
         "placing",
         "platform",
+        SharedUse.name,
     )
 
     def __init__(self, kernel: Kernel) -> None:
--- a/roadlift/instance/placing.py
+++ b/roadlift/instance/placing.py
@@ -1,5 +1,6 @@
 """Find an engine that holds an adapter, or have it loaded."""
 
+import random
 from collections.abc import Iterable
 
 from roadlift.core.kernel import Kernel, parts
@@ -8,9 +9,11 @@
 from roadlift.decisions.placement import Engine, Need, Option, choose_engine
 from roadlift.decisions.reading import ReadingTimes
 from roadlift.decisions.silence import SilenceWatch
+from roadlift.decisions.spread import SPARE_FILL
 from roadlift.decisions.urgency import Urgency
 from roadlift.instance.follower import Follower
 from roadlift.instance.knowledge import Knowledge
+from roadlift.instance.serviceloads import ServiceLoads
 from roadlift.instance.subscription import Subscription
 from roadlift.instance.waiting import Waiter, Wish
 from roadlift.serving.calls import Call, Model
@@ -44,13 +47,15 @@
     """What this process knows of loaded adapters, and asks for."""
 
     name = "placing"
-    needs = ("follower", "knowledge", "subscription")
+    needs = ("follower", "knowledge", "serviceloads", "subscription")
 
     def __init__(self, kernel: Kernel) -> None:
         self._kernel = kernel
         self._follower = kernel.get(Follower)
         self._knowledge = kernel.get(Knowledge)
         self._subscription = kernel.get(Subscription)
+        self._services = kernel.get(ServiceLoads)
+        self._rng = random.Random(kernel.stamp)
         self._residency = self._knowledge.residency
         self._homes = Homes()
         self._loading = LoadWaits()
@@ -85,9 +90,28 @@
         """Return the endpoint of a plain service for a call, or None."""
         now = self._kernel.clock.now()
         usable = self._list_usable(service, excluded, now)
-        return choose_least_loaded(
-            usable, self._kernel.settings.zone, self._weigh(usable, now)
-        )
+        zone = self._services.spread.choose_zone(service, usable, now)
+        if zone is not None:
+            usable = [one for one in usable if one.zone == zone] or usable
+        home = self._kernel.settings.zone
+        return choose_least_loaded(usable, home, self._weigh(usable, now), self._rng)
+
+    def refuse(self, service: str) -> float | None:
+        """Return when a call may come back that a full service can't run.
+
+        None lets it in.
+        """
+        now = self._kernel.clock.now()
+        self._services.find_own(service).note_asked(now)
+        usable = self._list_usable(service, set(), now)
+        return self._services.spread.refuse(service, usable, now)
+
+    def has_spare_room(self, service: str) -> bool:
+        """Tell whether a plain service has slots to spare for second tries."""
+        now = self._kernel.clock.now()
+        usable = self._list_usable(service, set(), now)
+        fill = self._services.spread.measure_fill(service, usable, now)
+        return fill < SPARE_FILL
 
     def choose_engine(
         self, service: str, call: Call, excluded: set[str]
@@ -196,6 +220,8 @@
         """Count a call as under way at an endpoint."""
         self.health.begin(endpoint.id, self._kernel.clock.now())
         if call.model is None:
+            now = self._kernel.clock.now()
+            self._services.find_own(endpoint.service).begin(now)
             return
         self._note_reading(endpoint, call.tokens_in)
         if call.model.adapter:
@@ -206,9 +232,12 @@
         if call.model is not None:
             self._note_reading(endpoint, -call.tokens_in)
 
-    def end(self, endpoint: Endpoint, call: Call) -> None:
+    def end(self, endpoint: Endpoint, call: Call, has_run: bool) -> None:
         """Count a call as over."""
         self.health.end(endpoint.id)
+        if call.model is None:
+            now = self._kernel.clock.now()
+            self._services.find_own(endpoint.service).end(has_run, now)
         if call.model is not None and call.model.adapter:
             self._subscription.note_use(endpoint, call.model, -1)
 
--- /dev/null
+++ b/roadlift/instance/sharing.py
@@ -0,0 +1,136 @@
+"""Tell what this process uses of what all instances share, and hear the rest.
+
+Allowances of organisations and the slots of plain services are shared by all
+instances, and no instance has a count of its own. Each tells its aggregator
+four times a second what it uses and is told how all stands; aggregators tell
+each other their sums. Between zones go sums alone.
+"""
+
+from roadlift.core.kernel import Kernel, parts
+from roadlift.core.loop import Timer
+from roadlift.daemon.transport import Transport
+from roadlift.instance.allowances import Allowances
+from roadlift.instance.leases import Leases
+from roadlift.instance.serviceloads import ServiceLoads, ZoneLoad
+from roadlift.instance.subscription import Subscription
+from roadlift.organisations.fleet import FleetState, Use
+from roadlift.serving.messages import InstanceTotals, InstanceUse, SharedStates
+
+TELL_PERIOD = 0.25  # Seconds between tellings.
+
+
+@parts.register("sharing")
+class SharedUse:
+    """The tellings of what is shared, as an instance or as an aggregator."""
+
+    name = "sharing"
+    needs = ("allowances", "leases", "serviceloads", "subscription", "transport")
+
+    def __init__(self, kernel: Kernel) -> None:
+        self._kernel = kernel
+        self._peer = kernel.settings.peer
+        self._transport = kernel.get(Transport)
+        self._leases = kernel.get(Leases)
+        self._subscription = kernel.get(Subscription)
+        self._allowances = kernel.get(Allowances)
+        self._services = kernel.get(ServiceLoads)
+        self._told = ""
+        self._timer: Timer | None = None
+        self._transport.subscribe((InstanceUse,), self._take_use)
+        self._transport.subscribe((InstanceTotals,), self._take_totals)
+        self._transport.subscribe((SharedStates,), self._take_states)
+
+    def start(self) -> None:
+        """Begin to tell."""
+        self._timer = self._kernel.loop.call_every(TELL_PERIOD, self._tell)
+
+    def close(self) -> None:
+        """Tell no more."""
+        self._timer.close()
+
+    # What is told.
+
+    def _tell(self) -> None:
+        """Tell what is used, to the aggregator or as one."""
+        now = self._kernel.clock.now()
+        if not self._leases.list_held():
+            self._tell_aggregator(now)
+            return
+        uses = self._allowances.list_own()
+        self._allowances.fleet.note_member(self._peer, self._kernel.stamp, uses, now)
+        self._services.note_member(self._peer, self._services.list_own())
+        self._tell_others(now)
+        states = self._allowances.fleet.describe(self._peer, now)
+        self._allowances.note_news(states, now)
+        self._services.note_news(self._services.list_all())
+
+    def _tell_aggregator(self, now: float) -> None:
+        address = self._subscription.source
+        if address != self._told:
+            if self._told:
+                self._send(self._told, [], [], 0.0, True)
+            self._told = address
+        if address:
+            uses = [list(use) for use in self._allowances.list_own()]
+            services = [list(load) for load in self._services.list_own()]
+            self._send(address, uses, services, now, False)
+
+    def _send(
+        self, address: str, uses: list, services: list, at: float, is_leaving: bool
+    ) -> None:
+        process = self._kernel.stamp
+        message = InstanceUse(self._peer, process, uses, services, at, is_leaving)
+        self._transport.send(address, message)
+
+    def _tell_others(self, now: float) -> None:
+        """Tell other aggregators, and see which of them are heard."""
+        owners = {self._leases.find_owner(zone) for zone in self._leases.list_zones()}
+        others = {owner or "" for owner in owners} - {self._peer}
+        fleet = self._allowances.fleet
+        fleet.keep_others(others, now)
+        totals = InstanceTotals(
+            self._peer,
+            self._kernel.stamp,
+            fleet.count_members(),
+            [list(use) for use in fleet.list_totals()],
+            [list(load) for load in self._services.list_sums()],
+        )
+        self._transport.send_all(others - {""}, totals)
+
+    # What is heard.
+
+    def _take_use(self, sender: str, message: InstanceUse) -> None:
+        address, fleet = message.address, self._allowances.fleet
+        if message.is_leaving:
+            fleet.forget_member(address)
+            self._services.forget_member(address)
+            return
+        if not self._leases.list_held():
+            return
+        now = self._kernel.clock.now()
+        uses = [Use(*fields) for fields in message.organisations]
+        fleet.note_member(address, message.process, uses, now)
+        self._services.note_member(address, _read_loads(message.services))
+        states = [list(one) for one in fleet.describe(address, now)]
+        services = [list(load) for load in self._services.list_all()]
+        answer = SharedStates(self._peer, states, services, message.at)
+        self._transport.send(address, answer)
+
+    def _take_totals(self, sender: str, message: InstanceTotals) -> None:
+        now = self._kernel.clock.now()
+        uses = [Use(*fields) for fields in message.organisations]
+        self._allowances.fleet.note_other(
+            message.address, message.process, message.members, uses, now
+        )
+        self._services.note_other(message.address, _read_loads(message.services))
+
+    def _take_states(self, sender: str, message: SharedStates) -> None:
+        if message.address != self._subscription.source:
+            return
+        states = [FleetState(*fields) for fields in message.organisations]
+        self._allowances.note_news(states, message.asked_at)
+        self._services.note_news(_read_loads(message.services))
+
+
+def _read_loads(fields: list) -> list[ZoneLoad]:
+    return [ZoneLoad(*one) for one in fields]
--- a/roadlift/organisations/shares.py
+++ b/roadlift/organisations/shares.py
@@ -19,9 +19,12 @@
 
 from typing import NamedTuple
 
-from roadlift.organisations.demand import Rate
+from roadlift.decisions.rates import Rate
 from roadlift.serving.routes import Allowance
 
+# Seconds over which a demand is taken: long enough for a few calls of one
+# organisation at one instance, short enough to follow a burst of some seconds.
+DEMAND_SPAN = 2.0
 # Seconds behind the last news in which they stand: three periods of telling.
 NEWS_LIMIT = 0.8
 # What an instance that hears nobody may use of its part: others may have
@@ -87,7 +90,7 @@
         self._advanced_at = now
         self.allowance = allowance
         self.share = Share(False, 0.0, 0.0)
-        self.demand = Rate(now)
+        self.demand = Rate(DEMAND_SPAN, now)
         self.spent = 0.0
 
     def set_share(self, share: Share, now: float) -> None:
--- a/roadlift/serving/messages.py
+++ b/roadlift/serving/messages.py
@@ -298,39 +298,47 @@
     checksum: int
 
 
-@message("ou")
-class OrganisationUse(NamedTuple):
-    """Tell an aggregator what an instance used of organisations' allowances.
-
-    ``process`` tells the runs of an instance apart; ``uses`` are the fields
-    of Uses; ``at`` is the instance's own time, which the answer repeats.
-    With ``is_leaving`` it tells another aggregator from now on.
+@message("iu")
+class InstanceUse(NamedTuple):
+    """Tell an aggregator what an instance uses of what all share.
+
+    ``process`` tells the runs of an instance apart; ``organisations`` are the
+    fields of Uses of allowances, ``services`` those of ZoneLoads; ``at`` is
+    the instance's own time, which the answer repeats. With ``is_leaving`` it
+    tells another one from now on.
     """
 
     address: str
     process: int
-    uses: list
+    organisations: list
+    services: list
     at: float
     is_leaving: bool
 
 
-@message("ot")
-class OrganisationTotals(NamedTuple):
-    """Tell another aggregator what all instances that tell this one used.
+@message("it")
+class InstanceTotals(NamedTuple):
+    """Tell another aggregator what all instances that tell this one use.
 
-    ``members`` counts them; ``uses`` are the fields of Uses.
+    ``members`` counts them; the lists are as in InstanceUse.
     """
 
     address: str
     process: int
     members: int
-    uses: list
+    organisations: list
+    services: list
 
 
-@message("os")
-class OrganisationStates(NamedTuple):
-    """Tell an instance how much is left of allowances, as FleetStates."""
+@message("is")
+class SharedStates(NamedTuple):
+    """Tell an instance how what all share stands.
+
+    ``organisations`` are the fields of FleetStates; ``services`` are as in
+    InstanceUse, of all instances.
+    """
 
     address: str
-    states: list
+    organisations: list
+    services: list
     asked_at: float
--- a/roadlift/serving/selection.py
+++ b/roadlift/serving/selection.py
@@ -1,6 +1,7 @@
 """Choose the endpoint of a plain service, and rank the homes of adapters."""
 
 from collections.abc import Callable, Iterable, Sequence
+from random import Random
 
 from roadlift.policy.placement import RingPlacer
 from roadlift.serving.calls import Model
@@ -17,15 +18,21 @@
 
 
 def choose_least_loaded(
-    endpoints: Iterable[Endpoint], zone: str, load: Load
+    endpoints: Iterable[Endpoint], zone: str, load: Load, rng: Random
 ) -> Endpoint | None:
-    """Return the endpoint with most room, the own zone's before others."""
+    """Return the endpoint with most room, the own zone's before others.
 
-    def measure(endpoint: Endpoint) -> tuple[float, float, str]:
-        """Return how loaded an endpoint is; zone and id make an order."""
-        bonus = min(ZONE_CALLS, ZONE_PART * max(1, endpoint.slots))
+    Those that are alike are drawn, by their slots: an instance without calls
+    of its own would else choose as all such instances do, and 28 of 32 second
+    tries went to the endpoint of four that had the lowest name.
+    """
+
+    def measure(endpoint: Endpoint) -> tuple[float, float, float]:
+        """Return how loaded an endpoint is; zone and a draw make an order."""
+        slots = max(1, endpoint.slots)
+        bonus = min(ZONE_CALLS, ZONE_PART * slots)
         away = 0.0 if endpoint.zone == zone else bonus
-        return load(endpoint.id) + away, away, endpoint.id
+        return load(endpoint.id) + away, away, rng.expovariate(slots)
 
     return min(endpoints, key=measure, default=None)
 
