--- a/tests/steps/service_steps.py
+++ b/tests/steps/service_steps.py
@@ -89,9 +89,8 @@
     for _ in range(count):
         zones = [f"z{number}" for number in range(rng.randint(1, 5))]
         slots = {zone: float(rng.randint(1, 40)) for zone in zones}
-        busy = {
-            zone: rng.random() * 2 * rng.choice(list(slots.values())) for zone in zones
-        }
+        most = 2 * max(slots.values())
+        busy = {zone: rng.random() * most for zone in zones}
         placed = dict.fromkeys(zones, 0.0)
         for zone in zones:
             parts = share_out(zone, busy, slots)
@@ -106,7 +105,8 @@
 
 
 @given(
-    "{busy:g} calls under way at {slots:d} slots, of which {served:g} a second are served"
+    "{busy:g} calls under way at {slots:d} slots, "
+    "of which {served:g} a second are served"
 )
 def step_spread(context, busy, slots, served):
     """Keep what is told."""
