--- a/specification/explore.py
+++ b/specification/explore.py
@@ -14,7 +14,7 @@
 from minicheck import Protocol, check_safety
 
 from roadlift.management.output import print_table
-from specification import bundles, claims, lease, ownership
+from specification import bundles, claims, freshness, lease, ownership
 from specification.ownership import Limits, Ownership
 
 MOST_STATES = 600_000
@@ -68,6 +68,8 @@
             return lease.Leases(self.variant, self.without).make_protocol()
         if self.specification == "bundles":
             return bundles.Bundles(without=self.without).make_protocol()
+        if self.specification == "freshness":
+            return freshness.Freshness(without=self.without).make_protocol()
         if self.without:
             fences, limits = OWNERSHIP_LOSSES[self.without]
         else:
@@ -96,6 +98,7 @@
     jobs += [Job("lease", _show(rule), rule) for rule in lease.RULES]
     jobs += [Job("claims", "", rule) for rule in ("", *claims.RULES)]
     jobs += [Job("bundles", "", rule) for rule in ("", *bundles.RULES)]
+    jobs += [Job("freshness", "", rule) for rule in ("", *freshness.RULES)]
     return jobs
 
 
