--- a/roadlift/organisations/fleet.py
+++ b/roadlift/organisations/fleet.py
@@ -235,7 +235,8 @@
         if level is None:
             level = self._levels[name] = _Level(now)
         part = self._measure_part()
-        level.advance(allowance.rate * part, allowance.burst * part, now)
+        burst = allowance.burst + self._limits.lump
+        level.advance(allowance.rate * part, burst * part, now)
         return level
 
     def _measure_part(self) -> float:
--- a/roadlift/organisations/shares.py
+++ b/roadlift/organisations/shares.py
@@ -33,6 +33,10 @@
 # Part of the burst that must be left for an organisation to be free. What is
 # used until all know that it is not any more, some 0.6 s later, is owed then.
 FREE_PART = 0.5
+# Part of the slack that is added to bursts: one call may use as much as a
+# small allowance has in a second, and with its burst alone an organisation is
+# not free for seconds behind each.
+LUMP_PART = 0.25
 # Seconds of the rate that may be owed at most.
 MOST_DEBT = 2.0
 # Instances that may start within one window, each with its credit, while the
@@ -59,6 +63,11 @@
         """
         return 1.0 + self.over / 2
 
+    @property
+    def lump(self) -> float:
+        """Return what is added to bursts for single large calls."""
+        return self.slack * LUMP_PART
+
     @property
     def credit(self) -> float:
         """Return what an instance may use that has not heard of others."""
@@ -133,6 +142,6 @@
     def _advance(self, now: float) -> None:
         """Let the level rise up to the part of the burst."""
         gained = self._measure(self.allowance.rate) * (now - self._advanced_at)
-        burst = self._measure(self.allowance.burst)
+        burst = self._measure(self.allowance.burst + self._limits.lump)
         self._level = max(self._level, min(burst, self._level + gained))
         self._advanced_at = now
