--- a/roadlift/instance/exchange.py
+++ b/roadlift/instance/exchange.py
@@ -18,6 +18,7 @@
 from roadlift.crashes.ends import KNOWN_DELAY
 from roadlift.crashes.ledger import CrashLedger
 from roadlift.decisions.loading import Source
+from roadlift.decisions.resending import Sends, find_obstacle
 from roadlift.endpoints.events import EventFrames
 from roadlift.http.messages import drop_hop_by_hop
 from roadlift.instance.access import Pass
@@ -36,11 +37,6 @@
 from roadlift.serving.interfaces import Guard, Verdict
 from roadlift.serving.routes import Route
 
-# Sends of one call at most, those included that did not run.
-MOST_SENDS = 4
-# Sends that reached no endpoint, beside those: a cut takes most of a service's
-# endpoints away, and each instance learns of them one by one.
-MOST_UNREACHED = 8
 # Bytes of an answer that are held back until it is whole; a longer one is
 # passed on as it comes.
 MOST_HELD = 131072
@@ -53,8 +49,6 @@
 OWNER_TICK = 0.05  # Seconds between looks for an owner that is due.
 # Seconds until endpoints that have all refused a call are asked once more.
 ROUND_PAUSE = 0.05
-# Seconds of a call's time below which no further send is begun.
-LEAST_TIME = 0.02
 # By how much the priority of a call that is late is put back, so that engines
 # read the prompts first of those that can still be served in time.
 LATE_STEP = 4
@@ -558,29 +552,26 @@
 
     def _find_obstacle(self, error: RoadliftError, now: float) -> str | None:
         """Return why the call is not sent again, or None."""
-        if self._deadline - now < LEAST_TIME:
-            return "no time left"
-        if isinstance(error, EndpointUnreachable):
-            # Nothing arrived there, so no budget is spent on the next send.
-            self._unreached += 1
-            return "unreached too often" if self._unreached > MOST_UNREACHED else None
-        if self._sends - self._unreached >= MOST_SENDS:
-            return "sent too often"
-        if error.outcome is not Outcome.NOT_RUN:
-            if not self.route.is_repeatable:
-                return "may not run twice"
-            if self._runs >= self.route.attempts:
-                return "all attempts used"
-            if self.call.model is None and not self._placing.has_spare_room(
-                self._service
-            ):
-                return "no slot to spare"
-        if self._caller.started and self._frames is None:
-            return "answer begun"
-        instances = self._knowledge.count_instances()
-        if not self._ingress.get_budget(self._service).spend(now, instances):
-            return "retry budget spent"
-        return None
+        self._unreached += isinstance(error, EndpointUnreachable)
+        sends = Sends(
+            self._sends,
+            self._unreached,
+            self._runs,
+            self._deadline - now,
+            self._caller.started and self._frames is None,
+        )
+        return find_obstacle(
+            error,
+            self.route,
+            sends,
+            self._has_spare_slot,
+            lambda: self._ingress.spend_retry(self._service, now),
+        )
+
+    def _has_spare_slot(self) -> bool:
+        """Tell whether a second try takes no slot from a first one."""
+        is_plain = self.call.model is None
+        return not is_plain or self._placing.has_spare_room(self._service)
 
     def _fail(self, error: RoadliftError) -> None:
         """Give the caller the final answer at once.
--- a/roadlift/instance/ingress.py
+++ b/roadlift/instance/ingress.py
@@ -20,6 +20,7 @@
 from roadlift.instance.crashes import CrashWatch
 from roadlift.instance.exchange import Exchange
 from roadlift.instance.follower import Follower
+from roadlift.instance.knowledge import Knowledge
 from roadlift.instance.leases import Leases
 from roadlift.instance.measures import Measures
 from roadlift.instance.owner import Owner
@@ -56,6 +57,7 @@
         CrashLedger.name,
         CrashWatch.name,
         "follower",
+        "knowledge",
         "leases",
         "measures",
         Owner.name,
@@ -70,6 +72,7 @@
         self._format = kernel.get(Platform).adapter.calls
         self._follower = kernel.get(Follower)
         self._placing = kernel.get(Placing)
+        self._knowledge = kernel.get(Knowledge)
         self._access = kernel.get(Access)
         self.measures = kernel.get(Measures)
         self._exchanges: set[Exchange] = set()
@@ -133,6 +136,11 @@
             )
         return budget
 
+    def spend_retry(self, service: str, now: float) -> bool:
+        """Take a retry of a service's budget; False: none is left."""
+        instances = self._knowledge.count_instances()
+        return self.get_budget(service).spend(now, instances)
+
     def handle(self, received: Received, caller: Connection) -> None:
         """Begin the exchange of a request, or refuse it."""
         call = None
