--- a/roadlift/instance/exchange.py
+++ b/roadlift/instance/exchange.py
@@ -179,29 +179,39 @@
         if self._crashes.await_turn(self._identify, self._try):
             self._note("turn")
             return
-        option = None
-        if self.call.model is None:
-            if self._is_refused():
-                return
-            endpoint = self._placing.choose(self._service, self._excluded)
-            if endpoint is not None:
-                self._send(endpoint)
-                return
+        is_placed = self._try_plain() if self.call.model is None else self._try_engine()
+        if not is_placed:
+            self._wait_for_any()
+
+    def _try_plain(self) -> bool:
+        """Send a call of a plain service; False: there is no endpoint."""
+        if self._is_refused():
+            return True
+        endpoint = self._placing.choose(self._service, self._excluded)
+        if endpoint is not None:
+            self._send(endpoint)
+        return endpoint is not None
+
+    def _try_engine(self) -> bool:
+        """Send a call to an engine, or wait for its adapter there.
+
+        False means that there is no engine for it.
+        """
+        option = self._placing.choose_engine(self._service, self.call, self._excluded)
+        if option is None:
+            return False
+        if option.engine.source is Source.HELD:
+            self._send(option.engine.endpoint)
+            return True
+        obstacle = self._ledger.judge(self._identify_load)
+        if obstacle is not None:
+            self._fail(obstacle)
         else:
-            option = self._placing.choose_engine(
-                self._service, self.call, self._excluded
-            )
-            if option is not None and option.engine.source is Source.HELD:
-                self._send(option.engine.endpoint)
-                return
-        if option is not None:
-            obstacle = self._ledger.judge(self._identify_load)
-            if obstacle is not None:
-                self._fail(obstacle)
-                return
-            stays = self._measure_stay(self._kernel.clock.now())
-            self._wait.begin(option, stays)
-            return
+            self._wait.begin(option, self._measure_stay(self._kernel.clock.now()))
+        return True
+
+    def _wait_for_any(self) -> None:
+        """Wait for an endpoint or an owner that is due, or refuse."""
         now = self._kernel.clock.now()
         model = self.call.model
         is_servable = self._placing.is_known(self._service)
--- a/roadlift/instance/measures.py
+++ b/roadlift/instance/measures.py
@@ -251,6 +251,7 @@
         self._metrics = {
             one.name: _make_metric(one, self._registry) for one in MEASURES
         }
+        self._found: dict[tuple[str, tuple[str, ...]], object] = {}
         self._server: Server | None = None
         address = kernel.settings.metrics
         if address:
@@ -304,11 +305,16 @@
         caller.answer(200, {"Content-Type": CONTENT_TYPE_LATEST}, self.render())
 
     def _find(self, name: str, labels: tuple[str, ...]):
+        """Return a metric with its labels; looking labels up takes 7 us."""
+        found = self._found.get((name, labels))
+        if found is not None:
+            return found
         try:
             metric = self._metrics[name]
         except KeyError:
             raise ImproperlyConfigured(f"no metric is named {name!r}") from None
-        return metric.labels(*labels) if labels else metric
+        found = self._found[name, labels] = metric.labels(*labels) if labels else metric
+        return found
 
 
 def _make_metric(one: Measure, registry: CollectorRegistry):
