Read for oneself at least each 1.2 s where the store is reached and the aggregator is not served

Cause: while an aggregator's list is old, its subscribers take turns in reading the store, four at a time, so that each of 24 reads each 4.2 s. Where the store turns just the aggregators away (a third of the instances), all others knew lists that were up to 5 s old, though each could read.

Change: one whose own last read was answered reads each 1.2 s at least.

--- a/roadlift/instance/follower.py
+++ b/roadlift/instance/follower.py
@@ -43,6 +43,10 @@
 # Subscribers of one aggregator that read the store, as far as possible, while
 # it can't. All of 39 would be some 110 calls a second, by arithmetic.
 MOST_READERS = 4
+# Seconds between the reads of one that reaches the store, at most. The store
+# may turn just the aggregators away: lists of their 24 subscribers were then
+# 5 s old, and calls reached endpoints 3.5 s after they had left.
+LONGEST_TURN = 1.2
 # Parts of the time for which a revoked key may still be served: seconds that a
 # poll waits at the store at most, so that what is passed on is never older
 # than a third of that time, and seconds behind which an instance reads the
@@ -330,8 +334,11 @@
         now = self._kernel.clock.now()
         if self.is_reader() or now >= self._heard_until:
             return False
+        reader = self._readers[number]
         turn = period * self._members / MOST_READERS
-        return now - self._readers[number].asked_at < turn
+        if reader.is_reachable:
+            turn = min(turn, LONGEST_TURN)
+        return now - reader.asked_at < turn
 
     def measure_list_age(self) -> float:
         """Return the seconds since the list of endpoints was read last."""
--- /dev/null
+++ b/tests/steps/turned_away_steps.py
@@ -0,0 +1,67 @@
+"""Steps on instances that the store turns away."""
+
+from behave import given, then, when
+
+from roadlift.instance.follower import Follower
+from roadlift.instance.leases import Leases
+from tests.support.configuration import ROUTES, SERVICES
+from tests.support.entries import Entries
+
+LOOK = 0.05  # Seconds between looks at what instances know.
+
+
+@given("{count:d} instances in z1 and one in z2, and plain endpoints in both")
+def step_many(context, count):
+    """Start them, and let them settle."""
+    context.entries = Entries()
+    context.add_cleanup(context.entries.close)
+    context.entries.configure(ROUTES, SERVICES)
+    for number in range(count):
+        context.entries.start(f"a{number}", "z1")
+    context.entries.start("c", "z2")
+    for name, zone in (("p1", "z1"), ("p2", "z2")):
+        context.entries.installation.add_runner("plain", name, zone, "")
+    context.entries.advance(6.0)
+
+
+@when("the store turns {away} away, and an endpoint leaves {seconds:g} seconds later")
+def step_away(context, away, seconds):
+    """Cut instances from the store, and let an endpoint drain."""
+    entries = context.entries.entries
+    owners = {
+        name for name, one in entries.items() if one.kernel.get(Leases).list_held()
+    }
+    assert owners, "no instance owns a zone"
+    cut = owners if away == "all aggregators" else set(entries)
+    installation = context.entries.installation
+    installation.cut_from_store.update(entries[name].dialer for name in cut)
+    context.entries.advance(seconds)
+    before = installation.store.calls + sum(installation.store_calls.values())
+    runner = installation.runners["p1"]
+    installation.store.put("servers", "p1", runner.describe("draining"))
+    context.left = {name for name in entries if name not in cut}
+    context.late = {}
+    context.began = installation.clock.now()
+    while installation.clock.now() - context.began < 2.0:
+        context.entries.advance(LOOK)
+    context.unaware = {name for name in context.left if not _knows(context, name)}
+    calls = installation.store.calls + sum(installation.store_calls.values()) - before
+    context.rate = calls / 2 / 2.0  # Each is counted by the store and by its caller.
+
+
+def _knows(context, name):
+    directory = context.entries.entries[name].kernel.get(Follower).directory
+    known = directory.get("p1")
+    return known is None or known.is_draining
+
+
+@then("each other instance knows of it within 2 seconds")
+def step_known(context):
+    """Look for those that don't."""
+    assert not context.unaware, (len(context.unaware), sorted(context.unaware)[:5])
+
+
+@then("the store is called at most {calls:d} times a second")
+def step_calls(context, calls):
+    """Compare the calls of the last seconds."""
+    assert context.rate <= calls, context.rate
