Tell also of what is used less than once a second

Cause: an instance told of a use only while 1 a second or more was asked for there, so that an allowance counted in calls was never counted where each instance had few of them. Found in reading the change.

Change: uses are told until they have faded to 0.01 a second, with fractions.

--- a/roadlift/instance/allowances.py
+++ b/roadlift/instance/allowances.py
@@ -125,7 +125,7 @@
         for name, meter in self._meters.items():
             demand = meter.demand.measure(now)
             if demand >= LEAST_DEMAND:
-                found.append(Use(name, round(meter.spent), round(demand)))
+                found.append(Use(name, round(meter.spent, 2), round(demand, 2)))
         return found
 
     def note_news(self, states: list[FleetState], asked_at: float) -> None:
--- a/roadlift/organisations/fleet.py
+++ b/roadlift/organisations/fleet.py
@@ -11,8 +11,10 @@
 from roadlift.organisations.shares import FREE_PART, MOST_DEBT, NEWS_LIMIT, Limits
 from roadlift.serving.routes import Allowance
 
-# Amounts a second that are asked for below which a use is told no more.
-LEAST_DEMAND = 1.0
+# Amounts a second that are asked for below which a use is told no more: a
+# call that counts as 1 is told of for 8 s. With 1.0, calls that came less than
+# once a second to each instance were never counted.
+LEAST_DEMAND = 0.01
 
 
 class Use(NamedTuple):
--- a/tests/instance/allowances.feature
+++ b/tests/instance/allowances.feature
@@ -55,3 +55,9 @@
     Given an installation whose callers have allowances of calls
     When a call of red fails at an endpoint and is sent again
     Then 2 are used of its allowance
+
+  Scenario: An allowance counted in calls holds where each instance has few of them
+    Given an installation whose callers have allowances of calls
+    And 9 further instances
+    When each instance gets 0.4 calls of red a second for 60 seconds
+    Then between 110 and 145 calls of red are served
--- a/tests/steps/allowance_steps.py
+++ b/tests/steps/allowance_steps.py
@@ -186,3 +186,30 @@
 def step_used(context, count):
     """Look at the meter."""
     assert _measure_used(context) == count, _measure_used(context)
+
+
+@given("{count:d} further instances")
+def step_further(context, count):
+    """Start them, and let them settle."""
+    for number in range(count):
+        context.entries.start(f"d{number}", "z1")
+    context.entries.advance(3.0)
+
+
+@when("each instance gets {rate:g} calls of red a second for {seconds:g} seconds")
+def step_few(context, rate, seconds):
+    """Call them by turns: red may have 2 calls a second run, and 10 beside."""
+    context.callers = []
+    names = list(context.entries.entries)
+    for number in range(int(rate * seconds * len(names))):
+        name = names[number % len(names)]
+        context.callers.append(context.entries.call(name, "/once/1", _RED))
+        context.entries.advance(1.0 / rate / len(names))
+    context.entries.advance(1.0)
+
+
+@then("between {least:d} and {most:d} calls of red are served")
+def step_few_served(context, least, most):
+    """Count them."""
+    served = sum(caller.status == 200 for caller in context.callers)
+    assert least <= served <= most, (served, len(context.callers))
