--- a/roadlift/organisations/fleet.py
+++ b/roadlift/organisations/fleet.py
@@ -191,11 +191,6 @@
 
     # What is made of it.
 
-    @property
-    def is_whole(self) -> bool:
-        """Tell whether all aggregators are heard."""
-        return self._is_whole
-
     def count_members(self) -> int:
         """Return how many instances tell their use here."""
         return len(self._members)
--- a/tests/steps/organisation_steps.py
+++ b/tests/steps/organisation_steps.py
@@ -11,7 +11,6 @@
 from roadlift.organisations.keys import KeyTable, digest_key
 from roadlift.relay.upstream import Answer
 from roadlift.serving.interfaces import StoredRow, adapters
-from standins.installation import Reply
 from tests.support.configuration import (
     SERVICES,
     describe_configuration,
@@ -428,11 +427,3 @@
     context.tenants = context.tenants[1:]
     _configure(context)
     context.entries.advance(2.0)
-
-
-@given("the plain endpoints answer 500 once")
-def step_fail_once(context):
-    """Let the first run fail, wherever it is."""
-    faults = [Reply(500, {"server-stamp": "s", "request-id": ""})]
-    for name in ("p1", "p2"):
-        context.entries.installation.runners[name].faults = faults
