Tell in the logs which limits endpoints name

An answer's limit is now read in platform/ and logged where it changes; what is no rate is logged once an endpoint and says nothing. Nothing is decided by it yet.

--- a/roadlift/core/errors.py
+++ b/roadlift/core/errors.py
@@ -237,6 +237,13 @@
     outcome = Outcome.FAILED
 
 
+class InvalidLimit(RoadliftError):
+    """An endpoint names a limit of its own that can't be read."""
+
+    code = "invalid_limit"
+    status = 502
+
+
 class StreamCut(RoadliftError):
     """The endpoint ended a stream early and it could not be resumed."""
 
--- a/roadlift/core/events.py
+++ b/roadlift/core/events.py
@@ -157,6 +157,13 @@
     Event("leases", "lease_lost", ("zone", "reason"), "This one owns it no more."),
     Event("leases", "lease_offered", ("zone",), "Another gave it back for this one."),
     Event("leases", "lease_released", ("zone",), "It was given back."),
+    Event(
+        "limits",
+        "limit_named",
+        ("endpoint", "service", "limit", "before", "status", "age"),
+        "An endpoint named another limit, in calls a second, than in the answer "
+        "before that came here, or none; age is of the call that it answered.",
+    ),
     Event(
         "owner",
         "load_denied",
--- a/roadlift/instance/exchange.py
+++ b/roadlift/instance/exchange.py
@@ -26,6 +26,7 @@
 from roadlift.instance.crashes import CrashWatch
 from roadlift.instance.follower import Follower
 from roadlift.instance.knowledge import OWNER_RETURN, Knowledge
+from roadlift.instance.limits import EndpointLimits
 from roadlift.instance.placing import Placing
 from roadlift.instance.platform import Platform
 from roadlift.instance.progress import Progress
@@ -81,6 +82,7 @@
         self._knowledge = kernel.get(Knowledge)
         self._follower = kernel.get(Follower)
         self._crashes = kernel.get(CrashWatch)
+        self._limits = kernel.get(EndpointLimits)
         self._ledger = kernel.get(CrashLedger)
         self._format = kernel.get(Platform).adapter.calls
         self._service = route.choose_service(call.id)
@@ -386,6 +388,8 @@
     def receive_head(self, status: int, headers: dict[str, str]) -> None:
         """Judge the head, and pass that of a stream on."""
         self._placing.health.note_answer(self._endpoint.id)
+        age = self._kernel.clock.now() - self._sent_at
+        self._limits.note_answer(self._endpoint, status, headers, age)
         self._verdict = self._format.judge(status, headers)
         if self._frames is not None:
             # A resumed stream goes on under the head that the caller has.
--- a/roadlift/instance/ingress.py
+++ b/roadlift/instance/ingress.py
@@ -22,6 +22,7 @@
 from roadlift.instance.follower import Follower
 from roadlift.instance.knowledge import Knowledge
 from roadlift.instance.leases import Leases
+from roadlift.instance.limits import EndpointLimits
 from roadlift.instance.measures import Measures
 from roadlift.instance.owner import Owner
 from roadlift.instance.placing import Placing
@@ -59,6 +60,7 @@
         "follower",
         "knowledge",
         "leases",
+        EndpointLimits.name,
         "measures",
         Owner.name,
         "placing",
--- a/roadlift/serving/interfaces.py
+++ b/roadlift/serving/interfaces.py
@@ -145,6 +145,12 @@
     def judge(self, status: int, headers: Mapping[str, str]) -> Verdict:
         """Tell what the head of an endpoint's answer says of the run."""
 
+    def read_limit(self, headers: Mapping[str, str]) -> float | None:
+        """Return the calls a second that an endpoint takes from all instances.
+
+        None where it names no limit; InvalidLimit where it can't be read.
+        """
+
     def describe(self, call_id: str) -> Mapping[str, str]:
         """Return the headers of an answer of our own."""
 
--- a/tests/adapter/adapter.feature
+++ b/tests/adapter/adapter.feature
@@ -41,6 +41,28 @@
       | 421    | nothing       | wrong_endpoint |
       | 302    | Server-Stamp  | failed         |
 
+  Scenario Outline: The limit that a runner names is read
+    When the limit is read of an answer with <headers>
+    Then the limit is <limit>
+
+    Examples: What is no rate is an error, of several the least counts
+      | headers                | limit         |
+      | nothing                | None          |
+      | Server-Stamp           | None          |
+      | Server-Limit: 8.9      | 8.9           |
+      | Server-Limit: 0.25     | 0.25          |
+      | Server-Limit: 0        | 0.0           |
+      | Server-Limit: 1e30     | 1e+30         |
+      | Server-Limit: inf      | inf           |
+      | Server-Limit: 8, 4.5   | 4.5           |
+      | Server-Limit: 8, many  | invalid_limit |
+      | Server-Limit: -1       | invalid_limit |
+      | Server-Limit: nan      | invalid_limit |
+      | Server-Limit: nan, 4   | invalid_limit |
+      | Server-Limit: 4, nan   | invalid_limit |
+      | Server-Limit: ,        | invalid_limit |
+      | Server-Limit: many     | invalid_limit |
+
   Scenario Outline: A configuration is read
     When a configuration with <change> is read
     Then the route has <result>
--- a/tests/steps/adapter_steps.py
+++ b/tests/steps/adapter_steps.py
@@ -26,7 +26,7 @@
 _ADAPTER = adapters.get("platform")
 # Names that only the platform's protocol has.
 _WIRE_NAMES = (
-    r"server-stamp|expect-instance|expect-version|not-run\b|prompt-prefix"
+    r"server-stamp|server-limit|expect-instance|expect-version|not-run\b|prompt-prefix"
     r"|token-count|deadline-ms|request-priority|length-hint|kv-from|kv-backup"
     r"|kv-fetch|kv-move|rows-tx|rows-get|rows-feed|blob-put|pathPrefix|timeoutMs"
     r"|goalMs|gapGoalMs|maxConns|kvCapTokens|adapterSlots|weightsMb|waitMs"
@@ -86,6 +86,20 @@
     assert context.verdict.value == verdict, context.verdict
 
 
+@when("the limit is read of an answer with {headers}")
+def step_read_limit(context, headers):
+    """Read what a runner names."""
+    context.read = _run(lambda: _ADAPTER.calls.read_limit(_parse_headers(headers)))
+
+
+@then("the limit is {limit}")
+def step_limit(context, limit):
+    """Check the limit, or the error."""
+    found = context.read
+    text = found.code if isinstance(found, RoadliftError) else str(found)
+    assert text == limit, text
+
+
 def _row(key, content):
     return StoredRow(key, json.dumps(content).encode(), 1)
 
