Show that endpoints get more calls than they name as their limit

Runners of the stand-in installation can name a limit in the answers to calls, and a watch on their side counts, in windows of four seconds and whoever sends, what comes beyond one and a half times the limit and five.

--- a/standins/installation.py
+++ b/standins/installation.py
@@ -24,6 +24,7 @@
 )
 from roadlift.relay.upstream import Address, Receiver, Request
 from standins.hub import HubLine
+from standins.limits import LimitWatch
 
 DELAY = 0.002  # Seconds of a request's way and of its answer's way.
 STORE_CLOCK = 55555  # Milliseconds that the store's clock is behind the test's.
@@ -39,6 +40,7 @@
 
 
 REFUSAL = Reply(503, {"not-run": "1"})
+LIMIT = "server-limit"
 
 
 class Timeline:
@@ -290,7 +292,8 @@
     "stall" leaves it there and "lose" runs the call and loses its answer. A
     call whose body is deadly ends the runner soon after it began to run. Of
     the next ``lost_orders``, none is answered; every second is carried out
-    late. While ``is_mute``, no report is given.
+    late. While ``is_mute``, no report is given. ``named`` is the limit that
+    it names in the answers to calls, as text, or None.
     """
 
     def __init__(
@@ -318,6 +321,7 @@
         self.faults: list[object] = []
         self.lost_orders = 0
         self.is_mute = False
+        self.named: str | None = None
         self.born = 0
         self.on_end: Callable[[], None] = lambda: None
         self.on_return: Callable[[], None] = lambda: None
@@ -349,6 +353,16 @@
         lapse = lambda: installation.store.delete("servers", self.id)
         self._timeline.call_later(LAPSE - RETURN_DELAY, lapse)
 
+    def name_limit(self, text: str | None) -> None:
+        """Name a limit from now on, or none."""
+        self.named = text
+        limit = None if text is None else float(text)
+        self._installation.limits.note_naming(self.id, limit, self._timeline.now())
+
+    def _add_limit(self, headers: dict[str, str]) -> dict[str, str]:
+        """Return the headers of an answer that is made now."""
+        return headers if self.named is None else {**headers, LIMIT: self.named}
+
     def restart(self) -> None:
         """Start again under the same name, with nothing of before."""
         self.born += 1000 if self.born else 1_700_000_000_000
@@ -459,17 +473,18 @@
         return 200
 
     def _run(self, request: Request, headers: dict, line: MemoryLine) -> None:
+        self._installation.limits.note_call(self.id, self._timeline.now())
         _, _, adapter = headers.get("model", "").partition("/")
         if adapter and adapter not in self.held:
-            self._answer(line, Reply(421, {"instance-id": self.id}))
+            self._refuse(line, Reply(421, {"instance-id": self.id}))
             return
         version = headers.get("expect-version")
         if adapter and version not in (None, str(self.held[adapter])):
-            self._answer(line, Reply(421, {"instance-id": self.id}))
+            self._refuse(line, Reply(421, {"instance-id": self.id}))
             return
         fault = self.faults.pop(0) if self.faults else None
         if isinstance(fault, Reply):
-            self._answer(line, fault)
+            self._refuse(line, fault)
             return
         self.ran.append({**headers, ":path": request.path, ":body": repr(request.body)})
         line.on_close = self._count_cancel
@@ -497,8 +512,9 @@
         head = {"request-id": headers["request-id"], "server-stamp": stamp}
         if "token-count" not in headers:
             body = f"{self.id}:{headers['request-id']}".encode()
-            reply = Reply(200, {**head, "content-length": str(len(body))}, body)
-            self._timeline.call_later(self.run_time, lambda: line.send(reply))
+            head["content-length"] = str(len(body))
+            send = lambda: line.send(Reply(200, self._add_limit(head), body))
+            self._timeline.call_later(self.run_time, send)
             return
         head["content-type"] = "text/event-stream"
         first = int(headers.get("last-event-id", -1)) + 1
@@ -508,7 +524,7 @@
     def _stream(self, line, head: dict, first: int, fault: object) -> None:
         if line.is_closed:
             return
-        line.receiver.receive_head(200, head)
+        line.receiver.receive_head(200, self._add_limit(head))
         self._send_event(line, first, fault)
 
     def _send_event(self, line: MemoryLine, number: int, fault: object) -> None:
@@ -532,6 +548,11 @@
     def _count_cancel(self) -> None:
         self.cancelled += 1
 
+    def _refuse(self, line: MemoryLine, reply: Reply) -> None:
+        """Answer a call that is not run, or fails."""
+        headers = self._add_limit(reply.headers)
+        self._answer(line, reply._replace(headers=headers))
+
     def _answer(self, line: MemoryLine, reply: Reply) -> None:
         self._timeline.call_later(DELAY, lambda: line.send(reply))
 
@@ -567,6 +588,7 @@
         # that began to.
         self.deadly_adapters: set[str] = set()
         self.deadly_loads: list[str] = []
+        self.limits = LimitWatch()
         # Ids of calls whose answers runners broke off by themselves.
         self.spoiled: set[str] = set()
 
