Understand messages of the last release and of the next

What callers would see: while a release is rolled out, instances of both told each other nothing of allowances, as a message with a field more or fewer was dropped as malformed (282 in 20 s between three of each). Cause: fields were matched by position and number. Now further fields are passed over, those that are missing have defaults, and a message of an unknown kind is told of once, in place of a warning each.

--- a/roadlift/core/codec.py
+++ b/roadlift/core/codec.py
@@ -1,17 +1,26 @@
 """Encode typed messages between instances with msgpack.
 
 A message is a NamedTuple registered under a short tag. On the wire stand the
-tag and the fields in order; a peer of another version that sends a field too
-many or too few is refused as MalformedMessage.
+tag and the fields in order. While a release is rolled out, peers of two
+releases talk to each other for minutes: further fields come last and have
+defaults, which stand for those that a message lacks, and fields that are not
+known are passed over. A message of an unknown tag raises UnknownMessage, one
+that lacks a field without a default MalformedMessage.
 """
 
+from collections.abc import Sequence
 from typing import Any, NamedTuple, TypeVar
 
 import msgpack
 
-from roadlift.core.errors import ImproperlyConfigured, MalformedMessage
+from roadlift.core.errors import (
+    ImproperlyConfigured,
+    MalformedMessage,
+    UnknownMessage,
+)
 
 Message = TypeVar("Message", bound=type)
+Fields = TypeVar("Fields", bound=tuple)
 
 _types: dict[str, type] = {}
 _tags: dict[type, str] = {}
@@ -57,6 +66,15 @@
     """Read the bytes of ``encode`` or raise MalformedMessage."""
     try:
         sender, tag, *fields = msgpack.unpackb(data, use_list=True)
-        return Envelope(sender, _types[tag](*fields))
+        kind = _types.get(tag)
+        found = None if kind is None else read_fields(kind, fields)
     except Exception as error:
         raise MalformedMessage(repr(error)) from error
+    if found is None:
+        raise UnknownMessage(str(tag))
+    return Envelope(sender, found)
+
+
+def read_fields(kind: type[Fields], fields: Sequence) -> Fields:
+    """Return a named tuple of fields as a peer of any release sends them."""
+    return kind(*fields[: len(kind._fields)])
--- a/roadlift/core/errors.py
+++ b/roadlift/core/errors.py
@@ -346,6 +346,12 @@
     outcome = Outcome.NOT_RUN
 
 
+class UnknownMessage(MalformedMessage):
+    """A message between instances is of a kind that this release lacks."""
+
+    code = "unknown_message"
+
+
 def list_errors() -> list[type[RoadliftError]]:
     """Return every error type, sorted by code."""
     found = [RoadliftError, *RoadliftError.__subclasses__()]
--- a/roadlift/daemon/transport.py
+++ b/roadlift/daemon/transport.py
@@ -11,7 +11,7 @@
 import zmq
 
 from roadlift.core.codec import Envelope, decode, encode
-from roadlift.core.errors import MalformedMessage
+from roadlift.core.errors import MalformedMessage, UnknownMessage
 from roadlift.core.kernel import Kernel, parts
 from roadlift.core.logs import PartLog
 from roadlift.core.traffic import RECEIVED, SENT, Traffic
@@ -22,6 +22,7 @@
 # it is opened anew: a path can go silent for good without a reset.
 HEARTBEAT_PERIOD = 400
 HEARTBEAT_LIMIT = 1200
+MOST_UNKNOWN = 64  # Kinds of messages that are told of as unknown.
 MOST_DRAINED = 500  # Messages taken before other sockets get their turn.
 
 log = PartLog("transport")
@@ -41,6 +42,7 @@
         self._pushes: dict[str, zmq.Socket] = {}
         self._handlers: dict[type, Callable[[str, object], None]] = {}
         self._timer = None
+        self._unknown: set[str] = set()
         self.process = ""
         self.bytes_in = 0
         self.bytes_out = 0
@@ -136,6 +138,9 @@
             self.bytes_in += len(data)
             try:
                 envelope = decode(data)
+            except UnknownMessage as error:
+                self._note_unknown(error.detail)
+                continue
             except MalformedMessage as error:
                 log.warning("A message was dropped: %s.", error)
                 continue
@@ -143,6 +148,12 @@
             self._dispatch(envelope)
         self._kernel.loop.call_later(0, self._drain)
 
+    def _note_unknown(self, tag: str) -> None:
+        """Tell once for each kind that peers of another release send it."""
+        if tag not in self._unknown and len(self._unknown) < MOST_UNKNOWN:
+            self._unknown.add(tag)
+            log.info("Messages of the unknown kind %r are passed over.", tag)
+
     def _dispatch(self, envelope: Envelope) -> None:
         handler = self._handlers.get(type(envelope.message))
         if handler is not None:
--- a/roadlift/instance/knowledge.py
+++ b/roadlift/instance/knowledge.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
+from roadlift.core.codec import read_fields
 from roadlift.core.kernel import Kernel, parts
 from roadlift.daemon.transport import Transport
 from roadlift.decisions.workload import EngineLoad, Workload
@@ -152,7 +153,7 @@
             known = self._follower.directory.get(endpoint)
             if known is None:
                 continue
-            load = EngineLoad(*fields)
+            load = read_fields(EngineLoad, fields)
             own = self.health.count_running(endpoint)
             self._loads[endpoint] = load
             self.workload.note_told(endpoint, known.zone, load, own)
--- a/roadlift/instance/sharing.py
+++ b/roadlift/instance/sharing.py
@@ -6,6 +6,7 @@
 each other their sums. Between zones go sums alone.
 """
 
+from roadlift.core.codec import read_fields
 from roadlift.core.kernel import Kernel, parts
 from roadlift.core.loop import Timer
 from roadlift.daemon.transport import Transport
@@ -108,7 +109,7 @@
         if not self._leases.list_held():
             return
         now = self._kernel.clock.now()
-        uses = [Use(*fields) for fields in message.organisations]
+        uses = [read_fields(Use, fields) for fields in message.organisations]
         fleet.note_member(address, message.process, uses, now)
         self._services.note_member(address, _read_loads(message.services))
         states = [list(one) for one in fleet.describe(address, now)]
@@ -118,7 +119,7 @@
 
     def _take_totals(self, sender: str, message: InstanceTotals) -> None:
         now = self._kernel.clock.now()
-        uses = [Use(*fields) for fields in message.organisations]
+        uses = [read_fields(Use, fields) for fields in message.organisations]
         self._allowances.fleet.note_other(
             message.address, message.process, message.members, uses, now
         )
@@ -127,10 +128,10 @@
     def _take_states(self, sender: str, message: SharedStates) -> None:
         if message.address != self._subscription.source:
             return
-        states = [FleetState(*fields) for fields in message.organisations]
+        states = [read_fields(FleetState, one) for one in message.organisations]
         self._allowances.note_news(states, message.asked_at)
         self._services.note_news(_read_loads(message.services))
 
 
 def _read_loads(fields: list) -> list[ZoneLoad]:
-    return [ZoneLoad(*one) for one in fields]
+    return [read_fields(ZoneLoad, one) for one in fields]
--- /dev/null
+++ b/tests/steps/message_steps.py
@@ -0,0 +1,67 @@
+"""Steps on the messages between instances of different releases."""
+
+from pathlib import Path
+
+import msgpack
+from behave import then
+
+import roadlift.daemon.front  # noqa: F401  Messages register themselves.
+import roadlift.instance.ingress  # noqa: F401
+from roadlift.core.codec import decode, list_messages
+from roadlift.core.errors import MalformedMessage
+
+_FOLDER = Path(__file__).resolve().parent.parent / "core"
+
+
+def _read_release(name):
+    """Return the messages of a release as lists, by tag."""
+    lines = (_FOLDER / name).read_text().splitlines()
+    pairs = (line.split() for line in lines)
+    return {tag: msgpack.unpackb(bytes.fromhex(data)) for tag, data in pairs}
+
+
+def _find_error(data):
+    try:
+        decode(data)
+    except MalformedMessage as error:
+        return error.code
+    return None
+
+
+@then("each message in tests/core/{name} is read, what it lacks by default")
+def step_last_release(context, name):
+    """Read the bytes of the last release."""
+    release = _read_release(name)
+    for tag, kind in list_messages().items():
+        if tag not in release:
+            continue
+        fields = release[tag][2:]
+        message = decode(msgpack.packb(release[tag])).message
+        added = kind._fields[len(fields) :]
+        assert list(message)[: len(fields)] == fields, tag
+        assert all(
+            getattr(message, name) == kind._field_defaults[name] for name in added
+        ), tag
+
+
+@then("each message with two further fields is read as without them")
+def step_later_release(context):
+    """Read what a later release might send."""
+    for tag, fields in _read_release("messages-0.8.txt").items():
+        kind = list_messages()[tag]
+        lacking = [kind._field_defaults[one] for one in kind._fields[len(fields) - 2 :]]
+        whole = [*fields, *lacking]
+        later = decode(msgpack.packb([*whole, "more", [7]]))
+        assert later == decode(msgpack.packb(whole)), tag
+
+
+@then('a message of the kind "{tag}" is {code}')
+def step_unknown(context, tag, code):
+    """Read a message of no known kind."""
+    assert _find_error(msgpack.packb(["p", tag, 1])) == code
+
+
+@then("a message without its fields is {code}")
+def step_broken(context, code):
+    """Read a message that lacks what has no default."""
+    assert _find_error(msgpack.packb(["p", "sa"])) == code
