Give out the sends to endpoints that name a limit

Cause: what an endpoint says of itself in its answers was passed on and read by nobody, and nothing shares what an endpoint takes among instances.

Change: an endpoint's limit is learned of in the heads of answers. The owner of its zone gives the sends out, one by one: an instance that wants to send asks it through its aggregator, a few milliseconds before, and is told from when it may, or that none is free in time. A grant expires; a former owner, and all that hear none, share small parts; what was sent without a grant is taken off; orders and reports count. A limit is lowered by any answer, raised or ended only by an answer to a send that was granted behind its last naming. Owners' limits are told to all with what else is shared. An endpoint in need gets calls only where others have none to spare, its adapters are loaded elsewhere, and what no endpoint can take in time is refused at once, with a time to come back that differs from caller to caller (503, limit_reached). Callers see the header as before.

Why it holds: a send begins at most 0.4 s behind the time it was given out for, and there is one owner with a valid lease; so a window of 4 s has what is given out in 4.4 s, 0.9 of the limit, and the small parts, where one and a half times the limit and five more are allowed.

--- a/roadlift/core/errors.py
+++ b/roadlift/core/errors.py
@@ -185,6 +185,14 @@
     outcome = Outcome.NOT_RUN
 
 
+class LimitReached(RoadliftError):
+    """All endpoints that could run the call get as much as they take."""
+
+    code = "limit_reached"
+    status = 503
+    outcome = Outcome.NOT_RUN
+
+
 class RefusedByEndpoint(RoadliftError):
     """The endpoint refused the request before it ran."""
 
--- a/roadlift/core/events.py
+++ b/roadlift/core/events.py
@@ -159,10 +159,18 @@
     Event("leases", "lease_released", ("zone",), "It was given back."),
     Event(
         "limits",
-        "limit_named",
-        ("endpoint", "service", "limit", "before", "status", "age"),
-        "An endpoint named another limit, in calls a second, than in the answer "
-        "before that came here, or none; age is of the call that it answered.",
+        "limit_changed",
+        ("endpoint", "service", "limit", "before", "heard", "status", "age"),
+        "An endpoint's limit, in calls a second, became known here, changed or ended. "
+        "It was heard in an answer (of that status, to a call sent age seconds "
+        "before), from the owner of its zone, or in news.",
+    ),
+    Event(
+        "limits",
+        "limit_given_out",
+        ("endpoint", "limit", "before", "asker"),
+        "This owner gives the sends to an endpoint out by another limit than before, "
+        "or none, as an instance told.",
     ),
     Event(
         "owner",
--- a/roadlift/decisions/placement.py
+++ b/roadlift/decisions/placement.py
@@ -24,6 +24,10 @@
 RANK_PRICE = 0.02
 
 
+# Seconds that a call, and a load, is dearer at an engine that names a limit:
+# others that have room go first, and get copies of what it holds.
+SPARED_PRICE = 0.1
+SPARED_LOAD_PRICE = 1.0
 # Seconds that an engine's last place is as dear as; of several that are free,
 # each is as much cheaper. A copy takes it for as long as calls run on it.
 PLACE_PRICE = 0.25
@@ -35,7 +39,9 @@
     ``ahead`` are the prompt tokens to be read there before the call's;
     ``places`` how many further adapters can be loaded now, negative where
     others wait; ``source`` where the call's adapter is; ``rank`` the engine's
-    among the adapter's homes; ``queue`` seconds until a further load begins.
+    among the adapter's homes; ``queue`` seconds until a further load begins;
+    ``wait`` until a send is free where it names a limit; one that
+    ``is_spared`` is in need.
     """
 
     endpoint: Endpoint
@@ -45,6 +51,8 @@
     rank: int
     can_load: bool
     queue: float = 0.0
+    wait: float = 0.0
+    is_spared: bool = False
 
 
 class Need(NamedTuple):
@@ -77,7 +85,10 @@
     if engine.source is not Source.HELD and engine.places <= 0:
         delay += waits.estimate_place(now) * (1 - engine.places)
     # The prompts ahead are read while the adapter is loaded.
-    expected = max(delay, pace * engine.ahead) + pace * need.tokens
+    expected = max(delay, engine.wait, pace * engine.ahead) + pace * need.tokens
+    if engine.is_spared:
+        is_held = engine.source is Source.HELD
+        price += SPARED_PRICE if is_held else SPARED_LOAD_PRICE
     if engine.source is not Source.HELD:
         price += PLACE_PRICE / max(1, engine.places)
     if engine.source is Source.STORE:
--- a/roadlift/explanation/story.py
+++ b/roadlift/explanation/story.py
@@ -151,9 +151,25 @@
             f"{fields.get('demand')} a second here, where {fields.get('share')} of its "
             f"allowance was free, by news {fields.get('news_age')} s old"
         ]
+    if code == "limit_reached":
+        return _explain_limits(end)
     return []
 
 
+def _explain_limits(end: Line) -> list[str]:
+    """Tell which endpoints' limits left no room for a call."""
+    steps = end.fields.get("steps", ())
+    limits = {one["endpoint"]: one for one in steps if one["step"] == "limit"}
+    causes = [
+        f"{one['endpoint']} takes {limits[one['endpoint']]['limit']} calls a second, "
+        f"named {limits[one['endpoint']]['named']} s before, and had none free for "
+        f"{one['wait']} s"
+        for one in steps
+        if one["step"] == "full" and one["endpoint"] in limits
+    ]
+    return causes or ["its endpoints name limits, and had none free when it came"]
+
+
 def _explain_store(end: Line, around: list[Line]) -> list[str]:
     lost = [line for line in around if line.name == "store_lost"]
     if not lost or "no_configuration" not in str(end.fields.get("error")):
--- a/roadlift/instance/exchange.py
+++ b/roadlift/instance/exchange.py
@@ -6,6 +6,7 @@
     ConnectionLost,
     EndpointFailed,
     EndpointUnreachable,
+    LimitReached,
     NoEndpoint,
     Outcome,
     RefusedByEndpoint,
@@ -17,6 +18,7 @@
 from roadlift.core.logs import PartLog
 from roadlift.crashes.ends import KNOWN_DELAY
 from roadlift.crashes.ledger import CrashLedger
+from roadlift.decisions.limits import NO_BASIS, Basis
 from roadlift.decisions.loading import Source
 from roadlift.decisions.resending import Sends, find_obstacle
 from roadlift.endpoints.events import EventFrames
@@ -26,7 +28,9 @@
 from roadlift.instance.crashes import CrashWatch
 from roadlift.instance.follower import Follower
 from roadlift.instance.knowledge import OWNER_RETURN, Knowledge
-from roadlift.instance.limits import EndpointLimits
+from roadlift.instance.limits import Answered, EndpointLimits
+from roadlift.instance.permits import Outcome as SendOutcome
+from roadlift.instance.permits import Permits, SendWait
 from roadlift.instance.placing import Placing
 from roadlift.instance.platform import Platform
 from roadlift.instance.progress import Progress
@@ -53,6 +57,10 @@
 # By how much the priority of a call that is late is put back, so that engines
 # read the prompts first of those that can still be served in time.
 LATE_STEP = 4
+# Part of what is left of a call's objective for which it waits for a send at
+# an endpoint that names a limit: the rest is for its run.
+PATIENT_PART = 0.5
+MOST_DENIED = 4  # Endpoints that a call asks for a send at most.
 # Statuses that tell a caller that its call did not run.
 _PROMISES = (408, 421, 429, 503)
 _EVENT_STREAM = "text/event-stream"
@@ -83,6 +91,7 @@
         self._follower = kernel.get(Follower)
         self._crashes = kernel.get(CrashWatch)
         self._limits = kernel.get(EndpointLimits)
+        self._permits = kernel.get(Permits)
         self._ledger = kernel.get(CrashLedger)
         self._format = kernel.get(Platform).adapter.calls
         self._service = route.choose_service(call.id)
@@ -106,6 +115,9 @@
         self._line: Line | None = None
         self._endpoint: Endpoint | None = None
         self._excluded: set[str] = set()
+        self._full: set[str] = set()
+        self._send_wait: SendWait | None = None
+        self._basis = NO_BASIS
         self._is_second_round = False
         self._is_let_in = False
         self._sends = 0
@@ -189,9 +201,9 @@
         """Send a call of a plain service; False: there is no endpoint."""
         if self._is_refused():
             return True
-        endpoint = self._placing.choose(self._service, self._excluded)
+        endpoint = self._placing.choose(self._service, self._excluded | self._full)
         if endpoint is not None:
-            self._send(endpoint)
+            self._reach(endpoint)
         return endpoint is not None
 
     def _try_engine(self) -> bool:
@@ -199,11 +211,12 @@
 
         False means that there is no engine for it.
         """
-        option = self._placing.choose_engine(self._service, self.call, self._excluded)
+        excluded = self._excluded | self._full
+        option = self._placing.choose_engine(self._service, self.call, excluded)
         if option is None:
             return False
         if option.engine.source is Source.HELD:
-            self._send(option.engine.endpoint)
+            self._reach(option.engine.endpoint)
             return True
         obstacle = self._ledger.judge(self._identify_load)
         if obstacle is not None:
@@ -223,6 +236,8 @@
             self._excluded.clear()
             self._kernel.loop.call_later(ROUND_PAUSE, self._try)
             return
+        if self._is_over_limits():
+            return
         if model is None or not model.adapter or not is_servable:
             self._fail(NoEndpoint(f"service {self._service}", COME_BACK))
             return
@@ -233,6 +248,58 @@
         # Nobody may give orders now; the caller is told so at once.
         self._fail(NoEndpoint(f"no owner can load {model}", OWNERLESS_PAUSE))
 
+    def _is_over_limits(self) -> bool:
+        """Refuse a call that endpoints' limits leave no room for.
+
+        Its caller comes back when a send may be free, each a little later than
+        another.
+        """
+        wait = self._placing.measure_limit_wait(self._service, self._full)
+        if wait is None:
+            return False
+        spread = 1.0 + self._ingress.draw()
+        error = LimitReached(f"service {self._service}", max(COME_BACK, wait) * spread)
+        self._fail(error)
+        return True
+
+    def _reach(self, endpoint: Endpoint) -> None:
+        """Send to an endpoint, once its owner agrees where it has a limit."""
+        known = self._limits.find(endpoint.id)
+        if known is None:
+            self._send(endpoint)
+            return
+        if len(self._full) >= MOST_DENIED and self._is_over_limits():
+            return
+        now = self._kernel.clock.now()
+        named = round(now - known.named_at, 3)
+        self._note("limit", endpoint=endpoint.id, limit=known.limit, named=named)
+        outcome = SendOutcome(
+            lambda basis: self._on_granted(endpoint, basis),
+            lambda wait: self._on_denied(endpoint, wait),
+        )
+        left = self._began_at + self.route.objective - now
+        patience = max(0.0, left) * PATIENT_PART
+        waiting = self._permits.ask(endpoint, patience, outcome)
+        if waiting is not None:
+            self._send_wait = waiting
+
+    def _on_granted(self, endpoint: Endpoint, basis: Basis) -> None:
+        """Send, unless what was true when the call asked is so no more."""
+        self._send_wait = None
+        obstacle = self._pass.judge() or self._ledger.judge(self._identify)
+        if obstacle is None and self._placing.holds(endpoint, self.call.model):
+            self._send(endpoint, basis)
+            return
+        self._permits.give_back(endpoint, basis)
+        self._try() if obstacle is None else self._fail(obstacle)
+
+    def _on_denied(self, endpoint: Endpoint, wait: float) -> None:
+        """Go on elsewhere, as an endpoint's limit is used up."""
+        self._send_wait = None
+        self._full.add(endpoint.id)
+        self._note("full", endpoint=endpoint.id, wait=round(wait, 3))
+        self._try()
+
     def _is_refused(self) -> bool:
         """Refuse a call that its full service can't run in time."""
         if self._is_let_in:
@@ -261,8 +328,10 @@
             until = min(until, self._progress.last_at + self.route.patience)
         return until - now
 
-    def _send(self, endpoint: Endpoint) -> None:
+    def _send(self, endpoint: Endpoint, basis: Basis = NO_BASIS) -> None:
         now = self._kernel.clock.now()
+        self._basis = basis
+        self._limits.note_send(endpoint, basis.fence > 0)
         version = None
         if self.call.model is not None and self.call.model.adapter:
             version = self._follower.find_version(self.call.model) or None
@@ -324,6 +393,9 @@
     def _drop_line(self) -> None:
         """Close the send under way; the endpoint cancels its run."""
         self._wait.close()
+        if self._send_wait is not None:
+            self._send_wait.close()
+            self._send_wait = None
         if self._line is not None:
             line, self._line = self._line, None
             line.close()
@@ -388,9 +460,8 @@
     def receive_head(self, status: int, headers: dict[str, str]) -> None:
         """Judge the head, and pass that of a stream on."""
         self._placing.health.note_answer(self._endpoint.id)
-        age = self._kernel.clock.now() - self._sent_at
-        self._limits.note_answer(self._endpoint, status, headers, age)
         self._verdict = self._format.judge(status, headers)
+        self._note_limit(status, headers)
         if self._frames is not None:
             # A resumed stream goes on under the head that the caller has.
             return
@@ -402,6 +473,15 @@
             self._frames = EventFrames()
             self._write_head(None)
 
+    def _note_limit(self, status: int, headers: dict[str, str]) -> None:
+        """Learn what the endpoint names as its limit, and tell its owner."""
+        has_run = self._verdict is Verdict.SUCCEEDED
+        age = self._kernel.clock.now() - self._sent_at
+        answer = Answered(status, headers, has_run, self._basis, age)
+        naming = self._limits.note_answer(self._endpoint, answer)
+        if naming is not None:
+            self._permits.tell(self._endpoint, naming)
+
     def receive_body(self, data: bytes) -> None:
         """Pass whole events on; hold other answers until they are whole."""
         self._events += 1
--- a/roadlift/instance/ingress.py
+++ b/roadlift/instance/ingress.py
@@ -1,5 +1,7 @@
 """Take callers' requests, find their routes, and leave without a cut."""
 
+import random
+
 from roadlift import __version__
 from roadlift.core.errors import (
     Draining,
@@ -25,6 +27,7 @@
 from roadlift.instance.limits import EndpointLimits
 from roadlift.instance.measures import Measures
 from roadlift.instance.owner import Owner
+from roadlift.instance.permits import Permits
 from roadlift.instance.placing import Placing
 from roadlift.instance.platform import Platform
 from roadlift.instance.refusals import RefusalLog
@@ -63,6 +66,7 @@
         EndpointLimits.name,
         "measures",
         Owner.name,
+        Permits.name,
         "placing",
         "platform",
         SharedUse.name,
@@ -71,6 +75,7 @@
     def __init__(self, kernel: Kernel) -> None:
         settings = kernel.settings
         self._kernel = kernel
+        self._rng = random.Random(kernel.stamp)
         self._format = kernel.get(Platform).adapter.calls
         self._follower = kernel.get(Follower)
         self._placing = kernel.get(Placing)
@@ -128,6 +133,10 @@
         self._timer = self._kernel.loop.call_every(DRAIN_TICK, self._tick)
         self._kernel.get(Leases).release()
 
+    def draw(self) -> float:
+        """Return a number from 0 to 1, by which callers' returns differ."""
+        return self._rng.random()
+
     def get_budget(self, service: str) -> WindowBudget:
         """Return the retry budget of a service."""
         budget = self._budgets.get(service)
--- a/roadlift/instance/measures.py
+++ b/roadlift/instance/measures.py
@@ -93,6 +93,31 @@
         "Sends to endpoints that failed, and why the call was not sent again.",
         "`retry budget spent`: an endpoint or all fail; see the ejections.",
     ),
+    Measure(
+        "roadlift_limited_endpoints",
+        "gauge",
+        "endpoints",
+        ("service",),
+        "Endpoints that name a limit of calls, as this instance knows them.",
+        "See `limit_changed`; the endpoints are in need.",
+    ),
+    Measure(
+        "roadlift_endpoint_limits",
+        "gauge",
+        "calls a second",
+        ("service",),
+        "The sum of the limits that endpoints name.",
+        "Below what is asked for: calls are refused as `limit_reached`.",
+    ),
+    Measure(
+        "roadlift_limited_sends",
+        "counter",
+        "sends",
+        ("service", "outcome"),
+        "Sends asked for at such endpoints: granted, denied, expired before they "
+        "began, or, where no owner was heard, unheard and floor, by an own part.",
+        "`unheard`: the way to the owner of the endpoint's zone is cut.",
+    ),
     Measure(
         "roadlift_ejections",
         "counter",
--- a/roadlift/instance/placing.py
+++ b/roadlift/instance/placing.py
@@ -13,6 +13,7 @@
 from roadlift.decisions.urgency import Urgency
 from roadlift.instance.follower import Follower
 from roadlift.instance.knowledge import Knowledge
+from roadlift.instance.limits import EndpointLimits
 from roadlift.instance.serviceloads import ServiceLoads
 from roadlift.instance.subscription import Subscription
 from roadlift.instance.waiting import Waiter, Wish
@@ -47,7 +48,13 @@
     """What this process knows of loaded adapters, and asks for."""
 
     name = "placing"
-    needs = ("follower", "knowledge", "serviceloads", "subscription")
+    needs = (
+        "follower",
+        "knowledge",
+        EndpointLimits.name,
+        "serviceloads",
+        "subscription",
+    )
 
     def __init__(self, kernel: Kernel) -> None:
         self._kernel = kernel
@@ -55,6 +62,7 @@
         self._knowledge = kernel.get(Knowledge)
         self._subscription = kernel.get(Subscription)
         self._services = kernel.get(ServiceLoads)
+        self._limits = kernel.get(EndpointLimits)
         self._rng = random.Random(kernel.stamp)
         self._residency = self._knowledge.residency
         self._homes = Homes()
@@ -89,13 +97,55 @@
     def choose(self, service: str, excluded: set[str]) -> Endpoint | None:
         """Return the endpoint of a plain service for a call, or None."""
         now = self._kernel.clock.now()
-        usable = self._list_usable(service, excluded, now)
+        usable = self._list_unspared(service, excluded, now)
         zone = self._services.spread.choose_zone(service, usable, now)
         if zone is not None:
             usable = [one for one in usable if one.zone == zone] or usable
         home = self._kernel.settings.zone
         return choose_least_loaded(usable, home, self._weigh(usable, now), self._rng)
 
+    def _list_unspared(
+        self, service: str, excluded: set[str], now: float
+    ) -> list[Endpoint]:
+        """Return the endpoints that take a plain call.
+
+        Those in need are left out while others have slots to spare.
+        """
+        usable = self._list_open(service, excluded, now)
+        others = [one for one in usable if not self._limits.is_spared(one.id)]
+        fill = self._services.spread.measure_fill(service, others, now)
+        return others if others and fill < SPARE_FILL else usable
+
+    def _list_open(
+        self, service: str, excluded: set[str], now: float
+    ) -> list[Endpoint]:
+        """Return the usable endpoints whose limit is not used up."""
+        usable = self._list_usable(service, excluded, now)
+        return [one for one in usable if not self._limits.is_full(one.id)]
+
+    def measure_limit_wait(self, service: str, excluded: set[str]) -> float | None:
+        """Return the seconds until a service's limits have a send free.
+
+        None where limits are not why there is no endpoint for a call.
+        """
+        waits = [
+            self._limits.measure_wait(one.id)
+            for one in self._follower.directory.list_ready(service)
+            if self._limits.find(one.id) is not None
+            and (one.id in excluded or self._limits.is_full(one.id))
+        ]
+        return min(waits, default=None)
+
+    def holds(self, endpoint: Endpoint, model: Model | None) -> bool:
+        """Tell whether an endpoint still takes calls for an adapter."""
+        known = self._follower.directory.get(endpoint.id)
+        if known is None or known.is_draining:
+            return False
+        if model is None or not model.adapter:
+            return True
+        least = self._follower.find_version(model)
+        return self._residency.holds(endpoint.id, model, least)
+
     def refuse(self, service: str, objective: float) -> float | None:
         """Return when a call may come back that a full service can't run.
 
@@ -103,13 +153,15 @@
         """
         now = self._kernel.clock.now()
         self._services.find_own(service).note_asked(now)
-        usable = self._list_usable(service, set(), now)
+        usable = self._list_open(service, set(), now)
+        if not usable:
+            return None
         return self._services.spread.refuse(service, usable, objective, now)
 
     def has_spare_room(self, service: str) -> bool:
         """Tell whether a plain service has slots to spare for second tries."""
         now = self._kernel.clock.now()
-        usable = self._list_usable(service, set(), now)
+        usable = self._list_open(service, set(), now)
         fill = self._services.spread.measure_fill(service, usable, now)
         return fill < SPARE_FILL
 
@@ -174,9 +226,11 @@
                 rank,
                 self._knowledge.has_owner(endpoint.zone),
                 self._workload.measure_queue(endpoint.id),
+                self._limits.measure_wait(endpoint.id),
+                self._limits.is_spared(endpoint.id),
             )
             for rank, endpoint in enumerate(ranked)
-            if endpoint.holds(model.base)
+            if endpoint.holds(model.base) and not self._limits.is_full(endpoint.id)
         ]
 
     def _list_candidates(
--- a/roadlift/instance/sharing.py
+++ b/roadlift/instance/sharing.py
@@ -6,18 +6,31 @@
 each other their sums. Between zones go sums alone.
 """
 
+from typing import NamedTuple
+
 from roadlift.core.codec import read_fields
 from roadlift.core.kernel import Kernel, parts
 from roadlift.core.loop import Timer
 from roadlift.daemon.transport import Transport
 from roadlift.instance.allowances import Allowances
 from roadlift.instance.leases import Leases
+from roadlift.instance.limits import EndpointLimits, ToldLimit
+from roadlift.instance.permits import Permits
 from roadlift.instance.serviceloads import ServiceLoads, ZoneLoad
 from roadlift.instance.subscription import Subscription
 from roadlift.organisations.fleet import FleetState, Use
 from roadlift.serving.messages import InstanceTotals, InstanceUse, SharedStates
 
 TELL_PERIOD = 0.25  # Seconds between tellings.
+# Seconds for which limits that another aggregator told stand without news.
+LIMITS_LIFE = 1.2
+
+
+class _ToldLimits(NamedTuple):
+    """The limits that an aggregator told, and when."""
+
+    limits: list[ToldLimit]
+    heard_at: float
 
 
 @parts.register("sharing")
@@ -25,7 +38,15 @@
     """The tellings of what is shared, as an instance or as an aggregator."""
 
     name = "sharing"
-    needs = ("allowances", "leases", "serviceloads", "subscription", "transport")
+    needs = (
+        "allowances",
+        "leases",
+        EndpointLimits.name,
+        Permits.name,
+        "serviceloads",
+        "subscription",
+        "transport",
+    )
 
     def __init__(self, kernel: Kernel) -> None:
         self._kernel = kernel
@@ -35,6 +56,9 @@
         self._subscription = kernel.get(Subscription)
         self._allowances = kernel.get(Allowances)
         self._services = kernel.get(ServiceLoads)
+        self._limits = kernel.get(EndpointLimits)
+        self._permits = kernel.get(Permits)
+        self._others: dict[str, _ToldLimits] = {}
         self._told = ""
         self._timer: Timer | None = None
         self._transport.subscribe((InstanceUse,), self._take_use)
@@ -64,6 +88,7 @@
         states = self._allowances.fleet.describe(self._peer, now)
         self._allowances.note_news(states, now)
         self._services.note_news(self._services.list_all())
+        self._limits.note_news(self._list_limits(now), now)
 
     def _tell_aggregator(self, now: float) -> None:
         address = self._subscription.source
@@ -95,9 +120,21 @@
             fleet.count_members(),
             [list(use) for use in fleet.list_totals()],
             [list(load) for load in self._services.list_sums()],
+            [list(limit) for limit in self._permits.list_limits()],
         )
         self._transport.send_all(others - {""}, totals)
 
+    def _list_limits(self, now: float) -> list[ToldLimit]:
+        """Return the limits of all zones' endpoints."""
+        found = self._permits.list_limits()
+        for address, told in list(self._others.items()):
+            if now - told.heard_at > LIMITS_LIFE:
+                del self._others[address]
+                continue
+            age = now - told.heard_at
+            found += [one._replace(age=round(one.age + age, 3)) for one in told.limits]
+        return found
+
     # What is heard.
 
     def _take_use(self, sender: str, message: InstanceUse) -> None:
@@ -114,7 +151,8 @@
         self._services.note_member(address, _read_loads(message.services))
         states = [list(one) for one in fleet.describe(address, now)]
         services = [list(load) for load in self._services.list_all()]
-        answer = SharedStates(self._peer, states, services, message.at)
+        limits = [list(limit) for limit in self._list_limits(now)]
+        answer = SharedStates(self._peer, states, services, message.at, limits)
         self._transport.send(address, answer)
 
     def _take_totals(self, sender: str, message: InstanceTotals) -> None:
@@ -124,6 +162,7 @@
             message.address, message.process, message.members, uses, now
         )
         self._services.note_other(message.address, _read_loads(message.services))
+        self._others[message.address] = _ToldLimits(_read_limits(message.limits), now)
 
     def _take_states(self, sender: str, message: SharedStates) -> None:
         if message.address != self._subscription.source:
@@ -131,6 +170,12 @@
         states = [read_fields(FleetState, one) for one in message.organisations]
         self._allowances.note_news(states, message.asked_at)
         self._services.note_news(_read_loads(message.services))
+        if message.limits is not None:
+            self._limits.note_news(_read_limits(message.limits), message.asked_at)
+
+
+def _read_limits(fields: list) -> list[ToldLimit]:
+    return [read_fields(ToldLimit, one) for one in fields]
 
 
 def _read_loads(fields: list) -> list[ZoneLoad]:
--- a/roadlift/instance/sourcestream.py
+++ b/roadlift/instance/sourcestream.py
@@ -3,6 +3,7 @@
 import zlib
 from collections.abc import Callable
 
+from roadlift.core.codec import read_fields
 from roadlift.core.kernel import Kernel
 from roadlift.core.logs import PartLog
 from roadlift.core.loop import Timer
@@ -202,7 +203,7 @@
         if not self._is_open:
             return
         for fields in reply.owners:
-            self._knowledge.note_sign(OwnerSign(*fields))
+            self._knowledge.note_sign(read_fields(OwnerSign, fields))
         address = reply.address
         age = reply.list_age
         if reply.asked_at:
--- a/roadlift/serving/directory.py
+++ b/roadlift/serving/directory.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable, Mapping
 from typing import NamedTuple
 
+from roadlift.core.codec import read_fields
 from roadlift.relay.upstream import Address
 from roadlift.serving.messages import ListNews
 
@@ -58,7 +59,7 @@
 
 def decode_endpoint(fields: list) -> Endpoint:
     """Read what encode_endpoint made."""
-    endpoint = Endpoint(*fields)
+    endpoint = read_fields(Endpoint, fields)
     models = tuple(HeldModel(*model) for model in endpoint.models)
     return endpoint._replace(address=Address(*endpoint.address), models=models)
 
--- a/roadlift/serving/messages.py
+++ b/roadlift/serving/messages.py
@@ -316,11 +316,56 @@
     is_leaving: bool
 
 
+@message("il")
+class SendAsk(NamedTuple):
+    """Ask the owner of a zone for a send to an endpoint that names a limit.
+
+    The process at ``address`` goes by ``limit`` calls a second, or None; with
+    ``is_named`` that is what an answer named to a send on ``basis``, else the
+    owner told it on that. ``patience`` is in seconds, below 0 where no send is
+    asked for; ``spent`` counts sends without a grant. ``via`` is the
+    aggregator that passes the ask on, and the answer back.
+    """
+
+    address: str
+    via: str
+    process: str
+    zone: str
+    endpoint: str
+    number: int
+    patience: float
+    limit: float | None
+    is_named: bool
+    basis: list
+    spent: int
+
+
+@message("ig")
+class SendGrant(NamedTuple):
+    """Answer an ask: from when a send may begin, or that none is free.
+
+    ``number`` and ``patience`` are the ask's, ``limit`` and ``basis`` the
+    owner's; the endpoint named it last ``age`` seconds ago. ``delay`` is in
+    seconds, until the send or until one is free.
+    """
+
+    address: str
+    endpoint: str
+    number: int
+    patience: float
+    limit: float | None
+    basis: list
+    age: float
+    is_given: bool
+    delay: float
+
+
 @message("it")
 class InstanceTotals(NamedTuple):
     """Tell another aggregator what all instances that tell this one use.
 
-    ``members`` counts them; the lists are as in InstanceUse.
+    ``members`` counts them; the lists are as in InstanceUse, and ``limits``
+    the fields of ToldLimits of the sender's zones.
     """
 
     address: str
@@ -328,6 +373,7 @@
     members: int
     organisations: list
     services: list
+    limits: list = []
 
 
 @message("is")
@@ -335,10 +381,12 @@
     """Tell an instance how what all share stands.
 
     ``organisations`` are the fields of FleetStates; ``services`` are as in
-    InstanceUse, of all instances.
+    InstanceUse, of all instances; ``limits`` are the fields of ToldLimits of
+    all zones, or None where they are not told.
     """
 
     address: str
     organisations: list
     services: list
     asked_at: float
+    limits: list | None = None
--- a/tests/explanation/explanation.feature
+++ b/tests/explanation/explanation.feature
@@ -41,6 +41,11 @@
       | 10 a call_refused request=r1 error=over_allowance organisation=red share=0.02 demand=900 news_age=0.2 | refused | organisation red asked for 900.0 a second here, where 0.02 of its allowance was free, by news 0.2 s old |
       | 10 a call_refused request=r1 error=no_route | refused | nothing else was logged that bears on it |
 
+    Examples: Calls that the limits of endpoints left no room for
+      | lines | outcome | cause |
+      | 10.5 a call_ended request=r1 outcome=refused error=limit_reached:_service_llm seconds=1 \| limit@0 endpoint=e1 limit=4.3 named=0.2, full@0.1 endpoint=e1 wait=0.9 | refused | e1 takes 4.3 calls a second, named 0.2 s before, and had none free for 0.9 s |
+      | 10.5 a call_ended request=r1 outcome=refused error=limit_reached:_service_llm seconds=1 | refused | its endpoints name limits, and had none free when it came |
+
   Scenario: The story holds the request's own lines and what bears on them, in order
     Given the log lines
       """
