--- a/specification/explore.py
+++ b/specification/explore.py
@@ -14,7 +14,7 @@
 from minicheck import Protocol, check_safety
 
 from roadlift.management.output import print_table
-from specification import bundles, claims, freshness, lease, ownership
+from specification import bundles, claims, freshness, lease, limits, ownership
 from specification.ownership import Limits, Ownership
 
 MOST_STATES = 600_000
@@ -70,12 +70,16 @@
             return bundles.Bundles(without=self.without).make_protocol()
         if self.specification == "freshness":
             return freshness.Freshness(without=self.without).make_protocol()
+        if self.specification == "sends":
+            return limits.Sends(without=self.without).make_protocol()
+        if self.specification == "namings":
+            return limits.Namings(without=self.without).make_protocol()
         if self.without:
-            fences, limits = OWNERSHIP_LOSSES[self.without]
+            fences, bounds = OWNERSHIP_LOSSES[self.without]
         else:
             kind, _, name = self.variant.partition(" ")
-            fences, limits = kind == "fencing", OWNERSHIP_LIMITS[name]
-        return Ownership(fences, limits, self.without).make_protocol()
+            fences, bounds = kind == "fencing", OWNERSHIP_LIMITS[name]
+        return Ownership(fences, bounds, self.without).make_protocol()
 
 
 class Result(NamedTuple):
@@ -99,6 +103,8 @@
     jobs += [Job("claims", "", rule) for rule in ("", *claims.RULES)]
     jobs += [Job("bundles", "", rule) for rule in ("", *bundles.RULES)]
     jobs += [Job("freshness", "", rule) for rule in ("", *freshness.RULES)]
+    jobs += [Job("sends", "", rule) for rule in ("", *limits.SEND_RULES)]
+    jobs += [Job("namings", "", rule) for rule in ("", *limits.NAMING_RULES)]
     return jobs
 
 
