--- a/roadlift/decisions/limits.py
+++ b/roadlift/decisions/limits.py
@@ -21,7 +21,7 @@
 # Part of a limit that an owner with a valid lease gives out, that one without
 # gives out, and that all share who hear no owner. Together with what a grant's
 # life adds they stay below one and a half times the limit.
-GIVEN_PART = 0.9
+GIVEN_PART = 1.0
 UNSURE_PART = 0.25
 FLOOR_PART = 0.05
 GRANT_LIFE = 0.4  # Seconds for which a send may be begun.
