--- a/benchmarks/routes.py
+++ b/benchmarks/routes.py
@@ -3,10 +3,10 @@
 Seeded and bounded. Callers keep their connections open and send calls all the
 while, as instances are killed, stopped, frozen, told to leave and cut from the
 store, the store falls silent or loses answers, engines start again under their
-names, play faults and end under calls, and the operator adds routes and names
-versions; faults overlap. What callers were told is compared with what the
-runners noted. Prints JSON, and fails where a count of violations is above
-zero.
+names, play faults, name limits and end under calls, and the operator adds
+routes and names versions; faults overlap. What callers were told is compared
+with what the runners noted. Prints JSON, and fails where a count of violations
+is above zero.
 """
 
 import argparse
@@ -36,6 +36,8 @@
 MOST_DEADLY = 3  # Runs of it behind that at most, as of engines under it.
 DEADLY_SPAN = 12.0  # Seconds for which such a call comes again.
 DEADLY_GAP = (0.2, 0.8)  # Seconds until it does, at least and at most.
+LIMITS = (1.0, 12.0)  # Calls a second that a runner names, at least and at most.
+LIMIT_SPAN = (4.0, 12.0)  # Seconds for which it does.
 MOST_CUT = 5.0  # Seconds for which an instance is cut from the store.
 MOST_FROZEN = 10.0  # Seconds that an instance stands still: beyond its lease.
 FAULT_GAP = (0.2, 1.5)  # Seconds between two faults, at least and at most.
@@ -53,6 +55,7 @@
     "late_route",
     "route_reverted",
     "deadly_again",
+    "over_limit",
     "own_end",
     "no_recovery",
 )
@@ -201,6 +204,7 @@
             (self._add_route, 3),
             (self._name_version, 3),
             (self._send_deadly, 3),
+            (self._name_limit, 3),
         )
         tasks = []
         calls, weights = zip(*faults, strict=True)
@@ -316,6 +320,18 @@
     async def _name_version(self) -> None:
         await self._command(version=f"x{self._draw.randrange(_HOT)}")
 
+    async def _name_limit(self) -> None:
+        """Let a runner, or all of a kind, name a limit for a while."""
+        kind = self._draw.choice("ep")
+        count = self._draw.choice((1, 3))
+        limit = f"{self._draw.uniform(*LIMITS):.1f}"
+        runners = [f"{kind}{number}0" for number in range(count)]
+        for runner in runners:
+            await self._command(runner=runner, limit=limit)
+        await asyncio.sleep(self._draw.uniform(*LIMIT_SPAN))
+        for runner in runners:
+            await self._command(runner=runner, limit=None)
+
     async def _send_deadly(self) -> None:
         """Send a call that ends engines, again and again, for a while."""
         number = self.counts["send_deadly"]
@@ -426,6 +442,9 @@
             self._check_deadly(runs)
         for run in found["runs"]:
             self._check_version(run["id"], run["old_for"])
+        for at, runner, calls, allowed, since, late in found["excess"]:
+            told = f"{runner} {calls} of {allowed:.0f} at {at:.1f}"
+            self.note("over_limit", f"{told}, {late} of them in {since:.1f} s")
         for name in found["overfull"]:
             self.note("overfull_engine", name)
         for name, orders in found["orders"].items():
--- a/standins/broken.py
+++ b/standins/broken.py
@@ -13,6 +13,7 @@
 from roadlift.instance.exchange import Exchange
 from roadlift.instance.follower import Follower
 from roadlift.instance.ingress import Ingress
+from roadlift.instance.limits import EndpointLimits
 from roadlift.serving.engine import EngineBook
 from roadlift.serving.lease import Lease
 
@@ -93,6 +94,11 @@
     CrashLedger.judge = lambda self, identify: None
 
 
+def _ignore_limits() -> None:
+    """Send to endpoints whatever they name as their limits."""
+    EndpointLimits.note_answer = lambda self, endpoint, answer: None
+
+
 def _pass_bytes_on() -> None:
     """Pass a stream's bytes on, also parts of events."""
     EventFrames.take_whole = lambda self, data: data
@@ -109,6 +115,7 @@
     "configurations": _ignore_configurations,
     "whole_events": _pass_bytes_on,
     "crashes": _forget_ends,
+    "limits": _ignore_limits,
 }
 
 
--- a/standins/installation.py
+++ b/standins/installation.py
@@ -365,6 +365,8 @@
 
     def restart(self) -> None:
         """Start again under the same name, with nothing of before."""
+        if self.named is not None:
+            self.name_limit(None)
         self.born += 1000 if self.born else 1_700_000_000_000
         self.held.clear()
         self.arriving.clear()
--- a/standins/limits.py
+++ b/standins/limits.py
@@ -11,12 +11,17 @@
 
 
 class Excess(NamedTuple):
-    """A window that ends at ``at`` with more calls than are allowed."""
+    """A window that ends at ``at`` with more calls than are allowed.
+
+    ``late`` of them came since the limit was named, ``since`` seconds ago.
+    """
 
     at: float
     runner: str
     calls: int
     allowed: float
+    since: float
+    late: int
 
 
 class _Naming(NamedTuple):
@@ -49,11 +54,15 @@
         found = []
         for runner in self._namings:
             for at in self._calls.get(runner, ()):
-                limit = self._find_limit(runner, at)
+                binding = self._find_binding(runner, at)
+                if binding is None:
+                    continue
+                first, limit = binding
                 calls = self.count_calls(runner, at - WINDOW, at)
-                allowed = (limit or 0.0) * WINDOW * FACTOR + SLACK
-                if limit is not None and calls > allowed:
-                    found.append(Excess(at, runner, calls, allowed))
+                allowed = limit * WINDOW * FACTOR + SLACK
+                late = self.count_calls(runner, max(first, at - WINDOW), at)
+                excess = Excess(at, runner, calls, allowed, at - first, late)
+                found += [excess] if calls > allowed else []
         return found
 
     def count_calls(self, runner: str, since: float, until: float) -> int:
@@ -61,10 +70,11 @@
         calls = self._calls.get(runner, [])
         return bisect_right(calls, until) - bisect_right(calls, since)
 
-    def _find_limit(self, runner: str, at: float) -> float | None:
+    def _find_binding(self, runner: str, at: float) -> _Naming | None:
         """Return the limit that binds in the window up to a time, or None.
 
-        Where it changed meanwhile, that is the largest.
+        It is as of when one was named first; where it changed meanwhile, that
+        is the largest.
         """
         first = None
         limits: list[_Naming] = []
@@ -80,4 +90,5 @@
             return None
         ends = [*(one.at for one in limits[1:]), at]
         within = zip(limits, ends, strict=True)
-        return max(one.limit for one, end in within if end >= at - WINDOW)
+        largest = max(one.limit for one, end in within if end >= at - WINDOW)
+        return _Naming(first, largest)
--- a/standins/loopback.py
+++ b/standins/loopback.py
@@ -193,6 +193,8 @@
             self.installation.deadly.add(command["deadly"].encode())
         if "restart" in command:
             self._restart(command["restart"])
+        if "limit" in command:
+            self._name_limit(command["runner"], command["limit"])
         if "fault" in command:
             self._spoil(command["runner"], command["fault"])
 
@@ -207,6 +209,11 @@
         if runner is not None:
             runner.faults.append(_FAULTS.get(fault, fault))
 
+    def _name_limit(self, name: str, limit: str | None) -> None:
+        runner = self._find_runner(name)
+        if runner is not None:
+            runner.name_limit(limit)
+
     def _name_version(self, adapter: str) -> None:
         version = self._named.get(adapter, (1, 0.0))[0] + 1
         self._named[adapter] = (version, self.installation.clock.now())
@@ -228,6 +235,7 @@
                 ]
                 for one in runners
             },
+            "excess": [list(one) for one in self.installation.limits.list_excess()],
             "overfull": [one.id for one in runners if one.crashed],
             "store_calls": self.installation.store.calls,
         }
