--- a/roadlift/decisions/crashes.py
+++ b/roadlift/decisions/crashes.py
@@ -17,9 +17,9 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
-# Weights of a sign. Of 68 calls that ends of engines cut short, the 11 that
-# were their cause had the head of an answer and no event, of the 57 others 55
-# had events. A call that was only sent, or had events, may be the cause too.
+# Weights of a sign: a call that ends its engine has the head of an answer and
+# no event, most others have events. A call that was only sent, or had events,
+# may be the cause too.
 STRONG = 3
 WEAK = 2
 # Weight of all signs from which on a call is refused: two strong ones or three
--- a/roadlift/decisions/denials.py
+++ b/roadlift/decisions/denials.py
@@ -2,8 +2,7 @@
 
 Load pattern: more loads are asked for than engines bring, all the time. Each
 call's asking begins anew, so that an adapter whose calls are few may be denied
-with each of them while others are loaded again and again: 3 of 200 adapters
-called each four seconds were not served in 20.
+with each of them while others are loaded again and again.
 """
 
 from collections import OrderedDict
--- a/roadlift/decisions/loading.py
+++ b/roadlift/decisions/loading.py
@@ -12,8 +12,8 @@
 MOST_SAMPLE = 2.0  # Seconds of one wait that count at most.
 # Seconds in which an estimate loses half its distance to the first guess
 # while nothing is learned. A call whose load is predicted to come too late is
-# refused, and teaches nothing: behind a time of slow loads, 13 of 150 calls
-# were refused for good without it.
+# refused, and teaches nothing: behind a time of slow loads, calls would be
+# refused for good.
 HALF_LIFE = 5.0
 
 
--- a/roadlift/decisions/sources.py
+++ b/roadlift/decisions/sources.py
@@ -2,11 +2,10 @@
 
 Load pattern: hundreds of instances, and a few owners that each tell all that
 changes at their engines. Were each instance told by each owner, the messages
-would grow with their product: some 17,500 a second at 195 instances and 5
-zones, by arithmetic. So an instance hears one aggregator, of its own zone
-while that lives and reads the store. Another is asked now and then whether it
-lives, so that its place is taken within some tenths of a second; the others
-are spread by each instance's own order of preference.
+would grow with their product. So an instance hears one aggregator, of its own
+zone while that lives and reads the store. Another is asked now and then
+whether it lives, so that its place is taken within some tenths of a second;
+the others are spread by each instance's own order of preference.
 """
 
 from collections.abc import Mapping, Sequence
--- a/roadlift/decisions/spread.py
+++ b/roadlift/decisions/spread.py
@@ -14,11 +14,6 @@
 served is late: half of it at 1.2 times what can run. What is let in is then
 bounded by what was served of late, less what is queued too much already; the
 rest is refused at once, as not run.
-
-Of calls at 0.9, 1.2 and 3 times what can run, 0.961, 0.543 and 0.185 are
-served in time where each instance goes by its own calls alone, 0.995, 0.543
-and 0.196 where they are spread, and 0.991, 0.753 and 0.282 where those too
-many are turned away as well (74 instances, 4 endpoints, benchmarks/services).
 """
 
 import random
@@ -36,8 +31,7 @@
 KEPT_PART = 0.6
 # Part of a call's objective that the calls before it may take, waiting and
 # running, by how many are under way and served a second; the rest is for what
-# differs between endpoints and calls. Of calls at 1.0 and 1.2 times what can
-# run, 0.963 and 0.749 are in time with 0.6, 0.934 and 0.757 with 0.44.
+# differs between endpoints and calls.
 FULL_PART = 0.6
 # Calls under way for each slot up to which a call that failed is sent again:
 # beyond that, a second try takes the slot of a first one.
--- a/roadlift/instance/aggregator.py
+++ b/roadlift/instance/aggregator.py
@@ -3,8 +3,7 @@
 An instance that owns a zone serves the instances of the zone as an aggregator,
 and those of others whose own is away. It tells the owners of its subscribers'
 calls as of its own, so that an owner hears a few aggregators, not hundreds of
-instances. At 195 instances and 5 zones all owners together send 3,200 messages
-a second, counted over a calm day; by arithmetic it would be some 17,500.
+instances.
 """
 
 import zlib
--- a/roadlift/instance/follower.py
+++ b/roadlift/instance/follower.py
@@ -41,7 +41,7 @@
 # it on. Behind them an instance reads the table itself.
 OPERATOR_GRACE = 0.6
 # Subscribers of one aggregator that read the store, as far as possible, while
-# it can't. All of 39 would be some 110 calls a second, by arithmetic.
+# it can't: more would take up what the store bears.
 MOST_READERS = 4
 # Seconds between the reads of one that reaches the store, at most. The store
 # may turn just the aggregators away: lists of their 24 subscribers were then
@@ -92,7 +92,7 @@
         self._version: int | None = None
         # Whether the last read was answered. A read that waits on a dead
         # connection is noticed late, so the first one behind a failure or an
-        # outage does not wait: 0.9 s in place of 3.7 s a dead connection.
+        # outage does not wait.
         self._is_sound = True
         self.is_resting = False
         self.asked_at = float("-inf")
--- a/roadlift/instance/placing.py
+++ b/roadlift/instance/placing.py
@@ -437,8 +437,7 @@
 
         The load takes as long at least. Were only those learned from that
         come in time, a prediction that is too short would stay so, and each
-        call behind it be refused: 3 of 150 were served in place of 147, where
-        loads took four times the first guess.
+        call behind it be refused.
         """
         wish = self._wishes.get((waiter.service, waiter.model))
         if wish is not None:
--- a/roadlift/organisations/shares.py
+++ b/roadlift/organisations/shares.py
@@ -13,9 +13,8 @@
 their part of the allowance; and an instance that hears nobody keeps to the
 part that it had last. One that never heard has a small credit and no more.
 
-With equal parts, the other way that was built, a fifth of what one bucket for
-the whole fleet lets in is let in, with these all of it, and 0.9 where zones
-are cut (74 instances, five seeds, benchmarks/allowances).
+Equal parts would serve those of an organisation's callers alone who are spread
+evenly.
 """
 
 from typing import NamedTuple
--- a/roadlift/organisations/sharing.py
+++ b/roadlift/organisations/sharing.py
@@ -1,7 +1,7 @@
 """Two ways to share an organisation's allowance out among instances.
 
 ``EvenSharing`` needs the number of instances alone; ``DemandSharing`` goes by
-what aggregators add up. benchmarks/allowances.py compares them.
+what aggregators add up.
 """
 
 from collections.abc import Callable, Iterable
--- a/roadlift/serving/engine.py
+++ b/roadlift/serving/engine.py
@@ -217,8 +217,7 @@
     def want(self, model: Model, least: int, urgency: Urgency, now: float) -> bool:
         """Ask for an adapter; False means that it won't be loaded in time.
 
-        An engine that loads for callers who have left serves nobody: without
-        this 7 of 50 calls a second were served where loads are 48 a second.
+        An engine that loads for callers who have left serves nobody.
         """
         known = self._wanted.get(model)
         since = self._denials.find_since(model, now)
--- a/roadlift/serving/health.py
+++ b/roadlift/serving/health.py
@@ -5,8 +5,7 @@
 
 FAILURES = 3  # Failures in a row at which an endpoint is ejected.
 # Part of the calls whose failure ejects an endpoint as well, once as many as
-# LEAST_CALLS are remembered. Sound endpoints were seen to fail up to 14 of 100
-# calls of one kind, those that fail partly 30 and more.
+# LEAST_CALLS are remembered. Sound endpoints fail some calls of one kind too.
 FAILED_PART = 0.3
 LEAST_CALLS = 6.0
 HALF_LIFE = 2.0  # Seconds in which a remembered call loses half its weight.
--- a/roadlift/serving/lease.py
+++ b/roadlift/serving/lease.py
@@ -253,9 +253,8 @@
     def note_alive(self) -> None:
         """Learn that the holder gives signs, so that its row here may be old.
 
-        Its age would else be taken for the holder's end: 0.5 calls to the
-        store a second and instance were attempts to take leases of holders
-        that lived, and reads behind them, counted over 20 s at 79 instances.
+        Its age would else be taken for the holder's end, and leases of
+        holders that live be tried for, each time with calls to the store.
         """
         if not self.is_held and not self._in_flight:
             self.is_read = False
--- a/roadlift/serving/newslog.py
+++ b/roadlift/serving/newslog.py
@@ -39,8 +39,7 @@
 
     Of an adapter only the last change counts, unless all of its engine were
     taken back between. The names of an engine and a base model stand once for
-    all their adapters: 9 bytes a change in place of 32, on links of which a
-    busy owner's news took 540 KB a second of 730.
+    all their adapters, as the news of a busy owner fill its link.
     """
     packed: dict[tuple[str, str], dict[str, int]] = {}
     for change in changes:
--- a/roadlift/serving/selection.py
+++ b/roadlift/serving/selection.py
@@ -23,8 +23,7 @@
     """Return the endpoint with most room, the own zone's before others.
 
     Those that are alike are drawn, by their slots: an instance without calls
-    of its own would else choose as all such instances do, and 28 of 32 second
-    tries went to the endpoint of four that had the lowest name.
+    of its own would else choose as all such instances do.
     """
 
     def measure(endpoint: Endpoint) -> tuple[float, float, float]:
