--- a/tests/benchmarks/soak.feature
+++ b/tests/benchmarks/soak.feature
@@ -17,6 +17,16 @@
       | r1, r2  | 0          | 2       |
       | r3      | 2          | 0       |
 
+  Scenario Outline: A runner with a limit gets <calls> calls, <late> behind its naming
+    Given a soak in which a runner that may get 18 calls gets <calls>, <late> of them late
+    Then <violations> runners got more than their limit
+
+    Examples: A runner got 15 calls in the 0.6 seconds before it named 2.2 a second
+      | calls | late | violations |
+      | 22    | 7    | 0          |
+      | 22    | 18   | 0          |
+      | 22    | 19   | 1          |
+
   Scenario Outline: A deadly call that runs <runs>
     Given a soak in which a deadly call ran at "<runs>" seconds
     Then <violations> deadly calls ran again
--- a/tests/steps/soak_steps.py
+++ b/tests/steps/soak_steps.py
@@ -30,6 +30,22 @@
     assert found == (violations, excused), found
 
 
+@given(
+    "a soak in which a runner that may get {allowed:d} calls gets {calls:d}, {late:d}"
+    " of them late"
+)
+def step_limit(context, allowed, calls, late):
+    """Check what a runner says that it got."""
+    context.soak = Soak(None, 1)
+    context.soak._check_limits([[5.0, "p0", calls, allowed, 3.4, late]])
+
+
+@then("{violations:d} runners got more than their limit")
+def step_over_limit(context, violations):
+    """Look at the count."""
+    assert context.soak.violations["over_limit"] == violations
+
+
 @given('a soak in which a deadly call ran at "{runs}" seconds')
 def step_deadly(context, runs):
     """Note runs, the last of them at an instance that was disturbed."""
