--- a/roadlift/instance/sharing.py
+++ b/roadlift/instance/sharing.py
@@ -19,7 +19,12 @@
 from roadlift.instance.serviceloads import ServiceLoads, ZoneLoad
 from roadlift.instance.subscription import Subscription
 from roadlift.organisations.fleet import FleetState, Use
-from roadlift.serving.messages import InstanceTotals, InstanceUse, SharedStates
+from roadlift.serving.messages import (
+    InstanceTotals,
+    InstanceUse,
+    LimitNews,
+    SharedStates,
+)
 
 TELL_PERIOD = 0.25  # Seconds between tellings.
 # Seconds for which limits that another aggregator told stand without news.
@@ -64,6 +69,7 @@
         self._transport.subscribe((InstanceUse,), self._take_use)
         self._transport.subscribe((InstanceTotals,), self._take_totals)
         self._transport.subscribe((SharedStates,), self._take_states)
+        self._transport.subscribe((LimitNews,), self._take_limits)
 
     def start(self) -> None:
         """Begin to tell."""
@@ -120,9 +126,12 @@
             fleet.count_members(),
             [list(use) for use in fleet.list_totals()],
             [list(load) for load in self._services.list_sums()],
-            [list(limit) for limit in self._permits.list_limits()],
         )
         self._transport.send_all(others - {""}, totals)
+        limits = [list(limit) for limit in self._permits.list_limits()]
+        if limits:
+            news = LimitNews(self._peer, True, limits, 0.0)
+            self._transport.send_all(others - {""}, news)
 
     def _list_limits(self, now: float) -> list[ToldLimit]:
         """Return the limits of all zones' endpoints."""
@@ -151,9 +160,12 @@
         self._services.note_member(address, _read_loads(message.services))
         states = [list(one) for one in fleet.describe(address, now)]
         services = [list(load) for load in self._services.list_all()]
-        limits = [list(limit) for limit in self._list_limits(now)]
-        answer = SharedStates(self._peer, states, services, message.at, limits)
+        answer = SharedStates(self._peer, states, services, message.at)
         self._transport.send(address, answer)
+        limits = [list(limit) for limit in self._list_limits(now)]
+        if limits:
+            news = LimitNews(self._peer, False, limits, message.at)
+            self._transport.send(address, news)
 
     def _take_totals(self, sender: str, message: InstanceTotals) -> None:
         now = self._kernel.clock.now()
@@ -162,7 +174,6 @@
             message.address, message.process, message.members, uses, now
         )
         self._services.note_other(message.address, _read_loads(message.services))
-        self._others[message.address] = _ToldLimits(_read_limits(message.limits), now)
 
     def _take_states(self, sender: str, message: SharedStates) -> None:
         if message.address != self._subscription.source:
@@ -170,12 +181,14 @@
         states = [read_fields(FleetState, one) for one in message.organisations]
         self._allowances.note_news(states, message.asked_at)
         self._services.note_news(_read_loads(message.services))
-        if message.limits is not None:
-            self._limits.note_news(_read_limits(message.limits), message.asked_at)
-
 
-def _read_limits(fields: list) -> list[ToldLimit]:
-    return [read_fields(ToldLimit, one) for one in fields]
+    def _take_limits(self, sender: str, message: LimitNews) -> None:
+        limits = [read_fields(ToldLimit, one) for one in message.limits]
+        if message.is_own:
+            now = self._kernel.clock.now()
+            self._others[message.address] = _ToldLimits(limits, now)
+        elif message.address == self._subscription.source:
+            self._limits.note_news(limits, message.asked_at)
 
 
 def _read_loads(fields: list) -> list[ZoneLoad]:
--- a/roadlift/serving/messages.py
+++ b/roadlift/serving/messages.py
@@ -364,8 +364,7 @@
 class InstanceTotals(NamedTuple):
     """Tell another aggregator what all instances that tell this one use.
 
-    ``members`` counts them; the lists are as in InstanceUse, and ``limits``
-    the fields of ToldLimits of the sender's zones.
+    ``members`` counts them; the lists are as in InstanceUse.
     """
 
     address: str
@@ -373,7 +372,6 @@
     members: int
     organisations: list
     services: list
-    limits: list = []
 
 
 @message("is")
@@ -381,12 +379,25 @@
     """Tell an instance how what all share stands.
 
     ``organisations`` are the fields of FleetStates; ``services`` are as in
-    InstanceUse, of all instances; ``limits`` are the fields of ToldLimits of
-    all zones, or None where they are not told.
+    InstanceUse, of all instances.
     """
 
     address: str
     organisations: list
     services: list
     asked_at: float
-    limits: list | None = None
+
+
+@message("in")
+class LimitNews(NamedTuple):
+    """Tell which endpoints name limits, as the fields of ToldLimits.
+
+    With ``is_own`` they are of the zones of the aggregator at ``address``,
+    told to another; else of all zones, told to an instance that asked at its
+    time ``asked_at``.
+    """
+
+    address: str
+    is_own: bool
+    limits: list
+    asked_at: float
--- a/tests/core/messages.feature
+++ b/tests/core/messages.feature
@@ -7,6 +7,9 @@
   Scenario: Every message of the last release is read
     Then each message in tests/core/messages-0.8.txt is read, what it lacks by default
 
+  Scenario: The last release reads what is sent to it
+    Then each message in tests/core/messages-0.8.txt has as many fields as it had
+
   Scenario: Fields that a later release adds are passed over
     Then each message with two further fields is read as without them
 
--- a/tests/steps/message_steps.py
+++ b/tests/steps/message_steps.py
@@ -44,6 +44,14 @@
         ), tag
 
 
+@then("each message in tests/core/{name} has as many fields as it had")
+def step_same_fields(context, name):
+    """Look at the fields: the last release takes neither more nor fewer."""
+    kinds = list_messages()
+    for tag, content in _read_release(name).items():
+        assert len(kinds[tag]._fields) == len(content) - 2, tag
+
+
 @then("each message with two further fields is read as without them")
 def step_later_release(context):
     """Read what a later release might send."""
