Take off what was sent before a limit each time that one begins

What endpoints would see: where a limit came, ended and came back, the calls of the second before were taken off the first time alone, as instances count their sends anew with each limit and the owner went by the greatest count.

--- a/roadlift/decisions/limits.py
+++ b/roadlift/decisions/limits.py
@@ -146,7 +146,8 @@
 
     def learn(self, claim: Claim, now: float) -> bool:
         """Take what an instance tells; tell whether the limit changed."""
-        is_new = self._record.limit is None and self._ended_at is None
+        before = self._record.limit
+        is_new = before is None and self._ended_at is None
         has_changed = False
         if claim.is_named:
             has_changed = self._record.learn(claim.limit, claim.basis)
@@ -157,6 +158,9 @@
             has_changed = self._record.learn(claim.limit, NO_BASIS)
         if has_changed:
             self._pace(now)
+        if has_changed and before is None:
+            # Instances count their sends anew each time that a limit begins.
+            self._spent.clear()
         self._charge_spent(claim, now)
         return has_changed
 
--- a/roadlift/instance/permits.py
+++ b/roadlift/instance/permits.py
@@ -270,17 +270,18 @@
             outcome.on_granted(Basis(LOCAL, 0))
 
     def _take_given(self, wait: SendWait | None, message: SendGrant) -> None:
-        """Use a send when it begins, or keep it for another call."""
+        """Use a send when it begins, or keep it for another call.
+
+        An ask that was sent twice is answered twice with the same send.
+        """
+        if wait is None:
+            return
         now = self._kernel.clock.now()
-        asked_at = now if wait is None else wait.asked_at
         granted = _Granted(
             now + message.delay,
-            asked_at + message.delay + GRANT_LIFE,
+            wait.asked_at + message.delay + GRANT_LIFE,
             Basis(*message.basis),
         )
-        if wait is None:
-            # An ask that was sent twice is answered twice with the same send.
-            return
         if not wait.is_open:
             self._spare.setdefault(message.endpoint, []).append(granted)
         elif message.delay <= 0.0:
--- a/tests/decisions/limits.feature
+++ b/tests/decisions/limits.feature
@@ -44,3 +44,8 @@
       | comes five times                | 2     |
       | comes five times, from a few    | 2     |
       | waits for 0.4 seconds at most   | 3     |
+
+  Scenario: What was sent before a limit was known is taken off, each time that it begins
+    Given an owner of an endpoint that takes 4 calls a second
+    When an instance tells that 6 calls were sent before, ends the limit and names it again
+    Then no send is free for 1 second both times
--- a/tests/steps/limit_decision_steps.py
+++ b/tests/steps/limit_decision_steps.py
@@ -76,3 +76,23 @@
 def step_count(context, count):
     """Compare."""
     assert context.given_out == count, context.given_out
+
+
+@when(
+    "an instance tells that {count:d} calls were sent before, ends the limit and names"
+    " it again"
+)
+def step_spent(context, count):
+    """Ask behind each telling, the second one 20 seconds later."""
+    ledger = context.ledger
+    context.delays = []
+    for now in (0.0, 20.0):
+        ledger.learn(Claim("b", 4.0, True, ledger.basis, count), now)
+        context.delays.append(ledger.give("b", int(now), 0.0, GIVEN_PART, now).delay)
+        ledger.learn(Claim("b", None, True, ledger.basis, count), now + 10.0)
+
+
+@then("no send is free for {least:g} second both times")
+def step_delays(context, least):
+    """Look at the delays."""
+    assert all(delay >= least for delay in context.delays), context.delays
