Lose a send that is not used, rather than keep it over its time

A send that a call could not use after all was kept for the next call with its life begun anew, so that by turns it could outlive the 0.4 s that the bound on an endpoint's calls rests on. Found by reading; it is rare, as a call asks some milliseconds before. Sends kept for endpoints that are gone are dropped.

--- a/roadlift/instance/exchange.py
+++ b/roadlift/instance/exchange.py
@@ -290,7 +290,7 @@
         if obstacle is None and self._placing.holds(endpoint, self.call.model):
             self._send(endpoint, basis)
             return
-        self._permits.give_back(endpoint, basis)
+        # The send is lost: kept for another call, it would outlive its time.
         self._try() if obstacle is None else self._fail(obstacle)
 
     def _on_denied(self, endpoint: Endpoint, wait: float) -> None:
--- a/roadlift/instance/permits.py
+++ b/roadlift/instance/permits.py
@@ -110,6 +110,7 @@
         self._waits: dict[int, SendWait] = {}
         self._spare: dict[str, list[_Granted]] = {}
         self._ledgers: dict[str, SendLedger] = {}
+        self._follower.on_directory.append(self._forget_gone)
         self._leases.on_change.append(self._check_zone)
         self._transport.subscribe((SendAsk,), self._take_ask)
         self._transport.subscribe((SendGrant,), self._take_grant)
@@ -148,13 +149,6 @@
         self._send_ask(next(self._numbers), wait)
         return wait
 
-    def give_back(self, endpoint: Endpoint, basis: Basis) -> None:
-        """Let another call have a send that is not used after all."""
-        now = self._kernel.clock.now()
-        spare = _Granted(now, now + GRANT_LIFE, basis)
-        if basis.fence != LOCAL:
-            self._spare.setdefault(endpoint.id, []).append(spare)
-
     def tell(self, endpoint: Endpoint, naming: Naming) -> None:
         """Tell the owner what an endpoint named in an answer."""
         known = self._limits.find(endpoint.id)
@@ -185,6 +179,12 @@
             self._spare[endpoint] = spare
         return found
 
+    def _forget_gone(self) -> None:
+        """Drop the sends at endpoints that are gone."""
+        for endpoint in list(self._spare):
+            if self._follower.directory.get(endpoint) is None:
+                del self._spare[endpoint]
+
     def _send_ask(self, number: int, wait: SendWait) -> None:
         self._waits[number] = wait
         wait.asks += 1
--- a/tests/instance/limits.feature
+++ b/tests/instance/limits.feature
@@ -17,6 +17,8 @@
       | an engine         | 4.3   | 6         | 40   |
       | an engine         | 0.5   | 6         | 40   |
       | a plain endpoint  | 4     | 6         | 40   |
+      | a plain endpoint  | 2     | 40        | 60   |
+      | all engines       | 4     | 40        | 60   |
 
   Scenario Outline: A limit of all engines is kept and used where <trouble>
     Given 6 instances, 4 engines and 3 plain endpoints that may name limits
