Read and log what endpoints say of themselves in their answers

Nothing is decided by it yet. The reading of a limit moved there; its table of cases stands as it was.

--- a/roadlift/core/errors.py
+++ b/roadlift/core/errors.py
@@ -252,6 +252,20 @@
     status = 502
 
 
+class InvalidLeaving(RoadliftError):
+    """Whether an endpoint says that it leaves can't be read."""
+
+    code = "invalid_leaving"
+    status = 502
+
+
+class InvalidRest(RoadliftError):
+    """An endpoint asks for a rest whose length can't be read."""
+
+    code = "invalid_rest"
+    status = 502
+
+
 class StreamCut(RoadliftError):
     """The endpoint ended a stream early and it could not be resumed."""
 
--- a/roadlift/core/events.py
+++ b/roadlift/core/events.py
@@ -210,6 +210,26 @@
         ("endpoint",),
         "No stream that it generates heard anything; it is left for a while.",
     ),
+    Event(
+        "standings",
+        "endpoint_leaving",
+        ("endpoint", "service", "heard", "status", "age"),
+        "An endpoint said in an answer that it leaves (of that status, to what was "
+        "sent age seconds before); it takes no new calls.",
+    ),
+    Event(
+        "standings",
+        "endpoint_resting",
+        ("endpoint", "service", "seconds", "status", "age"),
+        "An endpoint turned this instance away and wants nothing from it for so long.",
+    ),
+    Event(
+        "standings",
+        "header_unknown",
+        ("header", "endpoint", "service"),
+        "An answer bears a header that no table of the adapter lists; told once a "
+        "name and process.",
+    ),
     Event(
         "subscription",
         "source_chosen",
--- a/roadlift/instance/engine.py
+++ b/roadlift/instance/engine.py
@@ -13,6 +13,7 @@
 from roadlift.instance.leases import Leases
 from roadlift.instance.measures import Measures
 from roadlift.instance.platform import Platform
+from roadlift.instance.standings import Standings
 from roadlift.relay.upstream import Answer, fetch
 from roadlift.serving.directory import Endpoint
 from roadlift.serving.engine import EngineBook, Plan
@@ -37,6 +38,7 @@
         self._orders = kernel.get(Platform).adapter.orders
         self._lease = kernel.get(Leases).get(zone)
         self._measures = kernel.get(Measures)
+        self._standings = kernel.get(Standings)
         self._process = kernel.settings.instance
         self._timer = None
         self._is_reading = False
@@ -94,16 +96,24 @@
             lambda: self._lease.may_order(self._kernel.clock.now()),
         )
         request = self._orders.build_order(order, self.endpoint)
-        judge = self._orders.judge_order
         fetch(
             self._kernel.dialer,
             self.endpoint.address,
             request,
-            lambda answer: self._take_result(plan, order, judge(answer), answer.status),
+            lambda answer: self._take_answer(plan, order, answer),
             lambda error: self._take_failure(plan, order, error),
             ORDER_TIMEOUT,
         )
 
+    def _take_answer(self, plan: Plan, order: Order, answer: Answer) -> None:
+        self._note_head(answer)
+        result = self._orders.judge_order(answer)
+        self._take_result(plan, order, result, answer.status)
+
+    def _note_head(self, answer: Answer) -> None:
+        """Learn what the engine says of itself, in whatever it answers."""
+        self._standings.note_head(self.endpoint, answer.status, answer.headers)
+
     def _take_failure(self, plan: Plan, order: Order, error: RoadliftError) -> None:
         self._note_error(error)
         is_sent = error.outcome is not Outcome.NOT_RUN
@@ -153,6 +163,7 @@
             """Read the answer."""
             if not self._is_open:
                 return
+            self._note_head(answer)
             try:
                 report = self._orders.read_report(answer)
                 self._check_run(report)
--- a/roadlift/instance/exchange.py
+++ b/roadlift/instance/exchange.py
@@ -34,6 +34,7 @@
 from roadlift.instance.placing import Placing
 from roadlift.instance.platform import Platform
 from roadlift.instance.progress import Progress
+from roadlift.instance.standings import Standings
 from roadlift.relay.caller import Caller
 from roadlift.relay.upstream import Line
 from roadlift.serving.calls import Call, Kind
@@ -92,6 +93,7 @@
         self._crashes = kernel.get(CrashWatch)
         self._limits = kernel.get(EndpointLimits)
         self._permits = kernel.get(Permits)
+        self._standings = kernel.get(Standings)
         self._ledger = kernel.get(CrashLedger)
         self._format = kernel.get(Platform).adapter.calls
         self._service = route.choose_service(call.id)
@@ -461,7 +463,7 @@
         """Judge the head, and pass that of a stream on."""
         self._placing.health.note_answer(self._endpoint.id)
         self._verdict = self._format.judge(status, headers)
-        self._note_limit(status, headers)
+        self._note_statement(status, headers)
         if self._frames is not None:
             # A resumed stream goes on under the head that the caller has.
             return
@@ -473,11 +475,12 @@
             self._frames = EventFrames()
             self._write_head(None)
 
-    def _note_limit(self, status: int, headers: dict[str, str]) -> None:
-        """Learn what the endpoint names as its limit, and tell its owner."""
+    def _note_statement(self, status: int, headers: dict[str, str]) -> None:
+        """Learn what the endpoint says of itself, and tell its owner."""
         has_run = self._verdict is Verdict.SUCCEEDED
         age = self._kernel.clock.now() - self._sent_at
-        answer = Answered(status, headers, has_run, self._basis, age)
+        statement = self._standings.note_head(self._endpoint, status, headers, age)
+        answer = Answered(status, statement, has_run, self._basis, age)
         naming = self._limits.note_answer(self._endpoint, answer)
         if naming is not None:
             self._permits.tell(self._endpoint, naming)
--- a/roadlift/instance/ingress.py
+++ b/roadlift/instance/ingress.py
@@ -33,6 +33,7 @@
 from roadlift.instance.refusals import RefusalLog
 from roadlift.instance.served import ServedAdapters
 from roadlift.instance.sharing import SharedUse
+from roadlift.instance.standings import Standings
 from roadlift.relay.upstream import Address
 from roadlift.retries.window import WindowBudget
 from roadlift.serving.calls import Call, Model
@@ -70,6 +71,7 @@
         "placing",
         "platform",
         SharedUse.name,
+        Standings.name,
     )
 
     def __init__(self, kernel: Kernel) -> None:
--- a/roadlift/instance/limits.py
+++ b/roadlift/instance/limits.py
@@ -1,7 +1,7 @@
 """Know which endpoints name limits, by their answers and by what is told."""
 
 import random
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable
 from enum import StrEnum
 from typing import NamedTuple
 
@@ -12,8 +12,8 @@
 from roadlift.decisions.rates import Rate
 from roadlift.instance.follower import Follower
 from roadlift.instance.measures import Measures
-from roadlift.instance.platform import Platform
 from roadlift.serving.directory import Endpoint
+from roadlift.serving.statements import Statement
 
 # Seconds of sends before a limit is known that count as sends without a grant.
 RECENT = 1.0
@@ -54,13 +54,13 @@
 
 
 class Answered(NamedTuple):
-    """The head of an answer to a send on ``basis``, made ``age`` s before.
+    """What an answer to a send on ``basis``, made ``age`` s before, says.
 
     One that ``has_run`` is the endpoint's own, of a call that it ran.
     """
 
     status: int
-    headers: Mapping[str, str]
+    statement: Statement
     has_run: bool
     basis: Basis
     age: float
@@ -115,18 +115,16 @@
     """The limits of endpoints, as this process goes by them."""
 
     name = "limits"
-    needs = ("follower", "measures", "platform")
+    needs = ("follower", "measures")
 
     def __init__(self, kernel: Kernel) -> None:
         self._clock = kernel.clock
         self._rng = random.Random(kernel.stamp)
-        self._format = kernel.get(Platform).adapter.calls
         self._follower = kernel.get(Follower)
         self._measures = kernel.get(Measures)
         self._known: dict[str, KnownLimit] = {}
         self._ended: dict[str, float] = {}
         self._rates: dict[str, Rate] = {}
-        self._unreadable: set[str] = set()
         self._follower.on_directory.append(self._forget_gone)
 
     def start(self) -> None:
@@ -175,11 +173,9 @@
 
     def note_answer(self, endpoint: Endpoint, answer: Answered) -> Naming | None:
         """Learn from an answer; return what the owner should hear of it."""
-        try:
-            limit = adapt(self._format.read_limit(answer.headers))
-        except InvalidLimit as error:
-            self._log_unreadable(endpoint, error)
+        if answer.statement.has_fault(InvalidLimit):
             return None
+        limit = adapt(answer.statement.limit)
         if limit is None:
             return self._note_unnamed(endpoint, answer)
         now = self._clock.now()
@@ -205,12 +201,6 @@
             self._end(endpoint.id, Heard.ANSWER, answer)
         return Naming(None, answer.basis)
 
-    def _log_unreadable(self, endpoint: Endpoint, error: InvalidLimit) -> None:
-        """Tell once for each endpoint what it names."""
-        if endpoint.id not in self._unreadable:
-            self._unreadable.add(endpoint.id)
-            log.warning("%s names a limit that is no rate: %s.", endpoint.id, error)
-
     # What is told.
 
     def note_owner(self, told: ToldLimit | None, endpoint: str, number: int) -> None:
@@ -329,7 +319,6 @@
     def _forget_gone(self) -> None:
         """Forget endpoints that are gone; their next run named nothing yet."""
         there = {endpoint.id for endpoint in self._follower.directory.list_all()}
-        self._unreadable &= there
         for known in (self._known, self._ended, self._rates):
             for endpoint in set(known) - there:
                 del known[endpoint]
--- a/roadlift/instance/measures.py
+++ b/roadlift/instance/measures.py
@@ -118,6 +118,14 @@
         "began, or, where no owner was heard, unheard and floor, by an own part.",
         "`unheard`: the way to the owner of the endpoint's zone is cut.",
     ),
+    Measure(
+        "roadlift_unknown_headers",
+        "counter",
+        "headers",
+        ("service",),
+        "Headers of endpoints' answers that no table of the adapter lists.",
+        "See `header_unknown`: endpoints may say what nobody acts on.",
+    ),
     Measure(
         "roadlift_ejections",
         "counter",
--- a/roadlift/instance/owner.py
+++ b/roadlift/instance/owner.py
@@ -22,7 +22,14 @@
     """The terms of this process as an owner."""
 
     name = "owner"
-    needs = ("crashledger", "follower", "leases", "measures", "transport")
+    needs = (
+        "crashledger",
+        "follower",
+        "leases",
+        "measures",
+        "standings",
+        "transport",
+    )
 
     def __init__(self, kernel: Kernel) -> None:
         self._kernel = kernel
--- a/roadlift/serving/interfaces.py
+++ b/roadlift/serving/interfaces.py
@@ -15,6 +15,7 @@
 from roadlift.serving.directory import Endpoint
 from roadlift.serving.orders import EngineReport, Order, OrderResult
 from roadlift.serving.routes import Configuration, Route
+from roadlift.serving.statements import Statement
 
 
 class StoredRow(NamedTuple):
@@ -145,11 +146,8 @@
     def judge(self, status: int, headers: Mapping[str, str]) -> Verdict:
         """Tell what the head of an endpoint's answer says of the run."""
 
-    def read_limit(self, headers: Mapping[str, str]) -> float | None:
-        """Return the calls a second that an endpoint takes from all instances.
-
-        None where it names no limit; InvalidLimit where it can't be read.
-        """
+    def read_statement(self, status: int, headers: Mapping[str, str]) -> Statement:
+        """Return what an answer's head says of the endpoint that gave it."""
 
     def describe(self, call_id: str) -> Mapping[str, str]:
         """Return the headers of an answer of our own."""
--- a/tests/adapter/adapter.feature
+++ b/tests/adapter/adapter.feature
@@ -63,6 +63,49 @@
       | Server-Limit: ,        | invalid_limit |
       | Server-Limit: many     | invalid_limit |
 
+  Scenario Outline: What a runner says of itself is read
+    When it is read what an answer <status> with <headers> says of its runner
+    Then it says for <field>: <value>
+
+    Examples: Leaving binds for good, so what is no number counts as said
+      | status | headers                | field      | value                |
+      | 200    | nothing                | is_leaving | False                |
+      | 200    | Server-Leaving: 1      | is_leaving | True                 |
+      | 421    | Server-Leaving: 1      | is_leaving | True                 |
+      | 500    | Server-Leaving: 1, 1   | is_leaving | True                 |
+      | 503    | Server-Leaving: 0, 1   | is_leaving | True                 |
+      | 200    | Server-Leaving: 0      | is_leaving | False                |
+      | 200    | Server-Leaving: true   | is_leaving | invalid_leaving True |
+
+    Examples: A rest is of who is turned away, and the longest counts
+      | status | headers                    | field | value        |
+      | 503    | nothing                    | rest  | 0.0          |
+      | 503    | Retry-After: 3             | rest  | 3.0          |
+      | 503    | Retry-After: 0.25          | rest  | 0.25         |
+      | 429    | Retry-After: 3             | rest  | 3.0          |
+      | 421    | Retry-After: 3             | rest  | 0.0          |
+      | 500    | Retry-After: 3             | rest  | 0.0          |
+      | 200    | Retry-After: 3             | rest  | 0.0          |
+      | 503    | Retry-After: 0             | rest  | 0.0          |
+      | 503    | Retry-After: 1, 4          | rest  | 4.0          |
+      | 503    | Retry-After: 1e9           | rest  | 1000000000.0 |
+      | 503    | Retry-After: -1            | rest  | invalid_rest |
+      | 503    | Retry-After: nan           | rest  | invalid_rest |
+      | 503    | Retry-After: inf           | rest  | invalid_rest |
+      | 503    | Retry-After: soon          | rest  | invalid_rest |
+      | 503    | Retry-After: 3, soon       | rest  | invalid_rest |
+      | 503    | Retry-After: Thu, 03 Dec 2026 08:00:00 GMT | rest | invalid_rest |
+
+  Scenario Outline: A header that no table lists is told apart
+    When it is read what an answer 200 with <header> says of its runner
+    Then the headers unknown are <names>
+
+    Examples:
+      | header               | names         |
+      | Server-Stamp         | none          |
+      | Cache-Control: no    | none          |
+      | Server-Tired: 1      | server-tired  |
+
   Scenario Outline: A configuration is read
     When a configuration with <change> is read
     Then the route has <result>
--- a/tests/steps/adapter_steps.py
+++ b/tests/steps/adapter_steps.py
@@ -89,17 +89,43 @@
 @when("the limit is read of an answer with {headers}")
 def step_read_limit(context, headers):
     """Read what a runner names."""
-    context.read = _run(lambda: _ADAPTER.calls.read_limit(_parse_headers(headers)))
+    step_statement(context, 200, headers)
+
+
+@when("it is read what an answer {status:d} with {headers} says of its runner")
+def step_statement(context, status, headers):
+    """Read a head."""
+    context.statement = _ADAPTER.calls.read_statement(status, _parse_headers(headers))
+
+
+def _describe(statement, field):
+    """Return a field of a statement, or the code of what can't be read."""
+    codes = [fault.code for fault in statement.faults]
+    found = getattr(statement, field)
+    return " ".join([*codes, *([] if codes and not found else [str(found)])])
 
 
 @then("the limit is {limit}")
 def step_limit(context, limit):
     """Check the limit, or the error."""
-    found = context.read
-    text = found.code if isinstance(found, RoadliftError) else str(found)
+    text = _describe(context.statement, "limit")
     assert text == limit, text
 
 
+@then("it says for {field}: {value}")
+def step_said(context, field, value):
+    """Check one field of what a runner says of itself."""
+    text = _describe(context.statement, field)
+    assert text == value, text
+
+
+@then("the headers unknown are {names}")
+def step_unknown(context, names):
+    """Check the headers that no table lists."""
+    text = ", ".join(context.statement.unknown) or "none"
+    assert text == names, text
+
+
 def _row(key, content):
     return StoredRow(key, json.dumps(content).encode(), 1)
 
