Show that endpoints get calls behind saying that they leave, or want rest

The stand-in runners could say neither before; a watch on their side counts, by the run of the instance to which a call was sent.

--- a/standins/installation.py
+++ b/standins/installation.py
@@ -25,6 +25,7 @@
 from roadlift.relay.upstream import Address, Receiver, Request
 from standins.hub import HubLine
 from standins.limits import LimitWatch
+from standins.statements import StatementWatch
 
 DELAY = 0.002  # Seconds of a request's way and of its answer's way.
 STORE_CLOCK = 55555  # Milliseconds that the store's clock is behind the test's.
@@ -41,6 +42,8 @@
 
 REFUSAL = Reply(503, {"not-run": "1"})
 LIMIT = "server-limit"
+LEAVING = "server-leaving"
+REST = "retry-after"
 
 
 class Timeline:
@@ -293,7 +296,10 @@
     call whose body is deadly ends the runner soon after it began to run. Of
     the next ``lost_orders``, none is answered; every second is carried out
     late. While ``is_mute``, no report is given. ``named`` is the limit that
-    it names in the answers to calls, as text, or None.
+    it names in the answers to calls, as text, or None; one that
+    ``is_leaving`` says so in all its answers. While there is a ``rest``, as
+    text, it turns ``turned_away`` of the calls away and asks for that.
+    ``more`` are further headers of its answers to calls.
     """
 
     def __init__(
@@ -322,6 +328,11 @@
         self.lost_orders = 0
         self.is_mute = False
         self.named: str | None = None
+        self.is_leaving = False
+        self.rest: str | None = None
+        self.turned_away = 1.0
+        self.more: dict[str, str] = {}
+        self._turned = 0.0
         self.born = 0
         self.on_end: Callable[[], None] = lambda: None
         self.on_return: Callable[[], None] = lambda: None
@@ -359,14 +370,46 @@
         limit = None if text is None else float(text)
         self._installation.limits.note_naming(self.id, limit, self._timeline.now())
 
-    def _add_limit(self, headers: dict[str, str]) -> dict[str, str]:
+    def leave(self) -> None:
+        """Say from now on that this runner leaves; its entry says nothing."""
+        self.is_leaving = True
+
+    def want_rest(self, text: str | None, part: float = 1.0) -> None:
+        """Turn a part of the calls away from now on, or none."""
+        self.rest = text
+        self.turned_away = part
+
+    def _is_turned_away(self) -> bool:
+        """Tell whether the next call is turned away, evenly over all calls."""
+        if self.rest is None:
+            return False
+        self._turned += self.turned_away
+        is_turned = self._turned >= 1.0
+        self._turned -= is_turned
+        return is_turned
+
+    @property
+    def run(self) -> str:
+        """Return what tells the starts of this runner apart."""
+        return f"{self.id} {self.born}"
+
+    def _add_said(self, headers: dict[str, str], call_id: str = "") -> dict[str, str]:
         """Return the headers of an answer that is made now."""
-        return headers if self.named is None else {**headers, LIMIT: self.named}
+        said = {**headers, **self.more}
+        if self.named is not None:
+            said[LIMIT] = self.named
+        if self.is_leaving:
+            said[LEAVING] = "1"
+            now = self._timeline.now()
+            self._installation.statements.note_leaving(self.run, call_id, now)
+        return said
 
     def restart(self) -> None:
         """Start again under the same name, with nothing of before."""
         if self.named is not None:
             self.name_limit(None)
+        self.is_leaving = False
+        self.rest = None
         self.born += 1000 if self.born else 1_700_000_000_000
         self.held.clear()
         self.arriving.clear()
@@ -475,22 +518,26 @@
         return 200
 
     def _run(self, request: Request, headers: dict, line: MemoryLine) -> None:
+        call_id = headers["request-id"]
         self._installation.limits.note_call(self.id, self._timeline.now())
+        self._installation.statements.note_call(self.run, call_id, self._timeline.now())
+        if self._is_turned_away():
+            self._turn_away(call_id, line)
+            return
         _, _, adapter = headers.get("model", "").partition("/")
         if adapter and adapter not in self.held:
-            self._refuse(line, Reply(421, {"instance-id": self.id}))
+            self._refuse(line, Reply(421, {"instance-id": self.id}), call_id)
             return
         version = headers.get("expect-version")
         if adapter and version not in (None, str(self.held[adapter])):
-            self._refuse(line, Reply(421, {"instance-id": self.id}))
+            self._refuse(line, Reply(421, {"instance-id": self.id}), call_id)
             return
         fault = self.faults.pop(0) if self.faults else None
         if isinstance(fault, Reply):
-            self._refuse(line, fault)
+            self._refuse(line, fault, call_id)
             return
         self.ran.append({**headers, ":path": request.path, ":body": repr(request.body)})
         line.on_close = self._count_cancel
-        call_id = headers["request-id"]
         self._lines = [one for one in self._lines if not one[0].is_closed]
         self._lines.append((line, call_id))
         if fault in ("cut", "lose"):
@@ -511,11 +558,12 @@
 
     def _answer_run(self, headers: dict, line: MemoryLine, fault: object) -> None:
         stamp = f"stamp-{self.id}"
-        head = {"request-id": headers["request-id"], "server-stamp": stamp}
+        call_id = headers["request-id"]
+        head = {"request-id": call_id, "server-stamp": stamp}
         if "token-count" not in headers:
-            body = f"{self.id}:{headers['request-id']}".encode()
+            body = f"{self.id}:{call_id}".encode()
             head["content-length"] = str(len(body))
-            send = lambda: line.send(Reply(200, self._add_limit(head), body))
+            send = lambda: self._send_whole(line, Reply(200, head, body), call_id)
             self._timeline.call_later(self.run_time, send)
             return
         head["content-type"] = "text/event-stream"
@@ -526,7 +574,7 @@
     def _stream(self, line, head: dict, first: int, fault: object) -> None:
         if line.is_closed:
             return
-        line.receiver.receive_head(200, self._add_limit(head))
+        line.receiver.receive_head(200, self._add_said(head, head["request-id"]))
         self._send_event(line, first, fault)
 
     def _send_event(self, line: MemoryLine, number: int, fault: object) -> None:
@@ -550,13 +598,28 @@
     def _count_cancel(self) -> None:
         self.cancelled += 1
 
-    def _refuse(self, line: MemoryLine, reply: Reply) -> None:
+    def _turn_away(self, call_id: str, line: MemoryLine) -> None:
+        """Refuse a call, and ask its sender for rest."""
+        seconds, now = float(self.rest), self._timeline.now()
+        self._installation.statements.note_rest(self.run, call_id, seconds, now)
+        headers = {**REFUSAL.headers, REST: self.rest}
+        self._refuse(line, REFUSAL._replace(headers=headers), call_id)
+
+    def _refuse(self, line: MemoryLine, reply: Reply, call_id: str) -> None:
         """Answer a call that is not run, or fails."""
-        headers = self._add_limit(reply.headers)
-        self._answer(line, reply._replace(headers=headers))
+        send = lambda: self._send_whole(line, reply, call_id)
+        self._timeline.call_later(DELAY, send)
+
+    def _send_whole(self, line: MemoryLine, reply: Reply, call_id: str) -> None:
+        """Answer a call that still waits for its answer."""
+        if not line.is_closed:
+            line.send(reply._replace(headers=self._add_said(reply.headers, call_id)))
 
     def _answer(self, line: MemoryLine, reply: Reply) -> None:
-        self._timeline.call_later(DELAY, lambda: line.send(reply))
+        """Answer what is no call, or is for another run."""
+        headers = {**reply.headers, **({LEAVING: "1"} if self.is_leaving else {})}
+        send = lambda: line.send(reply._replace(headers=headers))
+        self._timeline.call_later(DELAY, send)
 
 
 class DeadlyRun(NamedTuple):
@@ -591,6 +654,7 @@
         self.deadly_adapters: set[str] = set()
         self.deadly_loads: list[str] = []
         self.limits = LimitWatch()
+        self.statements = StatementWatch()
         # Ids of calls whose answers runners broke off by themselves.
         self.spoiled: set[str] = set()
 
--- a/tests/steps/limit_steps.py
+++ b/tests/steps/limit_steps.py
@@ -69,7 +69,7 @@
     context.entries.advance(4.0)
 
 
-def _find(context, endpoint):
+def find_endpoints(context, endpoint):
     """Return the runners that are meant."""
     runners = context.entries.installation.runners
     letter = "p" if "plain" in endpoint else "e"
@@ -80,7 +80,7 @@
 @when("a limit of {limit} is named by {endpoint} for {seconds:g} seconds")
 def step_name(context, endpoint, limit, seconds):
     """Let an endpoint, or all of a service, name a limit."""
-    context.limited = _find(context, endpoint)
+    context.limited = find_endpoints(context, endpoint)
     context.named_at = context.entries.installation.clock.now()
     context.streams.clear()
     context.plain_calls.clear()
--- a/tests/support/entries.py
+++ b/tests/support/entries.py
@@ -10,6 +10,7 @@
 from roadlift.instance.platform import import_plugins
 from standins.hub import HubCaller, HubTransport
 from standins.installation import DELAY, Installation, MemoryDialer
+from standins.statements import Sent
 from tests.support.configuration import describe_routes
 
 ROOT = Path(__file__).resolve().parent.parent.parent
@@ -83,9 +84,15 @@
             {"transport": self.transport},
             stamp=deployment.count_start(),
         )
+        self.suspensions = 0
         self.kernel.open(["ingress"])
         self.ingress = self.kernel.get(Ingress)
 
+    @property
+    def process(self) -> str:
+        """Return what tells the runs and suspensions of an instance apart."""
+        return f"{self.name} {self.kernel.stamp} {self.suspensions}"
+
     def close(self) -> None:
         """End the instance at once."""
         self.kernel.close()
@@ -98,6 +105,7 @@
         self.installation = Installation()
         self.entries: dict[str, Entry] = {}
         self.callers: list[HubCaller] = []
+        self.sent: dict[str, Sent] = {}
         self.version = 1
         self.is_cut = False
         self.is_zone_cut = False
@@ -132,6 +140,7 @@
         self.advance(seconds)
         del self._suspended[entry.address]
         self.entries[name] = entry
+        entry.suspensions += 1
         entry.clock.note_suspension(seconds)
         entry.dialer.release()
         for data in held:
@@ -221,6 +230,8 @@
         caller = HubCaller()
         self.callers.append(caller)
         found = {"host": "h.example", "request-id": f"r{number}", **headers}
+        now = self.installation.clock.now()
+        self.sent[found["request-id"]] = Sent(self.entries[name].process, now)
         received = Received(method, target, found, body)
         self.entries[name].ingress.handle(received, caller)
         return caller
