Leave endpoints alone for as long as they asked for rest

What callers saw: little, as what was turned away went to others. An engine that asked each instance for 3 s got up to 9 calls of one in that time.

Cause: as for the endpoints that leave; a 503 with Retry-After was a failed send like any other, so the endpoint was tried again as soon as the first ejection of 1 s was over.

Change: a rest is kept by the room of standings, for this instance alone and this start of the endpoint; the gate asks for it also before the first byte. It is not judged as a failure beside that. Where all endpoints of a service rest, what can be in time waits here, and all else is refused at once (endpoints_resting), with a time to come back that is spread.

--- a/roadlift/instance/standings.py
+++ b/roadlift/instance/standings.py
@@ -120,7 +120,9 @@
             self._note_unknown(endpoint, name)
         if statement.is_leaving:
             self._note_leaving(endpoint, status, age)
-        if age is not None and endpoint.id in self._known:
+        if statement.rest:
+            self._note_rest(endpoint, statement.rest, status, age)
+        elif age is not None and endpoint.id in self._known:
             self._known[endpoint.id].note_taken(self._clock.now() - age)
         return statement
 
--- a/tests/instance/standings.feature
+++ b/tests/instance/standings.feature
@@ -65,6 +65,39 @@
     Then plain calls are refused within 0.1 seconds as no_endpoint
     And no call was sent on too late to an endpoint that leaves
 
+  Scenario Outline: Rest of <rest> s is kept where <part> calls are turned away by <endpoint>
+    Given 6 instances, 4 engines and 3 plain endpoints that say things of themselves
+    And callers of 6 adapters, <rate> calls a second, and as many plain ones
+    When <part> calls are turned away by <endpoint> for 9 seconds, with <rest> seconds of rest
+    Then no rest was broken
+    And an instance is turned away <most> times at most by an endpoint
+    And at least <served> in 100 of each kind of calls are served
+
+    Examples: The last are all of a service: what can't wait is refused
+      | endpoint            | part           | rest | rate | most | served |
+      | an engine           | all            | 3    | 160  | 6    | 97     |
+      | an engine           | a fifth of the | 3    | 160  | 6    | 97     |
+      | a plain endpoint    | all            | 3    | 160  | 6    | 97     |
+      | a plain endpoint    | half of the    | 0.8  | 160  | 14   | 97     |
+      | a plain endpoint    | all            | 4    | 20   | 4    | 97     |
+      | all plain endpoints | a fifth of the | 0.1  | 40   | 60   | 90     |
+      | all plain endpoints | half of the    | 3    | 160  | 8    | 3      |
+      | all engines         | half of the    | 3    | 160  | 8    | 3      |
+
+  Scenario: Calls that all endpoints want no more of are refused at once
+    Given 6 instances, 4 engines and 3 plain endpoints that say things of themselves
+    And callers of 6 adapters, 160 calls a second, and as many plain ones
+    When all calls are turned away by all plain endpoints for 2 seconds, with 4 seconds of rest
+    Then plain calls are refused within 0.1 seconds as endpoints_resting
+    And the rests are over when their callers may come back
+
+  Scenario: An endpoint is tried by one call of each instance behind its rest
+    Given 6 instances, 4 engines and 3 plain endpoints that say things of themselves
+    And callers of 6 adapters, 160 calls a second, and as many plain ones
+    When all calls are turned away by a plain endpoint for 2 seconds, with 2 seconds of rest
+    And it takes all calls again
+    Then it gets 60 calls in the next 4 seconds
+
   Scenario: A header that nobody knows of is told once
     Given 6 instances, 4 engines and 3 plain endpoints that say things of themselves
     And the events are kept
