Leave loads alone that were only there where calls ended engines

What callers saw: where twenty calls end engines within 3 s, 55 of 656 innocent calls were refused as ends_endpoints, for a minute: the loads of their adapters had been on their way at three of these ends.

Cause: each sign was weighed by itself, though one end has one cause at most. An instance leaves weak suspects out beside strong ones of its own, but not those that an owner or another instance names for the same end.

Change: a weak sign counts half beside a strong one of the same end, and nothing once the strong one's work is sure to end endpoints. It is computed from the set of signs, so instances still agree in any order. Strong signs count as before.

--- a/roadlift/crashes/ledger.py
+++ b/roadlift/crashes/ledger.py
@@ -67,8 +67,11 @@
 
     def merge(self, signs: list[Sign]) -> list[Sign]:
         """Learn of signs; return those that are new."""
+        refused = self.crashes.list_refused()
         found = self.crashes.merge(signs, self._clock.now())
-        for identity in {sign.identity for sign in found}:
+        changed = {sign.identity for sign in found}
+        # A cause that is sure now may explain what others were refused for.
+        for identity in changed | (refused ^ self.crashes.list_refused()):
             self._note_change(identity)
         return found
 
--- a/roadlift/decisions/crashes.py
+++ b/roadlift/decisions/crashes.py
@@ -9,7 +9,10 @@
 What is known is a set of signs: an endpoint ended while it ran a call. Sets of
 several instances are merged in any order. A call is refused once its signs
 weigh enough, for longer with each further end, and it is cleared as soon as it
-runs to a good end: then the ends had another cause.
+runs to a good end: then the ends had another cause. Where many calls end
+endpoints, what only was there at several of these ends is told apart: a weak
+sign counts for less beside a strong one of the same end, and for nothing once
+the work of that one is sure to end endpoints.
 """
 
 import zlib
@@ -22,6 +25,7 @@
 # may be the cause too.
 STRONG = 3
 WEAK = 2
+SHARED = 1  # Weight that counts of a weak sign beside a strong one.
 # Weight of all signs from which on a call is refused: two strong ones or three
 # of any kind, each of another endpoint. A call that is not the cause would
 # have to come again twice, and each time to begin where an endpoint ends.
@@ -53,28 +57,62 @@
     age: float
 
 
+class _Causes(NamedTuple):
+    """Endpoints whose end has a strong sign, and those with a sure cause."""
+
+    suspected: set[str]
+    sure: set[str]
+
+    def weigh(self, endpoint: str, weight: int) -> int:
+        """Return what counts of a sign."""
+        if weight != WEAK or endpoint not in self.suspected:
+            return weight
+        return 0 if endpoint in self.sure else SHARED
+
+
 class _Record:
-    """The signs of one call: weights and times, by endpoint."""
+    """The signs of one call: weights and times, by endpoint.
 
-    __slots__ = ("signs",)
+    ``causes`` are of all that is known.
+    """
+
+    __slots__ = ("causes", "signs")
 
-    def __init__(self) -> None:
+    def __init__(self, causes: _Causes) -> None:
         self.signs: dict[str, tuple[int, float]] = {}
+        self.causes = causes
+
+    def _list_weights(self) -> list[int]:
+        """Return the weights above 0 that count, one for each end."""
+        found = [
+            self.causes.weigh(endpoint, weight)
+            for endpoint, (weight, _) in self.signs.items()
+        ]
+        return [weight for weight in found if weight]
+
+    @property
+    def is_sure(self) -> bool:
+        """Tell whether all signs weigh enough, whatever else was there."""
+        return sum(weight for weight, _ in self.signs.values()) >= LIMIT
 
     @property
     def weight(self) -> int:
-        """Return the weight of all signs."""
-        return sum(weight for weight, _ in self.signs.values())
+        """Return the weight of the signs that count."""
+        return sum(self._list_weights())
 
     @property
     def is_refused(self) -> bool:
-        """Tell whether the signs weigh enough."""
+        """Tell whether the signs that count weigh enough."""
         return self.weight >= LIMIT
 
     @property
     def ends(self) -> int:
-        """Return how many endpoints ended."""
-        return sum(weight > 0 for weight, _ in self.signs.values())
+        """Return how many endpoints ended that count."""
+        return len(self._list_weights())
+
+    def list_strong(self) -> list[str]:
+        """Return the endpoints of the strong signs."""
+        return [name for name, (weight, _) in self.signs.items() if weight >= STRONG]
 
     def measure_refusal(self) -> float:
         """Return the seconds of the refusal behind the last end."""
@@ -97,6 +135,7 @@
         self._stretch = 1.0 + SPREAD * rank
         self._records: OrderedDict[bytes, _Record] = OrderedDict()
         self._checksum: int | None = None
+        self._causes = _Causes(set(), set())
 
     @property
     def is_empty(self) -> bool:
@@ -132,7 +171,14 @@
 
     def merge(self, signs: Iterable[Sign], now: float) -> list[Sign]:
         """Learn of signs; return those that changed what is known."""
-        return [sign for sign in signs if self._merge(sign, now)]
+        found = [sign for sign in signs if self._merge(sign, now)]
+        if found:
+            self._explain()
+        return found
+
+    def list_refused(self) -> set[bytes]:
+        """Return the calls that are refused, or tried once more."""
+        return {name for name, record in self._records.items() if record.is_refused}
 
     def clear(self, identity: bytes) -> bool:
         """Learn that a call ran to a good end; tell whether that is news."""
@@ -141,6 +187,7 @@
             return False
         record.signs = {name: (0, at) for name, (_, at) in record.signs.items()}
         self._checksum = None
+        self._explain()
         return True
 
     def list_signs(self, now: float, identity: bytes | None = None) -> list[Sign]:
@@ -160,6 +207,7 @@
             if now > until:
                 del self._records[identity]
                 self._checksum = None
+        self._explain()
 
     def compute_checksum(self) -> int:
         """Return a number that is the same where the same signs are known."""
@@ -177,13 +225,28 @@
         if known is not None and known[0] <= sign.weight:
             return False
         if record is None:
-            record = self._records[sign.identity] = _Record()
+            record = self._records[sign.identity] = _Record(self._causes)
             self._make_room()
         at = now - sign.age if known is None else known[1]
         record.signs[sign.endpoint] = (sign.weight, at)
         self._checksum = None
         return True
 
+    def _explain(self) -> None:
+        """Find the causes of ends, from all signs that are known.
+
+        The same signs give the same, in whatever order they came.
+        """
+        suspected: set[str] = set()
+        sure: set[str] = set()
+        for record in self._records.values():
+            strong = record.list_strong()
+            suspected.update(strong)
+            sure.update(strong if record.is_sure else ())
+        self._causes = _Causes(suspected, sure)
+        for record in self._records.values():
+            record.causes = self._causes
+
     def _make_room(self) -> None:
         """Forget the oldest call, one that is not refused if there is one."""
         if len(self._records) <= MOST_CALLS:
--- a/tests/decisions/crashes.feature
+++ b/tests/decisions/crashes.feature
@@ -24,6 +24,14 @@
       | 1 a strong e1, 2 400 others, 3 a strong e2                    | 5    | 0       |
       | 1 a strong e1, 700 time passes, 701 a strong e2               | 702  | 0       |
 
+    Examples: What was only there at ends that have a stronger suspect, or a sure cause
+      | history                                                              | at | seconds |
+      | 1 a weak e1, 2 a weak e2, 3 a weak e3, 4 b strong e1                 | 5  | 0       |
+      | 1 b strong e1, 1 a weak e1, 2 a weak e2, 3 a weak e3, 4 a weak e4    | 5  | 3599    |
+      | 1 a weak e1, 2 a weak e2, 3 a weak e3, 4 b strong e1, 4.5 b cleared  | 5  | 598     |
+      | 1 b strong e1, 2 b strong e2, 3 a weak e1, 3 a weak e2, 4 a weak e3  | 5  | 0       |
+      | 1 a strong e1, 2 a strong e2, 3 b strong e1, 4 b strong e2           | 5  | 57      |
+
   Scenario: Sets of signs that are merged in any order agree
     Given 200 draws of signs at 4 instances
     When each instance tells each other all it knows, in an order that is drawn
--- a/tests/steps/deadly_many_steps.py
+++ b/tests/steps/deadly_many_steps.py
@@ -6,7 +6,6 @@
 
 from tests.support.configuration import BASE
 
-_SEED = 4
 _GAP = (0.2, 0.8)  # Seconds until a deadly call comes again.
 
 
@@ -22,10 +21,13 @@
     return context.entries.call(name, target, headers, body=body)
 
 
-@given("callers of {count:d} adapters, drawn at random, {rate:g} calls a second")
-def step_callers(context, count, rate):
+@given(
+    "callers of {count:d} adapters, drawn at random by seed {seed:d}, {rate:g} calls a"
+    " second"
+)
+def step_callers(context, count, seed, rate):
     """Send streams, each of its own, as long as the test lasts."""
-    context.draw = random.Random(_SEED)
+    context.draw = random.Random(seed)
     context.adapters = count
     context.others = []
     timeline = context.entries.installation.timeline
