Let the soak's runners leave and ask for rest, and check it from their side

Runners say that they leave in answers alone, for 3 to 8 s, and start anew; others turn a fifth, half or all of their calls away and ask for 0.6 to 4 s of rest. Whose a call is, is told by the harness, so a late call or a broken rest is counted by the run of the instance, and a restart or freeze excuses it.

--- a/benchmarks/routes.py
+++ b/benchmarks/routes.py
@@ -3,10 +3,10 @@
 Seeded and bounded. Callers keep their connections open and send calls all the
 while, as instances are killed, stopped, frozen, told to leave and cut from the
 store, the store falls silent or loses answers, engines start again under their
-names, play faults, name limits and end under calls, and the operator adds
-routes and names versions; faults overlap. What callers were told is compared
-with what the runners noted. Prints JSON, and fails where a count of violations
-is above zero.
+names, play faults, name limits, leave, ask for rest and end under calls, and
+the operator adds routes and names versions; faults overlap. What callers were
+told is compared with what the runners noted. Prints JSON, and fails where a
+count of violations is above zero.
 """
 
 import argparse
@@ -22,7 +22,9 @@
 from typing import NamedTuple
 
 from demo.installation import Answer, Channel, Deployment
+from roadlift.core.clock import BootClock
 from standins.proxies import Way
+from standins.statements import Sent, StatementWatch
 from tests.support.callers import PROMISES, Wanted, find_runner, make_headers
 
 ADAPTERS = 40
@@ -38,6 +40,9 @@
 DEADLY_GAP = (0.2, 0.8)  # Seconds until it does, at least and at most.
 LIMITS = (1.0, 12.0)  # Calls a second that a runner names, at least and at most.
 LIMIT_SPAN = (4.0, 12.0)  # Seconds for which it does.
+LEAVE_SPAN = (3.0, 8.0)  # Seconds for which a runner says that it leaves.
+RESTS = (0.6, 4.0)  # Seconds of rest that a runner asks for, at least and at most.
+REST_SPAN = (2.0, 9.0)  # Seconds for which it turns calls away.
 MOST_CUT = 5.0  # Seconds for which an instance is cut from the store.
 MOST_FROZEN = 10.0  # Seconds that an instance stands still: beyond its lease.
 FAULT_GAP = (0.2, 1.5)  # Seconds between two faults, at least and at most.
@@ -56,6 +61,8 @@
     "route_reverted",
     "deadly_again",
     "over_limit",
+    "late_to_leaving",
+    "broken_rest",
     "own_end",
     "no_recovery",
 )
@@ -93,6 +100,9 @@
         self._away: set[str] = set()
         self._leaving_at: dict[str, float] = {}
         self._runs_of: dict[str, int] = {}
+        self._freezes: Counter[str] = Counter()
+        self._senders: dict[str, Sent] = {}
+        self._clock = BootClock()
         self._seen_routes: dict[tuple[str, int], int] = {}
         self._store_disturbed = 0.0
         self._added: list[float] = []
@@ -153,10 +163,16 @@
         headers = make_headers(Wanted(call_id, model, 4.0))
         began = time.monotonic()
         self._kinds[call_id] = kind
-        self._sent_to[call_id] = (name, began)
+        self._note_sent(call_id, name, began)
         answer = await channel.call("POST", path, headers)
         self._judge(call_id, kind, name, began, answer)
 
+    def _note_sent(self, call_id: str, name: str, began: float) -> None:
+        """Keep to which run of an instance a call is sent, by both clocks."""
+        self._sent_to[call_id] = (name, began)
+        process = f"{name} {self._runs_of.get(name, 0)} {self._freezes[name]}"
+        self._senders[call_id] = Sent(process, self._clock.now())
+
     def _judge(self, call_id, kind, name, began, answer: Answer) -> None:
         self.counts[f"{kind}_{answer.status}"] += 1
         if answer.status == 200 and answer.is_whole:
@@ -205,6 +221,8 @@
             (self._name_version, 3),
             (self._send_deadly, 3),
             (self._name_limit, 3),
+            (self._leave_runner, 3),
+            (self._want_rest, 4),
         )
         tasks = []
         calls, weights = zip(*faults, strict=True)
@@ -247,6 +265,7 @@
             return
         process = self._deployment.instances[name]
         self._disturbed[name] = time.monotonic() + 60.0
+        self._freezes[name] += 1
         process.send_signal(signal.SIGSTOP)
         await asyncio.sleep(self._draw.uniform(0.2, MOST_FROZEN))
         process.send_signal(signal.SIGCONT)
@@ -332,6 +351,26 @@
         for runner in runners:
             await self._command(runner=runner, limit=None)
 
+    async def _leave_runner(self) -> None:
+        """Let a runner say that it leaves, in answers alone, and end."""
+        runner = f"{self._draw.choice('ep')}{self._draw.randrange(3)}0"
+        await self._command(leaving=runner)
+        await asyncio.sleep(self._draw.uniform(*LEAVE_SPAN))
+        await self._command(restart=runner)
+
+    async def _want_rest(self) -> None:
+        """Let a runner, or all of a kind, turn calls away for a while."""
+        kind = self._draw.choice("ep")
+        count = self._draw.choice((1, 1, 3))
+        rest = f"{self._draw.uniform(*RESTS):.2f}"
+        part = self._draw.choice((0.2, 0.5, 1.0))
+        runners = [f"{kind}{number}0" for number in range(count)]
+        for runner in runners:
+            await self._command(runner=runner, rest=rest, part=part)
+        await asyncio.sleep(self._draw.uniform(*REST_SPAN))
+        for runner in runners:
+            await self._command(runner=runner, rest=None, part=1.0)
+
     async def _send_deadly(self) -> None:
         """Send a call that ends engines, again and again, for a while."""
         number = self.counts["send_deadly"]
@@ -351,7 +390,7 @@
         self._serial += 1
         call_id = f"d{self._serial}"
         began = time.monotonic()
-        self._sent_to[call_id] = (name, began)
+        self._note_sent(call_id, name, began)
         is_disturbed = self._disturbed.get(name, 0.0) > began - CALM
         self._excused[call_id] = is_disturbed or name in self._leaving_at
         headers = make_headers(Wanted(call_id, f"base/x{number % ADAPTERS}", 4.0))
@@ -443,6 +482,7 @@
         for run in found["runs"]:
             self._check_version(run["id"], run["old_for"])
         self._check_limits(found["excess"])
+        self._check_statements(StatementWatch.read(found["statements"]))
         for name in found["overfull"]:
             self.note("overfull_engine", name)
         for name, orders in found["orders"].items():
@@ -462,6 +502,16 @@
             told = f"{runner} {calls} of {allowed:.0f} at {at:.1f}"
             self.note("over_limit", f"{told}, {late} of them in {since:.1f} s")
 
+    def _check_statements(self, watch: StatementWatch) -> None:
+        """Note what was sent on against what runners said of themselves."""
+        self.counts["rests"] = watch.count_rests()
+        for late in watch.list_late(self._senders):
+            told = f"{late.call_id} at {late.runner} from {late.process}"
+            self.note("late_to_leaving", f"{told}, {late.after:.2f} s")
+        for rest in watch.list_broken(self._senders):
+            told = f"{rest.calls} at {rest.runner} from {rest.process}"
+            self.note("broken_rest", f"{told} in {rest.seconds} s from {rest.at:.1f}")
+
     def _check_cuts(self, spoiled: set[str]) -> None:
         """Note the calls that were cut at a drain, but not by a runner."""
         for cut in self._cuts:
--- a/standins/broken.py
+++ b/standins/broken.py
@@ -14,6 +14,7 @@
 from roadlift.instance.follower import Follower
 from roadlift.instance.ingress import Ingress
 from roadlift.instance.limits import EndpointLimits
+from roadlift.instance.standings import Standings
 from roadlift.serving.engine import EngineBook
 from roadlift.serving.lease import Lease
 
@@ -99,6 +100,16 @@
     EndpointLimits.note_answer = lambda self, endpoint, answer: None
 
 
+def _ignore_leaving() -> None:
+    """Send to endpoints that said that they leave."""
+    Standings._note_leaving = lambda self, endpoint, status, age: None
+
+
+def _ignore_rests() -> None:
+    """Send to endpoints that asked for rest."""
+    Standings._note_rest = lambda self, endpoint, seconds, status, age: None
+
+
 def _pass_bytes_on() -> None:
     """Pass a stream's bytes on, also parts of events."""
     EventFrames.take_whole = lambda self, data: data
@@ -116,6 +127,8 @@
     "whole_events": _pass_bytes_on,
     "crashes": _forget_ends,
     "limits": _ignore_limits,
+    "leaving": _ignore_leaving,
+    "rests": _ignore_rests,
 }
 
 
--- a/standins/loopback.py
+++ b/standins/loopback.py
@@ -195,6 +195,10 @@
             self._restart(command["restart"])
         if "limit" in command:
             self._name_limit(command["runner"], command["limit"])
+        if "leaving" in command:
+            self._leave(command["leaving"])
+        if "rest" in command:
+            self._want_rest(command["runner"], command["rest"], command["part"])
         if "fault" in command:
             self._spoil(command["runner"], command["fault"])
 
@@ -214,6 +218,16 @@
         if runner is not None:
             runner.name_limit(limit)
 
+    def _leave(self, name: str) -> None:
+        runner = self._find_runner(name)
+        if runner is not None:
+            runner.leave()
+
+    def _want_rest(self, name: str, rest: str | None, part: float) -> None:
+        runner = self._find_runner(name)
+        if runner is not None:
+            runner.want_rest(rest, part)
+
     def _name_version(self, adapter: str) -> None:
         version = self._named.get(adapter, (1, 0.0))[0] + 1
         self._named[adapter] = (version, self.installation.clock.now())
@@ -236,6 +250,7 @@
                 for one in runners
             },
             "excess": [list(one) for one in self.installation.limits.list_excess()],
+            "statements": self.installation.statements.describe(),
             "overfull": [one.id for one in runners if one.crashed],
             "store_calls": self.installation.store.calls,
         }
--- a/standins/statements.py
+++ b/standins/statements.py
@@ -59,6 +59,20 @@
         self._calls: dict[str, list[_Arrival]] = {}
         self._said: dict[str, list[_Said]] = {}
 
+    def describe(self) -> dict:
+        """Return all that was noted, as JSON has it."""
+        return {"calls": self._calls, "said": self._said}
+
+    @classmethod
+    def read(cls, content: dict) -> "StatementWatch":
+        """Read what ``describe`` returned in another process."""
+        watch = cls()
+        for runner, calls in content["calls"].items():
+            watch._calls[runner] = [_Arrival(*one) for one in calls]
+        for runner, all_said in content["said"].items():
+            watch._said[runner] = [_Said(*one) for one in all_said]
+        return watch
+
     def note_call(self, runner: str, call_id: str, now: float) -> None:
         """Count a call that came."""
         self._calls.setdefault(runner, []).append(_Arrival(now, call_id))
--- a/tests/benchmarks/soak.feature
+++ b/tests/benchmarks/soak.feature
@@ -38,3 +38,16 @@
       | 1, 2, 3, 7, 8, 9                         | 0          |
       | 1, 2, 3, 7, 8, 9, 10                     | 1          |
       | 1, 2, 3, 7, 8, 9, 10 at a frozen one     | 0          |
+
+  Scenario Outline: What runners said is kept to, or not, where a call comes <after> s later
+    Given a soak in which a runner says <word> to a call, and <calls> more come <after> s later
+    Then <late> calls came too late and <broken> rests were broken
+
+    Examples: Two calls are allowed in a rest, and any in its first half second
+      | word    | calls | after | late | broken |
+      | leaving | 1     | 1.9   | 0    | 0      |
+      | leaving | 3     | 2.1   | 3    | 0      |
+      | rest    | 2     | 1.0   | 0    | 0      |
+      | rest    | 3     | 1.0   | 0    | 1      |
+      | rest    | 9     | 0.4   | 0    | 0      |
+      | rest    | 9     | 3.1   | 0    | 0      |
--- a/tests/steps/soak_steps.py
+++ b/tests/steps/soak_steps.py
@@ -1,8 +1,11 @@
 """Steps on what the soak of processes checks."""
 
+import json
+
 from behave import given, then, when
 
 from benchmarks.routes import Cut, Soak
+from standins.statements import Sent, StatementWatch
 
 
 def _split(text):
@@ -63,3 +66,30 @@
     """Look at the count."""
     found = context.soak.violations["deadly_again"]
     assert found == violations, (found, context.soak.details)
+
+
+@given(
+    "a soak in which a runner says {word} to a call, and {calls:d} more come {after:g}"
+    " s later"
+)
+def step_said(context, word, calls, after):
+    """Note what runners noted; a rest is of 3 seconds."""
+    soak = context.soak = Soak(None, 1)
+    watch = StatementWatch()
+    soak._senders = {f"r{number}": Sent("entry-0", after) for number in range(calls)}
+    soak._senders["first"] = Sent("entry-0", 0.0)
+    if word == "leaving":
+        watch.note_leaving("p0", "first", 0.0)
+    else:
+        watch.note_rest("p0", "first", 3.0, 0.0)
+    for number in range(calls):
+        watch.note_call("p0", f"r{number}", after)
+    content = json.loads(json.dumps(watch.describe()))
+    soak._check_statements(StatementWatch.read(content))
+
+
+@then("{late:d} calls came too late and {broken:d} rests were broken")
+def step_kept(context, late, broken):
+    """Look at the counts."""
+    found = context.soak.violations
+    assert (found["late_to_leaving"], found["broken_rest"]) == (late, broken), found
