--- a/roadlift/explanation/story.py
+++ b/roadlift/explanation/story.py
@@ -124,6 +124,7 @@
 def _find_causes(end: Line, around: list[Line], met: set[str]) -> list[str]:
     """Return what the lines around speak for, the likeliest first."""
     causes = _explain_refusal(end)
+    causes += _explain_leaving(end, around)
     causes += _explain_store(end, around)
     causes += _explain_endpoints(end, around, met)
     if not causes:
@@ -153,6 +154,8 @@
         ]
     if code == "limit_reached":
         return _explain_limits(end)
+    if code == "endpoints_resting":
+        return _explain_rests(end)
     return []
 
 
@@ -170,6 +173,29 @@
     return causes or ["its endpoints name limits, and had none free when it came"]
 
 
+def _explain_rests(end: Line) -> list[str]:
+    """Tell which endpoint's rest was the first to end, and too late."""
+    rests = [one for one in end.fields.get("steps", ()) if one["step"] == "rest"]
+    return [
+        f"{one['endpoint']} wanted no calls from {end.instance} for {one['wait']} s "
+        "more, and no other endpoint could run it"
+        for one in rests[-1:]
+    ]
+
+
+def _explain_leaving(end: Line, around: list[Line]) -> list[str]:
+    """Tell which endpoints of the service of a refused call had left."""
+    if not str(end.fields.get("error")).startswith("no_endpoint"):
+        return []
+    service = end.fields.get("service")
+    left = {
+        line.fields["endpoint"]
+        for line in around
+        if line.name == "endpoint_leaving" and line.fields.get("service") == service
+    }
+    return [f"{endpoint} had said that it leaves" for endpoint in sorted(left)]
+
+
 def _explain_store(end: Line, around: list[Line]) -> list[str]:
     lost = [line for line in around if line.name == "store_lost"]
     if not lost or "no_configuration" not in str(end.fields.get("error")):
--- a/roadlift/instance/gate.py
+++ b/roadlift/instance/gate.py
@@ -129,10 +129,11 @@
         refusal of a call that would be late then, with ``left`` seconds of its
         objective, and False where no rest is in its way.
         """
-        wait = self._placing.measure_rest(self._service, model)
-        if wait is None:
+        rest = self._placing.find_rest(self._service, model)
+        if rest is None:
             return False
-        self._passage.on_step("rest", wait=round(wait, 3))
+        wait = rest.seconds
+        self._passage.on_step("rest", endpoint=rest.endpoint.id, wait=round(wait, 3))
         if wait > left * PATIENT_PART:
             delay = max(COME_BACK, wait) + draw * RETURN_SPREAD
             return EndpointsResting(f"service {self._service}", delay)
--- a/roadlift/instance/placing.py
+++ b/roadlift/instance/placing.py
@@ -2,6 +2,7 @@
 
 import random
 from collections.abc import Iterable
+from typing import NamedTuple
 
 from roadlift.core.kernel import Kernel, parts
 from roadlift.core.logs import PartLog
@@ -44,6 +45,13 @@
 log = PartLog("placing")
 
 
+class Rest(NamedTuple):
+    """An endpoint that wants no calls from this instance for some seconds."""
+
+    endpoint: Endpoint
+    seconds: float
+
+
 @parts.register("placing")
 class Placing:
     """What this process knows of loaded adapters, and asks for."""
@@ -234,19 +242,21 @@
             and not self._standings.measure_rest(one.id)
         ]
 
-    def measure_rest(self, service: str, model: Model | None) -> float | None:
-        """Return the seconds until the first rest ends that is in the way.
+    def find_rest(self, service: str, model: Model | None) -> Rest | None:
+        """Return the first rest to end of those that are in a call's way.
 
         Those are of endpoints that hold what it needs, or of all where all of
         the service rest; None where there are none.
         """
         ready = self._follower.directory.list_ready(service)
-        rests = {one.id: self._standings.measure_rest(one.id) for one in ready}
-        resting = [one for one in ready if rests[one.id] > 0.0]
+        rests = [Rest(one, self._standings.measure_rest(one.id)) for one in ready]
+        resting = [rest for rest in rests if rest.seconds > 0.0]
         if len(resting) < len(ready):
             least = self._follower.find_version(model) if model is not None else 0
-            resting = [one for one in resting if self._is_held(one, model, least)]
-        return min((rests[one.id] for one in resting), default=None)
+            resting = [
+                rest for rest in resting if self._is_held(rest.endpoint, model, least)
+            ]
+        return min(resting, key=lambda rest: rest.seconds, default=None)
 
     def _is_held(self, endpoint: Endpoint, model: Model | None, least: int) -> bool:
         """Tell whether an engine holds what a call needs."""
--- a/tests/core/messages.feature
+++ b/tests/core/messages.feature
@@ -4,11 +4,14 @@
   side dropped 282 messages in 20 seconds as malformed (KeyError, TypeError), so that
   nothing that was told of allowances arrived.
 
-  Scenario: Every message of the last release is read
-    Then each message in tests/core/messages-0.8.txt is read, what it lacks by default
+  Scenario Outline: Every message of release <release> is read, and reads what is sent
+    Then each message in tests/core/messages-<release>.txt is read, what it lacks by default
+    And each message in tests/core/messages-<release>.txt has as many fields as it had
 
-  Scenario: The last release reads what is sent to it
-    Then each message in tests/core/messages-0.8.txt has as many fields as it had
+    Examples:
+      | release |
+      | 0.8     |
+      | 0.9     |
 
   Scenario: Fields that a later release adds are passed over
     Then each message with two further fields is read as without them
--- a/tests/explanation/explanation.feature
+++ b/tests/explanation/explanation.feature
@@ -46,6 +46,11 @@
       | 10.5 a call_ended request=r1 outcome=refused error=limit_reached:_service_llm seconds=1 \| limit@0 endpoint=e1 limit=4.3 named=0.2, full@0.1 endpoint=e1 wait=0.9 | refused | e1 takes 4.3 calls a second, named 0.2 s before, and had none free for 0.9 s |
       | 10.5 a call_ended request=r1 outcome=refused error=limit_reached:_service_llm seconds=1 | refused | its endpoints name limits, and had none free when it came |
 
+    Examples: Calls that endpoints wanted no more of
+      | lines | outcome | cause |
+      | 10.5 a call_ended request=r1 outcome=refused error=endpoints_resting:_service_llm seconds=1 \| rest@0 endpoint=e1 wait=2.1 | refused | e1 wanted no calls from a for 2.1 s more, and no other endpoint could run it |
+      | 9 b endpoint_leaving endpoint=e1 service=llm ; 10.5 a call_ended request=r1 outcome=refused error=no_endpoint:_service_llm service=llm seconds=1 | refused | e1 had said that it leaves |
+
   Scenario: The story holds the request's own lines and what bears on them, in order
     Given the log lines
       """
--- a/tests/steps/message_steps.py
+++ b/tests/steps/message_steps.py
@@ -55,7 +55,7 @@
 @then("each message with two further fields is read as without them")
 def step_later_release(context):
     """Read what a later release might send."""
-    for tag, fields in _read_release("messages-0.8.txt").items():
+    for tag, fields in _read_release("messages-0.9.txt").items():
         kind = list_messages()[tag]
         lacking = [kind._field_defaults[one] for one in kind._fields[len(fields) - 2 :]]
         whole = [*fields, *lacking]
