Count only what was not turned away towards the end of a rest

Found on reading: a refusal without seconds counted as taken in the slow start behind a rest, and a trial's own failure was not judged while others were under way.

--- a/roadlift/instance/gate.py
+++ b/roadlift/instance/gate.py
@@ -155,7 +155,7 @@
 
     def is_resting(self, endpoint: Endpoint) -> bool:
         """Tell whether an endpoint wants no calls for a while."""
-        return self._standings.measure_rest(endpoint.id) > 0.0
+        return self._standings.wants_rest(endpoint.id)
 
     def note_head(
         self,
--- a/roadlift/instance/standings.py
+++ b/roadlift/instance/standings.py
@@ -76,6 +76,11 @@
         known = self._known.get(endpoint)
         return known.measure_rest(self._clock.now()) if known else 0.0
 
+    def wants_rest(self, endpoint: str) -> bool:
+        """Tell whether an endpoint's rest goes on."""
+        known = self._known.get(endpoint)
+        return known is not None and self._clock.now() < known.rest_until
+
     def is_last_resort(self, endpoint: str) -> bool:
         """Tell whether a leaving endpoint takes calls that no other can."""
         known = self._known.get(endpoint)
@@ -122,10 +127,14 @@
             self._note_leaving(endpoint, status, age)
         if statement.rest:
             self._note_rest(endpoint, statement.rest, status, age)
-        elif age is not None and endpoint.id in self._known:
-            self._known[endpoint.id].note_taken(self._clock.now() - age)
+        elif age is not None and not statement.is_turned_away:
+            self._note_taken(endpoint, age)
         return statement
 
+    def _note_taken(self, endpoint: Endpoint, age: float) -> None:
+        if endpoint.id in self._known:
+            self._known[endpoint.id].note_taken(self._clock.now() - age)
+
     def _find(self, endpoint: str) -> Standing:
         return self._known.setdefault(endpoint, Standing())
 
--- a/tests/steps/standing_steps.py
+++ b/tests/steps/standing_steps.py
@@ -4,6 +4,7 @@
 
 from behave import given, then, when
 
+from roadlift.decisions.standing import Standing
 from roadlift.instance.follower import Follower
 from tests.steps.limit_steps import (
     bring_trouble,
@@ -218,3 +219,36 @@
     told = [one for one in context.keeper.events if one["event"] == "header_unknown"]
     assert {one["header"] for one in told} == {name}, told
     assert len(told) == len(context.entries.entries), len(told)
+
+
+def _play(standing, event):
+    """Play one event of a history: a time, what, and a number."""
+    at, what, *more = event.split()
+    if what == "leaves":
+        standing.note_leaving(float(at))
+    elif what == "rest":
+        standing.note_rest(float(more[0]), 0.5, float(at))
+    elif what == "sent":
+        standing.note_send(float(at))
+    else:
+        standing.note_taken(float(more[1]))
+
+
+@when('an endpoint\'s history is "{history}", its drain {drain:g} seconds')
+def step_history(context, history, drain):
+    """Learn what an endpoint said, and what was sent to it."""
+    context.standing, context.drain = Standing(), drain
+    for event in [] if history == "nothing" else history.split(", "):
+        _play(context.standing, event)
+
+
+@then(
+    "at {at:g} it is tried in {wait:g}, {resort} a last resort, and a call {may} be sent"
+)
+def step_standing(context, at, wait, resort, may):
+    """Ask what it is worth."""
+    standing = context.standing
+    found = standing.measure_rest(at)
+    assert abs(found - wait) < 1e-6, found
+    assert standing.is_last_resort(context.drain, at) == (resort == "is")
+    assert standing.may_send(context.drain, at) == (may == "may")
