Leave engines alone that asked for rest, with the interface openai too

What callers saw: little.

Change: a part keeps the rests by endpoint, with the same decision as the interface routes. An engine that rests counts as full, is asked for no pin, and gets no byte of a call that was placed before; a stream that goes on there does. Where all endpoints of a plain service rest, calls are refused with when that ends.

--- a/benchmarks/policies/world.py
+++ b/benchmarks/policies/world.py
@@ -208,6 +208,10 @@
         """Return the instance that owns an endpoint."""
         return self._world.owners[endpoint].name
 
+    def is_resting(self, endpoint: str) -> bool:
+        """Tell that no endpoint asks for rest."""
+        return False
+
     def send(self, process: str, message: object) -> bool:
         """Send a message to an instance, after the delay."""
         other = self._world.instances[int(process.rpartition("-")[2])]
--- a/roadlift/core/events.py
+++ b/roadlift/core/events.py
@@ -210,6 +210,13 @@
         ("endpoint",),
         "No stream that it generates heard anything; it is left for a while.",
     ),
+    Event(
+        "rests",
+        "endpoint_resting",
+        ("endpoint", "asked"),
+        "An endpoint of the interface `openai` turned this instance away and asked "
+        "for so many seconds without calls from it.",
+    ),
     Event(
         "standings",
         "endpoint_leaving",
--- a/roadlift/daemon/exchange.py
+++ b/roadlift/daemon/exchange.py
@@ -12,6 +12,7 @@
 from roadlift.core.errors import (
     ConnectionLost,
     EndpointFailed,
+    EndpointsResting,
     NoEndpoint,
     Outcome,
     RefusedByEndpoint,
@@ -26,8 +27,10 @@
 from roadlift.daemon.members import Members
 from roadlift.daemon.metrics import Metrics
 from roadlift.daemon.pins import Pins
+from roadlift.daemon.rests import Rests
 from roadlift.endpoints.api import engine_apis
 from roadlift.endpoints.events import EventFrames
+from roadlift.http.messages import read_retry_after
 from roadlift.idempotency.claims import (
     Claim,
     StoredAnswer,
@@ -43,6 +46,7 @@
 
 MOST_TRIES = 8
 MOST_ERROR_BODY = 4096  # Bytes kept of an endpoint's error.
+TURNED_AWAY = (429, 503)  # Statuses with which endpoints ask for rest.
 PASSED_HEADERS = ("content-type", "retry-after")
 
 log = PartLog("exchange")
@@ -85,12 +89,14 @@
         self._bundles = kernel.get(Bundles)
         self._metrics = kernel.get(Metrics)
         self._calls = kernel.get(Calls)
+        self._rests = kernel.get(Rests)
         self._service = self._bundles.bundle.get_service(call.service)
         self._claim: Claim | None = None
         self._kept = bytearray() if call.key else None
         self._kept_head: tuple[int, dict[str, str]] = (0, {})
         self._upstream: Line | None = None
         self._address: Address | None = None
+        self._sent_at = 0.0
         self._head: tuple[int, dict[str, str]] | None = None
         self._has_body = False  # Of the try under way.
         self._error_body = bytearray()
@@ -180,10 +186,15 @@
         self._kept_head = (0, {})
         if self._kept is not None:
             self._kept.clear()
-        self._open(address, request)
+        endpoint = self._name_endpoint()
+        self._rests.note_send(endpoint)
+        # The call may wait for its connection when the endpoint wants rest.
+        may_send = lambda: self._rests.is_awake(endpoint)
+        self._open(address, request._replace(may_send=may_send))
 
     def _open(self, address: Address, request: Request) -> None:
         self._address = address
+        self._sent_at = self._kernel.clock.now()
         timeout = self._settings.answer_timeout
         self._upstream = self._kernel.dialer.open(address, request, self, timeout)
 
@@ -198,6 +209,7 @@
         """Take the head; an answer below 400 goes to the caller."""
         self._head = (status, headers)
         self._error_body.clear()
+        self._note_rest(status, headers)
         if self._is_refusal:
             return
         passed = {
@@ -208,6 +220,14 @@
         length = headers.get("content-length")
         self._caller.write_head(status, passed, int(length) if length else None)
 
+    def _note_rest(self, status: int, headers: dict[str, str]) -> None:
+        """Learn whether the endpoint wants calls from this process."""
+        endpoint = self._name_endpoint()
+        if status in TURNED_AWAY:
+            self._rests.note_rest(endpoint, read_retry_after(headers))
+        else:
+            self._rests.note_taken(endpoint, self._sent_at)
+
     def receive_body(self, data: bytes) -> None:
         """Relay body bytes and feel the caller's back-pressure."""
         if self._is_refusal:
@@ -426,6 +446,7 @@
             # A resumed stream goes on under the head that the caller has.
             self._head = (status, headers)
             self._error_body.clear()
+            self._note_rest(status, headers)
             return
         super().receive_head(status, headers)
         if status < 400 and "text/event-stream" in headers.get("content-type", ""):
@@ -474,7 +495,7 @@
     def _try(self) -> None:
         endpoint = self._choose()
         if endpoint is None:
-            self._fail(NoEndpoint(f"no endpoint of {self.call.service}", 1.0))
+            self._fail(self._explain_none())
             return
         self._endpoint = endpoint.name
         self._avoided.add(endpoint.name)
@@ -491,10 +512,23 @@
             endpoint
             for endpoint in self._bundles.directory.list_services(self.call.service)
             if endpoint.name not in self._avoided
+            and not self._rests.measure(endpoint.name)
         ]
         busy = lambda e: (e.zone != own_zone, self._calls.count(e.name), e.name)
         return min(found, key=busy, default=None)
 
+    def _explain_none(self) -> RoadliftError:
+        """Return why there is no endpoint, and when there may be one."""
+        service = self.call.service
+        rests = [
+            self._rests.measure(endpoint.name)
+            for endpoint in self._bundles.directory.list_services(service)
+        ]
+        wait = min(rests, default=0.0)
+        if wait > 0.0:
+            return EndpointsResting(f"service {service}", wait)
+        return NoEndpoint(f"no endpoint of {service}", 1.0)
+
     def _name_endpoint(self) -> str:
         return self._endpoint
 
--- a/roadlift/daemon/gateway.py
+++ b/roadlift/daemon/gateway.py
@@ -36,7 +36,7 @@
     """What takes callers' requests, apart from the sockets."""
 
     name = "gateway"
-    needs = ("bundles", "calls", "metrics", "owners", "pins", "status")
+    needs = ("bundles", "calls", "metrics", "owners", "pins", "rests", "status")
 
     def __init__(self, kernel: Kernel) -> None:
         self._kernel = kernel
--- a/roadlift/daemon/pins.py
+++ b/roadlift/daemon/pins.py
@@ -6,6 +6,7 @@
 from roadlift.core.kernel import Kernel, parts
 from roadlift.daemon.bundles import Bundles
 from roadlift.daemon.members import Members
+from roadlift.daemon.rests import Rests
 from roadlift.daemon.transport import Transport
 from roadlift.ownership.election import choose_owner
 from roadlift.pins.seeker import Seeker, Waiter
@@ -20,12 +21,13 @@
     """The pins of this process, and the search for them."""
 
     name = "pins"
-    needs = ("bundles", "members", "transport")
+    needs = ("bundles", "members", "rests", "transport")
 
     def __init__(self, kernel: Kernel) -> None:
         self._kernel = kernel
         self._members = kernel.get(Members)
         self._bundles = kernel.get(Bundles)
+        self._rests = kernel.get(Rests)
         self.table = PinTable(kernel.settings.pin_keep)
         self._seeker = Seeker(self, self.table)
         self._owners: dict[str, str | None] = {}
@@ -83,6 +85,10 @@
         """Send a message to a process."""
         return self._members.send(process, message)
 
+    def is_resting(self, endpoint: str) -> bool:
+        """Tell whether an endpoint wants no calls from this process now."""
+        return self._rests.measure(endpoint) > 0.0
+
     def _elect(self, endpoint: str) -> str | None:
         found = self._bundles.directory.find(endpoint)
         if found is None or not self._members.is_settled:
--- /dev/null
+++ b/roadlift/daemon/rests.py
@@ -0,0 +1,61 @@
+"""Keep which endpoints asked this process for time without calls."""
+
+import random
+
+from roadlift.core.kernel import Kernel, parts
+from roadlift.core.logs import PartLog
+from roadlift.decisions.standing import Standing
+
+log = PartLog("rests")
+
+
+@parts.register("rests")
+class Rests:
+    """The rests that endpoints asked for, by name.
+
+    A name says nothing of starts, so a rest holds for the next one as well.
+    """
+
+    name = "rests"
+    needs = ()
+
+    def __init__(self, kernel: Kernel) -> None:
+        self._clock = kernel.clock
+        self._rng = random.Random(kernel.stamp)
+        self._known: dict[str, Standing] = {}
+
+    def start(self) -> None:
+        """Do nothing; answers come later."""
+
+    def close(self) -> None:
+        """Do nothing."""
+
+    def measure(self, endpoint: str) -> float:
+        """Return the seconds until a call may be tried at an endpoint."""
+        known = self._known.get(endpoint)
+        return known.measure_rest(self._clock.now()) if known else 0.0
+
+    def is_awake(self, endpoint: str) -> bool:
+        """Tell whether an endpoint's rest is over."""
+        known = self._known.get(endpoint)
+        return known is None or self._clock.now() >= known.rest_until
+
+    def note_send(self, endpoint: str) -> None:
+        """Count a call that is sent."""
+        if endpoint in self._known:
+            self._known[endpoint].note_send(self._clock.now())
+
+    def note_taken(self, endpoint: str, sent_at: float) -> None:
+        """Learn that a call was not turned away."""
+        if endpoint in self._known:
+            self._known[endpoint].note_taken(sent_at)
+
+    def note_rest(self, endpoint: str, seconds: float) -> None:
+        """Learn that an endpoint turned a call away and asked for rest."""
+        if not endpoint or not seconds:
+            return
+        standing = self._known.setdefault(endpoint, Standing())
+        is_new = self.is_awake(endpoint)
+        standing.note_rest(seconds, self._rng.random(), self._clock.now())
+        if is_new:
+            log.event("endpoint_resting", endpoint=endpoint, asked=seconds)
--- a/roadlift/http/messages.py
+++ b/roadlift/http/messages.py
@@ -94,3 +94,9 @@
         return http.HTTPStatus(status).phrase
     except ValueError:
         return "Status"
+
+
+def read_retry_after(headers: Mapping[str, str]) -> int:
+    """Return the seconds of a Retry-After field, or 0; a date is none."""
+    text = headers.get("retry-after", "").strip()
+    return int(text) if text.isdecimal() else 0
--- a/roadlift/pins/seeker.py
+++ b/roadlift/pins/seeker.py
@@ -6,6 +6,7 @@
 reads no clock of its own: its host carries messages and time.
 """
 
+import math
 from collections.abc import Callable, Iterable
 from typing import NamedTuple, Protocol
 
@@ -57,6 +58,9 @@
     def send(self, process: str, message: object) -> bool:
         """Send a message; False means that it was dropped."""
 
+    def is_resting(self, endpoint: str) -> bool:
+        """Tell whether an endpoint wants no calls from this process now."""
+
 
 class _Search:
     """The asking for one model, shared by all who wait for it."""
@@ -171,8 +175,10 @@
         """Return how full an endpoint is: 1 is a full batch.
 
         The owner's figure lags; it is corrected by what this process has
-        started and ended since.
+        started and ended since. One that rests takes nothing.
         """
+        if self._host.is_resting(endpoint):
+            return math.inf
         own = self.table.count_running(endpoint)
         running, own_then = self._levels.get(endpoint, (0, 0))
         width = self._widths.get(endpoint, 1)
@@ -196,7 +202,9 @@
             self._send_acquire(search)
 
     def _begin(self, search: _Search, candidates: Iterable[str]) -> None:
-        search.candidates = list(candidates)
+        search.candidates = [
+            one for one in candidates if not self._host.is_resting(one)
+        ]
         search.was_full = bool(search.candidates)
         self._ask_next(search)
 
--- a/standins/hub.py
+++ b/standins/hub.py
@@ -171,6 +171,10 @@
         self.deadly: set[str] = set()
         self.deadly_runs = 0
         self.is_down = False
+        # Seconds of rest that it asks for as it turns calls away, or 0, and
+        # the times of the calls that came.
+        self.rest = 0
+        self.turned_away: list[float] = []
 
     def crash(self) -> None:
         """End, and be back with nothing a while later."""
@@ -237,6 +241,10 @@
 
     def _run(self, call: dict, line: HubLine) -> None:
         name = call["model"]
+        if self.rest:
+            self.turned_away.append(self._hub.clock.now())
+            self._reply(line, 429, b"full", {"retry-after": str(self.rest)})
+            return
         if name not in self.state.copies:
             self._reply(line, 404, b"no such model")
             return
--- a/tests/steps/standing_steps.py
+++ b/tests/steps/standing_steps.py
@@ -243,7 +243,8 @@
 
 
 @then(
-    "at {at:g} it is tried in {wait:g}, {resort} a last resort, and a call {may} be sent"
+    "at {at:g} it is tried in {wait:g}, {resort} a last resort, and a call {may} be"
+    " sent"
 )
 def step_standing(context, at, wait, resort, may):
     """Ask what it is worth."""
