Go by the strongest sign where instances saw one end differently

Cause: signs of one end were merged to the least weight. An instance that saw the call among others (weak) took back what others saw of it alone (strong): two strong signs, 6, fell to 5, so the call was refused no more. The instance that keeps its row deleted it then, which lets the work in everywhere, and what was known of its ends was gone for good.

Change: of two signs of an end the stronger counts; that the work was not the cause still goes before all. Sets are merged to the same in any order. A row is deleted only once nothing speaks against its work.

Before: the two new rows of signs failed.

--- a/roadlift/decisions/crashes.py
+++ b/roadlift/decisions/crashes.py
@@ -152,6 +152,11 @@
         record = self._records.get(identity)
         return record is not None and record.is_refused
 
+    def is_settled(self, identity: bytes) -> bool:
+        """Tell whether nothing speaks against a call any more."""
+        record = self._records.get(identity)
+        return record is None or not any(weight for weight, _ in record.signs.values())
+
     def count_ends(self, identity: bytes) -> int:
         """Return how many endpoints ended under a call."""
         record = self._records.get(identity)
@@ -222,7 +227,7 @@
     def _merge(self, sign: Sign, now: float) -> bool:
         record = self._records.get(sign.identity)
         known = record.signs.get(sign.endpoint) if record is not None else None
-        if known is not None and known[0] <= sign.weight:
+        if known is not None and not _is_stronger(sign.weight, known[0]):
             return False
         if record is None:
             record = self._records[sign.identity] = _Record(self._causes)
@@ -254,3 +259,11 @@
         older = list(self._records)[:-1]
         free = (name for name in older if not self._records[name].is_refused)
         del self._records[next(free, older[0])]
+
+
+def _is_stronger(weight: int, known: int) -> bool:
+    """Tell whether a sign goes before another of the same end.
+
+    That work was not the cause is sure; else who saw most of it counts.
+    """
+    return weight != known and (weight == 0 or weight > known > 0)
--- a/roadlift/instance/crashrows.py
+++ b/roadlift/instance/crashrows.py
@@ -92,7 +92,8 @@
         """Tell whether the store has what is known of a call."""
         known = self._rows.get(identity)
         if not self._crashes.is_refused(identity):
-            return known is None
+            # A row that is deleted lets the work in everywhere.
+            return known is None or not self._crashes.is_settled(identity)
         return known is not None and known.weights == self._weigh(identity)
 
     def _find_turn(self) -> int:
--- a/tests/decisions/crashes.feature
+++ b/tests/decisions/crashes.feature
@@ -24,6 +24,12 @@
       | 1 a strong e1, 2 400 others, 3 a strong e2                    | 5    | 0       |
       | 1 a strong e1, 700 time passes, 701 a strong e2               | 702  | 0       |
 
+    Examples: One end that instances saw differently, the weaker sign first or last
+      | history                                                       | at   | seconds |
+      | 1 a strong e1, 2 a strong e2, 3 a weak e2                     | 5    | 57      |
+      | 1 a weak e1, 2 a strong e1, 3 a strong e2                     | 5    | 58      |
+      | 1 a strong e1, 2 a strong e2, 3 a weak e2, 3 a cleared        | 5    | 0       |
+
     Examples: What was only there at ends that have a stronger suspect, or a sure cause
       | history                                                              | at | seconds |
       | 1 a weak e1, 2 a weak e2, 3 a weak e3, 4 b strong e1                 | 5  | 0       |
