Tell the three steps of a rest in a call's way apart

Read as a newcomer: one method returned a refusal, true or false. What is known of endpoints that left is bounded also where others tell it.

--- a/roadlift/instance/exchange.py
+++ b/roadlift/instance/exchange.py
@@ -251,18 +251,23 @@
 
     def _is_over_limits(self) -> bool:
         """Refuse a call that endpoints' limits leave no room for."""
-        error = self._gate.find_limit(self._ingress.draw())
+        error = self._gate.judge_limits(self._ingress.draw())
         if error is not None:
             self._fail(error)
         return error is not None
 
     def _is_behind_rest(self, model: Model | None) -> bool:
-        """Let a call wait for an endpoint's rest, or refuse it."""
-        draw = self._ingress.draw()
-        found = self._gate.await_rest(model, self._measure_left(), draw)
-        if isinstance(found, RoadliftError):
-            self._fail(found)
-        return bool(found)
+        """Let a call wait for the end of endpoints' rests, or refuse it."""
+        rest = self._gate.find_rest(model)
+        if rest is None:
+            return False
+        left, draw = self._measure_left(), self._ingress.draw()
+        error = self._gate.judge_rest(rest, left, draw)
+        if error is not None:
+            self._fail(error)
+        else:
+            self._gate.await_rest(rest)
+        return True
 
     def _measure_left(self) -> float:
         """Return the seconds that are left of the call's objective."""
--- a/roadlift/instance/gate.py
+++ b/roadlift/instance/gate.py
@@ -14,7 +14,7 @@
 from roadlift.instance.adapterwait import COME_BACK
 from roadlift.instance.limits import Answered, EndpointLimits
 from roadlift.instance.permits import Outcome, Permits, SendWait
-from roadlift.instance.placing import Placing
+from roadlift.instance.placing import Placing, Rest
 from roadlift.instance.standings import Standings
 from roadlift.serving.calls import Call, Model
 from roadlift.serving.directory import Endpoint
@@ -108,7 +108,7 @@
 
     # Where there is no endpoint.
 
-    def find_limit(self, draw: float) -> LimitReached | None:
+    def judge_limits(self, draw: float) -> LimitReached | None:
         """Return the refusal of a call that limits leave no room for, or None.
 
         Its caller comes back when a send may be free, each a little later than
@@ -120,25 +120,33 @@
         delay = max(COME_BACK, wait) * (1.0 + draw)
         return LimitReached(f"service {self._service}", delay)
 
-    def await_rest(
-        self, model: Model | None, left: float, draw: float
-    ) -> EndpointsResting | bool:
-        """Wait for the end of the first rest, where all endpoints rest.
+    def find_rest(self, model: Model | None) -> Rest | None:
+        """Return the first rest to end where all endpoints rest, or None.
 
-        Or, with a ``model``, where those rest that hold it. Returns the
-        refusal of a call that would be late then, with ``left`` seconds of its
-        objective, and False where no rest is in its way.
+        Or, with a ``model``, where those rest that hold it.
         """
         rest = self._placing.find_rest(self._service, model)
-        if rest is None:
-            return False
-        wait = rest.seconds
-        self._passage.on_step("rest", endpoint=rest.endpoint.id, wait=round(wait, 3))
-        if wait > left * PATIENT_PART:
-            delay = max(COME_BACK, wait) + draw * RETURN_SPREAD
-            return EndpointsResting(f"service {self._service}", delay)
-        self._loop.call_later(max(LEAST_WAIT, wait), self._passage.on_shut)
-        return True
+        if rest is not None:
+            wait = round(rest.seconds, 3)
+            self._passage.on_step("rest", endpoint=rest.endpoint.id, wait=wait)
+        return rest
+
+    def judge_rest(
+        self, rest: Rest, left: float, draw: float
+    ) -> EndpointsResting | None:
+        """Return the refusal of a call that is late behind a rest, or None.
+
+        It has ``left`` seconds of its objective.
+        """
+        if rest.seconds <= left * PATIENT_PART:
+            return None
+        delay = max(COME_BACK, rest.seconds) + draw * RETURN_SPREAD
+        return EndpointsResting(f"service {self._service}", delay)
+
+    def await_rest(self, rest: Rest) -> None:
+        """Let the call choose again once a rest is over."""
+        wait = max(LEAST_WAIT, rest.seconds)
+        self._loop.call_later(wait, self._passage.on_shut)
 
     # A send, and its answer.
 
--- a/roadlift/serving/directory.py
+++ b/roadlift/serving/directory.py
@@ -145,15 +145,18 @@
         """
         if endpoint_id in self._left:
             return False
-        self._left[endpoint_id] = None
-        if len(self._left) > MOST_LEFT:
-            del self._left[next(iter(self._left))]
+        self._remember_left(endpoint_id)
         if endpoint_id in self._endpoints:
             is_missing = endpoint_id in self._missing
             self.put(self._endpoints[endpoint_id])
             self._missing |= {endpoint_id} if is_missing else set()
         return True
 
+    def _remember_left(self, endpoint_id: str) -> None:
+        self._left[endpoint_id] = None
+        if len(self._left) > MOST_LEFT:
+            del self._left[next(iter(self._left))]
+
     def correct(self, endpoint: Endpoint) -> Endpoint:
         """Return an entry with what its endpoint said of itself."""
         if endpoint.id not in self._left:
@@ -172,7 +175,7 @@
                 return
             self._drop(earlier.id)
         if endpoint.is_leaving:
-            self._left[endpoint.id] = None
+            self._remember_left(endpoint.id)
         endpoint = self.correct(endpoint)
         self._ids[endpoint.name] = endpoint.id
         is_back = endpoint.id in self._missing
