Let the soak's callers have keys, and revoke them over freezes and cuts

Three organisations, one with an allowance that it asks for more than; calls come with keys that are held, were revoked, or never were. From the runners' side: no run of an unknown key, of one revoked over 5 s before, or under another name; no key passed on; no window of 8 s over the allowance. Configurations are written one by one, so that an older one is never the last.

--- a/benchmarks/routes.py
+++ b/benchmarks/routes.py
@@ -4,9 +4,9 @@
 while, as instances are killed, stopped, frozen, told to leave and cut from the
 store, the store falls silent or loses answers, engines start again under their
 names, play faults, name limits, leave, ask for rest and end under calls, and
-the operator adds routes and names versions; faults overlap. What callers were
-told is compared with what the runners noted. Prints JSON, and fails where a
-count of violations is above zero.
+the operator adds routes, names versions and revokes keys; faults overlap. What
+callers were told is compared with what the runners noted. Prints JSON, and
+fails where a count of violations is above zero.
 """
 
 import argparse
@@ -21,6 +21,7 @@
 from pathlib import Path
 from typing import NamedTuple
 
+from benchmarks.organisations import REVOKE_LIMIT, SETTINGS, KeyRing
 from demo.installation import Answer, Channel, Deployment
 from roadlift.core.clock import BootClock
 from standins.proxies import Way
@@ -63,6 +64,10 @@
     "over_limit",
     "late_to_leaving",
     "broken_rest",
+    "revoked_run",
+    "wrong_organisation",
+    "key_passed_on",
+    "over_allowance",
     "own_end",
     "no_recovery",
 )
@@ -103,6 +108,8 @@
         self._freezes: Counter[str] = Counter()
         self._senders: dict[str, Sent] = {}
         self._clock = BootClock()
+        self.keys = KeyRing(self._draw, self._clock)
+        self._writing = asyncio.Lock()
         self._seen_routes: dict[tuple[str, int], int] = {}
         self._store_disturbed = 0.0
         self._added: list[float] = []
@@ -160,7 +167,7 @@
         if kind in _STREAMS:
             rank = min(int(self._draw.paretovariate(0.7)) - 1, ADAPTERS - 1)
             model = f"base/x{rank}"
-        headers = make_headers(Wanted(call_id, model, 4.0))
+        headers = make_headers(Wanted(call_id, model, 4.0, self.keys.pick(call_id)))
         began = time.monotonic()
         self._kinds[call_id] = kind
         self._note_sent(call_id, name, began)
@@ -221,6 +228,8 @@
             (self._name_version, 3),
             (self._send_deadly, 3),
             (self._name_limit, 3),
+            (self._revoke_key, 2),
+            (self._revoke_over_freeze, 2),
             (self._leave_runner, 3),
             (self._want_rest, 4),
         )
@@ -333,7 +342,7 @@
 
     async def _add_route(self) -> None:
         self._deployment.routes += 1
-        await asyncio.to_thread(self._deployment.write_configuration)
+        await self._write_configuration()
         self._added.append(time.monotonic())
 
     async def _name_version(self) -> None:
@@ -351,6 +360,47 @@
         for runner in runners:
             await self._command(runner=runner, limit=None)
 
+    async def _revoke_over_freeze(self) -> None:
+        """Revoke a key while an instance stands still, and ask it then."""
+        name = self._take_instance()
+        if name is None:
+            return
+        process = self._deployment.instances[name]
+        self._disturbed[name] = time.monotonic() + 60.0
+        self._freezes[name] += 1
+        process.send_signal(signal.SIGSTOP)
+        key = await self._revoke_key()
+        await asyncio.sleep(REVOKE_LIMIT + 0.3)
+        calls = [asyncio.create_task(self._call_former(name, key)) for _ in range(6)]
+        await asyncio.sleep(0.3)
+        process.send_signal(signal.SIGCONT)
+        self._disturbed[name] = time.monotonic()
+        await asyncio.gather(*calls)
+
+    async def _call_former(self, name: str, key: str) -> None:
+        self._serial += 1
+        call_id = f"f{self._serial}"
+        self._note_sent(call_id, name, time.monotonic())
+        self.keys.note_former(call_id, key)
+        headers = make_headers(Wanted(call_id, "", 4.0, key))
+        channel = Channel(self._deployment.instances[name].address)
+        answer = await channel.call("POST", "/idem/1", headers)
+        channel.close()
+        self.counts[f"former_{answer.status}"] += 1
+
+    async def _revoke_key(self) -> str:
+        """Give an organisation another key; return the one that it had."""
+        key = self.keys.replace()
+        self._deployment.tenants = self.keys.describe()
+        await self._write_configuration()
+        self.keys.note_revoked(key)
+        return key
+
+    async def _write_configuration(self) -> None:
+        """Write configurations one by one, the newest last."""
+        async with self._writing:
+            await asyncio.to_thread(self._deployment.write_configuration)
+
     async def _leave_runner(self) -> None:
         """Let a runner say that it leaves, in answers alone, and end."""
         runner = f"{self._draw.choice('ep')}{self._draw.randrange(3)}0"
@@ -393,7 +443,8 @@
         self._note_sent(call_id, name, began)
         is_disturbed = self._disturbed.get(name, 0.0) > began - CALM
         self._excused[call_id] = is_disturbed or name in self._leaving_at
-        headers = make_headers(Wanted(call_id, f"base/x{number % ADAPTERS}", 4.0))
+        model, key = f"base/x{number % ADAPTERS}", self.keys.get_safe(call_id)
+        headers = make_headers(Wanted(call_id, model, 4.0, key))
         channel = Channel(self._deployment.instances[name].address)
         body = f"deadly {number}".encode()
         answer = await channel.call("POST", "/long/deadly", headers, body)
@@ -429,7 +480,8 @@
         if not number:
             return
         self._serial += 1
-        headers = make_headers(Wanted(f"r{self._serial}", "", 1.0))
+        call_id = f"r{self._serial}"
+        headers = make_headers(Wanted(call_id, "", 1.0, self.keys.get_safe(call_id)))
         channel = Channel(self._deployment.instances[name].address)
         answer = await channel.call("POST", f"/added-{number}/1", headers)
         channel.close()
@@ -455,7 +507,9 @@
                 for _ in range(4):
                     self._serial += 1
                     model = "base" if kind in _STREAMS else ""
-                    headers = make_headers(Wanted(f"r{self._serial}", model))
+                    call_id = f"r{self._serial}"
+                    key = self.keys.get_safe(call_id)
+                    headers = make_headers(Wanted(call_id, model, key=key))
                     channel = Channel(process.address)
                     answer = await channel.call("POST", path, headers)
                     channel.close()
@@ -482,6 +536,8 @@
         for run in found["runs"]:
             self._check_version(run["id"], run["old_for"])
         self._check_limits(found["excess"])
+        for breach in self.keys.check(found["runs"]):
+            self.note(breach.rule, breach.detail)
         self._check_statements(StatementWatch.read(found["statements"]))
         for name in found["overfull"]:
             self.note("overfull_engine", name)
@@ -557,8 +613,9 @@
 
 def run(seconds: float, seed: int, instances: int, folder: Path, rule: str) -> dict:
     """Run the soak in a folder and return its summary."""
-    deployment = Deployment(folder, instances, rule)
+    deployment = Deployment(folder, instances, rule, SETTINGS)
     soak = Soak(deployment, seed)
+    deployment.tenants = soak.keys.describe()
     try:
         deployment.start()
         time.sleep(4.0)
--- a/demo/installation.py
+++ b/demo/installation.py
@@ -86,11 +86,21 @@
 class Deployment:
     """The processes: instances, and one for the store and the runners.
 
-    ``rule`` is taken out of the instances' code; empty for none.
+    ``rule`` is taken out of the instances' code; empty for none. ``more`` are
+    settings beside the usual ones; ``tenants`` are the organisations of the
+    configurations that are written.
     """
 
-    def __init__(self, folder: Path, instances: int, rule: str = "") -> None:
+    def __init__(
+        self,
+        folder: Path,
+        instances: int,
+        rule: str = "",
+        more: dict[str, str] | None = None,
+    ) -> None:
         self._folder = folder
+        self._more = more or {}
+        self.tenants: list[dict] = []
         self._daemon = ["standins.broken", rule] if rule else ["roadlift.daemon.main"]
         self._ports: dict[str, int] = {}
         self.proxies: dict[str, Proxy] = {}
@@ -100,6 +110,7 @@
             for index in range(instances)
         }
         self.routes = 0
+        self.version = 1
 
     def _find_port(self, name: str) -> int:
         if name not in self._ports:
@@ -138,6 +149,7 @@
             "grace": "2.8",
             "drain_limit": "8",
             "log_format": "json",
+            **self._more,
         }
         command = [sys.executable, "-m", *self._daemon]
         for key, value in values.items():
@@ -168,11 +180,12 @@
 
     def write_configuration(self) -> None:
         """Write the next version, with the routes that were added so far."""
+        self.version += 1
         added = [
             make_route(f"/added-{number}/", "idempotent", "plain")
             for number in range(1, self.routes + 1)
         ]
-        content = describe_configuration(
-            self.routes + 2, added, SERVICES, ADAPTER_SLOTS
-        )
+        content = describe_configuration(self.version, added, SERVICES, ADAPTER_SLOTS)
+        if self.tenants:
+            content["tenants"] = self.tenants
         self.command(put="config", content=content)
--- a/standins/broken.py
+++ b/standins/broken.py
@@ -10,6 +10,8 @@
 from roadlift.crashes.ledger import CrashLedger
 from roadlift.daemon import main as daemon
 from roadlift.endpoints.events import EventFrames
+from roadlift.instance.access import Access
+from roadlift.instance.allowances import Allowances
 from roadlift.instance.exchange import Exchange
 from roadlift.instance.follower import Follower
 from roadlift.instance.ingress import Ingress
@@ -100,6 +102,16 @@
     EndpointLimits.note_answer = lambda self, endpoint, answer: None
 
 
+def _ignore_age() -> None:
+    """Let calls in by keys that may have been revoked long ago."""
+    Access.check_age = lambda self: None
+
+
+def _ignore_allowances() -> None:
+    """Let in whatever organisations ask for."""
+    Allowances.take = lambda self, organisation, amount: 0.0
+
+
 def _ignore_leaving() -> None:
     """Send to endpoints that said that they leave."""
     Standings._note_leaving = lambda self, endpoint, status, age: None
@@ -127,6 +139,8 @@
     "whole_events": _pass_bytes_on,
     "crashes": _forget_ends,
     "limits": _ignore_limits,
+    "freshness": _ignore_age,
+    "allowances": _ignore_allowances,
     "leaving": _ignore_leaving,
     "rests": _ignore_rests,
 }
--- a/standins/loopback.py
+++ b/standins/loopback.py
@@ -176,8 +176,16 @@
         version, named_at = self._named.get(adapter, (0, 0.0))
         age = self.installation.clock.now() - named_at
         is_old = bool(adapter) and runner.held.get(adapter, 0) < version
-        run = {"id": headers["request-id"], "runner": runner.id}
-        self._runs.append({**run, "old_for": age if is_old else 0.0})
+        self._runs.append(
+            {
+                "id": headers["request-id"],
+                "runner": runner.id,
+                "at": self.installation.clock.now(),
+                "old_for": age if is_old else 0.0,
+                "organisation": headers.get("tenant-name", ""),
+                "has_key": "authorization" in headers,
+            }
+        )
 
     def control(self, command: dict) -> None:
         """Carry out a command of the soak."""
--- a/tests/support/callers.py
+++ b/tests/support/callers.py
@@ -9,12 +9,13 @@
 class Wanted(NamedTuple):
     """A call of a caller: ``model`` is empty for a plain one.
 
-    ``limit`` is in seconds, 0 for none.
+    ``limit`` is in seconds, 0 for none; ``key`` is the organisation's.
     """
 
     id: str
     model: str = ""
     limit: float = 0.0
+    key: str = ""
 
 
 def make_headers(wanted: Wanted) -> dict[str, str]:
@@ -22,6 +23,8 @@
     headers = {"Request-Id": wanted.id}
     if wanted.limit:
         headers["Deadline-Ms"] = str(int(wanted.limit * 1000))
+    if wanted.key:
+        headers["Authorization"] = f"Token {wanted.key}"
     if wanted.model:
         headers["Model"] = wanted.model
         headers["Token-Count"] = "10,20"
