--- a/benchmarks/routes.py
+++ b/benchmarks/routes.py
@@ -18,6 +18,8 @@
 import tempfile
 import time
 from collections import Counter
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 from pathlib import Path
 from typing import NamedTuple
 
@@ -272,11 +274,17 @@
         name = self._take_instance()
         if name is None:
             return
+        async with self._stand_still(name):
+            await asyncio.sleep(self._draw.uniform(0.2, MOST_FROZEN))
+
+    @asynccontextmanager
+    async def _stand_still(self, name: str) -> AsyncIterator[None]:
+        """Stop an instance for as long as this is held."""
         process = self._deployment.instances[name]
         self._disturbed[name] = time.monotonic() + 60.0
         self._freezes[name] += 1
         process.send_signal(signal.SIGSTOP)
-        await asyncio.sleep(self._draw.uniform(0.2, MOST_FROZEN))
+        yield
         process.send_signal(signal.SIGCONT)
         self._disturbed[name] = time.monotonic()
 
@@ -365,16 +373,12 @@
         name = self._take_instance()
         if name is None:
             return
-        process = self._deployment.instances[name]
-        self._disturbed[name] = time.monotonic() + 60.0
-        self._freezes[name] += 1
-        process.send_signal(signal.SIGSTOP)
-        key = await self._revoke_key()
-        await asyncio.sleep(REVOKE_LIMIT + 0.3)
-        calls = [asyncio.create_task(self._call_former(name, key)) for _ in range(6)]
-        await asyncio.sleep(0.3)
-        process.send_signal(signal.SIGCONT)
-        self._disturbed[name] = time.monotonic()
+        async with self._stand_still(name):
+            key = await self._revoke_key()
+            await asyncio.sleep(REVOKE_LIMIT + 0.3)
+            call = lambda: asyncio.create_task(self._call_former(name, key))
+            calls = [call() for _ in range(6)]
+            await asyncio.sleep(0.3)
         await asyncio.gather(*calls)
 
     async def _call_former(self, name: str, key: str) -> None:
