Tell when the store comes back older, and as of which versions one goes on

Logs could not tell versions of two histories from a slow relay: nothing said that the store's era had risen, as of which version an instance that hears an aggregator knew the rows, or that it passed a list over as older. The header Store-Era was read nowhere, and the alarm for unknown headers did not hear the store's answers.

Now one typed reading of the era of each answer, one line a process and return, one for the first list in a row that is passed over, and the alarm.

--- a/roadlift/core/events.py
+++ b/roadlift/core/events.py
@@ -88,6 +88,14 @@
         "An endpoint is new, or takes calls again.",
     ),
     Event("follower", "history_gone", ("table", "version"), "All is read anew."),
+    Event(
+        "follower",
+        "store_came_back_older",
+        ("era", "before", "source", "operator", "list"),
+        "The store lost its newest writes and counts versions anew from an older "
+        "one. What told so, and the versions as of which the operator's rows and "
+        "the list were known before.",
+    ),
     Event("follower", "store_lost", ("table", "error"), "The store can't be read."),
     Event("follower", "store_regained", ("table", "version"), "It can be again."),
     Event("follower", "version_declared", ("model", "version"), "Older ones retire."),
@@ -244,6 +252,20 @@
         "An answer bears a header that no table of the adapter lists; told once a "
         "name and process.",
     ),
+    Event(
+        "platform",
+        "header_unknown",
+        ("header",),
+        "An answer of the store bears a header that no table of the adapter lists; "
+        "told once a name and process.",
+    ),
+    Event(
+        "subscription",
+        "list_passed_over",
+        ("told", "known"),
+        "The aggregator's list is of a lower version than the one known here; told "
+        "of the first in a row.",
+    ),
     Event(
         "subscription",
         "source_chosen",
--- a/roadlift/instance/follower.py
+++ b/roadlift/instance/follower.py
@@ -20,6 +20,7 @@
 from roadlift.organisations.keys import KeyTable
 from roadlift.serving.calls import Model
 from roadlift.serving.directory import Directory, Endpoint, decode_endpoint
+from roadlift.serving.eras import StoreReturn
 from roadlift.serving.interfaces import Rows, StoredRow
 from roadlift.serving.messages import ListNews, OperatorNews
 from roadlift.serving.operatorrows import OperatorRows, unpack_row
@@ -202,6 +203,7 @@
         self.on_version: list[Callable[[Model, int], None]] = []
         self.on_directory: list[Callable[[], None]] = []
         self.on_operator: list[Callable[[int], None]] = []
+        kernel.get(Platform).store.eras.on_return.append(self._log_store_return)
 
     @property
     def is_ready(self) -> bool:
@@ -355,6 +357,18 @@
         """Return the declared version of an adapter, or 0."""
         return self.versions.get(model, 0)
 
+    def _log_store_return(self, told: StoreReturn) -> None:
+        """Tell as of which versions this process goes on."""
+        self._measures.set("roadlift_store_era", told.era)
+        log.event(
+            "store_came_back_older",
+            era=told.era,
+            before=told.before,
+            source=told.source,
+            operator=self.operator_version,
+            list=self.list_version,
+        )
+
     def _note_return(self) -> None:
         """Act on the store's return: an old poll may hang on its cut path."""
         self.directory.note_return(self._kernel.clock.now())
--- a/roadlift/instance/measures.py
+++ b/roadlift/instance/measures.py
@@ -250,6 +250,14 @@
         "The configuration in force.",
         "One that stays behind the others' can't read the store.",
     ),
+    Measure(
+        "roadlift_store_era",
+        "gauge",
+        "era",
+        (),
+        "The era that the platform's store told last, where it rose since the start.",
+        "It rises each time the store comes back older; see `store_came_back_older`.",
+    ),
     Measure(
         "roadlift_store_failures",
         "counter",
--- a/roadlift/instance/sourcestream.py
+++ b/roadlift/instance/sourcestream.py
@@ -62,6 +62,7 @@
         self._serial = 0
         self._list_serial = 0
         self._last_serial = 0
+        self._is_passing_over = False
         self._members = 1
         self._beat_at = float("-inf")
         self._probe_at = float("-inf")
@@ -254,12 +255,21 @@
             return
         if news.version < self._follower.list_version:
             # An aggregator that is cut from the store knows less than this.
+            self._log_passed_over(news)
             return
+        self._is_passing_over = False
         if news.is_whole or news.serial == self._list_serial + 1:
             # Behind a gap the next heartbeat brings the whole list.
             self._list_serial = news.serial
             self._follower.relay_list(news)
 
+    def _log_passed_over(self, news: ListNews) -> None:
+        """Tell of the first list of a row that is older than the own one."""
+        if not self._is_passing_over:
+            self._is_passing_over = True
+            known = self._follower.list_version
+            log.event("list_passed_over", told=news.version, known=known)
+
     def _take_operator_news(self, sender: str, news: OperatorNews) -> None:
         if self._is_open and news.stream == self._stream:
             self._follower.relay_operator(news)
--- a/roadlift/serving/interfaces.py
+++ b/roadlift/serving/interfaces.py
@@ -13,6 +13,7 @@
 from roadlift.relay.upstream import Answer, Request
 from roadlift.serving.calls import Call, Model
 from roadlift.serving.directory import Endpoint
+from roadlift.serving.eras import StoreEras
 from roadlift.serving.orders import EngineReport, Order, OrderResult
 from roadlift.serving.routes import Configuration, Route
 from roadlift.serving.statements import Statement
@@ -85,11 +86,13 @@
 class RowStore(Protocol):
     """The platform's table service; ``calls`` counts what was asked of it.
 
-    A failure is VersionConflict (nothing was written), HistoryGone (read the
-    whole table again) or PlatformUnavailable (nobody knows).
+    ``eras`` learns of that of each answer, whatever its status. A failure is
+    VersionConflict (nothing was written), HistoryGone (read the whole table
+    again) or PlatformUnavailable (nobody knows).
     """
 
     calls: Mapping[StoreCall, int]
+    eras: StoreEras
 
     def read(self, table: str, on_rows: OnRows, on_error: OnError) -> None:
         """Read a whole table."""
