Compare states of the store by era and version, and nothing else

Cause: a version of the store was compared with one of another history. An instance that hears an aggregator knew the operator's rows up to 187; behind the return its aggregator's were at 130, so nothing was new and nothing was sent; a list of version 1,028 was passed over as older than 1,055; a read from a version that the new history had reached lacked what had changed below it.

Change: one typed position, era and version, made in platform/ from each answer of whatever status. Answers of an era that is over are failures; the first answer of a newer one sends every read that is under way anew, whole, but for those that an aggregator reads for; a write that expects a position of an era that is over is a conflict and is not sent. Between instances a position is one number that keeps the order, so that no message has another field, and in a store that tells no era it is the version. What is in force is taken back by no older row: aggregators pass it on at the new position, also to an instance that starts before the operator has written again; of two rows with one number the one written last holds. Reading a table moved to a file of its own.

--- a/roadlift/core/events.py
+++ b/roadlift/core/events.py
@@ -87,7 +87,14 @@
         ("endpoint", "address", "service", "remaining", "version"),
         "An endpoint is new, or takes calls again.",
     ),
-    Event("follower", "history_gone", ("table", "version"), "All is read anew."),
+    Event("follower", "history_gone", ("table", "era", "version"), "All is read anew."),
+    Event(
+        "follower",
+        "row_older",
+        ("key", "told", "known"),
+        "A row of the operator is older than what is in force, as it is behind the "
+        "store's return; what is in force stands.",
+    ),
     Event(
         "follower",
         "store_came_back_older",
@@ -97,7 +104,9 @@
         "the list were known before.",
     ),
     Event("follower", "store_lost", ("table", "error"), "The store can't be read."),
-    Event("follower", "store_regained", ("table", "version"), "It can be again."),
+    Event(
+        "follower", "store_regained", ("table", "era", "version"), "It can be again."
+    ),
     Event("follower", "version_declared", ("model", "version"), "Older ones retire."),
     Event(
         "ingress",
@@ -263,8 +272,8 @@
         "subscription",
         "list_passed_over",
         ("told", "known"),
-        "The aggregator's list is of a lower version than the one known here; told "
-        "of the first in a row.",
+        "The aggregator's list is of a lower position, [era, version], than the one "
+        "known here; told of the first in a row.",
     ),
     Event(
         "subscription",
--- a/roadlift/instance/aggregator.py
+++ b/roadlift/instance/aggregator.py
@@ -33,6 +33,8 @@
     Snapshot,
 )
 from roadlift.serving.newslog import CatchUp, Change, NewsLog, Resends, pack_changes
+from roadlift.serving.operatorrows import PackedRow
+from roadlift.serving.position import StorePosition
 from roadlift.serving.usage import Completeness
 
 # Seconds for each subscriber between two digests, and at most: each goes to
@@ -200,9 +202,9 @@
             1 + len(self._subscribers),
             [list(sign) for sign in self._knowledge.list_signs()],
             self._list_serial,
-            follower.list_version,
+            follower.list_position.pack(),
             round(follower.measure_list_age(), 3),
-            follower.operator_version,
+            follower.operator_position.pack(),
             follower.measure_operator_age(),
             asked_at,
         )
@@ -301,7 +303,7 @@
         return ListNews(
             self._stream,
             self._list_serial,
-            self._follower.list_version,
+            self._follower.list_position.pack(),
             is_whole,
             [encode_endpoint(one) for one in changed],
             gone,
@@ -319,24 +321,42 @@
 
     # The operator's rows.
 
-    def _relay_operator(self, since: int) -> None:
-        """Pass the rows on that are newer than a version."""
+    def _relay_operator(self, since: StorePosition) -> None:
+        """Pass the rows on that are newer than a position."""
         if not self._subscribers or not self._is_serving:
             return
         rows = self._follower.operator_rows.list_since(since)
         size = sum(len(row.value or b"") for row in rows)
         if size * len(self._subscribers) <= MOST_PASSED_ON:
-            news = OperatorNews(self._stream, since, [list(row) for row in rows])
+            news = self._make_operator_news(since, rows)
             self._transport.send_all(self._subscribers, news)
 
+    def _make_operator_news(
+        self, since: StorePosition, rows: Iterable[PackedRow]
+    ) -> OperatorNews:
+        return OperatorNews(self._stream, since.pack(), [list(row) for row in rows])
+
+    def _tell_ahead(self, address: str) -> None:
+        """Tell a new subscriber what the store lacks since it came back older.
+
+        One that starts then knows of the copy alone.
+        """
+        rows = self._follower.operator_rows.list_ahead()
+        if rows:
+            news = self._make_operator_news(self._follower.operator_position, rows)
+            self._transport.send(address, news)
+
     def _catch_up_operator(self, message: Heartbeat, now: float) -> None:
         """Send a subscriber the rows that it lacks."""
-        known = message.operator_version
-        if known < 0 or known >= self._follower.operator_version:
+        if message.stream != self._stream:
+            self._tell_ahead(message.address)
+        known = StorePosition.unpack(message.operator_place)
+        is_reading = message.operator_place < 0
+        if is_reading or known >= self._follower.operator_position:
             self._operator_resends.forget(message.address)
         elif self._operator_resends.take(message.address, now):
             rows = self._follower.operator_rows.list_since(known)
-            news = OperatorNews(self._stream, known, [list(row) for row in rows])
+            news = self._make_operator_news(known, rows)
             self._transport.send(message.address, news)
 
     # What subscribers ask for.
--- a/roadlift/instance/crashrows.py
+++ b/roadlift/instance/crashrows.py
@@ -15,11 +15,13 @@
 from roadlift.core.loop import Timer
 from roadlift.crashes.ledger import CrashLedger
 from roadlift.decisions.crashes import MOST_CALLS
-from roadlift.instance.follower import Follower, TableReader
+from roadlift.instance.follower import Follower
 from roadlift.instance.leases import Leases
 from roadlift.instance.platform import Platform
+from roadlift.instance.tablereader import TableReader
 from roadlift.serving.crashsigns import encode_row, read_key, read_row
 from roadlift.serving.interfaces import Rows, RowWrite, StoredRow, StoreTime
+from roadlift.serving.position import NOWHERE, StorePosition
 
 TABLE = "roadlift_crashes"
 # Seconds that a poll waits at the store. Rows change seldom, and one that
@@ -38,10 +40,10 @@
 
 
 class _Known(NamedTuple):
-    """A row as it is in the store: {endpoint: weight} and its version."""
+    """A row as it is in the store: {endpoint: weight} and its position."""
 
     weights: dict[str, int]
-    version: int
+    position: StorePosition
 
 
 class CrashRows:
@@ -128,11 +130,11 @@
             TABLE,
             identity.hex(),
             self._encode(identity, weights) if weights else None,
-            known.version if known else 0,
+            known.position if known else NOWHERE,
         )
         self._store.write(
             row,
-            lambda version, time: self._note_written(identity, weights, version),
+            lambda position, time: self._note_written(identity, weights, position),
             lambda error: self._note_failure(identity, error),
         )
 
@@ -143,13 +145,16 @@
         return encode_row(store_now - age, weights)
 
     def _note_written(
-        self, identity: bytes, weights: dict[str, int] | None, version: int
+        self,
+        identity: bytes,
+        weights: dict[str, int] | None,
+        position: StorePosition,
     ) -> None:
         self._due.discard(identity)
         if weights is None:
             self._rows.pop(identity, None)
         else:
-            self._rows[identity] = _Known(weights, version)
+            self._rows[identity] = _Known(weights, position)
 
     def _note_failure(self, identity: bytes, error: RoadliftError) -> None:
         if isinstance(error, VersionConflict):
@@ -176,5 +181,5 @@
             return
         signs = read_row(identity, row.value, store_now)
         weights = {sign.endpoint: sign.weight for sign in signs}
-        self._rows[identity] = _Known(weights, row.version)
+        self._rows[identity] = _Known(weights, row.position)
         self._ledger.learn(signs)
--- a/roadlift/instance/follower.py
+++ b/roadlift/instance/follower.py
@@ -6,24 +6,26 @@
 
 from collections.abc import Callable, Iterable
 
-from roadlift.core.errors import (
-    HistoryGone,
-    InvalidConfiguration,
-    MalformedMessage,
-    RoadliftError,
-)
+from roadlift.core.errors import InvalidConfiguration, MalformedMessage
 from roadlift.core.kernel import Kernel, parts
 from roadlift.core.logs import PartLog
 from roadlift.instance.measures import Measures
 from roadlift.instance.platform import Platform
+from roadlift.instance.tablereader import TableReader
 from roadlift.organisations.freshness import Freshness, RelayedState
 from roadlift.organisations.keys import KeyTable
 from roadlift.serving.calls import Model
-from roadlift.serving.directory import Directory, Endpoint, decode_endpoint
+from roadlift.serving.directory import (
+    RETURN_GRACE,
+    Directory,
+    Endpoint,
+    decode_endpoint,
+)
 from roadlift.serving.eras import StoreReturn
 from roadlift.serving.interfaces import Rows, StoredRow
 from roadlift.serving.messages import ListNews, OperatorNews
 from roadlift.serving.operatorrows import OperatorRows, unpack_row
+from roadlift.serving.position import NOWHERE, StorePosition
 from roadlift.serving.routes import Configuration, RouteTable
 
 # Seconds that a poll waits at the store. A path can fall silent without a
@@ -54,124 +56,10 @@
 # table itself, whoever else may read it.
 POLL_PART = 0.15
 OLD_PART = 0.45
-REST_LOOK = 0.2  # Seconds between looks whether an instance has to read again.
-RETRY_PAUSE = 0.2  # Seconds behind a read that failed.
 
 log = PartLog("follower")
 
 
-class TableReader:
-    """Reads one table whole, then its changes, for as long as it is open.
-
-    ``period`` is in seconds: 0 polls again at once, waiting at the store for
-    what ``measure_wait`` returns; ``retry_pause`` is behind a read that
-    failed, likewise.
-    """
-
-    def __init__(
-        self,
-        kernel: Kernel,
-        table: str,
-        measure_wait: Callable[[], float],
-        period: float,
-        on_rows: Callable[[Rows, bool], None],
-        on_return: Callable[[], None],
-        may_rest: Callable[[], bool],
-        retry_pause: float = RETRY_PAUSE,
-    ) -> None:
-        self._loop = kernel.loop
-        self._clock = kernel.clock
-        self._store = kernel.get(Platform).store
-        self._measures = kernel.get(Measures)
-        self._table = table
-        self._measure_wait = measure_wait
-        self._period = period
-        self._on_rows = on_rows
-        self._on_return = on_return
-        self._may_rest = may_rest
-        self._retry_pause = retry_pause
-        self._version: int | None = None
-        # Whether the last read was answered. A read that waits on a dead
-        # connection is noticed late, so the first one behind a failure or an
-        # outage does not wait.
-        self._is_sound = True
-        self.is_resting = False
-        self.asked_at = float("-inf")
-        self._is_open = True
-        self._round = 0
-        self.answered_at = kernel.clock.now()
-        self.is_reachable = True
-
-    def start(self) -> None:
-        """Read the table."""
-        self._read(self._round)
-
-    def close(self) -> None:
-        """Read no more."""
-        self._is_open = False
-
-    def restart(self) -> None:
-        """Send the read under way anew, and ignore its answer."""
-        self._is_sound = False
-        self._round += 1
-        self._read(self._round)
-
-    @property
-    def version(self) -> int:
-        """Return the store's version as of which the table is known."""
-        return self._version or 0
-
-    def skip_to(self, version: int) -> None:
-        """Learn from another instance that nothing is new up to a version."""
-        if self._version is not None:
-            self._version = max(self._version, version)
-
-    def _read(self, number: int) -> None:
-        """Read; ``number`` is the round, of which only the newest counts."""
-        if not self._is_open or number != self._round:
-            return
-        self.is_resting = self._version is not None and self._may_rest()
-        if self.is_resting:
-            self._loop.call_later(REST_LOOK, lambda: self._read(number))
-            return
-        self.asked_at = self._clock.now()
-        is_whole = self._version is None
-        take = lambda rows: self._take(number, rows, is_whole)
-        fail = lambda error: self._fail(number, error)
-        if is_whole:
-            self._store.read(self._table, take, fail)
-        else:
-            wait = self._measure_wait() if self._is_sound else 0.0
-            self._store.follow(self._table, self._version, wait, take, fail)
-
-    def _take(self, number: int, rows: Rows, is_whole: bool) -> None:
-        if not self._is_open or number != self._round:
-            return
-        if not self.is_reachable:
-            self.is_reachable = True
-            log.event("store_regained", table=self._table, version=rows.version)
-            self._on_return()
-        self._is_sound = True
-        self._version = rows.version
-        self.answered_at = self._clock.now()
-        self._on_rows(rows, is_whole)
-        self._loop.call_later(self._period, lambda: self._read(number))
-
-    def _fail(self, number: int, error: RoadliftError) -> None:
-        if not self._is_open or number != self._round:
-            return
-        if isinstance(error, HistoryGone):
-            log.event("history_gone", table=self._table, version=self._version)
-            self._version = None
-        else:
-            self._is_sound = False
-            self._measures.count("roadlift_store_failures", self._table)
-        if self.is_reachable and not isinstance(error, HistoryGone):
-            self.is_reachable = False
-            log.event("store_lost", table=self._table, error=str(error))
-        self._loop.call_later(self._retry_pause, lambda: self._read(number))
-
-
 @parts.register("follower")
 class Follower:
     """What this instance knows of the platform's state."""
@@ -193,17 +81,20 @@
         self._relayed_until = 0.0
         self._heard_until = 0.0
         self._members = 1
-        self._operator_target = 0
+        self._operator_target = NOWHERE
         self._grace_until = 0.0
-        self.operator_version = 0
+        self._settled_at = 0.0
+        self._era: int | None = None
+        self._configured_at = NOWHERE
+        self.operator_position = NOWHERE
         self.freshness = Freshness()
         self.keys: KeyTable | None = None
         self.operator_rows = OperatorRows()
         self.on_configuration: list[Callable[[Configuration], None]] = []
         self.on_version: list[Callable[[Model, int], None]] = []
         self.on_directory: list[Callable[[], None]] = []
-        self.on_operator: list[Callable[[int], None]] = []
-        kernel.get(Platform).store.eras.on_return.append(self._log_store_return)
+        self.on_operator: list[Callable[[StorePosition], None]] = []
+        kernel.get(Platform).store.eras.on_return.append(self._note_store_return)
 
     @property
     def is_ready(self) -> bool:
@@ -247,29 +138,32 @@
             reader.close()
 
     @property
-    def list_version(self) -> int:
-        """Return the store's version as of which the list is known here."""
-        return self._readers[1].version
+    def list_position(self) -> StorePosition:
+        """Return the store's position as of which the list is known here."""
+        return self._readers[1].position
 
     def note_state(
-        self, list_version: int, list_age: float, operator_version: int, asked_at: float
+        self, list_position: StorePosition, list_age: float, asked_at: float
     ) -> None:
         """Learn how far an aggregator, whose list is known here, has read."""
         self._relayed_until = asked_at + RELAY_LIMIT - list_age
-        if operator_version > self._operator_target:
-            self._operator_target = operator_version
-            self._grace_until = self._kernel.clock.now() + OPERATOR_GRACE
         if self._readers[1].is_resting:
-            self._readers[1].skip_to(list_version)
+            self._readers[1].skip_to(list_position)
             self._readers[1].answered_at = asked_at - list_age
 
-    def note_operator_age(self, version: int, age: float, asked_at: float) -> None:
-        """Learn how old an aggregator's knowledge of the operator's rows is.
+    def note_operator_state(
+        self, position: StorePosition, age: float, asked_at: float
+    ) -> None:
+        """Learn how far an aggregator knows the operator's rows, as of when.
 
         ``age`` is in seconds as of when it answered what it was asked at
         ``asked_at``, by this process's clock.
         """
-        self.freshness.note_relay(RelayedState(version, asked_at - age))
+        self._note_era(position.era, "aggregator")
+        self.freshness.note_relay(RelayedState(position, asked_at - age))
+        if position > self._operator_target:
+            self._operator_target = position
+            self._grace_until = self._kernel.clock.now() + OPERATOR_GRACE
 
     def measure_operator_age(self) -> float:
         """Return the seconds for which a change may have gone unnoticed."""
@@ -291,15 +185,16 @@
             log.error("Rows of the operator are ignored: %s.", error)
             return
         self._take_rows(rows)
-        if rows and news.since <= self.operator_version:
-            # Behind a gap the version stays, so that what lacks is sent.
-            self._note_operator_version(max(row.version for row in rows))
+        since = StorePosition.unpack(news.since)
+        if rows and since <= self.operator_position:
+            # Behind a gap the position stays, so that what lacks is sent.
+            self._note_operator_position(max(row.position for row in rows))
 
     def relay_list(self, news: ListNews) -> None:
         """Take an owner's news of the list of endpoints."""
         before = self.directory.revision
         for fields in news.changed:
-            self._log_change(decode_endpoint(fields), news.version)
+            self._log_change(decode_endpoint(fields), StorePosition.unpack(news.place))
         self.directory.relay(news, self._kernel.clock.now())
         self._tell_directory(before)
 
@@ -335,7 +230,7 @@
             return False
         if not self.is_relayed():
             return self._is_others_turn(0, OPERATOR_WAIT)
-        is_current = self.operator_version >= self._operator_target
+        is_current = self.operator_position >= self._operator_target
         return is_current or self._kernel.clock.now() < self._grace_until
 
     def _is_others_turn(self, number: int, period: float) -> bool:
@@ -357,17 +252,32 @@
         """Return the declared version of an adapter, or 0."""
         return self.versions.get(model, 0)
 
-    def _log_store_return(self, told: StoreReturn) -> None:
-        """Tell as of which versions this process goes on."""
-        self._measures.set("roadlift_store_era", told.era)
-        log.event(
-            "store_came_back_older",
-            era=told.era,
-            before=told.before,
-            source=told.source,
-            operator=self.operator_version,
-            list=self.list_version,
-        )
+    def _note_store_return(self, told: StoreReturn) -> None:
+        """Act on an answer of the store that tells of a newer era."""
+        self._note_era(told.before, told.source)
+        self._note_era(told.era, told.source)
+
+    def _note_era(self, era: int, source: str) -> None:
+        """Learn of an era of the store, from its answers or an aggregator.
+
+        What it lost is written again within the grace. Until then it takes
+        nothing back that is in force, and nothing that it tells is fresh.
+        """
+        if self._era is not None and era > self._era:
+            now = self._kernel.clock.now()
+            self._settled_at = now + RETURN_GRACE
+            self.directory.note_return(now)
+            self.freshness.note_return(self._settled_at)
+            self._measures.set("roadlift_store_era", era)
+            log.event(
+                "store_came_back_older",
+                era=era,
+                before=self._era,
+                source=source,
+                operator=self.operator_position.version,
+                list=self.list_position.version,
+            )
+        self._era = max(era, self._era or era)
 
     def _note_return(self) -> None:
         """Act on the store's return: an old poll may hang on its cut path."""
@@ -375,9 +285,10 @@
         self._readers[0].restart()
 
     def _take_operator(self, rows: Rows, is_whole: bool) -> None:
+        self._note_era(rows.position.era, "op")
         self._take_rows(rows.rows)
         if rows.rows:
-            self._note_operator_version(max(row.version for row in rows.rows))
+            self._note_operator_position(max(row.position for row in rows.rows))
         if rows.is_complete:
             self.freshness.note_read(rows.time.asked_at)
 
@@ -386,30 +297,59 @@
         for row in rows:
             try:
                 row = self._format.conceal(row)
-                self.operator_rows.put(row)
                 configuration = self._format.read_configuration(row)
                 declared = self._format.read_version(row)
             except InvalidConfiguration as error:
                 log.error("A row of the operator is ignored: %s.", error)
                 continue
+            if self._is_older(row, configuration, declared):
+                self.operator_rows.keep(row)
+                continue
+            self.operator_rows.put(row)
             if configuration is not None:
-                self._apply(configuration)
+                self._apply(configuration, row.position)
             if declared is not None:
                 self._declare(*declared)
 
-    def _note_operator_version(self, version: int) -> None:
-        """Know the operator's table up to a version, and pass it on."""
-        before = self.operator_version
-        if version > before:
-            self.operator_version = version
-            self.freshness.note_version(version)
+    def _is_older(
+        self,
+        row: StoredRow,
+        configuration: Configuration | None,
+        declared: tuple[Model, int] | None,
+    ) -> bool:
+        """Tell whether a row says what was replaced by what is in force."""
+        known = told = 0
+        if configuration is not None and self.configuration is not None:
+            known, told = self.configuration.version, configuration.version
+        if declared is not None:
+            model, told = declared
+            known = self.versions.get(model, 0)
+        if told < known:
+            log.event("row_older", key=row.key, told=told, known=known)
+        return told < known
+
+    def _note_operator_position(self, position: StorePosition) -> None:
+        """Know the operator's table up to a position, and pass it on."""
+        before = self.operator_position
+        if position > before:
+            self.operator_position = position
+            self.freshness.note_position(position)
             _tell(self.on_operator, before)
 
-    def _apply(self, configuration: Configuration) -> None:
-        """Put a configuration in force; an older one is never put back."""
+    def _apply(self, configuration: Configuration, position: StorePosition) -> None:
+        """Put a configuration in force; an older one is never put back.
+
+        Behind the store's return a number may be given out again, with another
+        content; the one that was written last holds.
+        """
         known = self.configuration
-        if known is not None and configuration.version <= known.version:
+        if known == configuration:
+            self._configured_at = max(position, self._configured_at)
+            return
+        place = (configuration.version, position)
+        if known is not None and place <= (known.version, self._configured_at):
             return
+        self._configured_at = position
         self.configuration = configuration
         self.routes = RouteTable(configuration.routes)
         self.keys = None
@@ -438,7 +378,8 @@
         for row in rows.rows:
             # In order: one answer may hold an entry's change and its end.
             if row.value is None:
-                log.event("endpoint_gone", endpoint=row.key, version=rows.version)
+                version = rows.position.version
+                log.event("endpoint_gone", endpoint=row.key, version=version)
                 self.directory.remove_name(row.key, now)
                 continue
             try:
@@ -448,13 +389,13 @@
                 self.directory.reject_name(row.key)
                 continue
             found[endpoint.id] = endpoint
-            self._log_change(endpoint, rows.version)
+            self._log_change(endpoint, rows.position)
             self.directory.put(endpoint)
         if is_whole:
             self.directory.replace(found, now)
         self._tell_directory(before)
 
-    def _log_change(self, entry: Endpoint, version: int) -> None:
+    def _log_change(self, entry: Endpoint, position: StorePosition) -> None:
         """Log an endpoint that is new, or has begun to drain."""
         endpoint = self.directory.correct(entry)
         known = self.directory.get(endpoint.id)
@@ -466,7 +407,7 @@
             address=str(endpoint.address),
             service=endpoint.service,
             remaining=endpoint.remaining,
-            version=version,
+            version=position.version,
         )
 
     def _expire(self) -> None:
--- a/roadlift/instance/leases.py
+++ b/roadlift/instance/leases.py
@@ -12,6 +12,7 @@
 from roadlift.serving.interfaces import Rows, RowWrite, StoreTime
 from roadlift.serving.lease import Lease, LeaseRecord, Step
 from roadlift.serving.messages import HandOver
+from roadlift.serving.position import StorePosition
 
 TABLE = "roadlift_leases"
 TICK = 0.1  # Seconds between looks at what is due.
@@ -126,7 +127,11 @@
         if lease is None:
             return None
         told = self._told.get(zone)
-        if told is not None and told.fence > lease.version and not lease.is_held:
+        if (
+            told is not None
+            and told.fence > lease.position.pack()
+            and not lease.is_held
+        ):
             return told.address
         holder = lease.holder
         return holder.address if holder else None
@@ -169,8 +174,8 @@
         self._count("given_back")
         log.event("lease_released", zone=zone)
         self._tell(zone)
-        row = RowWrite(TABLE, zone, record.encode(), lease.version)
-        done = lambda version, time: self._tell_hand_back(zone)
+        row = RowWrite(TABLE, zone, record.encode(), lease.position)
+        done = lambda position, time: self._tell_hand_back(zone)
         self._store.write(row, done, self._log_release)
 
     def _tell_hand_back(self, zone: str) -> None:
@@ -252,19 +257,21 @@
 
     def _write(self, zone: str, lease: Lease, now: float) -> None:
         record = lease.send(now)
-        row = RowWrite(TABLE, zone, record.encode(), lease.version)
+        row = RowWrite(TABLE, zone, record.encode(), lease.position)
 
-        def succeed(version: int, time: StoreTime) -> None:
+        def succeed(position: StorePosition, time: StoreTime) -> None:
             """Learn that the write took effect."""
             lease.note_time(time)
-            self._note_written(zone, version, record)
+            self._note_written(zone, position, record)
 
         self._store.write(row, succeed, lambda error: self._note_failed(zone, error))
 
-    def _note_written(self, zone: str, version: int, record: LeaseRecord) -> None:
+    def _note_written(
+        self, zone: str, position: StorePosition, record: LeaseRecord
+    ) -> None:
         lease = self._leases[zone]
         was_held = lease.is_held
-        lease.note_written(version, record, self._kernel.clock.now())
+        lease.note_written(position, record, self._kernel.clock.now())
         if not was_held:
             self._tell_gain(zone, lease)
 
@@ -291,7 +298,8 @@
                 record = LeaseRecord("", "")
             lease.note_time(rows.time)
             was_held, before = lease.is_held, lease.holder
-            lease.note_read(row.version if row else 0, record, now)
+            absent = rows.position._replace(version=0)
+            lease.note_read(row.position if row else absent, record, now)
             if lease.is_held and not was_held:
                 self._tell_gain(zone, lease)
             self._tell_loss(zone, lease, was_held, "another instance took it")
--- a/roadlift/instance/sourcestream.py
+++ b/roadlift/instance/sourcestream.py
@@ -22,6 +22,7 @@
     Snapshot,
 )
 from roadlift.serving.newslog import unpack_changes
+from roadlift.serving.position import NOWHERE, StorePosition
 from roadlift.serving.telling import WholeTelling
 
 BEAT_PERIOD = 0.25  # Seconds between heartbeats that ask for a reply.
@@ -186,17 +187,17 @@
             self._serial,
             self._serial < self._last_serial,
             self._list_serial,
-            self._measure_operator_version(),
+            self._measure_operator_place(),
             at,
             *telling,
         )
         return self._transport.send(address, heartbeat)
 
-    def _measure_operator_version(self) -> int:
+    def _measure_operator_place(self) -> int:
         """Return the newest row known, or -1 while all are being read."""
-        version = self._follower.operator_version
+        position = self._follower.operator_position
         is_reading = self._kernel.clock.now() - self._started_at < OWN_READ
-        return -1 if not version and is_reading else version
+        return -1 if position == NOWHERE and is_reading else position.pack()
 
     # What aggregators tell.
 
@@ -220,13 +221,13 @@
             self._doubt()
             self.plan()
         if reply.asked_at:
-            self._follower.note_operator_age(
-                reply.operator_version, reply.operator_age, reply.asked_at
+            known = StorePosition.unpack(reply.operator_place)
+            self._follower.note_operator_state(
+                known, reply.operator_age, reply.asked_at
             )
         if reply.asked_at and reply.list_serial == self._list_serial:
-            self._follower.note_state(
-                reply.list_version, age, reply.operator_version, reply.asked_at
-            )
+            listed = StorePosition.unpack(reply.list_place)
+            self._follower.note_state(listed, age, reply.asked_at)
 
     def _take_digest(self, sender: str, digest: Digest) -> None:
         if not self._is_open or digest.stream != self._stream:
@@ -253,7 +254,7 @@
     def _take_list_news(self, sender: str, news: ListNews) -> None:
         if not self._is_open or news.stream != self._stream:
             return
-        if news.version < self._follower.list_version:
+        if StorePosition.unpack(news.place) < self._follower.list_position:
             # An aggregator that is cut from the store knows less than this.
             self._log_passed_over(news)
             return
@@ -267,8 +268,9 @@
         """Tell of the first list of a row that is older than the own one."""
         if not self._is_passing_over:
             self._is_passing_over = True
-            known = self._follower.list_version
-            log.event("list_passed_over", told=news.version, known=known)
+            told = StorePosition.unpack(news.place)
+            known = self._follower.list_position
+            log.event("list_passed_over", told=list(told), known=list(known))
 
     def _take_operator_news(self, sender: str, news: OperatorNews) -> None:
         if self._is_open and news.stream == self._stream:
--- a/roadlift/management/commands/unbar.py
+++ b/roadlift/management/commands/unbar.py
@@ -20,7 +20,7 @@
     key = read_key(identity).hex()
     rows = BlockingRows(platform)
     try:
-        found = {row.key: row.version for row in rows.read(TABLE).rows}
+        found = {row.key: row.position for row in rows.read(TABLE).rows}
         if key not in found:
             raise UnknownWork(key)
         rows.write(RowWrite(TABLE, key, None, found[key]))
--- a/roadlift/management/rows.py
+++ b/roadlift/management/rows.py
@@ -8,6 +8,7 @@
 from roadlift.core.kernel import Kernel
 from roadlift.instance.platform import Platform, import_plugins
 from roadlift.serving.interfaces import Rows, RowStore, RowWrite, StoreTime
+from roadlift.serving.position import StorePosition
 
 TIMEOUT = 5.0  # Seconds.
 TURN = 0.02  # Seconds that one turn of the loop waits at most.
@@ -35,15 +36,15 @@
         """Read a whole table."""
         return self._wait(lambda done, fail: self._store.read(table, done, fail))
 
-    def write(self, row: RowWrite) -> int:
-        """Write or delete a row, and return the new version."""
+    def write(self, row: RowWrite) -> StorePosition:
+        """Write or delete a row, and return its new position."""
 
         def start(done: OnDone, fail: OnError) -> None:
             """Begin to write."""
 
-            def take(version: int, time: StoreTime) -> None:
-                """Pass the version on."""
-                done(version)
+            def take(position: StorePosition, time: StoreTime) -> None:
+                """Pass the position on."""
+                done(position)
 
             self._store.write(row, take, fail)
 
--- a/roadlift/organisations/freshness.py
+++ b/roadlift/organisations/freshness.py
@@ -10,15 +10,17 @@
 
 from typing import NamedTuple
 
+from roadlift.serving.position import NOWHERE, StorePosition
+
 
 class RelayedState(NamedTuple):
     """What another instance told of its knowledge of the operator's rows.
 
-    It knows all rows up to ``version`` as of the time ``known_at``, in
+    It knows all rows up to ``position`` as of the time ``known_at``, in
     seconds of this process's clock.
     """
 
-    version: int
+    position: StorePosition
     known_at: float
 
 
@@ -26,29 +28,39 @@
     """As of when all rows are known here, in seconds of this process."""
 
     def __init__(self) -> None:
-        self._version = 0
+        self._position = NOWHERE
+        self._settled_at = float("-inf")
         self._lacking: RelayedState | None = None
         self.known_at = float("-inf")
 
+    def note_return(self, settled_at: float) -> None:
+        """Learn that the store came back older.
+
+        What it lost is written again by a time: who reads before that may read
+        rows which had been replaced, and learns nothing new of them.
+        """
+        self._settled_at = max(self._settled_at, settled_at)
+
     def note_read(self, asked_at: float) -> None:
         """Learn that the store was read whole, or all that changed of it."""
-        self.known_at = max(self.known_at, asked_at)
+        if asked_at >= self._settled_at:
+            self.known_at = max(self.known_at, asked_at)
 
     def note_relay(self, state: RelayedState) -> None:
         """Learn how far another instance knows the rows.
 
         It counts once all of those rows are known here too.
         """
-        if state.version <= self._version:
+        if state.position <= self._position:
             self.known_at = max(self.known_at, state.known_at)
         else:
             self._lacking = state
 
-    def note_version(self, version: int) -> None:
-        """Learn that all rows up to a version are known here."""
-        self._version = max(self._version, version)
+    def note_position(self, position: StorePosition) -> None:
+        """Learn that all rows up to a position are known here."""
+        self._position = max(self._position, position)
         lacking = self._lacking
-        if lacking is not None and lacking.version <= self._version:
+        if lacking is not None and lacking.position <= self._position:
             self._lacking = None
             self.known_at = max(self.known_at, lacking.known_at)
 
--- a/roadlift/serving/interfaces.py
+++ b/roadlift/serving/interfaces.py
@@ -15,6 +15,7 @@
 from roadlift.serving.directory import Endpoint
 from roadlift.serving.eras import StoreEras
 from roadlift.serving.orders import EngineReport, Order, OrderResult
+from roadlift.serving.position import StorePosition
 from roadlift.serving.routes import Configuration, Route
 from roadlift.serving.statements import Statement
 
@@ -24,7 +25,7 @@
 
     key: str
     value: bytes | None
-    version: int
+    position: StorePosition
 
 
 class StoreTime(NamedTuple):
@@ -47,20 +48,20 @@
 
 
 class Rows(NamedTuple):
-    """Rows as of the store's ``version``.
+    """Rows as of a position of the store.
 
     ``time`` is of the answer that brought the first of them. Where the rows
     are not ``is_complete``, more have changed up to now.
     """
 
     rows: Sequence[StoredRow]
-    version: int
+    position: StorePosition
     time: StoreTime
     is_complete: bool = True
 
 
 class RowWrite(NamedTuple):
-    """A row to write if its version is ``expected``; 0 means absent.
+    """A row to write if it stands at ``expected``; version 0 means absent.
 
     Without a ``value`` it is deleted.
     """
@@ -68,11 +69,11 @@
     table: str
     key: str
     value: bytes | None
-    expected: int
+    expected: StorePosition
 
 
 OnRows = Callable[[Rows], None]
-OnVersion = Callable[[int, StoreTime], None]
+OnWritten = Callable[[StorePosition, StoreTime], None]
 OnError = Callable[[RoadliftError], None]
 
 
@@ -86,9 +87,10 @@
 class RowStore(Protocol):
     """The platform's table service; ``calls`` counts what was asked of it.
 
-    ``eras`` learns of that of each answer, whatever its status. A failure is
-    VersionConflict (nothing was written), HistoryGone (read the whole table
-    again) or PlatformUnavailable (nobody knows).
+    ``eras`` learns of each answer's, whatever its status; answers of one that
+    is over are failures. A failure is VersionConflict (nothing was written),
+    HistoryGone (read the whole table again) or PlatformUnavailable (nobody
+    knows).
     """
 
     calls: Mapping[StoreCall, int]
@@ -98,12 +100,20 @@
         """Read a whole table."""
 
     def follow(
-        self, table: str, after: int, wait: float, on_rows: OnRows, on_error: OnError
+        self,
+        table: str,
+        after: StorePosition,
+        wait: float,
+        on_rows: OnRows,
+        on_error: OnError,
     ) -> None:
-        """Read the rows that changed after a version; wait for the first."""
+        """Read the rows that changed after a position; wait for the first.
 
-    def write(self, row: RowWrite, on_version: OnVersion, on_error: OnError) -> None:
-        """Write one row under its condition; pass its version on."""
+        The position is of the era that the store is in.
+        """
+
+    def write(self, row: RowWrite, on_written: OnWritten, on_error: OnError) -> None:
+        """Write one row under its condition; pass its position on."""
 
 
 class Verdict(enum.Enum):
--- a/roadlift/serving/lease.py
+++ b/roadlift/serving/lease.py
@@ -15,8 +15,8 @@
   holder between, gives no order within the quiet time since its own last one:
   the platform counts orders of holders that take turns as a fault. The row
   names the holders of the last while, as an instance may have restarted;
-* the fencing number of a term is the row's version at its start: it only
-  grows, and no two terms share it.
+* the fencing number of a term is the row's packed position at its start: it
+  only grows, and no two terms share it.
 
 A process whose instance holds the lease under an earlier process takes it at
 once: the earlier one is gone, as this one listens at its address.
@@ -33,6 +33,7 @@
 
 from roadlift.core.errors import MalformedMessage
 from roadlift.serving.interfaces import StoreTime
+from roadlift.serving.position import NOWHERE, StorePosition
 
 RENEW_PERIOD = 1.0  # Seconds; a renewal is a priced write.
 # Seconds that must be left of the lease for an order: a send that was checked
@@ -115,7 +116,7 @@
         self._quiet = quiet + TRANSIT
         self._patience = patience
         self._planned_from = 0.0
-        self._version = 0
+        self._position = NOWHERE
         self._seen_at: float | None = None
         self._sent_at = 0.0
         self._doubt_since: float | None = None
@@ -134,9 +135,9 @@
         return self.fence > 0
 
     @property
-    def version(self) -> int:
-        """Return the version that the next write expects."""
-        return self._version
+    def position(self) -> StorePosition:
+        """Return the position that the next write expects."""
+        return self._position
 
     @property
     def holder(self) -> LeaseRecord | None:
@@ -259,12 +260,14 @@
         if not self.is_held and not self._in_flight:
             self.is_read = False
 
-    def note_written(self, version: int, record: LeaseRecord, now: float) -> None:
+    def note_written(
+        self, position: StorePosition, record: LeaseRecord, now: float
+    ) -> None:
         """Learn that this process's write took effect."""
         self._in_flight = False
         if not self.is_held:
-            self._begin_term(version, now)
-        self._accept(version, record, self._sent_at)
+            self._begin_term(position, now)
+        self._accept(position, record, self._sent_at)
 
     def note_lost(self) -> None:
         """Learn that another's write came first; read the row again."""
@@ -283,23 +286,28 @@
         if self._doubt_since is None:
             self._doubt_since = self._sent_at
 
-    def note_read(self, version: int, record: LeaseRecord | None, now: float) -> None:
-        """Learn of the row as it was read."""
+    def note_read(
+        self, position: StorePosition, record: LeaseRecord | None, now: float
+    ) -> None:
+        """Learn of the row as it was read.
+
+        The position of no row has the version 0.
+        """
         self.is_read = True
-        if self._seen_at is not None and version <= self._version:
+        if self._seen_at is not None and position <= self._position:
             # Nothing new, or an answer that was overtaken by a later one.
             return
         is_own = record is not None and record.process == self._process
         if is_own and not record.is_released and self._doubt_since is not None:
             # A write of ours whose answer was lost has taken effect.
             if not self.is_held:
-                self._begin_term(version, now)
-            self._accept(version, record, self._doubt_since)
+                self._begin_term(position, now)
+            self._accept(position, record, self._doubt_since)
             return
         if is_own and self._in_flight:
             # The read has overtaken the answer to the write that it shows.
             return
-        self._version = version
+        self._position = position
         self._seen_at = now
         self.record = record
         if self.is_held:
@@ -312,8 +320,10 @@
         written_at = self._time and self._time.estimate_latest(now)
         return self.record._replace(written_at=written_at, is_released=True)
 
-    def _accept(self, version: int, record: LeaseRecord, sent_at: float) -> None:
-        self._version = version
+    def _accept(
+        self, position: StorePosition, record: LeaseRecord, sent_at: float
+    ) -> None:
+        self._position = position
         self._seen_at = sent_at
         self._renewed_at = sent_at
         self._doubt_since = None
@@ -321,9 +331,9 @@
         self.is_read = True
         self.valid_until = sent_at + self._lease_time
 
-    def _begin_term(self, version: int, now: float) -> None:
+    def _begin_term(self, position: StorePosition, now: float) -> None:
         """Begin to hold, and to give orders at the time of the last plan."""
-        self.fence = version
+        self.fence = position.pack()
         self.orders_from = max(now, self._planned_from)
 
     def _drop(self) -> None:
--- a/roadlift/serving/messages.py
+++ b/roadlift/serving/messages.py
@@ -145,11 +145,11 @@
     leases; with ``is_probe`` it does not subscribe, and is dropped if it did.
     ``stream``, ``serial`` and ``list_serial`` are of the last news from the
     aggregator, behind which some were lost where ``is_lacking``;
-    ``operator_version`` is of the operator's newest row that it knows, -1
-    while it reads them all. ``at`` is the instance's own time, which the
-    reply repeats, or 0 where it asks for none. ``count`` and ``is_whole`` are
-    as in Telling; ``zones`` are [zone, uses, reading]. ``link_mbps`` is the
-    rate of the instance's link.
+    ``operator_place`` is the packed position of the operator's newest row that
+    it knows, -1 while it reads them all. ``at`` is the instance's own time,
+    which the reply repeats, or 0 where it asks for none. ``count`` and
+    ``is_whole`` are as in Telling; ``zones`` are [zone, uses, reading].
+    ``link_mbps`` is the rate of the instance's link.
     """
 
     address: str
@@ -161,7 +161,7 @@
     serial: int
     is_lacking: bool
     list_serial: int
-    operator_version: int
+    operator_place: int
     at: float
     count: int
     is_whole: bool
@@ -184,9 +184,9 @@
     known, ``members`` those that subscribe here. ``is_complete`` tells that
     all calls of the instance that run are known, which else tells them.
     ``owners`` are the fields of OwnerSigns. The list of endpoints, as of
-    ``list_serial`` of the stream and the store's ``list_version``, was read
-    ``list_age`` seconds ago; ``operator_version`` is of the operator's newest
-    row as of ``operator_age`` seconds ago.
+    ``list_serial`` of the stream and the store's packed position
+    ``list_place``, was read ``list_age`` seconds ago; ``operator_place`` is of
+    the operator's newest row as of ``operator_age`` seconds ago.
     """
 
     address: str
@@ -198,9 +198,9 @@
     members: int
     owners: list
     list_serial: int
-    list_version: int
+    list_place: int
     list_age: float
-    operator_version: int
+    operator_place: int
     operator_age: float
     asked_at: float
 
@@ -249,15 +249,15 @@
 class ListNews(NamedTuple):
     """Tell how the list of endpoints changed, to an aggregator's subscribers.
 
-    The list is as of the store's ``version``; ``changed`` are endpoints as
-    ``encode_endpoint`` makes them; ``gone`` are ids, and ``kept`` those of
-    entries that vanished behind an outage and may come back; with
+    The list is as of the store's packed position ``place``; ``changed`` are
+    endpoints as ``encode_endpoint`` makes them; ``gone`` are ids, and ``kept``
+    those of entries that vanished behind an outage and may come back; with
     ``is_whole`` the list holds nothing else.
     """
 
     stream: int
     serial: int
-    version: int
+    place: int
     is_whole: bool
     changed: list
     gone: list
@@ -268,8 +268,8 @@
 class OperatorNews(NamedTuple):
     """Pass rows of the operator's table on.
 
-    ``rows`` are [key, version, packed value] as OperatorRows packs them, all
-    that are newer than the row of version ``since``.
+    ``rows`` are [key, packed position, packed value] as OperatorRows packs
+    them, all that are newer than the packed position ``since``.
     """
 
     stream: int
--- a/tests/instance/keys.feature
+++ b/tests/instance/keys.feature
@@ -56,6 +56,8 @@
       | polls of the store get no answer                        | all the time                    |
       | the owner of z1 is suspended                            | or refused as not run           |
       | one that owns nothing is suspended                      | or refused as not run           |
+      | the store comes back older and lacks it for a while     | or refused as not run           |
+      | the store has come back older just before               | or refused as not run           |
 
   Scenario: A key that is revoked while its call waits
     Given an installation whose callers have keys, with instances a, b, c
--- a/tests/instance/returns.feature
+++ b/tests/instance/returns.feature
@@ -29,3 +29,46 @@
     And no engine got orders of two owners by turns
     And two instances might never give orders in one zone
     And orders stopped for at most 1.5 seconds
+
+  Scenario Outline: Configurations of behind a return are in force in time, <how>
+    When 4 configurations follow, one each 1.3 seconds
+    And the store comes back <lost> seconds older, <how>
+    And 4 configurations follow, one each 1.3 seconds
+    Then each was in force at all instances within 1 second
+    And an added route is served by all instances
+
+    Examples:
+      | lost | how                                     |
+      | 2    | and its versions are behind             |
+      | 4    | and its versions are behind             |
+      | 8    | and its versions are behind             |
+      | 4    | and its versions pass what was read     |
+      | 8    | and its versions pass what was read     |
+      | 4    | and it tells so in a failed answer only |
+
+  Scenario Outline: A configuration that was in force is never taken back, <trouble>
+    When a route is added, 1.5 seconds pass, and the store comes back 4 seconds older
+    And <trouble>
+    Then for 6 seconds no call of the route is refused as unknown by those that knew it
+
+    Examples:
+      | trouble                                     |
+      | nothing else happens                        |
+      | the store comes back older once more        |
+      | a further configuration is written          |
+      | another configuration has the number it had |
+      | an instance is cut off from the store       |
+
+  Scenario: An instance that starts before the operator has written again is told
+    When a route is added, 1.5 seconds pass, and the store comes back 4 seconds older
+    And an instance starts
+    Then it has what the others have in force within 1.5 seconds
+
+  Scenario Outline: Few instances read all again, where <count> hear of a return
+    Given <count> further instances in z1
+    When the store comes back 4 seconds older, and its versions pass what was read
+    Then all were <most> calls to the store in the second behind it at most
+
+    Examples:
+      | count | most |
+      | 34    | 30   |
--- a/tests/steps/adapter_steps.py
+++ b/tests/steps/adapter_steps.py
@@ -20,10 +20,12 @@
 from roadlift.serving.interfaces import StoredRow, adapters
 from roadlift.serving.lease import LeaseRecord
 from roadlift.serving.orders import Action, Order
+from roadlift.serving.position import FIRST_ERA, StorePosition
 from tests.support.configuration import make_route, make_tenants
 from tests.support.entries import ROOT
 
 _ADAPTER = adapters.get("platform")
+_PLACE = StorePosition(FIRST_ERA, 3)
 # Names that only the platform's protocol has.
 _WIRE_NAMES = (
     r"server-stamp|server-limit|expect-instance|expect-version|not-run\b|prompt-prefix"
@@ -127,7 +129,7 @@
 
 
 def _row(key, content):
-    return StoredRow(key, json.dumps(content).encode(), 1)
+    return StoredRow(key, json.dumps(content).encode(), _PLACE)
 
 
 def _make_configuration():
@@ -159,7 +161,7 @@
     content.update(make_tenants(change))
     row = _row("config", content)
     if change == "text in place of JSON":
-        row = StoredRow("config", b"hello", 1)
+        row = StoredRow("config", b"hello", _PLACE)
     context.read = _run(lambda: _ADAPTER.state.read_configuration(row))
 
 
@@ -240,7 +242,7 @@
     if fault == "a document that is cut":
         data = data[: len(data) // 2]
     data = _NO_DOCUMENTS.get(fault, data)
-    return _ADAPTER.state.read_endpoint(StoredRow("i-1", data, 3))
+    return _ADAPTER.state.read_endpoint(StoredRow("i-1", data, _PLACE))
 
 
 @then("its id is {id_}, and the runner is asked for as {name}")
@@ -272,7 +274,7 @@
     version = {"model": "m", "adapter": "a1", "version": 2}
     state, orders = _ADAPTER.state, _ADAPTER.orders
     answer = lambda data: Answer(200, {}, data)
-    read_row = lambda read, key: lambda data: read(StoredRow(key, data, 1))
+    read_row = lambda read, key: lambda data: read(StoredRow(key, data, _PLACE))
     lease = LeaseRecord("p#1", "10.0.0.1:9", 3.5, False, 4.5, [["x", 1.0]])
     return {
         "an entry": (json.dumps(entry), read_row(state.read_endpoint, "i-1")),
--- a/tests/steps/aggregation_steps.py
+++ b/tests/steps/aggregation_steps.py
@@ -14,6 +14,7 @@
     pack_row,
     unpack_row,
 )
+from roadlift.serving.position import FIRST_ERA, StorePosition
 from roadlift.serving.telling import Tellings
 
 _MODEL = Model("base", "x")
@@ -72,8 +73,12 @@
     assert (", ".join(found) or "nothing") == told, found
 
 
+def _place(version):
+    return StorePosition(FIRST_ERA, int(version))
+
+
 def _make_row(name):
-    packed = list(pack_row(StoredRow("k", b"value" * 50, 7)))
+    packed = list(pack_row(StoredRow("k", b"value" * 50, _place(7))))
     if name == "deleted":
         return ["k", 7, None]
     if name == "not packed":
@@ -95,7 +100,7 @@
     except MalformedMessage:
         assert verdict == "refused"
         return
-    assert verdict == "read" and (row.key, row.version) == ("k", 7), row
+    assert verdict == "read" and (row.key, row.position) == ("k", _place(7)), row
 
 
 @given('the operator\'s rows "{rows}"')
@@ -104,11 +109,11 @@
     context.rows = OperatorRows()
     for words in rows.split(", "):
         key, version = words.split()
-        context.rows.put(StoredRow(key, b"v", int(version)))
+        context.rows.put(StoredRow(key, b"v", _place(version)))
 
 
 @then("those since {version:d} are {newer}")
 def step_newer(context, version, newer):
     """Check the keys of the newer rows."""
-    found = " ".join(row.key for row in context.rows.list_since(version))
+    found = " ".join(row.key for row in context.rows.list_since(_place(version)))
     assert (found or "nothing") == newer, found
--- a/tests/steps/lease_steps.py
+++ b/tests/steps/lease_steps.py
@@ -8,6 +8,7 @@
 from roadlift.core.errors import MalformedMessage
 from roadlift.serving.interfaces import StoreTime
 from roadlift.serving.lease import Lease, LeaseRecord
+from roadlift.serving.position import FIRST_ERA, StorePosition
 
 # A capital letter stands for an earlier process of the instance.
 _READ = re.compile(
@@ -35,6 +36,10 @@
     return LeaseRecord(read[1], address, written_at, is_released, orders_from, former)
 
 
+def _place(version):
+    return StorePosition(FIRST_ERA, int(version))
+
+
 def _do(context, at, name, did):
     lease = context.leases[name]
     record = LeaseRecord(name, f"{name}:1")
@@ -42,22 +47,22 @@
     if did == "knows nothing":
         return
     if did == "reads nothing":
-        lease.note_read(0, None, at)
+        lease.note_read(_place(0), None, at)
     elif read:
         found = _make_record(read)
         # The store's clock shows the same time as the test's, half a second
         # before the answer: what a read's way back may take.
         lease.note_time(StoreTime(at - 0.5, at - 0.6, at))
         context.versions[name] = int(read[2])
-        lease.note_read(int(read[2]), found, at)
+        lease.note_read(_place(read[2]), found, at)
     elif did == "sends":
         context.sent = lease.send(at)
     elif did.startswith("is written as "):
         context.versions[name] = int(did.rpartition(" ")[2])
-        lease.note_written(context.versions[name], record, at)
+        lease.note_written(_place(context.versions[name]), record, at)
     elif did == "is written":
         context.versions[name] += 1
-        lease.note_written(context.versions[name], record, at)
+        lease.note_written(_place(context.versions[name]), record, at)
     elif did == "is in doubt":
         lease.note_doubt()
     elif did == "is lost":
--- a/tests/steps/organisation_steps.py
+++ b/tests/steps/organisation_steps.py
@@ -11,6 +11,7 @@
 from roadlift.organisations.keys import KeyTable, digest_key
 from roadlift.relay.upstream import Answer
 from roadlift.serving.interfaces import StoredRow, adapters
+from roadlift.serving.position import NOWHERE
 from tests.support.configuration import (
     SERVICES,
     describe_configuration,
@@ -63,7 +64,7 @@
 def step_conceal(context, change):
     """Hide the keys of a configuration, as before it is passed on."""
     content = describe_configuration(3, [], SERVICES, 2) | make_tenants(change)
-    context.plain = StoredRow("config", json.dumps(content).encode(), 5)
+    context.plain = StoredRow("config", json.dumps(content).encode(), NOWHERE)
     context.concealed = _ADAPTER.state.conceal(context.plain)
 
 
@@ -136,7 +137,7 @@
     """Look at what was passed on."""
     (rows,) = context.taken
     assert [row.key for row in rows.rows] == ["a", "b", "c"], rows
-    assert (rows.version, rows.time.asked_at) == (10, context.began_at), rows
+    assert (rows.position.version, rows.time.asked_at) == (10, context.began_at), rows
 
 
 # Look-ups.
@@ -148,7 +149,9 @@
     names = [f"o{number}" for number in range(organisations)]
     found = [
         _ADAPTER.state.read_configuration(
-            StoredRow("config", json.dumps(_describe_keys(names, count)).encode(), 1)
+            StoredRow(
+                "config", json.dumps(_describe_keys(names, count)).encode(), NOWHERE
+            )
         )
     ]
     context.key_table = KeyTable(found[0].organisations)
@@ -264,7 +267,7 @@
 def step_no_key(context):
     """Look for the keys in all that instances passed on of the rows."""
     for entry in context.entries.entries.values():
-        rows = entry.kernel.get(Follower).operator_rows.list_since(0)
+        rows = entry.kernel.get(Follower).operator_rows.list_since(NOWHERE)
         assert rows
         for row in rows:
             value = _unpack(row)
@@ -357,6 +360,10 @@
         _restart(context, everyone, False)
     elif hazard == "all instances start again behind a cut":
         _restart(context, everyone, True)
+    elif hazard == "the store has come back older just before":
+        _configure(context)
+        entries.advance(1.0)
+        _go_back(context, 0.2)
     elif hazard == "polls of the store get no answer":
         entries.installation.store.lose_polls = 4
     return {
@@ -365,6 +372,17 @@
     }.get(hazard)
 
 
+def _go_back(context, away=1.0):
+    """Let the store come back older; who asked it gets no answer."""
+    entries = context.entries
+    store = entries.installation.store
+    store.is_down = True
+    entries.advance(away)
+    lost = store.go_back(4.0)
+    store.is_down = False
+    entries.installation.timeline.call_later(1.2, lambda: store.write_again(lost))
+
+
 @when("keys are revoked while {hazard}")
 def step_revoke(context, hazard):
     """Take red's first key away as the hazard begins, and go on."""
@@ -376,6 +394,11 @@
     context.tenants = [make_tenant("red", ["red-other"]), *context.tenants[1:]]
     _configure(context)
     context.revoked_at = context.entries.installation.clock.now()
+    if hazard == "the store comes back older and lacks it for a while":
+        _go_back(context)
+    elif hazard == "the store has come back older just before":
+        # Its versions pass all that was read before.
+        context.entries.installation.store.pass_versions(1000)
     if suspended:
         context.entries.suspend(suspended, 6.0)
         context.entries.advance(6.0)
