Compare the catalogue of events with what platform/ logs as well

The catalogue's test looked into roadlift/ alone, so the line of the store's unknown headers, which platform/ logs, stood in the catalogue without a place that logs it: red in the whole run. The search covers both folders now, which is stricter.

--- a/tests/steps/explanation_steps.py
+++ b/tests/steps/explanation_steps.py
@@ -151,7 +151,8 @@
 def _list_logged():
     """Return the fields by (part, event) as the code logs them."""
     found = {}
-    for path in sorted((ROOT / "roadlift").rglob("*.py")):
+    folders = (ROOT / "roadlift", ROOT / "platform")
+    for path in sorted(path for one in folders for path in one.rglob("*.py")):
         tree = ast.parse(path.read_text())
         part = _find_part(tree)
         for node in ast.walk(tree):
