Hold no lease by what a row told before the store came back older

What callers saw: nothing yet.

Cause: rows of leases from a copy tell times of some seconds ago, so a lease that was renewed in the lost seconds looked over; the versions that they stand at, which are the fences, were given out again; a holder whose row had gone met a conflict and gave its term up.

Change: a record tells the era in which it was written. One of an era that is over counts from when it was first seen in the newer one, whatever it says, also where it was given back or names this instance's own process before. A holder whose term still holds writes it again at once, and goes on; nobody can take it sooner. A write in doubt is found in records of its own era alone. Fences are packed positions, so they grow over eras. The era stands behind the process's name in the row, which the release before reads as a name.

On the paused clock, nine kinds of trouble beside a return: no two owners that might give orders at one moment, no turns, no lower fence.

--- a/roadlift/core/events.py
+++ b/roadlift/core/events.py
@@ -172,6 +172,13 @@
     Event("ingress", "stopped", ("cut",), "The process ends."),
     Event("leases", "lease_gained", ("zone", "fence", "quiet"), "This one owns it."),
     Event("leases", "lease_lost", ("zone", "reason"), "This one owns it no more."),
+    Event(
+        "leases",
+        "lease_unwritten",
+        ("zone", "fence"),
+        "The store may have lost this one's term as it came back older; it is "
+        "written again, before it ends.",
+    ),
     Event("leases", "lease_offered", ("zone",), "Another gave it back for this one."),
     Event("leases", "lease_released", ("zone",), "It was given back."),
     Event(
--- a/roadlift/instance/leases.py
+++ b/roadlift/instance/leases.py
@@ -9,6 +9,7 @@
 from roadlift.daemon.transport import Transport
 from roadlift.instance.measures import Measures
 from roadlift.instance.platform import Platform
+from roadlift.serving.eras import StoreReturn
 from roadlift.serving.interfaces import Rows, RowWrite, StoreTime
 from roadlift.serving.lease import Lease, LeaseRecord, Step
 from roadlift.serving.messages import HandOver
@@ -92,6 +93,7 @@
         self._timer = None
         self.on_change: list[Callable[[str], None]] = []
         self.on_hand_back: list[Callable[[str], None]] = []
+        self._store.eras.on_return.append(self._note_return)
         transport = kernel.get(Transport)
         transport.subscribe((HandOver,), self._take_hand_over)
 
@@ -127,11 +129,10 @@
         if lease is None:
             return None
         told = self._told.get(zone)
-        if (
-            told is not None
-            and told.fence > lease.position.pack()
-            and not lease.is_held
-        ):
+        is_newer = told is not None and (
+            lease.is_outdated or told.fence > lease.position.pack()
+        )
+        if is_newer and not lease.is_held:
             return told.address
         holder = lease.holder
         return holder.address if holder else None
@@ -272,9 +273,19 @@
         lease = self._leases[zone]
         was_held = lease.is_held
         lease.note_written(position, record, self._kernel.clock.now())
-        if not was_held:
+        if lease.is_held and not was_held:
             self._tell_gain(zone, lease)
 
+    def _note_return(self, told: StoreReturn) -> None:
+        """Read the rows of leases anew: their terms may be in none of them."""
+        self._next_read = 0.0
+        for zone, lease in self._leases.items():
+            was_held = lease.is_held
+            lease.note_era(told.era, self._kernel.clock.now())
+            self._tell_loss(zone, lease, was_held, "the store came back older")
+            if lease.is_held:
+                log.event("lease_unwritten", zone=zone, fence=lease.fence)
+
     def _note_failed(self, zone: str, error: RoadliftError) -> None:
         lease = self._leases[zone]
         was_held = lease.is_held
@@ -297,6 +308,7 @@
                 log.error("The lease of %s can't be read: %s.", zone, error)
                 record = LeaseRecord("", "")
             lease.note_time(rows.time)
+            lease.note_era(rows.position.era, now)
             was_held, before = lease.is_held, lease.holder
             absent = rows.position._replace(version=0)
             lease.note_read(row.position if row else absent, record, now)
--- a/roadlift/serving/lease.py
+++ b/roadlift/serving/lease.py
@@ -18,6 +18,16 @@
 * the fencing number of a term is the row's packed position at its start: it
   only grows, and no two terms share it.
 
+The store may come back from an older copy. A term that was taken or renewed in
+the seconds it lost is in force all the same, and the row may name a holder of
+long ago. So each record tells the era in which it was written, and
+
+* one of an era that is over counts from when it was first seen in the newer
+  one, whatever times it tells, also where the holder's process is gone;
+* a holder whose term still holds writes it again, which no taker can do sooner
+  than its term ends; one whose term does not hold is a candidate like others;
+* a write in doubt is found in records of its own era alone.
+
 A process whose instance holds the lease under an earlier process takes it at
 once: the earlier one is gone, as this one listens at its address.
 
@@ -43,6 +53,9 @@
 # retransmission can delay it by.
 TRANSIT = 0.5
 MOST_FORMER = 8  # Holders before that a row names at most.
+NO_ERA = -1  # That of a record by the release before, which tells none.
+# Between a process and the era in a row: the release before reads six fields.
+ERA_MARK = "@"
 
 
 class LeaseRecord(NamedTuple):
@@ -52,7 +65,8 @@
     reach it; ``written_at`` is the store's time of the writing in seconds,
     or None; ``is_released`` tells that the lease was given back;
     ``orders_from`` is the store's time from which the holder gives orders;
-    ``former`` are [address, store's time of the end] of holders before.
+    ``former`` are [address, store's time of the end] of holders before;
+    ``era`` is the store's as the writer knew it.
     """
 
     process: str
@@ -61,19 +75,22 @@
     is_released: bool = False
     orders_from: float | None = None
     former: Sequence[Sequence] = ()
+    era: int = NO_ERA
 
     def encode(self) -> bytes:
         """Return the bytes of the row's value."""
-        return msgpack.packb(list(self))
+        mark = f"{ERA_MARK}{self.era}" if self.era != NO_ERA else ""
+        *fields, _ = self._replace(process=f"{self.process}{mark}")
+        return msgpack.packb(fields)
 
     @classmethod
     def decode(cls, data: bytes) -> "LeaseRecord":
         """Read a row's value, or raise MalformedMessage."""
         try:
             fields = msgpack.unpackb(data)
-            if len(fields) != len(cls._fields):
+            if len(fields) != len(cls._fields) - 1:
                 raise ValueError(f"{len(fields)} fields")
-            record = cls(*fields)
+            record = _split_era(cls(*fields))
             if not isinstance(record.process, str) or not isinstance(
                 record.address, str
             ):
@@ -84,6 +101,14 @@
         return record
 
 
+def _split_era(record: LeaseRecord) -> LeaseRecord:
+    """Return a record with the era that stands behind its process."""
+    process, mark, era = record.process.rpartition(ERA_MARK)
+    if not mark or not era.isdecimal():
+        return record
+    return record._replace(process=process, era=int(era))
+
+
 class Step(enum.Enum):
     """What the holder or a candidate has to do next."""
 
@@ -117,6 +142,12 @@
         self._patience = patience
         self._planned_from = 0.0
         self._position = NOWHERE
+        self._era = NO_ERA
+        self._has_returned = False
+        self._era_seen_at = float("-inf")
+        self._must_rewrite = False
+        # Until when a term may have given orders that no row tells of.
+        self._lost_until = float("-inf")
         self._seen_at: float | None = None
         self._sent_at = 0.0
         self._doubt_since: float | None = None
@@ -134,6 +165,11 @@
         """Tell whether this process has the lease, valid or not."""
         return self.fence > 0
 
+    @property
+    def era(self) -> int:
+        """Return the store's era as it is known, or NO_ERA."""
+        return self._era
+
     @property
     def position(self) -> StorePosition:
         """Return the position that the next write expects."""
@@ -144,7 +180,47 @@
         """Return who has the lease, as far as known."""
         if self.record is None or self.record.is_released:
             return None
-        return self.record
+        return None if self.is_outdated and not self.is_held else self.record
+
+    @property
+    def is_outdated(self) -> bool:
+        """Tell whether the row that is known is of an era that is over."""
+        return self.record is not None and self._is_outdated(self.record)
+
+    def _is_outdated(self, record: LeaseRecord) -> bool:
+        """Tell whether a record is of an era that is over.
+
+        One without a mark is by the release before: of any era.
+        """
+        if record.era == NO_ERA:
+            return self._has_returned
+        return record.era < self._era
+
+    def note_era(self, era: int, now: float) -> None:
+        """Learn of the store's era; what is known of the row is of one before.
+
+        A holder reads the row and writes its term again while it holds.
+        """
+        if era <= self._era:
+            return
+        is_first = self._era == NO_ERA
+        self._era = era
+        if is_first:
+            return
+        self._has_returned = True
+        self._era_seen_at = now
+        self._in_flight = False
+        self._doubt_since = None
+        self.is_read = False
+        if self.is_held:
+            self._lost_until = self.valid_until
+            self._must_rewrite = True
+            self._drop_if_over(now)
+
+    def _drop_if_over(self, now: float) -> None:
+        """Hold no longer a term that is in no row and is over."""
+        if self._must_rewrite and now >= self.valid_until:
+            self._drop()
 
     def may_order(self, now: float) -> bool:
         """Tell whether an order may leave now."""
@@ -154,6 +230,7 @@
 
     def choose_step(self, now: float) -> Step:
         """Return what to do; the caller reports how it ended."""
+        self._drop_if_over(now)
         if self._in_flight:
             return Step.NOTHING
         if self.is_held and self.is_read:
@@ -165,7 +242,9 @@
 
     def _may_take(self, now: float) -> bool:
         if self.record is None:
-            return now - self._seen_at >= self._patience
+            # Behind a return, a first term of all may have been lost.
+            known_at = max(self._seen_at, self._era_seen_at + self._lease_time)
+            return now - known_at >= self._patience
         if self._is_predecessor(self.record):
             return True
         return self._measure_rest(now) >= self._patience
@@ -173,7 +252,8 @@
     def _is_predecessor(self, record: LeaseRecord) -> bool:
         """Tell whether an earlier process of this instance is the holder."""
         is_here = record.address == self._address and not record.is_released
-        return is_here and record.process != self._process
+        is_sure = is_here and not self._is_outdated(record)
+        return is_sure and record.process != self._process
 
     def _measure_rest(self, now: float) -> float:
         """Return the seconds since the lease of the row's holder was over.
@@ -182,6 +262,8 @@
         the store's clock tells and of the time since it was seen first.
         """
         age = now - self._seen_at
+        if self._is_outdated(self.record):
+            return age - self._lease_time
         if self.record.written_at is not None and self._time is not None:
             told = self._time.estimate_earliest(now) - self.record.written_at
             age = max(age, told)
@@ -199,7 +281,13 @@
             orders_from = self._time.estimate_latest(self._planned_from)
         former = self.record.former if self.is_held else self._list_former(now)
         return LeaseRecord(
-            self._process, self._address, written_at, False, orders_from, former
+            self._process,
+            self._address,
+            written_at,
+            False,
+            orders_from,
+            former,
+            self._era,
         )
 
     def _measure_quiet(self, now: float) -> float:
@@ -215,7 +303,7 @@
             if address == self._address:
                 own = self._measure_until(ended_at + self._quiet, now)
                 quiet = max(quiet, own)
-        return max(0.0, quiet)
+        return max(0.0, quiet, self._lost_until + self._quiet - now)
 
     def _measure_until(self, store: float | None, now: float) -> float:
         """Return the most seconds until a time of the store's clock."""
@@ -263,7 +351,12 @@
     def note_written(
         self, position: StorePosition, record: LeaseRecord, now: float
     ) -> None:
-        """Learn that this process's write took effect."""
+        """Learn that this process's write took effect.
+
+        One that was sent before the store came back older is lost.
+        """
+        if record.era < self._era:
+            return
         self._in_flight = False
         if not self.is_held:
             self._begin_term(position, now)
@@ -289,7 +382,7 @@
     def note_read(
         self, position: StorePosition, record: LeaseRecord | None, now: float
     ) -> None:
-        """Learn of the row as it was read.
+        """Learn of the row as it was read, in the era that is known.
 
         The position of no row has the version 0.
         """
@@ -297,7 +390,8 @@
         if self._seen_at is not None and position <= self._position:
             # Nothing new, or an answer that was overtaken by a later one.
             return
-        is_own = record is not None and record.process == self._process
+        is_outdated = record is None or self._is_outdated(record)
+        is_own = not is_outdated and record.process == self._process
         if is_own and not record.is_released and self._doubt_since is not None:
             # A write of ours whose answer was lost has taken effect.
             if not self.is_held:
@@ -309,12 +403,17 @@
             return
         self._position = position
         self._seen_at = now
+        if self._must_rewrite and is_outdated:
+            # The record of the term stays; what was read lacks its renewals.
+            self._renewed_at = float("-inf")
+            return
         self.record = record
         if self.is_held:
             self._drop()
 
     def release(self, now: float) -> LeaseRecord:
         """Stop giving orders, and return the record that gives it back."""
+        self._must_rewrite = False
         self.fence = 0
         self.valid_until = 0.0
         written_at = self._time and self._time.estimate_latest(now)
@@ -327,6 +426,7 @@
         self._seen_at = sent_at
         self._renewed_at = sent_at
         self._doubt_since = None
+        self._must_rewrite = False
         self.record = record
         self.is_read = True
         self.valid_until = sent_at + self._lease_time
@@ -337,6 +437,7 @@
         self.orders_from = max(now, self._planned_from)
 
     def _drop(self) -> None:
+        self._must_rewrite = False
         self.fence = 0
         self.valid_until = 0.0
         self.is_read = False
--- a/specification/explore.py
+++ b/specification/explore.py
@@ -14,7 +14,15 @@
 from minicheck import Protocol, check_safety
 
 from roadlift.management.output import print_table
-from specification import bundles, claims, freshness, lease, limits, ownership
+from specification import (
+    bundles,
+    claims,
+    freshness,
+    lease,
+    limits,
+    ownership,
+    returns,
+)
 from specification.ownership import Limits, Ownership
 
 MOST_STATES = 600_000
@@ -66,6 +74,8 @@
             return claims.Claims(without=self.without).make_protocol()
         if self.specification == "lease":
             return lease.Leases(self.variant, self.without).make_protocol()
+        if self.specification == "returns":
+            return returns.Returns(self.variant, self.without).make_protocol()
         if self.specification == "bundles":
             return bundles.Bundles(without=self.without).make_protocol()
         if self.specification == "freshness":
@@ -100,6 +110,8 @@
     jobs += [Job("ownership", "", rule) for rule in ownership.RULES]
     jobs += [Job("lease", variant, "") for variant in lease.VARIANTS]
     jobs += [Job("lease", _show(rule), rule) for rule in lease.RULES]
+    jobs += [Job("returns", variant, "") for variant in returns.VARIANTS]
+    jobs += [Job("returns", _show(rule), rule) for rule in returns.RULES]
     jobs += [Job("claims", "", rule) for rule in ("", *claims.RULES)]
     jobs += [Job("bundles", "", rule) for rule in ("", *bundles.RULES)]
     jobs += [Job("freshness", "", rule) for rule in ("", *freshness.RULES)]
@@ -109,8 +121,9 @@
 
 
 def _show(rule: str) -> str:
-    """Return the variant in which the loss of a lease's rule shows."""
-    return lease.SHOWN_IN.get(rule, lease.VARIANTS[0])
+    """Return the variant in which the loss of a rule of leases shows."""
+    shown = {**lease.SHOWN_IN, **returns.SHOWN_IN}
+    return shown.get(rule, lease.VARIANTS[0])
 
 
 def explore(job: Job) -> Result:
--- a/tests/instance/returns.feature
+++ b/tests/instance/returns.feature
@@ -64,6 +64,28 @@
     And an instance starts
     Then it has what the others have in force within 1.5 seconds
 
+  Scenario Outline: Two owners never give orders over a return, <trouble>
+    Given callers of 60 adapters, 40 calls a second, and as many plain ones
+    And the owners renew their leases at different moments
+    When <trouble> as the store is to come back 4 seconds older, <how>
+    And 14 seconds pass
+    Then no orders reach an engine under a lower fence than one before
+    And no engine got orders of two owners by turns
+    And two instances might never give orders in one zone
+    And orders stopped for at most <most> seconds
+
+    Examples:
+      | trouble                                       | how                                 | most |
+      | nothing else happens                          | and its versions are behind         | 1.5  |
+      | nothing else happens                          | and its versions pass what was read | 1.5  |
+      | the owner of z1 is killed                     | and its versions are behind         | 12   |
+      | the owner of z1 is killed                     | and its versions pass what was read | 12   |
+      | all owners are killed                         | and its versions pass what was read | 12.5 |
+      | the owner of z1 gives its lease back          | and its versions are behind         | 3    |
+      | the owner of z1 gives its lease back          | and its versions pass what was read | 3    |
+      | the store comes back older twice              | and its versions are behind         | 3    |
+      | the owner of z1 is cut off from the store     | and its versions are behind         | 12   |
+
   Scenario Outline: Few instances read all again, where <count> hear of a return
     Given <count> further instances in z1
     When the store comes back 4 seconds older, and its versions pass what was read
--- a/tests/serving/lease.feature
+++ b/tests/serving/lease.feature
@@ -119,3 +119,80 @@
       | two fields   | malformed |
       | a list without times | malformed |
       | a text as its list   | malformed |
+
+  Scenario Outline: Who may order behind the store's return from an older copy
+    What a row tells then may be of long ago, and a term may be in no row.
+
+    Given instances a and b with a quiet time of 3 seconds
+    When it happens that "0 a sees era 1, 0 b sees era 1, <history>"
+    Then at <at> orders may be given by <who>
+
+    Examples: A holder goes on, and writes its term again while it holds
+      | history                                                              | at  | who    |
+      | 0 a reads nothing, 0 a sends, 0.1 a is written, 1 a sees era 2       | 1.8 | a      |
+      | 0 a reads nothing, 0 a sends, 0.1 a is written, 1 a sees era 2       | 1.9 | nobody |
+      | 0 a reads nothing, 0 a sends, 0.1 a is written as 9, 1 a sees era 2, 1 a reads b3 of era 1, 1.1 a sends, 1.2 a is written as 4 | 2.9 | a |
+      | 0 a reads nothing, 0 a sends, 0.1 a is written as 9, 1 a sees era 2, 1 a reads nothing, 1.1 a sends, 1.2 a is written as 4 | 2.9 | a |
+      | 0 a reads nothing, 0 a sends, 0.1 a is written as 9, 1 a sees era 2, 1 a reads b3 of era 2 | 1.1 | nobody |
+      | 0 a reads nothing, 0 a sends, 0.1 a is written as 9, 1 a sees era 2, 1 a reads b3 of era 1, 1.1 a sends, 1.2 a is lost | 1.3 | nobody |
+      | 0 a reads nothing, 0 a sends, 0.1 a is written as 9, 3 a sees era 2, 3 a reads a3 of era 1 | 3.1 | nobody |
+
+    Examples: A write in doubt is found in rows of its own era alone
+      | history                                                              | at  | who    |
+      | 0 a reads b9 of era 1, 2 a sends, 2.1 a is in doubt, 2.2 a sees era 2, 2.3 a reads a3 of era 1 | 3.5 | nobody |
+      | 0 a reads b9 of era 1, 2 a sees era 2, 2 a reads b3 of era 1, 4 a sends, 4.1 a is in doubt, 4.2 a reads a4 of era 2 | 5 | a |
+
+    Examples: A taker orders behind all that the lost term may have
+      | history                                                              | at  | who    |
+      | 0 b reads a9 of era 1, 1 b sees era 2, 1 b reads a3 written at -9 of era 1, 3 b sends, 3.1 b is written as 4 | 3.4 | nobody |
+      | 0 b reads a9 of era 1, 1 b sees era 2, 1 b reads a3 written at -9 of era 1, 3 b sends, 3.1 b is written as 4 | 3.6 | b |
+      | 0 a reads nothing, 0 a sends, 0.1 a is written as 9, 1 a sees era 2, 3 a reads b3 of era 2, 5 a sends, 5.1 a is written as 4 | 5.4 | nobody |
+      | 0 a reads nothing, 0 a sends, 0.1 a is written as 9, 1 a sees era 2, 3 a reads b3 of era 2, 5 a sends, 5.1 a is written as 4 | 5.6 | a |
+
+  Scenario Outline: What a candidate does behind the store's return
+    Given instances a and b with a quiet time of 3 seconds
+    When it happens that "0 a sees era 1, 0 b sees era 1, <history>"
+    Then at <at> the next step of b is <step>
+
+    Examples:
+      | history                                                            | at  | step |
+      | 0 b reads a9 written at -9 of era 1                                | 0.1 | take |
+      | 0 b reads a9 of era 1, 1 b sees era 2                              | 9   | read |
+      | 0 b reads a9 of era 1, 1 b sees era 2, 1 b reads a3 written at -9 of era 1 | 2.9 | read |
+      | 0 b reads a9 of era 1, 1 b sees era 2, 1 b reads a3 written at -9 of era 1 | 3.1 | take |
+      | 0 b reads a9 of era 1, 1 b sees era 2, 1 b reads a3 released written at -9 of era 1 | 2.9 | read |
+      | 0 b reads a9 of era 1, 1 b sees era 2, 1 b reads B3 written at -9 of era 1 | 2.9 | read |
+      | 0 b reads a9 of era 1, 1 b sees era 2, 1 b reads B3 written at -9 of era 2 | 1.1 | take |
+      | 0 b reads a9 of era 1, 1 b sees era 2, 1 b reads a3 written at -9 of era 2 | 1.1 | take |
+      | 0 b reads a9 of era 1, 1 b sees era 2, 1 b reads nothing            | 2.9 | read |
+      | 0 b reads a9 of era 1, 1 b sees era 2, 1 b reads nothing            | 3.1 | take |
+      | 0 b reads a9, 1 b sees era 2, 1 b reads a3 written at -9            | 2.9 | read |
+      | 0 b reads a9 written at -9                                          | 0.1 | take |
+
+  Scenario Outline: Terms of a newer era have higher numbers
+    Given instances a and b with a quiet time of 3 seconds
+    When it happens that "0 a sees era 1, 0 a reads b9 of era 1, 1 a sees era 2, 1 a reads b3 of era 1, 3 a sends, 3.1 a is written as <version>"
+    Then the fencing number of a is <version> of era 2
+
+    Examples:
+      | version |
+      | 4       |
+      | 90      |
+
+  Scenario Outline: A row of before the return names no owner
+    Given instances a and b with a quiet time of 3 seconds
+    When it happens that "0 a sees era 1, <history>"
+    Then a takes <holder> for the holder
+
+    Examples:
+      | history                                              | holder |
+      | 0 a reads b9 of era 1                                | b      |
+      | 0 a reads b9                                         | b      |
+      | 0 a reads b9 of era 1, 1 a sees era 2                | nobody |
+      | 0 a reads b9, 1 a sees era 2                         | nobody |
+      | 0 a reads b9, 1 a sees era 2, 1 a reads b3 of era 1  | nobody |
+      | 0 a reads b9, 1 a sees era 2, 1 a reads b3 of era 2  | b      |
+
+  Scenario: The release before reads a row of an era
+    When a record of era 7 is written and read
+    Then it is of era 7, and has the 6 fields of the release before
--- a/tests/steps/lease_steps.py
+++ b/tests/steps/lease_steps.py
@@ -7,13 +7,14 @@
 
 from roadlift.core.errors import MalformedMessage
 from roadlift.serving.interfaces import StoreTime
-from roadlift.serving.lease import Lease, LeaseRecord
+from roadlift.serving.lease import NO_ERA, Lease, LeaseRecord
 from roadlift.serving.position import FIRST_ERA, StorePosition
 
 # A capital letter stands for an earlier process of the instance.
 _READ = re.compile(
     r"reads ([abAB])(\d+)( released)?(?: written at (-?[\d.]+))?"
     r"(?: with orders from (-?[\d.]+))?(?: after ([abc]) until (-?[\d.]+))?"
+    r"(?: of era (\d+))?"
 )
 _LEASE_TIME = 2.0  # Seconds.
 
@@ -25,6 +26,7 @@
         name: Lease(name, f"{name}:1", _LEASE_TIME, quiet) for name in "ab"
     }
     context.versions = dict.fromkeys("ab", 0)
+    context.eras = dict.fromkeys("ab", FIRST_ERA)
 
 
 def _make_record(read):
@@ -33,36 +35,42 @@
     former = [(f"{read[6]}:1", float(read[7]))] if read[6] else []
     address = f"{read[1].lower()}:1"
     is_released = bool(read[3])
-    return LeaseRecord(read[1], address, written_at, is_released, orders_from, former)
+    era = NO_ERA if read[8] is None else int(read[8])
+    return LeaseRecord(
+        read[1], address, written_at, is_released, orders_from, former, era
+    )
 
 
-def _place(version):
-    return StorePosition(FIRST_ERA, int(version))
+def _place(context, name, version):
+    return StorePosition(context.eras[name], int(version))
 
 
 def _do(context, at, name, did):
     lease = context.leases[name]
-    record = LeaseRecord(name, f"{name}:1")
+    record = LeaseRecord(name, f"{name}:1", era=lease.era)
     read = _READ.fullmatch(did)
     if did == "knows nothing":
         return
     if did == "reads nothing":
-        lease.note_read(_place(0), None, at)
+        lease.note_read(_place(context, name, 0), None, at)
     elif read:
         found = _make_record(read)
         # The store's clock shows the same time as the test's, half a second
         # before the answer: what a read's way back may take.
         lease.note_time(StoreTime(at - 0.5, at - 0.6, at))
         context.versions[name] = int(read[2])
-        lease.note_read(_place(read[2]), found, at)
+        lease.note_read(_place(context, name, read[2]), found, at)
+    elif did.startswith("sees era "):
+        context.eras[name] = int(did.rpartition(" ")[2])
+        lease.note_era(context.eras[name], at)
     elif did == "sends":
         context.sent = lease.send(at)
     elif did.startswith("is written as "):
         context.versions[name] = int(did.rpartition(" ")[2])
-        lease.note_written(_place(context.versions[name]), record, at)
+        lease.note_written(_place(context, name, context.versions[name]), record, at)
     elif did == "is written":
         context.versions[name] += 1
-        lease.note_written(_place(context.versions[name]), record, at)
+        lease.note_written(_place(context, name, context.versions[name]), record, at)
     elif did == "is in doubt":
         lease.note_doubt()
     elif did == "is lost":
@@ -130,3 +138,32 @@
     """Check which holders before a taker writes into the row."""
     found = " ".join(f"{address[0]}@{at:g}" for address, at in context.sent.former)
     assert found == former.replace("nobody", ""), found
+
+
+@then("the fencing number of {name} is {version:d} of era {era:d}")
+def step_fence_of_era(context, name, version, era):
+    """Check the number of the term."""
+    fence = StorePosition.unpack(context.leases[name].fence)
+    assert fence == StorePosition(era, version), fence
+
+
+@then("{name} takes {holder} for the holder")
+def step_holder(context, name, holder):
+    """Check whom an instance takes for the owner."""
+    found = context.leases[name].holder
+    assert (found.process if found else "nobody") == holder, found
+
+
+@when("a record of era {era:d} is written and read")
+def step_mark(context, era):
+    """Encode a record, and read it as this release and the one before do."""
+    record = LeaseRecord("a#1", "127.0.0.1:1", era=era)
+    context.record = LeaseRecord.decode(record.encode())
+    context.fields = msgpack.unpackb(record.encode())
+
+
+@then("it is of era {era:d}, and has the {count:d} fields of the release before")
+def step_marked(context, era, count):
+    """Check what was read."""
+    assert (context.record.era, context.record.process) == (era, "a#1")
+    assert len(context.fields) == count, context.fields
