Let an endpoint that drained or went stay so, whatever an older copy says

What callers saw in a test: 9 and 16 calls in 6 s at a plain endpoint that had drained, or whose entry had gone, a second before the store came back 4 s older: its entry said ready again.

Change: a start of an endpoint that was seen draining drains for good, as one that said so itself does; an entry of the copy whose start had been dropped is not taken again until it is written in the newer era, which one that lives does with its next heartbeat. What registered in the lost seconds is kept for the grace of 2.5 s (with the positions; its test passed before as well, as entries were written again within it).

Both tests failed before and pass now.

--- a/roadlift/instance/follower.py
+++ b/roadlift/instance/follower.py
@@ -375,6 +375,7 @@
         now = self._kernel.clock.now()
         before = self.directory.revision
         found = {}
+        is_settling = is_whole and now < self._settled_at
         for row in rows.rows:
             # In order: one answer may hold an entry's change and its end.
             if row.value is None:
@@ -388,6 +389,9 @@
                 log.error("An entry of the list is ignored: %s.", error)
                 self.directory.reject_name(row.key)
                 continue
+            if is_settling and self.directory.was_dropped(endpoint.id):
+                # The copy's; one that lives writes its entry again.
+                continue
             found[endpoint.id] = endpoint
             self._log_change(endpoint, rows.position)
             self.directory.put(endpoint)
--- a/roadlift/serving/directory.py
+++ b/roadlift/serving/directory.py
@@ -10,8 +10,8 @@
 # Seconds after the list's return in which an entry that is missing may come
 # back: the platform restores lapsed entries within about two seconds.
 RETURN_GRACE = 2.5
-# Endpoints that said that they leave which are remembered; an entry that
-# lapsed may come back, and still say that its endpoint is ready.
+# Endpoints that left, drained or were dropped which are remembered, of each;
+# an entry that lapsed, or is an older copy's, may say that one is ready.
 MOST_LEFT = 4096
 
 
@@ -82,6 +82,8 @@
         self._ids: dict[str, str] = {}
         self._missing: set[str] = set()
         self._left: dict[str, None] = {}
+        self._drained: dict[str, None] = {}
+        self._dropped: dict[str, None] = {}
         self._grace_until = 0.0
         self.revision = 0
         self.is_known = False
@@ -145,23 +147,27 @@
         """
         if endpoint_id in self._left:
             return False
-        self._remember_left(endpoint_id)
+        _remember(self._left, endpoint_id)
         if endpoint_id in self._endpoints:
             is_missing = endpoint_id in self._missing
             self.put(self._endpoints[endpoint_id])
             self._missing |= {endpoint_id} if is_missing else set()
         return True
 
-    def _remember_left(self, endpoint_id: str) -> None:
-        self._left[endpoint_id] = None
-        if len(self._left) > MOST_LEFT:
-            del self._left[next(iter(self._left))]
-
     def correct(self, endpoint: Endpoint) -> Endpoint:
-        """Return an entry with what its endpoint said of itself."""
-        if endpoint.id not in self._left:
-            return endpoint
-        return endpoint._replace(is_draining=True, is_leaving=True)
+        """Return an entry with what its endpoint said of itself.
+
+        A start that drains never takes calls again, whatever its entry says.
+        """
+        if endpoint.id in self._left:
+            return endpoint._replace(is_draining=True, is_leaving=True)
+        if endpoint.id in self._drained:
+            return endpoint._replace(is_draining=True)
+        return endpoint
+
+    def was_dropped(self, endpoint_id: str) -> bool:
+        """Tell whether the entry of a start was there, and is gone."""
+        return endpoint_id in self._dropped
 
     def put(self, endpoint: Endpoint) -> None:
         """Take an entry that is new or has changed.
@@ -175,8 +181,11 @@
                 return
             self._drop(earlier.id)
         if endpoint.is_leaving:
-            self._remember_left(endpoint.id)
+            _remember(self._left, endpoint.id)
+        if endpoint.is_draining:
+            _remember(self._drained, endpoint.id)
         endpoint = self.correct(endpoint)
+        self._dropped.pop(endpoint.id, None)
         self._ids[endpoint.name] = endpoint.id
         is_back = endpoint.id in self._missing
         self._missing.discard(endpoint.id)
@@ -218,7 +227,15 @@
 
     def _drop(self, endpoint_id: str) -> None:
         self._missing.discard(endpoint_id)
+        _remember(self._dropped, endpoint_id)
         endpoint = self._endpoints.pop(endpoint_id)
         del self._by_service[endpoint.service][endpoint_id]
         del self._ids[endpoint.name]
         self.revision += 1
+
+
+def _remember(known: dict[str, None], endpoint_id: str) -> None:
+    """Add an id to those that are remembered; the oldest makes room."""
+    known[endpoint_id] = None
+    if len(known) > MOST_LEFT:
+        del known[next(iter(known))]
--- a/tests/instance/returns.feature
+++ b/tests/instance/returns.feature
@@ -86,6 +86,19 @@
       | the store comes back older twice              | and its versions are behind         | 3    |
       | the owner of z1 is cut off from the store     | and its versions are behind         | 12   |
 
+  Scenario Outline: What endpoints said stands, where <what>
+    When <what> and the store comes back 4 seconds older
+    Then no call comes to it for 6 seconds, but for the first 2
+
+    Examples:
+      | what                                     |
+      | a plain endpoint drains, 1 second passes |
+      | a plain endpoint ends, 1 second passes   |
+
+  Scenario: Endpoints that came in the lost seconds are used all the time
+    When a plain endpoint starts, 1 second passes and the store comes back 4 seconds older
+    Then calls come to it all the time
+
   Scenario Outline: Few instances read all again, where <count> hear of a return
     Given <count> further instances in z1
     When the store comes back 4 seconds older, and its versions pass what was read
