Write rows of refused work again that the store lost

Cause: an instance that wrote which work is refused believed the row to be there for good. Behind a return from an older copy it was gone, nobody wrote it again, and instances that all start anew would have let the work in.

Change: where a newer era shows, whoever writes these rows compares all refused work with what was read. The test failed before: five seconds later no row.

--- a/roadlift/instance/crashrows.py
+++ b/roadlift/instance/crashrows.py
@@ -58,6 +58,7 @@
         self._is_relayed = kernel.get(Follower).is_relayed
         self._rows: dict[bytes, _Known] = {}
         self._due: set[bytes] = set()
+        self._era: int | None = None
         self._time: StoreTime | None = None
         self._timer: Timer | None = None
         self._ledger.on_change.append(self._note)
@@ -172,6 +173,15 @@
                 self._take_row(row, store_now)
             except MalformedMessage as error:
                 log.error("A row of crashes is ignored: %s.", error)
+        is_returned = self._era is not None and rows.position.era > self._era
+        self._era = rows.position.era
+        if is_returned:
+            self._write_lost()
+
+    def _write_lost(self) -> None:
+        """Write rows again that the store lost as it came back older."""
+        for identity in self._crashes.list_refused():
+            self._note(identity)
 
     def _take_row(self, row: StoredRow, store_now: float) -> None:
         identity = read_key(row.key)
--- a/tests/instance/returns.feature
+++ b/tests/instance/returns.feature
@@ -99,6 +99,10 @@
     When a plain endpoint starts, 1 second passes and the store comes back 4 seconds older
     Then calls come to it all the time
 
+  Scenario: Work that is refused for the ends of engines is kept again
+    When work is refused, 2 seconds pass and the store comes back 4 seconds older
+    Then 5 seconds later the store keeps what is refused
+
   Scenario Outline: Few instances read all again, where <count> hear of a return
     Given <count> further instances in z1
     When the store comes back 4 seconds older, and its versions pass what was read
