Explain a call without a route by the configuration that others had

roadlift explain said of such a refusal that nothing else was logged. It names the newer configuration, where it was in force and since when, and whether the store had come back older by then. Three rows of the explanation's table.

--- a/roadlift/core/events.py
+++ b/roadlift/core/events.py
@@ -104,6 +104,12 @@
         "the list were known before.",
     ),
     Event("follower", "store_lost", ("table", "error"), "The store can't be read."),
+    Event(
+        "follower",
+        "row_written_again",
+        ("key",),
+        "The store has a row of the operator again that was older in it.",
+    ),
     Event(
         "follower", "store_regained", ("table", "era", "version"), "It can be again."
     ),
--- a/roadlift/explanation/story.py
+++ b/roadlift/explanation/story.py
@@ -20,10 +20,20 @@
     "lease_gained",
     "lease_lost",
     "lease_released",
+    "store_came_back_older",
     "store_lost",
     "store_regained",
 )
-_HERE = ("started", "leaving", "drained", "stopped", "configuration_in_force")
+_HERE = (
+    "configuration_in_force",
+    "drained",
+    "leaving",
+    "list_passed_over",
+    "row_older",
+    "row_written_again",
+    "started",
+    "stopped",
+)
 
 
 class Event(NamedTuple):
@@ -125,6 +135,7 @@
     """Return what the lines around speak for, the likeliest first."""
     causes = _explain_refusal(end)
     causes += _explain_leaving(end, around)
+    causes += _explain_configuration(end, around)
     causes += _explain_store(end, around)
     causes += _explain_endpoints(end, around, met)
     if not causes:
@@ -196,6 +207,29 @@
     return [f"{endpoint} had said that it leaves" for endpoint in sorted(left)]
 
 
+def _explain_configuration(end: Line, around: list[Line]) -> list[str]:
+    """Explain a call without a route that a newer configuration has."""
+    code = str(end.fields.get("error")).partition(":")[0]
+    known = end.fields.get("configuration")
+    newer = [
+        line
+        for line in around
+        if line.name == "configuration_in_force" and line.time <= end.time
+        if known is not None and line.fields.get("version", known) > known
+    ]
+    if code != "no_route" or not newer:
+        return []
+    first = min(newer, key=lambda line: line.time)
+    seconds = round(end.time - first.time, 3)
+    text = (
+        f"configuration {known:g} was in force at {end.instance}, and "
+        f"{first.fields['version']:g} at {first.instance} since {seconds} s"
+    )
+    if any(line.name == "store_came_back_older" for line in around):
+        text += ", behind the store's return from an older copy"
+    return [text]
+
+
 def _explain_store(end: Line, around: list[Line]) -> list[str]:
     lost = [line for line in around if line.name == "store_lost"]
     if not lost or "no_configuration" not in str(end.fields.get("error")):
--- a/roadlift/instance/follower.py
+++ b/roadlift/instance/follower.py
@@ -305,7 +305,8 @@
             if self._is_older(row, configuration, declared):
                 self.operator_rows.keep(row)
                 continue
-            self.operator_rows.put(row)
+            if self.operator_rows.put(row):
+                log.event("row_written_again", key=row.key)
             if configuration is not None:
                 self._apply(configuration, row.position)
             if declared is not None:
--- a/roadlift/serving/operatorrows.py
+++ b/roadlift/serving/operatorrows.py
@@ -56,12 +56,18 @@
         self._rows: dict[str, PackedRow] = {}
         self._ahead: set[str] = set()
 
-    def put(self, row: StoredRow) -> None:
-        """Keep a row, unless a newer state of it is known."""
+    def put(self, row: StoredRow) -> bool:
+        """Keep a row, unless a newer state of it is known.
+
+        Returns whether it is one that the store had lost.
+        """
         known = self._rows.get(row.key)
-        if known is None or row.position.pack() >= known.place:
-            self._rows[row.key] = pack_row(row)
-            self._ahead.discard(row.key)
+        if known is not None and row.position.pack() < known.place:
+            return False
+        self._rows[row.key] = pack_row(row)
+        was_ahead = row.key in self._ahead
+        self._ahead.discard(row.key)
+        return was_ahead
 
     def keep(self, row: StoredRow) -> None:
         """Keep what is in force in place of an older row of the store."""
--- a/tests/explanation/explanation.feature
+++ b/tests/explanation/explanation.feature
@@ -40,6 +40,9 @@
       | 10 a call_refused request=r1 error=stale_configuration:_late configuration_age=4.7 | refused | a knew the configuration as of 4.7 s ago only |
       | 10 a call_refused request=r1 error=over_allowance organisation=red share=0.02 demand=900 news_age=0.2 | refused | organisation red asked for 900.0 a second here, where 0.02 of its allowance was free, by news 0.2 s old |
       | 10 a call_refused request=r1 error=no_route | refused | nothing else was logged that bears on it |
+      | 8 b configuration_in_force version=20 ; 10 a call_refused request=r1 error=no_route configuration=17 | refused | configuration 17 was in force at a, and 20 at b since 2.0 s |
+      | 7 a store_came_back_older era=2 before=1 ; 8 b configuration_in_force version=20 ; 10 a call_refused request=r1 error=no_route configuration=17 | refused | configuration 17 was in force at a, and 20 at b since 2.0 s, behind the store's return from an older copy |
+      | 8 b configuration_in_force version=17 ; 10 a call_refused request=r1 error=no_route configuration=17 | refused | nothing else was logged that bears on it |
 
     Examples: Calls that the limits of endpoints left no room for
       | lines | outcome | cause |
