Keep a term whose renewal is what tells of the store's return

Found by comparing the code with the specification, which keeps it: where the answer to a renewal was the first to show the newer era, it was a conflict as well, and the holder gave up the term that it was to write again. An answer to a write of before the return says nothing now. Two rows of histories failed.

--- a/roadlift/instance/leases.py
+++ b/roadlift/instance/leases.py
@@ -216,7 +216,9 @@
         is_due = now >= self._next_read
         for zone in self._list_concerned(now):
             lease = self._leases[zone]
+            was_held = lease.is_held
             step = lease.choose_step(now)
+            self._tell_loss(zone, lease, was_held, "it could not be written again")
             is_hurried = now < self._hurried_until.get(zone, 0.0)
             if is_hurried and step is Step.READ and now - self._read_at >= TICK:
                 must_read = is_due = True
--- a/roadlift/serving/lease.py
+++ b/roadlift/serving/lease.py
@@ -363,7 +363,12 @@
         self._accept(position, record, self._sent_at)
 
     def note_lost(self) -> None:
-        """Learn that another's write came first; read the row again."""
+        """Learn that another's write came first; read the row again.
+
+        What became of one of before the store's return says nothing.
+        """
+        if not self._in_flight:
+            return
         self._in_flight = False
         self._drop()
 
@@ -372,8 +377,11 @@
 
         A holder goes on until its lease ends; the row is read to find out.
         Where several writes are in doubt, any of them may be what is read,
-        so the lease counts from the oldest.
+        so the lease counts from the oldest. One of before the store's return
+        is lost.
         """
+        if not self._in_flight:
+            return
         self._in_flight = False
         self.is_read = False
         if self._doubt_since is None:
--- a/tests/instance/returns.feature
+++ b/tests/instance/returns.feature
@@ -73,6 +73,7 @@
     And no engine got orders of two owners by turns
     And two instances might never give orders in one zone
     And orders stopped for at most <most> seconds
+    And no instance keeps a term whose lease it lost
 
     Examples:
       | trouble                                       | how                                 | most |
@@ -85,6 +86,7 @@
       | the owner of z1 gives its lease back          | and its versions pass what was read | 3    |
       | the store comes back older twice              | and its versions are behind         | 3    |
       | the owner of z1 is cut off from the store     | and its versions are behind         | 12   |
+      | nothing else happens                          | and it turns all away for long      | 22   |
 
   Scenario Outline: What endpoints said stands, where <what>
     When <what> and the store comes back 4 seconds older
--- a/tests/serving/lease.feature
+++ b/tests/serving/lease.feature
@@ -137,6 +137,12 @@
       | 0 a reads nothing, 0 a sends, 0.1 a is written as 9, 1 a sees era 2, 1 a reads b3 of era 1, 1.1 a sends, 1.2 a is lost | 1.3 | nobody |
       | 0 a reads nothing, 0 a sends, 0.1 a is written as 9, 3 a sees era 2, 3 a reads a3 of era 1 | 3.1 | nobody |
 
+    Examples: The answer to a renewal is what tells of the return
+      | history                                                              | at  | who    |
+      | 0 a reads nothing, 0 a sends, 0.1 a is written as 9, 1 a sends, 1.1 a sees era 2, 1.1 a is lost | 1.2 | a |
+      | 0 a reads nothing, 0 a sends, 0.1 a is written as 9, 1 a sends, 1.1 a sees era 2, 1.1 a is in doubt | 1.2 | a |
+      | 0 a reads nothing, 0 a sends, 0.1 a is written as 9, 1 a sends, 1.1 a sees era 2, 1.1 a is lost, 1.1 a reads b3 of era 1, 1.2 a sends, 1.3 a is written as 4 | 3 | a |
+
     Examples: A write in doubt is found in rows of its own era alone
       | history                                                              | at  | who    |
       | 0 a reads b9 of era 1, 2 a sends, 2.1 a is in doubt, 2.2 a sees era 2, 2.3 a reads a3 of era 1 | 3.5 | nobody |
--- a/tests/steps/return_steps.py
+++ b/tests/steps/return_steps.py
@@ -9,10 +9,12 @@
 from roadlift.instance.crashrows import TABLE
 from roadlift.instance.follower import Follower
 from roadlift.instance.leases import Leases
+from roadlift.instance.owner import Owner
 from tests.steps.limit_steps import find_endpoints, start_callers, step_instances
 from tests.support.configuration import BASE, ROUTES, SERVICES, make_route
 
 _AWAY = 1.0  # Seconds for which the store answers nothing.
+_TURNED_AWAY = 9.0  # Seconds for which it turns all calls away behind that.
 _AT_ONCE = 0.2  # The same where it comes back at once.
 _AGAIN = 1.2  # Seconds behind its return until what it lost is written again.
 _BEAT = 1.2  # Seconds between two writes of an entry.
@@ -82,6 +84,10 @@
         store.pass_versions(_PASSED)
     if "failed answer" in how:
         store.refuse_next = 4
+    if "turns all away" in how:
+        store.refuse_next = 10**6
+        accept = lambda: setattr(store, "refuse_next", 0)
+        entries.installation.timeline.call_later(_TURNED_AWAY, accept)
     entries.installation.timeline.call_later(_AGAIN, lambda: store.write_again(lost))
     context.returned_at = _now(context)
 
@@ -308,6 +314,10 @@
         ]
         if len(found) > 1:
             context.overlaps.append((_now(context), zone, found))
+    for name, entry in entries.entries.items():
+        held = entry.kernel.get(Leases).list_held()
+        if set(entry.kernel.get(Owner)._terms) != set(held):
+            context.kept.append((_now(context), name, held))
     entries.installation.timeline.call_later(0.01, lambda: _watch_owners(context))
 
 
@@ -324,6 +334,7 @@
     context.entries.advance(5.0)
     context.began_at = _now(context)
     context.overlaps = []
+    context.kept = []
     _watch_owners(context)
     _trouble(context, trouble)
     context.entries.advance(lost - _AWAY)
@@ -344,6 +355,12 @@
             before = holder
 
 
+@then("no instance keeps a term whose lease it lost")
+def step_terms(context):
+    """Look at what was noted."""
+    assert not context.kept, (len(context.kept), context.kept[0])
+
+
 @then("orders stopped for at most {most:g} seconds")
 def step_orders_go_on(context, most):
     """Look at the orders to the engines of z1, until now."""
