Let the soak's store come back older

The stand-in on loopback loses 1 to 8 s of writes behind 0.1 to 2 s of silence, with and without versions that pass what was read, and writes again what the operator and the runners had written. The rule old_rows trusts the times of a row of before the return.

--- a/benchmarks/routes.py
+++ b/benchmarks/routes.py
@@ -2,11 +2,11 @@
 
 Seeded and bounded. Callers keep their connections open and send calls all the
 while, as instances are killed, stopped, frozen, told to leave and cut from the
-store, the store falls silent or loses answers, engines start again under their
-names, play faults, name limits, leave, ask for rest and end under calls, and
-the operator adds routes, names versions and revokes keys; faults overlap. What
-callers were told is compared with what the runners noted. Prints JSON, and
-fails where a count of violations is above zero.
+store, the store falls silent, loses answers or comes back older, engines start
+again under their names, play faults, name limits, leave, ask for rest and end
+under calls, and the operator adds routes, names versions and revokes keys;
+faults overlap. What callers were told is compared with what the runners noted.
+Prints JSON, and fails where a count of violations is above zero.
 """
 
 import argparse
@@ -46,6 +46,8 @@
 LEAVE_SPAN = (3.0, 8.0)  # Seconds for which a runner says that it leaves.
 RESTS = (0.6, 4.0)  # Seconds of rest that a runner asks for, at least and at most.
 REST_SPAN = (2.0, 9.0)  # Seconds for which it turns calls away.
+MOST_LOST = 8.0  # Seconds of writes that the store loses as it comes back.
+MOST_PASSED = 500  # Versions that are given out again at once behind that.
 MOST_CUT = 5.0  # Seconds for which an instance is cut from the store.
 MOST_FROZEN = 10.0  # Seconds that an instance stands still: beyond its lease.
 FAULT_GAP = (0.2, 1.5)  # Seconds between two faults, at least and at most.
@@ -221,6 +223,7 @@
             (self._freeze, 3),
             (self._leave, 3),
             (self._silence_store, 2),
+            (self._go_back, 3),
             (self._cut_from_store, 3),
             (self._reset_store, 2),
             (self._lose_answers, 2),
@@ -314,6 +317,16 @@
         await self._command(is_down=False)
         self._store_disturbed = time.monotonic()
 
+    async def _go_back(self) -> None:
+        """Take the store away for a moment; it comes back older."""
+        self._store_disturbed = time.monotonic() + 60.0
+        await self._command(is_down=True)
+        await asyncio.sleep(self._draw.uniform(0.1, 2.0))
+        passed = self._draw.choice((0, 20, MOST_PASSED))
+        await self._command(go_back=self._draw.uniform(1.0, MOST_LOST), passed=passed)
+        await self._command(is_down=False)
+        self._store_disturbed = time.monotonic()
+
     async def _cut_from_store(self) -> None:
         """Let nothing pass between an instance and the store, or one way."""
         name = self._take_instance()
--- a/standins/broken.py
+++ b/standins/broken.py
@@ -18,7 +18,9 @@
 from roadlift.instance.limits import EndpointLimits
 from roadlift.instance.standings import Standings
 from roadlift.serving.engine import EngineBook
+from roadlift.serving.eras import StoreEras
 from roadlift.serving.lease import Lease
+from roadlift.serving.position import StorePosition
 
 _MOST_SENDS = 3
 
@@ -85,9 +87,9 @@
     """Keep the first configuration."""
     apply = Follower._apply
 
-    def keep(self, configuration) -> None:
+    def keep(self, configuration, position) -> None:
         if self.configuration is None:
-            apply(self, configuration)
+            apply(self, configuration, position)
 
     Follower._apply = keep
 
@@ -122,6 +124,18 @@
     Standings._note_rest = lambda self, endpoint, seconds, status, age: None
 
 
+def _ignore_eras() -> None:
+    """Compare versions of the store, whatever it lost in between."""
+    StoreEras.note = lambda self, era, source: True
+    StoreEras.is_current = lambda self, position: True
+    StorePosition.__new__ = lambda kind, era, version: tuple.__new__(kind, (0, version))
+
+
+def _trust_old_rows() -> None:
+    """Take leases by what rows of before the store's return tell."""
+    Lease._is_outdated = lambda self, record: False
+
+
 def _pass_bytes_on() -> None:
     """Pass a stream's bytes on, also parts of events."""
     EventFrames.take_whole = lambda self, data: data
@@ -143,6 +157,8 @@
     "allowances": _ignore_allowances,
     "leaving": _ignore_leaving,
     "rests": _ignore_rests,
+    "eras": _ignore_eras,
+    "old_rows": _trust_old_rows,
 }
 
 
--- a/standins/loopback.py
+++ b/standins/loopback.py
@@ -20,6 +20,8 @@
 
 CONTROL = "/control"
 BEAT = 1.2  # Seconds between a runner's entries in the list.
+# Seconds behind the store's return until what it lost is written again.
+WRITTEN_AGAIN = 1.0
 _OWN = ("content-length", "transfer-encoding", "connection")
 _FAULTS = {"refuse": REFUSAL}
 
@@ -193,6 +195,8 @@
         for name in ("is_down", "lose_answers", "lose_polls"):
             if name in command:
                 setattr(store, name, command[name])
+        if "go_back" in command:
+            self._go_back(command["go_back"], command["passed"])
         if "put" in command:
             store.put("op", command["put"], command["content"])
         if "version" in command:
@@ -210,6 +214,13 @@
         if "fault" in command:
             self._spoil(command["runner"], command["fault"])
 
+    def _go_back(self, seconds: float, passed: int) -> None:
+        """Bring the store back from a copy; what it lost is written again."""
+        store = self.installation.store
+        lost = store.go_back(seconds)
+        store.pass_versions(passed)
+        self._loop.call_later(WRITTEN_AGAIN, lambda: store.write_again(lost))
+
     def _restart(self, name: str) -> None:
         runner = self._find_runner(name)
         if runner is not None:
