Give each fleet of stand-ins a block of ports of its own

Ports were drawn one by one out of 18,000, were free until their process listened, and again while it was away: by arithmetic, and by 2,000 draws, two fleets of 37 share one in 7 of 100 pairs.

A fleet now holds the first port of a block of 200 and chooses from it: 20 fleets, 740 ports, none twice.

--- a/demo/fleet.py
+++ b/demo/fleet.py
@@ -3,22 +3,20 @@
 import contextlib
 import json
 import os
-import random
 import signal
 import socket
 import subprocess
 import sys
 import time
-from collections.abc import Collection
 from pathlib import Path
 from typing import NamedTuple
 
+from demo.ports import PortBlock
 from roadlift.core.errors import RoadliftError
 from roadlift.relay.upstream import Address, Request
 from roadlift.store.client import call_directly
 
 ROOT = Path(__file__).resolve().parent.parent
-PORTS = (12_000, 30_000)  # Below those that outgoing connections take.
 START_LIMIT = 20.0  # Seconds for a process to answer.
 
 
@@ -34,21 +32,6 @@
     step: float = 0.005
 
 
-def choose_port(taken: Collection[int]) -> int:
-    """Return a port that is free and not one of those ``taken``.
-
-    No outgoing connection takes it: one out of the system's own range was
-    taken by another program's until the process that was to listen started.
-    """
-    while True:
-        port = random.SystemRandom().randrange(*PORTS)
-        if port in taken:
-            continue
-        with socket.socket() as probe, contextlib.suppress(OSError):
-            probe.bind(("127.0.0.1", port))
-            return port
-
-
 def run_tool(*arguments: str) -> str:
     """Run the command-line tool and return what it printed."""
     command = [sys.executable, "-m", "roadlift.management.main", *arguments]
@@ -122,6 +105,8 @@
         self._settings = settings or {}
         self._daemon = daemon
         self._ports: dict[str, int] = {}
+        self._port_block = PortBlock()
+        self._port_block.start()
         self.platform: Process | None = None
         self.engines: dict[str, Process] = {}
         self.specs: dict[str, EngineSpec] = {}
@@ -274,11 +259,12 @@
                 process.kill()
         if self.platform is not None:
             self.platform.kill()
+        self._port_block.close()
 
     def find_port(self, name: str) -> int:
         """Return the port of a name, the same each time."""
         if name not in self._ports:
-            self._ports[name] = choose_port(self._ports.values())
+            self._ports[name] = self._port_block.choose()
         return self._ports[name]
 
     def _start(self, name: str, module: str, flags: list[str]) -> Process:
--- a/demo/installation.py
+++ b/demo/installation.py
@@ -8,7 +8,8 @@
 from pathlib import Path
 from typing import NamedTuple
 
-from demo.fleet import Process, choose_port
+from demo.fleet import Process
+from demo.ports import PortBlock
 from roadlift.relay.upstream import Address
 from standins.proxies import Proxy
 from tests.support.configuration import SERVICES, describe_configuration, make_route
@@ -103,6 +104,8 @@
         self.tenants: list[dict] = []
         self._daemon = ["standins.broken", rule] if rule else ["roadlift.daemon.main"]
         self._ports: dict[str, int] = {}
+        self._port_block = PortBlock()
+        self._port_block.start()
         self.proxies: dict[str, Proxy] = {}
         self.site = self._make_site()
         self.instances = {
@@ -114,7 +117,7 @@
 
     def _find_port(self, name: str) -> int:
         if name not in self._ports:
-            self._ports[name] = choose_port(self._ports.values())
+            self._ports[name] = self._port_block.choose()
         return self._ports[name]
 
     def _make_site(self) -> Process:
@@ -173,6 +176,7 @@
             process.kill()
         for proxy in self.proxies.values():
             proxy.close()
+        self._port_block.close()
 
     def command(self, **fields: object) -> None:
         """Give the site a command."""
