Count a lease's numbers from the first era that its row told

The row keeps the era of the first of its records that told one, and numbers count eras from there: the first term behind one of the release before has the number that it would give. A scenario of histories fails without it.

--- a/roadlift/instance/leases.py
+++ b/roadlift/instance/leases.py
@@ -129,9 +129,7 @@
         if lease is None:
             return None
         told = self._told.get(zone)
-        is_newer = told is not None and (
-            lease.is_outdated or told.fence > lease.position.pack()
-        )
+        is_newer = told is not None and (lease.is_outdated or told.fence > lease.number)
         if is_newer and not lease.is_held:
             return told.address
         holder = lease.holder
--- a/roadlift/serving/lease.py
+++ b/roadlift/serving/lease.py
@@ -15,8 +15,9 @@
   holder between, gives no order within the quiet time since its own last one:
   the platform counts orders of holders that take turns as a fault. The row
   names the holders of the last while, as an instance may have restarted;
-* the fencing number of a term is the row's packed position at its start: it
-  only grows, and no two terms share it.
+* the fencing number of a term is the row's packed position at its start, with
+  eras counted from the one in which the row was first written: it only grows,
+  and no two terms share it.
 
 The store may come back from an older copy. A term that was taken or renewed in
 the seconds it lost is in force all the same, and the row may name a holder of
@@ -54,8 +55,9 @@
 TRANSIT = 0.5
 MOST_FORMER = 8  # Holders before that a row names at most.
 NO_ERA = -1  # That of a record by the release before, which tells none.
-# Between a process and the era in a row: the release before reads six fields.
+# Between a process and the eras in a row: the release before reads six fields.
 ERA_MARK = "@"
+ERA_GAP = "."  # Between the first era and that of the writing.
 
 
 class LeaseRecord(NamedTuple):
@@ -66,7 +68,8 @@
     or None; ``is_released`` tells that the lease was given back;
     ``orders_from`` is the store's time from which the holder gives orders;
     ``former`` are [address, store's time of the end] of holders before;
-    ``era`` is the store's as the writer knew it.
+    ``era`` is the store's as the writer knew it, ``first_era`` that of the
+    first of all records of the row that told one.
     """
 
     process: str
@@ -76,11 +79,14 @@
     orders_from: float | None = None
     former: Sequence[Sequence] = ()
     era: int = NO_ERA
+    first_era: int = NO_ERA
 
     def encode(self) -> bytes:
         """Return the bytes of the row's value."""
-        mark = f"{ERA_MARK}{self.era}" if self.era != NO_ERA else ""
-        *fields, _ = self._replace(process=f"{self.process}{mark}")
+        process = self.process
+        if self.era != NO_ERA:
+            process = f"{process}{ERA_MARK}{self.first_era}{ERA_GAP}{self.era}"
+        *fields, _, _ = self._replace(process=process)
         return msgpack.packb(fields)
 
     @classmethod
@@ -88,7 +94,7 @@
         """Read a row's value, or raise MalformedMessage."""
         try:
             fields = msgpack.unpackb(data)
-            if len(fields) != len(cls._fields) - 1:
+            if len(fields) != len(cls._fields) - 2:
                 raise ValueError(f"{len(fields)} fields")
             record = _split_era(cls(*fields))
             if not isinstance(record.process, str) or not isinstance(
@@ -102,11 +108,12 @@
 
 
 def _split_era(record: LeaseRecord) -> LeaseRecord:
-    """Return a record with the era that stands behind its process."""
-    process, mark, era = record.process.rpartition(ERA_MARK)
-    if not mark or not era.isdecimal():
+    """Return a record with the eras that stand behind its process."""
+    process, _, eras = record.process.rpartition(ERA_MARK)
+    first, _, era = eras.partition(ERA_GAP)
+    if not process or not first.isdecimal() or not era.isdecimal():
         return record
-    return record._replace(process=process, era=int(era))
+    return record._replace(process=process, era=int(era), first_era=int(first))
 
 
 class Step(enum.Enum):
@@ -143,6 +150,7 @@
         self._planned_from = 0.0
         self._position = NOWHERE
         self._era = NO_ERA
+        self._first_era = NO_ERA
         self._has_returned = False
         self._era_seen_at = float("-inf")
         self._must_rewrite = False
@@ -175,6 +183,15 @@
         """Return the position that the next write expects."""
         return self._position
 
+    @property
+    def number(self) -> int:
+        """Return the fencing number of a term that began at the known row."""
+        return self._find_number(self._position)
+
+    def _find_number(self, position: StorePosition) -> int:
+        first = self._first_era if self._first_era != NO_ERA else position.era
+        return position._replace(era=position.era - first).pack()
+
     @property
     def holder(self) -> LeaseRecord | None:
         """Return who has the lease, as far as known."""
@@ -273,6 +290,8 @@
         """Begin a write, and return the record to write."""
         self._in_flight = True
         self._sent_at = now
+        if self._first_era == NO_ERA:
+            self._first_era = self._era
         if not self.is_held:
             self._planned_from = now + self._measure_quiet(now)
         written_at = orders_from = None
@@ -288,6 +307,7 @@
             orders_from,
             former,
             self._era,
+            self._first_era,
         )
 
     def _measure_quiet(self, now: float) -> float:
@@ -398,6 +418,8 @@
         if self._seen_at is not None and position <= self._position:
             # Nothing new, or an answer that was overtaken by a later one.
             return
+        if record is not None and record.first_era != NO_ERA:
+            self._first_era = record.first_era
         is_outdated = record is None or self._is_outdated(record)
         is_own = not is_outdated and record.process == self._process
         if is_own and not record.is_released and self._doubt_since is not None:
@@ -441,7 +463,7 @@
 
     def _begin_term(self, position: StorePosition, now: float) -> None:
         """Begin to hold, and to give orders at the time of the last plan."""
-        self.fence = position.pack()
+        self.fence = self._find_number(position)
         self.orders_from = max(now, self._planned_from)
 
     def _drop(self) -> None:
--- a/tests/serving/lease.feature
+++ b/tests/serving/lease.feature
@@ -185,6 +185,13 @@
       | 4       |
       | 90      |
 
+  Scenario: A term behind one of the release before has the number that it would give
+    Three instances of each release took turns: fences 152 behind 2^40 and more.
+
+    Given instances a and b with a quiet time of 3 seconds
+    When it happens that "0 a sees era 5, 0 a reads b9, 3 a sends, 3.1 a is written as 10"
+    Then the fencing number of a is 10 of era 0
+
   Scenario Outline: A row of before the return names no owner
     Given instances a and b with a quiet time of 3 seconds
     When it happens that "0 a sees era 1, <history>"
--- a/tests/steps/lease_steps.py
+++ b/tests/steps/lease_steps.py
@@ -36,8 +36,9 @@
     address = f"{read[1].lower()}:1"
     is_released = bool(read[3])
     era = NO_ERA if read[8] is None else int(read[8])
+    first = NO_ERA if read[8] is None else FIRST_ERA
     return LeaseRecord(
-        read[1], address, written_at, is_released, orders_from, former, era
+        read[1], address, written_at, is_released, orders_from, former, era, first
     )
 
 
@@ -157,7 +158,7 @@
 @when("a record of era {era:d} is written and read")
 def step_mark(context, era):
     """Encode a record, and read it as this release and the one before do."""
-    record = LeaseRecord("a#1", "127.0.0.1:1", era=era)
+    record = LeaseRecord("a#1", "127.0.0.1:1", era=era, first_era=3)
     context.record = LeaseRecord.decode(record.encode())
     context.fields = msgpack.unpackb(record.encode())
 
@@ -165,5 +166,6 @@
 @then("it is of era {era:d}, and has the {count:d} fields of the release before")
 def step_marked(context, era, count):
     """Check what was read."""
-    assert (context.record.era, context.record.process) == (era, "a#1")
+    found = context.record
+    assert (found.first_era, found.era, found.process) == (3, era, "a#1"), found
     assert len(context.fields) == count, context.fields
