--- a/roadlift/conf/checks.py
+++ b/roadlift/conf/checks.py
@@ -3,6 +3,7 @@
 from roadlift.conf.settings import SETTINGS, Settings
 from roadlift.core.checks import Finding, register
 from roadlift.core.errors import ImproperlyConfigured
+from roadlift.decisions.homes import Regions
 from roadlift.endpoints.api import engine_apis
 from roadlift.policy.eviction import evictors
 from roadlift.policy.routing import routers
@@ -105,6 +106,23 @@
     return found
 
 
+@register
+def check_regions(settings: Settings) -> list[Finding]:
+    """Check that the regions of zones are readable and cover all zones."""
+    hint = "List them as zone-a=north,zone-b=south."
+    try:
+        regions = Regions.parse(settings.regions)
+    except ImproperlyConfigured as error:
+        return [Finding("settings.E008", error.detail, hint)]
+    if not settings.regions:
+        return []
+    return [
+        Finding("settings.E008", f"regions: zone {zone!r} has no region", hint)
+        for zone in settings.zones.split(",")
+        if zone and not regions.has_zone(zone)
+    ]
+
+
 @register
 def check_timing(settings: Settings) -> list[Finding]:
     """Check that times which depend on each other fit."""
--- a/roadlift/conf/settings.py
+++ b/roadlift/conf/settings.py
@@ -72,6 +72,7 @@
     Setting("ready", str, "127.0.0.1:8082", "Address that tells readiness of routes."),
     Setting("metrics", str, "", "Address that serves the metrics of routes as text."),
     Setting("zones", str, "", "All availability zones, with commas."),
+    Setting("regions", str, "", "Region of each zone: ZONE=REGION, with commas."),
     Setting("link_mbps", float, 1000.0, "Megabits a second of this instance's link."),
     Setting("lease_time", float, 7.0, "Seconds that an owner's lease holds."),
     Setting(
@@ -86,6 +87,12 @@
         2000,
         "Milliseconds for which an endpoint that leaves still takes calls.",
     ),
+    Setting(
+        "evacuate_ms",
+        int,
+        5000,
+        "Milliseconds until nothing is sent to an evacuated zone any more.",
+    ),
     Setting("retry_slack", float, 20.0, "Retries of all instances beside the share."),
     Setting("retry_window", float, 10.0, "Seconds in which retries are counted."),
     Setting(
--- a/roadlift/core/errors.py
+++ b/roadlift/core/errors.py
@@ -200,6 +200,22 @@
     outcome = Outcome.NOT_RUN
 
 
+class ZonesEvacuated(RoadliftError):
+    """All endpoints that could run the call are in evacuated zones."""
+
+    code = "zones_evacuated"
+    status = 503
+    outcome = Outcome.NOT_RUN
+
+
+class HomeUnavailable(RoadliftError):
+    """No endpoint in a region where the call may run accepts calls."""
+
+    code = "home_unavailable"
+    status = 503
+    outcome = Outcome.NOT_RUN
+
+
 class RefusedByEndpoint(RoadliftError):
     """The endpoint refused the request before it ran."""
 
@@ -273,6 +289,13 @@
     status = 502
 
 
+class InvalidColdTime(RoadliftError):
+    """The time for which an endpoint stays cold can't be parsed."""
+
+    code = "invalid_cold_time"
+    status = 502
+
+
 class StreamCut(RoadliftError):
     """The endpoint ended a stream early and it could not be resumed."""
 
--- a/roadlift/core/events.py
+++ b/roadlift/core/events.py
@@ -215,7 +215,8 @@
         ("endpoint", "service", "limit", "before", "heard", "status", "age"),
         "An endpoint's limit, in calls per second, became known here, changed or "
         "expired. It was received in an answer (of that status, to a call sent age "
-        "seconds before), from the owner of its zone, or in an update.",
+        "seconds before), from the owner of its zone, or in an update, or follows "
+        "from the list as the endpoint is cold.",
     ),
     Event(
         "limits",
@@ -276,6 +277,26 @@
         "An endpoint announced in an answer that it is draining (of that status, to "
         "what was sent age seconds before); it gets no new calls.",
     ),
+    Event(
+        "evacuations",
+        "zone_evacuated",
+        ("zone", "endpoints", "age", "stops"),
+        "The operator has taken a zone with that many endpoints out of service. The "
+        "row may have gone unnoticed here for age seconds; in stops seconds nothing "
+        "is sent to the zone any more.",
+    ),
+    Event(
+        "evacuations",
+        "zone_returned",
+        ("zone", "seconds"),
+        "A zone that was evacuated for that time gets calls again.",
+    ),
+    Event(
+        "evacuations",
+        "service_evacuated",
+        ("service", "zone"),
+        "The evacuation of a zone leaves a service no endpoint: its calls are refused.",
+    ),
     Event(
         "standings",
         "endpoint_resting",
--- a/roadlift/decisions/limits.py
+++ b/roadlift/decisions/limits.py
@@ -64,7 +64,8 @@
     ``limit`` is the one that it applies, in calls a second, or None. If
     ``is_named``, the endpoint itself announced it, or with None announced no
     limit, in the answer to a send on ``basis``. ``spent`` is the number of its
-    sends without a grant.
+    sends without a grant. A limit that ends by itself ``lasts`` that many
+    seconds; with None it holds until the endpoint announces another.
     """
 
     process: str
@@ -72,6 +73,7 @@
     is_named: bool
     basis: Basis
     spent: int
+    lasts: float | None = None
 
 
 class Grant(NamedTuple):
@@ -120,11 +122,22 @@
         return self.limit != before
 
 
+class _TemporaryLimit(NamedTuple):
+    """A limit in calls a second that ends by itself at a time."""
+
+    limit: float
+    until: float
+
+
 class SendLedger:
-    """The sends that the owner of an endpoint's zone grants of its limit."""
+    """The sends that the owner of an endpoint's zone grants of its limit.
+
+    The lower one binds if it announced a limit and has a temporary one too.
+    """
 
     def __init__(self, fence: int, now: float) -> None:
         self._record = LimitRecord(fence)
+        self._temporary: _TemporaryLimit | None = None
         # When the next send would begin if none were granted in advance.
         self._next_at = now
         self._interval = 0.0
@@ -136,7 +149,8 @@
     @property
     def limit(self) -> float | None:
         """Return the limit in calls a second, or None if there is none."""
-        return self._record.limit
+        limits = [self._record.limit, self._temporary and self._temporary.limit]
+        return min((limit for limit in limits if limit is not None), default=None)
 
     @property
     def basis(self) -> Basis:
@@ -149,16 +163,19 @@
 
     def apply_claim(self, claim: Claim, now: float) -> bool:
         """Apply an instance's report; return whether the limit changed."""
-        before = self._record.limit
+        self.expire(now)
+        before = self.limit
         is_new = before is None and self._ended_at is None
-        has_changed = False
         if claim.is_named:
-            has_changed = self._record.update(claim.limit, claim.basis)
+            self._record.update(claim.limit, claim.basis)
             if claim.limit is not None:
                 self.announced_at = now
+        elif claim.lasts is not None and claim.limit is not None:
+            self._extend_temporary(claim.limit, now + claim.lasts, now)
         elif is_new and claim.limit is not None:
             # It was reported by the previous owner.
-            has_changed = self._record.update(claim.limit, NO_BASIS)
+            self._record.update(claim.limit, NO_BASIS)
+        has_changed = self.limit != before
         if has_changed:
             self._change_rate(now)
         if has_changed and before is None:
@@ -167,9 +184,23 @@
         self._charge_spent(claim, now)
         return has_changed
 
+    def _extend_temporary(self, limit: float, until: float, now: float) -> None:
+        """Apply a limit until a time; the latest reported end holds."""
+        known = self._temporary
+        if known is not None:
+            until = max(until, known.until)
+        self._temporary = _TemporaryLimit(limit, until)
+        self.announced_at = now
+
+    def expire(self, now: float) -> None:
+        """End a temporary limit whose time is over."""
+        if self._temporary is not None and now >= self._temporary.until:
+            self._temporary = None
+            self._change_rate(now)
+
     def _change_rate(self, now: float) -> None:
         """Switch to a new limit; keep the number of sends granted ahead."""
-        limit = self._record.limit
+        limit = self.limit
         self._ended_at = now if limit is None else None
         ahead = (
             max(0.0, self._next_at - now) / self._interval if self._interval else 0.0
--- a/roadlift/decisions/placement.py
+++ b/roadlift/decisions/placement.py
@@ -19,6 +19,9 @@
 STORE_COST = 0.35
 # Cost of transferring a call and its answer between zones, in seconds.
 ZONE_COST = 0.04
+# The same between regions: a round trip of some tens of milliseconds comes on
+# top, and the bytes cost more.
+REGION_COST = 0.12
 # Cost in seconds for each rank among the preferred endpoints of an adapter
 # that no engine has, so that instances that request it at the same moment
 # choose the same engine.
@@ -45,7 +48,7 @@
     engine's rank among the adapter's preferred endpoints; ``queue`` the
     seconds until a further load begins; ``wait`` the seconds until a send is
     available if the engine is rate-limited; one that ``is_in_reserve`` is
-    rate-limited and kept in reserve.
+    rate-limited and kept in reserve; one that ``is_far`` is in another region.
     """
 
     endpoint: Endpoint
@@ -57,6 +60,7 @@
     queue: float = 0.0
     wait: float = 0.0
     is_in_reserve: bool = False
+    is_far: bool = False
 
 
 class Requirements(NamedTuple):
@@ -105,7 +109,7 @@
     if engine.source is AdapterSource.STORE:
         extra_cost += RANK_COST * engine.rank
     if engine.endpoint.zone != requirements.zone:
-        extra_cost += ZONE_COST
+        extra_cost += REGION_COST if engine.is_far else ZONE_COST
     return Option(engine, expected, expected + extra_cost)
 
 
--- a/roadlift/instance/access.py
+++ b/roadlift/instance/access.py
@@ -13,6 +13,7 @@
     UnknownKey,
 )
 from roadlift.core.kernel import Kernel, components
+from roadlift.decisions.homes import Regions, Scope
 from roadlift.instance.allowances import Allowances, CurrentUse
 from roadlift.instance.follower import Follower
 from roadlift.instance.metrics import InstanceMetrics
@@ -78,6 +79,14 @@
         is_same = priority is None or priority == route.priority
         return route if is_same else route._replace(priority=priority)
 
+    def choose_scope(self, service: str, route: Route) -> Scope:
+        """Return the endpoints of a service that the call may use.
+
+        The homes of the route and those of the organisation both bind.
+        """
+        homes = self.organisation.homes if self.organisation else None
+        return self._access.choose_scope(service, route.homes, homes)
+
     def check(self) -> RoadliftError | None:
         """Return why the call may not be sent now, or None."""
         if self.organisation is None:
@@ -117,6 +126,7 @@
         self._allowances = kernel.get(Allowances)
         self._follower = kernel.get(Follower)
         self._measures = kernel.get(InstanceMetrics)
+        self._regions = Regions.parse(kernel.settings.regions)
         self._labelled: set[str] = set()
 
     def start(self) -> None:
@@ -148,6 +158,10 @@
             raise OverAllowance(detail, max(MIN_RETRY_DELAY, wait))
         return authorization
 
+    def choose_scope(self, service: str, *homes: frozenset[str] | None) -> Scope:
+        """Return the endpoints of a service in all of some home regions."""
+        return Scope(service, self._regions.choose_zones(*homes))
+
     def check_age(self) -> None:
         """Raise StaleConfiguration if a key may have been revoked since."""
         limit = self._kernel.settings.revoke_ms / 1000.0
--- a/roadlift/instance/adapterwait.py
+++ b/roadlift/instance/adapterwait.py
@@ -5,7 +5,10 @@
 
 from roadlift.core.errors import NoEndpoint, RoadliftError
 from roadlift.core.kernel import Kernel
+from roadlift.decisions.homes import Scope
 from roadlift.decisions.placement import Option
+from roadlift.instance.enginechoice import EngineChoice
+from roadlift.instance.loadrequests import LoadRequests
 from roadlift.instance.metrics import InstanceMetrics
 from roadlift.instance.pendingloads import Waiter
 from roadlift.instance.placement import Placement
@@ -33,8 +36,8 @@
 class AdapterWait:
     """The waits of one call for its adapter; ``seconds`` is their sum.
 
-    ``began_at`` is when the call arrived, ``service`` the service that it is
-    sent to.
+    ``began_at`` is when the call arrived, ``scope`` the endpoints that it may
+    use.
     """
 
     def __init__(
@@ -42,17 +45,19 @@
         kernel: Kernel,
         call: Call,
         route: Route,
-        service: str,
+        scope: Scope,
         began_at: float,
         callbacks: WaitCallbacks,
     ) -> None:
         self._clock = kernel.clock
         self._loop = kernel.loop
+        self._choice = kernel.get(EngineChoice)
+        self._load_requests = kernel.get(LoadRequests)
         self._placement = kernel.get(Placement)
         self._measures = kernel.get(InstanceMetrics)
         self._call = call
         self._route = route
-        self._service = service
+        self._scope = scope
         self._call_began_at = began_at
         self._callbacks = callbacks
         self._waiter: Waiter | None = None
@@ -71,10 +76,12 @@
             self._refuse_too_late(option.expected - caller_wait)
             return
         now = self._began_at = self._clock.now()
-        reading_time = self._placement.estimate_reading_time(option, self._call)
-        time_to_first_event = self._placement.estimate_load_time(option) + reading_time
+        reading_time = self._choice.estimate_reading_time(
+            option.engine.endpoint.id, self._call.tokens_in
+        )
+        time_to_first_event = self._choice.estimate_load_time(option) + reading_time
         self._waiter = Waiter(
-            self._service,
+            self._scope,
             self._call.model,
             self._route.priority,
             self._call_began_at + self._route.objective - time_to_first_event,
@@ -101,7 +108,7 @@
             ahead=option.engine.ahead,
             places=option.engine.places,
         )
-        self._placement.await_load(self._waiter, option)
+        self._load_requests.await_load(self._waiter, option)
 
     def close(self) -> None:
         """Cancel the wait."""
@@ -131,7 +138,7 @@
         if self._waiter is None:
             return
         self._count("overdue")
-        self._placement.record_overdue(self._waiter)
+        self._load_requests.record_overdue(self._waiter)
         text = f"{self._call.model} was not loaded in time"
         self._callbacks.on_refused(NoEndpoint(text, DEFAULT_RETRY_AFTER))
 
@@ -144,4 +151,5 @@
         self._callbacks.on_loaded()
 
     def _count(self, outcome: str) -> None:
-        self._measures.count("roadlift_predicted_waits", self._service, outcome)
+        service = self._scope.service
+        self._measures.count("roadlift_predicted_waits", service, outcome)
--- a/roadlift/instance/aggregator.py
+++ b/roadlift/instance/aggregator.py
@@ -367,9 +367,11 @@
             self._transport.send_all(self._subscribers, update)
 
     def _build_operator_update(
-        self, since: StorePosition, rows: Iterable[PackedRow]
+        self, since: StorePosition, rows: list[PackedRow]
     ) -> OperatorNews:
-        return OperatorNews(self._stream, since.pack(), [list(row) for row in rows])
+        packed = [list(row) for row in rows]
+        age = self._follower.measure_row_age(row.key for row in rows)
+        return OperatorNews(self._stream, since.pack(), packed, age)
 
     def _send_lost_rows(self, address: str) -> None:
         """Send a new subscriber the rows that the store has lost.
--- a/roadlift/instance/availabilities.py
+++ b/roadlift/instance/availabilities.py
@@ -13,6 +13,7 @@
 from roadlift.core.logs import ComponentLog
 from roadlift.daemon.transport import Transport
 from roadlift.decisions.availability import EndpointAvailability
+from roadlift.instance.evacuations import ZoneEvacuations
 from roadlift.instance.follower import Follower
 from roadlift.instance.leases import Leases
 from roadlift.instance.metrics import InstanceMetrics
@@ -36,7 +37,15 @@
     """The endpoints that are draining or requested a back-off."""
 
     name = "standings"
-    needs = ("follower", "leases", "measures", "platform", "subscription", "transport")
+    needs = (
+        ZoneEvacuations.name,
+        "follower",
+        "leases",
+        "measures",
+        "platform",
+        "subscription",
+        "transport",
+    )
 
     def __init__(self, kernel: Kernel) -> None:
         self._clock = kernel.clock
@@ -50,6 +59,7 @@
         self._subscription = kernel.get(Subscription)
         self._transport = kernel.get(Transport)
         self._metrics = kernel.get(InstanceMetrics)
+        self._evacuations = kernel.get(ZoneEvacuations)
         self._known: dict[str, EndpointAvailability] = {}
         self._notified_at: dict[str, float] = {}
         self._logged_at: dict[str, float] = {}
@@ -85,22 +95,27 @@
         return known is not None and self._clock.now() < known.backoff_until
 
     def is_last_resort(self, endpoint: str) -> bool:
-        """Return whether a draining endpoint still takes calls.
+        """Return whether an endpoint that is not ready still takes calls.
 
-        It gets only those that no other endpoint can take.
+        It drains, or its zone is evacuated. It gets only those calls that no
+        other endpoint can take.
         """
+        listed = self._follower.directory.get(endpoint)
+        if listed is None or self._evacuations.is_closed(listed.zone):
+            return False
+        if not listed.is_draining:
+            return self._evacuations.is_closing(listed.zone)
         known = self._known.get(endpoint)
         now = self._clock.now()
         return known is not None and known.is_last_resort(self._drain_time, now)
 
     def may_send(self, endpoint: Endpoint) -> bool:
         """Return whether a call's first byte may be written to it now."""
-        found = self._follower.directory.get(endpoint.id)
         known = self._known.get(endpoint.id)
         now = self._clock.now()
         is_open = known is None or known.may_send(self._drain_time, now)
-        is_listed = found is not None and not found.is_draining
-        if is_open and (is_listed or self.is_last_resort(endpoint.id)):
+        is_ready = self._follower.directory.is_ready(endpoint.id)
+        if is_open and (is_ready or self.is_last_resort(endpoint.id)):
             return True
         self._metrics.count("roadlift_held_sends", endpoint.service)
         return False
--- a/roadlift/instance/engine.py
+++ b/roadlift/instance/engine.py
@@ -48,6 +48,7 @@
         self._timer = None
         self._is_reading = False
         self._is_open = True
+        self._is_suspended = False
         self.endpoint = endpoint
         self.record = record
         self.on_change: Callable[[OwnedEngine], None] = lambda engine: None
@@ -60,9 +61,22 @@
         if self._timer is not None:
             self._timer.close()
 
+    def suspend(self) -> None:
+        """Send nothing until ``resume``; answers are still handled."""
+        self._is_suspended = True
+        if self._timer is not None:
+            self._timer.close()
+            self._timer = None
+
+    def resume(self) -> None:
+        """Continue with the engine's report: its state is not known now."""
+        self._is_suspended = False
+        self.record.needs_report = True
+        self.advance()
+
     def advance(self) -> None:
         """Send the next order or read the report, whichever is due."""
-        if not self._is_open or self._is_reading:
+        if not self._is_open or self._is_reading or self._is_suspended:
             return
         if self._timer is not None:
             self._timer.close()
--- a/roadlift/instance/exchange.py
+++ b/roadlift/instance/exchange.py
@@ -29,10 +29,13 @@
     AdapterWait,
     WaitCallbacks,
 )
+from roadlift.instance.candidates import Candidates
 from roadlift.instance.crashes import CrashMonitor
+from roadlift.instance.enginechoice import EngineChoice
 from roadlift.instance.follower import Follower
 from roadlift.instance.gate import Gate, GateCallbacks
 from roadlift.instance.knowledge import OWNER_RETURN_TIMEOUT, Knowledge
+from roadlift.instance.loadrequests import LoadRequests
 from roadlift.instance.placement import Placement
 from roadlift.instance.platform import Platform
 from roadlift.instance.progress import Progress
@@ -85,12 +88,16 @@
         self._ingress = ingress
         self._caller = caller
         self._placement = kernel.get(Placement)
+        self._candidates = kernel.get(Candidates)
+        self._choice = kernel.get(EngineChoice)
+        self._load_requests = kernel.get(LoadRequests)
         self._knowledge = kernel.get(Knowledge)
         self._follower = kernel.get(Follower)
         self._crashes = kernel.get(CrashMonitor)
         self._ledger = kernel.get(CrashLedger)
         self._format = kernel.get(Platform).adapter.calls
         self._service = route.choose_service(call.id)
+        self._scope = authorization.choose_scope(self._service, route)
         self._configuration = self._follower.configuration.version
         self._began_at = kernel.clock.now()
         limit = route.timeout
@@ -102,14 +109,14 @@
             kernel,
             call,
             route,
-            self._service,
+            self._scope,
             self._began_at,
             WaitCallbacks(self._record_step, self._try_send, self._fail),
         )
         self._gate = Gate(
             kernel,
             call,
-            self._service,
+            self._scope,
             GateCallbacks(self._record_step, self._on_permitted, self._try_send),
         )
         self._identity: bytes | None = None
@@ -205,7 +212,7 @@
         if self._refuse_if_full():
             return True
         endpoint = self._placement.choose_endpoint(
-            self._service, self._excluded | self._gate.denied
+            self._scope, self._excluded | self._gate.denied
         )
         if endpoint is not None:
             self._request_send(endpoint)
@@ -217,7 +224,7 @@
         Return False if there is no engine for it.
         """
         excluded = self._excluded | self._gate.denied
-        option = self._placement.choose_engine(self._service, self.call, excluded)
+        option = self._placement.choose_engine(self._scope, self.call, excluded)
         if option is None:
             return False
         if option.engine.source is AdapterSource.HELD:
@@ -238,7 +245,7 @@
             return
         now = self._kernel.clock.now()
         model = self.call.model
-        is_servable = self._placement.has_endpoints(self._service)
+        is_servable = self._candidates.has_endpoints(self._scope)
         if is_servable and self._excluded and not self._is_second_round:
             # Each endpoint has rejected the call once; all are tried once
             # more.
@@ -249,7 +256,8 @@
         if self._refuse_if_limited():
             return
         if model is None or not model.adapter or not is_servable:
-            self._fail(NoEndpoint(f"service {self._service}", DEFAULT_RETRY_AFTER))
+            unknown = NoEndpoint(f"service {self._service}", DEFAULT_RETRY_AFTER)
+            self._fail(self._candidates.find_restriction(self._scope) or unknown)
             return
         if (
             self._knowledge.is_owner_expected()
@@ -308,9 +316,7 @@
         if self._is_admitted:
             return False
         self._is_admitted = True
-        retry_delay = self._placement.check_admission(
-            self._service, self.route.objective
-        )
+        retry_delay = self._placement.check_admission(self._scope, self.route.objective)
         if retry_delay is not None:
             self._fail(NoEndpoint(f"service {self._service} is full", retry_delay))
         return retry_delay is not None
@@ -397,8 +403,8 @@
         priority = self.route.priority
         if self.call.model is None or self._progress.writes:
             return priority
-        seconds_per_token = self._placement.reading_times.estimate(endpoint.id, now)
-        expected = seconds_per_token * (self._tokens_ahead + self.call.tokens_in)
+        tokens = self._tokens_ahead + self.call.tokens_in
+        expected = self._choice.estimate_reading_time(endpoint.id, tokens)
         is_late = now + expected - self._began_at > self.route.objective
         return priority + LATE_PRIORITY_PENALTY if is_late else priority
 
@@ -461,7 +467,7 @@
     def _record_reading_time(self) -> None:
         """Update the engine's reading speed by the time of the first event."""
         now = self._kernel.clock.now()
-        self._placement.reading_times.note(
+        self._choice.reading_times.note(
             self._endpoint.id,
             self._tokens_ahead + self.call.tokens_in,
             now - self._sent_at,
@@ -599,7 +605,7 @@
         """Send elsewhere: the endpoint was restarted or lacks the adapter."""
         model = self.call.model
         if model is not None and model.adapter:
-            self._placement.report_missing(endpoint.id, model)
+            self._load_requests.report_missing(endpoint.id, model)
         self._on_failure(RefusedByEndpoint(f"{endpoint.id}: misdirected"), False)
 
     def _on_failure(self, error: RoadliftError, is_excluded: bool = True) -> None:
@@ -698,7 +704,7 @@
     def _has_spare_slot(self) -> bool:
         """Return whether a retry takes no slot from a call's first send."""
         is_plain = self.call.model is None
-        return not is_plain or self._placement.has_spare_slots(self._service)
+        return not is_plain or self._placement.has_spare_slots(self._scope)
 
     def _fail(self, error: RoadliftError) -> None:
         """Answer the caller with an error, or end the answer that has begun.
--- a/roadlift/instance/follower.py
+++ b/roadlift/instance/follower.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Callable, Iterable
+from math import isfinite
 
 from roadlift.core.errors import InvalidConfiguration, MalformedMessage
 from roadlift.core.kernel import Kernel, components
@@ -23,6 +24,7 @@
     decode_endpoint,
 )
 from roadlift.serving.eras import StoreRestore
+from roadlift.serving.evacuations import Evacuation, Evacuations
 from roadlift.serving.interfaces import Rows, StoredRow
 from roadlift.serving.messages import ListNews, OperatorNews
 from roadlift.serving.operatorrows import OperatorRows, unpack_row
@@ -59,6 +61,11 @@
 POLL_WAIT_FRACTION = 0.15
 MAX_AGE_FRACTION = 0.45
 
+# Seconds to which the age of the operator's rows rises while all is calm: the
+# wait of a poll and the intervals of the heartbeats that confirm it. A row
+# that arrives later may have waited while this process was suspended.
+MAX_CALM_AGE = 3.0
+
 log = ComponentLog("follower")
 
 
@@ -92,6 +99,9 @@
         self.freshness = Freshness()
         self.keys: KeyTable | None = None
         self.operator_rows = OperatorRows()
+        self._evacuations = Evacuations()
+        self._written_at: dict[str, float] = {}
+        self.on_evacuation: list[Callable[[Evacuation, float], None]] = []
         self.on_configuration: list[Callable[[Configuration], None]] = []
         self.on_version: list[Callable[[Model, int], None]] = []
         self.on_directory: list[Callable[[], None]] = []
@@ -190,7 +200,8 @@
         except MalformedMessage as error:
             log.error("Ignored malformed rows of the operator's table: %s.", error)
             return
-        self._apply_rows(rows)
+        is_stale = self.compute_operator_age() > MAX_CALM_AGE or update.age < 0.0
+        self._apply_rows(rows, float("inf") if is_stale else update.age)
         since = StorePosition.unpack(update.since)
         if rows and since <= self.operator_position:
             # After a gap the position stays, so that the aggregator sends the
@@ -305,19 +316,34 @@
 
     def _handle_operator(self, rows: Rows, is_full: bool) -> None:
         self._record_era(rows.position.era, "op")
-        self._apply_rows(rows.rows)
-        if rows.rows:
-            self._advance_operator_position(max(row.position for row in rows.rows))
+        found = list(rows.rows)
+        if is_full and self._kernel.clock.now() >= self._settled_at:
+            found += self._list_ended_evacuations(rows)
+        self._apply_rows(found, self._estimate_row_age(rows, is_full))
+        if found:
+            self._advance_operator_position(max(row.position for row in found))
         if rows.is_complete:
             self.freshness.record_read(rows.time.asked_at)
 
-    def _apply_rows(self, rows: Iterable[StoredRow]) -> None:
-        """Apply the operator's rows."""
+    def _estimate_row_age(self, rows: Rows, is_full: bool) -> float:
+        """Return how many seconds ago rows were written that were read now.
+
+        The store answers a poll at the first change, so they are new unless
+        the answer took longer than the poll may wait.
+        """
+        if is_full:
+            return float("inf")
+        waited = self._kernel.clock.now() - rows.time.asked_at
+        return max(0.0, waited - self._compute_operator_wait())
+
+    def _apply_rows(self, rows: Iterable[StoredRow], age: float) -> None:
+        """Apply the operator's rows, written ``age`` seconds ago."""
         for row in rows:
             try:
                 row = self._format.redact(row)
                 configuration = self._format.read_configuration(row)
                 declared = self._format.read_version(row)
+                evacuation = self._format.read_evacuation(row)
             except InvalidConfiguration as error:
                 log.error("Ignored an invalid row of the operator's table: %s.", error)
                 continue
@@ -330,6 +356,49 @@
                 self._apply(configuration, row.position)
             if declared is not None:
                 self._declare(*declared)
+            if evacuation is not None:
+                self._evacuate(evacuation, row, age)
+
+    def _list_ended_evacuations(self, rows: Rows) -> list[StoredRow]:
+        """Return the rows of evacuations that a whole table lacks, as deleted.
+
+        They are relayed like rows whose deletion was read.
+        """
+        keys = {row.key for row in rows.rows}
+        return [
+            StoredRow(key, None, rows.position)
+            for key in self._evacuations.list_vanished(keys)
+        ]
+
+    def _evacuate(self, evacuation: Evacuation, row: StoredRow, age: float) -> None:
+        """Apply the row of an evacuation, or its deletion."""
+        self._written_at[row.key] = self._kernel.clock.now() - age
+        if self._evacuations.apply(evacuation, row.key, row.position):
+            self._update_evacuations(evacuation, age)
+
+    def _update_evacuations(self, evacuation: Evacuation, age: float) -> None:
+        """Put the beginning or end of an evacuation in force."""
+        before = self.directory.revision
+        self.directory.set_evacuated_zones(self._evacuations.zones)
+        _notify(self.on_evacuation, evacuation, age)
+        self._notify_directory(before)
+
+    def measure_row_age(self, keys: Iterable[str]) -> float:
+        """Return how many seconds ago the oldest of some rows was written.
+
+        Only rows of evacuations count; -1 if that is not known.
+        """
+        now = self._kernel.clock.now()
+        ages = [now - self._written_at[key] for key in keys if key in self._written_at]
+        age = max(ages, default=0.0)
+        return round(age, 3) if isfinite(age) else -1.0
+
+    def _expire_evacuations(self) -> None:
+        """End those that the store lost and the operator did not repeat."""
+        if self._era is None or self._kernel.clock.now() < self._settled_at:
+            return
+        for zone in self._evacuations.expire(self._era):
+            self._update_evacuations(Evacuation(zone, False), 0.0)
 
     def _is_older(
         self,
@@ -445,6 +514,7 @@
         before = self.directory.revision
         self.directory.expire(self._kernel.clock.now())
         self._notify_directory(before)
+        self._expire_evacuations()
         age = self.compute_operator_age()
         self._measures.set("roadlift_configuration_age_seconds", age)
 
--- a/roadlift/instance/gate.py
+++ b/roadlift/instance/gate.py
@@ -11,12 +11,13 @@
 
 from roadlift.core.errors import EndpointsResting, LimitReached
 from roadlift.core.kernel import Kernel
+from roadlift.decisions.homes import Scope
 from roadlift.decisions.limits import NO_BASIS, Basis
 from roadlift.instance.adapterwait import DEFAULT_RETRY_AFTER
 from roadlift.instance.availabilities import Availabilities
+from roadlift.instance.candidates import Backoff, Candidates
 from roadlift.instance.limits import EndpointLimits, SendAnswer
 from roadlift.instance.permits import PendingPermit, PermitCallbacks, Permits
-from roadlift.instance.placement import Backoff, Placement
 from roadlift.serving.calls import Call, Model
 from roadlift.serving.directory import Endpoint
 
@@ -49,16 +50,16 @@
     """The permits of one call; ``denied`` holds endpoints that denied one."""
 
     def __init__(
-        self, kernel: Kernel, call: Call, service: str, callbacks: GateCallbacks
+        self, kernel: Kernel, call: Call, scope: Scope, callbacks: GateCallbacks
     ) -> None:
         self._clock = kernel.clock
         self._loop = kernel.loop
-        self._placement = kernel.get(Placement)
+        self._candidates = kernel.get(Candidates)
         self._limits = kernel.get(EndpointLimits)
         self._permits = kernel.get(Permits)
         self._standings = kernel.get(Availabilities)
         self._call = call
-        self._service = service
+        self._scope = scope
         self._callbacks = callbacks
         self._permit_wait: PendingPermit | None = None
         self._basis = NO_BASIS
@@ -100,7 +101,7 @@
 
     def _on_granted(self, endpoint: Endpoint, basis: Basis) -> None:
         self._permit_wait = None
-        if self._placement.accepts(endpoint, self._call.model):
+        if self._candidates.accepts(endpoint, self._call.model):
             self._callbacks.on_permitted(endpoint, basis)
             return
         # The permit is discarded: it would expire before another call used it.
@@ -121,18 +122,18 @@
         The caller is told to retry when a send may be available, with jitter
         by its ``draw`` from 0 to 1.
         """
-        wait = self._placement.compute_limit_wait(self._service, self.denied)
+        wait = self._candidates.compute_limit_wait(self._scope, self.denied)
         if wait is None:
             return None
         delay = max(DEFAULT_RETRY_AFTER, wait) * (1.0 + draw)
-        return LimitReached(f"service {self._service}", delay)
+        return LimitReached(f"service {self._scope.service}", delay)
 
     def find_backoff(self, model: Model | None) -> Backoff | None:
         """Return the backoff that ends first if all back off, or None.
 
         With a ``model``, only the endpoints that hold it count.
         """
-        backoff = self._placement.find_backoff(self._service, model)
+        backoff = self._candidates.find_backoff(self._scope, model)
         if backoff is not None:
             wait = round(backoff.seconds, 3)
             self._callbacks.on_step("rest", endpoint=backoff.endpoint.id, wait=wait)
@@ -148,7 +149,7 @@
         if backoff.seconds <= time_left * MAX_WAIT_FRACTION:
             return None
         delay = max(DEFAULT_RETRY_AFTER, backoff.seconds) + draw * RETRY_JITTER
-        return EndpointsResting(f"service {self._service}", delay)
+        return EndpointsResting(f"service {self._scope.service}", delay)
 
     def await_backoff(self, backoff: Backoff) -> None:
         """Let the call choose again when a backoff has ended."""
--- a/roadlift/instance/limits.py
+++ b/roadlift/instance/limits.py
@@ -1,7 +1,8 @@
 """Track the rate limits that endpoints announce.
 
 They become known from answers to this instance's calls, from the owner of an
-endpoint's zone and from the aggregator.
+endpoint's zone and from the aggregator. A cold endpoint has a limit as well,
+which ends by itself, see ``decisions.warmup``.
 """
 
 import random
@@ -14,9 +15,11 @@
 from roadlift.core.logs import ComponentLog
 from roadlift.decisions.limits import NO_BASIS, Basis, MinimumRate, normalize_limit
 from roadlift.decisions.rates import Rate
+from roadlift.decisions.warmup import ColdEndpoints, compute_cold_limit
 from roadlift.instance.follower import Follower
 from roadlift.instance.metrics import InstanceMetrics
 from roadlift.serving.directory import Endpoint
+from roadlift.serving.evacuations import Evacuation
 from roadlift.serving.statements import Statement
 
 # Seconds before a limit became known whose sends count as sends without a
@@ -34,6 +37,7 @@
 # limit ended.
 TRIAL_DELAY = 0.7
 LOCAL_FENCE = -1  # Fence of the permits that this process granted to itself.
+COLD_CHECK_INTERVAL = 0.1  # Seconds between checks for endpoints no longer cold.
 
 log = ComponentLog("limits")
 
@@ -44,6 +48,7 @@
     ANSWER = "answer"
     OWNER = "owner"
     AGGREGATOR = "news"
+    LIST = "list"
 
 
 class ReportedLimit(NamedTuple):
@@ -90,7 +95,8 @@
     No permit is requested before ``next_request_at``, and none is available
     before ``free_at``. ``reported_at`` and ``report_number`` are of the latest
     report to the owner of an announcement received here. ``ungranted_sends``
-    counts the sends without a permit.
+    counts the sends without a permit. The limit of a cold endpoint ends at
+    ``expires_at``, which is None for one that the endpoint announced.
     """
 
     __slots__ = (
@@ -106,6 +112,7 @@
         "ungranted_sends",
         "reported_at",
         "report_number",
+        "expires_at",
     )
 
     def __init__(
@@ -120,6 +127,16 @@
         self.next_request_at = self.free_at = float("-inf")
         self.report_number = 0
         self.announcements = 0
+        self.expires_at: float | None = None
+
+    @property
+    def is_cold(self) -> bool:
+        """Return whether the endpoint is limited because it is cold."""
+        return self.expires_at is not None
+
+    def measure_rest(self, now: float) -> float:
+        """Return the seconds until the limit ends, -1 if it does not."""
+        return -1.0 if self.expires_at is None else max(0.0, self.expires_at - now)
 
 
 @components.register("limits")
@@ -131,19 +148,26 @@
 
     def __init__(self, kernel: Kernel) -> None:
         self._clock = kernel.clock
+        self._loop = kernel.loop
+        self._timer = None
         self._rng = random.Random(kernel.started_at_ms)
         self._follower = kernel.get(Follower)
         self._metrics = kernel.get(InstanceMetrics)
         self._known: dict[str, KnownLimit] = {}
         self._ended_at: dict[str, float] = {}
         self._send_rates: dict[str, Rate] = {}
+        self._cold = ColdEndpoints()
         self._follower.on_directory.append(self._remove_gone)
+        self._follower.on_directory.append(self._read_entries)
+        self._follower.on_evacuation.append(self._handle_evacuation)
 
     def start(self) -> None:
-        """Do nothing: limits become known as answers arrive."""
+        """Start to check for endpoints that are no longer cold."""
+        self._timer = self._loop.call_every(COLD_CHECK_INTERVAL, self._end_cold)
 
     def close(self) -> None:
-        """Do nothing: there is nothing to close."""
+        """Stop the checks."""
+        self._timer.close()
 
     # Queries.
 
@@ -159,9 +183,9 @@
     def is_in_reserve(self, endpoint: str) -> bool:
         """Return whether to prefer other endpoints: this one has a limit."""
         known = self._known.get(endpoint)
-        return (
-            known is not None and self._clock.now() - known.announced_at < TRIAL_DELAY
-        )
+        if known is None:
+            return False
+        return known.is_cold or self._clock.now() - known.announced_at < TRIAL_DELAY
 
     def measure_wait(self, endpoint: str) -> float:
         """Return the seconds until a permit may be available."""
@@ -189,6 +213,8 @@
         self, endpoint: Endpoint, answer: SendAnswer
     ) -> LimitAnnouncement | None:
         """Update the limit from an answer; return what to report, or None."""
+        if answer.statement.cold_time is not None:
+            self._record_cold_time(endpoint, answer.statement.cold_time)
         if answer.statement.has_fault(InvalidLimit):
             return None
         limit = normalize_limit(answer.statement.limit)
@@ -199,6 +225,7 @@
         if known is None:
             known = self._add(endpoint.id, limit, LimitSource.ANSWER, answer)
         elif limit < known.limit:
+            known.expires_at = None
             self._change(endpoint.id, known, limit, LimitSource.ANSWER, answer)
         known.received_at = known.announced_at = known.answered_at = now
         known.announcements += 1
@@ -214,7 +241,7 @@
         another endpoint that has its address now.
         """
         known = self._known.get(endpoint.id)
-        if known is None or not answer.has_run:
+        if known is None or known.is_cold or not answer.has_run:
             return None
         if answer.basis == Basis(LOCAL_FENCE, known.announcements):
             self._remove(endpoint.id, LimitSource.ANSWER, answer)
@@ -234,7 +261,7 @@
         is_older = known is not None and number < known.report_number
         if report is not None:
             self._apply(report, LimitSource.OWNER, is_older)
-        elif known is not None and not is_older:
+        elif known is not None and not known.is_cold and not is_older:
             self._remove(endpoint, LimitSource.OWNER, None)
 
     def record_update(self, limits: Iterable[ReportedLimit], asked_at: float) -> None:
@@ -250,12 +277,14 @@
                 self._apply(report, LimitSource.AGGREGATOR, True)
         for endpoint, known in list(self._known.items()):
             is_old = asked_at - known.received_at > UPDATE_GRACE
-            if endpoint not in reports and is_old:
+            if endpoint not in reports and is_old and not known.is_cold:
                 self._remove(endpoint, LimitSource.AGGREGATOR, None)
 
     def _apply_end(self, endpoint: str, asked_at: float) -> None:
         known = self._known.get(endpoint)
-        if known is not None and asked_at > known.answered_at + END_GRACE:
+        if known is None or known.is_cold:
+            return
+        if asked_at > known.answered_at + END_GRACE:
             self._remove(endpoint, LimitSource.AGGREGATOR, None)
 
     def _apply(
@@ -269,13 +298,67 @@
             known = self._add(report.endpoint, report.limit, source, None)
             known.announced_at = now - report.age
         is_lower = report.limit < known.limit
-        is_raised = report.limit > known.limit and not can_only_lower
+        can_raise = not can_only_lower and not known.is_cold
+        is_raised = report.limit > known.limit and can_raise
         if is_lower or is_raised:
             self._change(report.endpoint, known, report.limit, source, None)
         known.basis = max(known.basis, Basis(report.fence, report.serial))
         known.received_at = now
         known.announced_at = max(known.announced_at, now - report.age)
 
+    # Cold endpoints.
+
+    def _find_cold_rate(self, service: str) -> float:
+        configuration = self._follower.configuration
+        found = configuration and configuration.services.get(service)
+        return found.cold_rate if found else 0.0
+
+    def _read_entries(self) -> None:
+        """Apply the cold times in the list of endpoints."""
+        now = self._clock.now()
+        for endpoint in self._follower.directory.list_all():
+            self._cold.record_entry(endpoint.id, endpoint.cold_time, now)
+            self._apply_cold(endpoint, now)
+
+    def _record_cold_time(self, endpoint: Endpoint, cold_time: float) -> None:
+        """Apply the cold time in an answer."""
+        now = self._clock.now()
+        self._cold.record_answer(endpoint.id, cold_time, now)
+        self._apply_cold(endpoint, now)
+
+    def _handle_evacuation(self, evacuation: Evacuation, age: float) -> None:
+        """Count the endpoints of a zone that returns as cold for a while."""
+        if evacuation.is_active:
+            return
+        now = self._clock.now()
+        for endpoint in self._follower.directory.list_all():
+            if endpoint.zone == evacuation.zone:
+                self._cold.record_return(endpoint.id, now)
+                self._apply_cold(endpoint, now)
+
+    def _apply_cold(self, endpoint: Endpoint, now: float) -> None:
+        """Limit an endpoint while it is cold."""
+        ends_at = self._cold.get_end(endpoint.id)
+        rate = self._find_cold_rate(endpoint.service) if now < ends_at else 0.0
+        if not rate:
+            return
+        limit = compute_cold_limit(rate)
+        known = self._known.get(endpoint.id)
+        if known is None:
+            known = self._add(endpoint.id, limit, LimitSource.LIST, None)
+        elif limit < known.limit:
+            self._change(endpoint.id, known, limit, LimitSource.LIST, None)
+        elif not known.is_cold:
+            return
+        known.expires_at = ends_at
+
+    def _end_cold(self) -> None:
+        """End the limits of endpoints that are no longer cold."""
+        now = self._clock.now()
+        for endpoint, known in list(self._known.items()):
+            if known.is_cold and now >= self._cold.get_end(endpoint):
+                self._remove(endpoint, LimitSource.LIST, None)
+
     # Changes of limits.
 
     def _add(
@@ -342,7 +425,12 @@
             for name, known in self._known.items()
             if self._find_service(name) == service
         ]
+        cold = sum(
+            known.is_cold and self._find_service(name) == service
+            for name, known in self._known.items()
+        )
         if service is not None:
+            self._metrics.set("roadlift_cold_endpoints", cold, service)
             self._metrics.set("roadlift_limited_endpoints", len(limits), service)
             self._metrics.set("roadlift_endpoint_limits", sum(limits), service)
 
@@ -356,6 +444,7 @@
         The next run of such an endpoint has not announced a limit yet.
         """
         listed = {endpoint.id for endpoint in self._follower.directory.list_all()}
+        self._cold.forget(listed)
         for state in (self._known, self._ended_at, self._send_rates):
             for endpoint in set(state) - listed:
                 del state[endpoint]
--- a/roadlift/instance/metrics.py
+++ b/roadlift/instance/metrics.py
@@ -93,6 +93,22 @@
         "Sends to endpoints that failed, and why the call was not sent again.",
         "`retry budget spent`: one or all endpoints fail; see the ejections.",
     ),
+    InstanceMetric(
+        "roadlift_evacuated_zones",
+        "gauge",
+        "zones",
+        (),
+        "Zones that the operator has taken out of service, as known here.",
+        "See `zone_evacuated`; an instance that shows fewer than others lags behind.",
+    ),
+    InstanceMetric(
+        "roadlift_cold_endpoints",
+        "gauge",
+        "endpoints",
+        ("service",),
+        "Endpoints that are limited because they are cold.",
+        "Expected after starts and returns; see `limit_changed` with heard `list`.",
+    ),
     InstanceMetric(
         "roadlift_limited_endpoints",
         "gauge",
--- a/roadlift/instance/pendingloads.py
+++ b/roadlift/instance/pendingloads.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 
+from roadlift.decisions.homes import Scope
 from roadlift.decisions.placement import Engine
 from roadlift.decisions.urgency import Urgency
 from roadlift.serving.calls import Model
@@ -21,7 +22,7 @@
 
     def __init__(
         self,
-        service: str,
+        scope: Scope,
         model: Model,
         priority: int,
         due: float,
@@ -33,7 +34,7 @@
         disconnects_at: float,
         on_too_late: Callable[[float], None],
     ) -> None:
-        self.service = service
+        self.scope = scope
         self.model = model
         self.priority = priority
         self.due = due
--- a/roadlift/instance/permits.py
+++ b/roadlift/instance/permits.py
@@ -207,6 +207,7 @@
         self, number: int, endpoint: Endpoint, max_wait: float
     ) -> SendAsk:
         known = self._limits.find(endpoint.id)
+        now = self._kernel.clock.now()
         return SendAsk(
             self._peer,
             "",
@@ -219,6 +220,7 @@
             False,
             list(known.basis) if known else [0, 0],
             known.ungranted_sends if known else 0,
+            -1.0 if known is None else known.measure_rest(now),
         )
 
     def _forward(self, message: SendAsk) -> None:
@@ -371,6 +373,7 @@
             message.is_named,
             Basis(*message.basis),
             message.spent,
+            None if message.lasts < 0.0 else message.lasts,
         )
         before = ledger.limit
         if ledger.apply_claim(claim, now):
@@ -414,7 +417,10 @@
             found = self._follower.directory.get(endpoint)
             if found is not None and found.zone == zone:
                 ledger = SendLedger(self._leases.get(zone).fence, now)
-                ledger.apply_claim(Claim("", known.limit, False, known.basis, 0), now)
+                rest = known.measure_rest(now)
+                lasts = None if rest < 0.0 else rest
+                claim = Claim("", known.limit, False, known.basis, 0, lasts)
+                ledger.apply_claim(claim, now)
                 self._ledgers[endpoint] = ledger
 
     def list_limits(self) -> list[ReportedLimit]:
@@ -424,6 +430,7 @@
         """
         now = self._kernel.clock.now()
         for endpoint, ledger in list(self._ledgers.items()):
+            ledger.expire(now)
             is_gone = self._follower.directory.get(endpoint) is None
             if is_gone or ledger.is_expired(now):
                 del self._ledgers[endpoint]
--- a/roadlift/instance/term.py
+++ b/roadlift/instance/term.py
@@ -68,6 +68,7 @@
         self._base_loads: BaseLoadLimiter | None = None
         self._loads: dict[str, EngineLoad] = {}
         self._loads_at = float("-inf")
+        self._is_evacuated = False
         self.fence = fence
         self.engines: dict[str, OwnedEngine] = {}
 
@@ -106,10 +107,28 @@
                 found[endpoint.id] = (endpoint, service.engine)
         for gone in set(self.engines) - set(found):
             self.engines.pop(gone).close()
+        self._update_evacuation()
         for endpoint, shape in found.values():
             if endpoint.id not in self.engines:
                 self._add(endpoint, shape)
 
+    def _update_evacuation(self) -> None:
+        """Send nothing to the zone's engines while it is evacuated."""
+        is_evacuated = self._zone in self._follower.directory.evacuated_zones
+        if is_evacuated == self._is_evacuated:
+            return
+        self._is_evacuated = is_evacuated
+        for engine in self.engines.values():
+            if is_evacuated:
+                self._suspend(engine)
+            else:
+                engine.resume()
+
+    def _suspend(self, engine: OwnedEngine) -> None:
+        engine.suspend()
+        engine.record.deny_all(DenialReason.EVACUATED, self._kernel.clock.now())
+        self._publish_changes(engine)
+
     def _add(self, endpoint: Endpoint, shape) -> None:
         base_models = tuple(model.name for model in shape.models)
         if self._base_loads is None:
@@ -127,6 +146,8 @@
         engine.on_report = self._publish_changes
         engine.on_crash = self._record_crash
         self.engines[endpoint.id] = engine
+        if self._is_evacuated:
+            engine.suspend()
         # Instances may have reported running calls there before the engine was
         # known here; those reports were ignored.
         self._completeness.mark_all_incomplete()
@@ -215,7 +236,7 @@
         now = self._kernel.clock.now()
         engine = self.engines.get(message.endpoint)
         model = Model(message.base, message.adapter)
-        if engine is None or not self._is_ready(now):
+        if engine is None or self._is_evacuated or not self._is_ready(now):
             deny(self._transport, message)
             return
         if message.is_missing:
--- a/roadlift/serving/directory.py
+++ b/roadlift/serving/directory.py
@@ -32,7 +32,8 @@
     endpoint may keep its key; ``started_at`` then distinguishes its runs, in
     milliseconds, or 0 if unknown. ``is_draining`` is what the list says. One
     that ``is_leaving`` announced in an answer that it is draining, and
-    counts as draining whatever its entry says.
+    counts as draining whatever its entry says. ``cold_time`` is the seconds
+    that it remains cold, as of its last heartbeat.
     """
 
     id: str
@@ -46,6 +47,7 @@
     key: str = ""
     started_at: int = 0
     is_leaving: bool = False
+    cold_time: float = 0.0
 
     @property
     def name(self) -> str:
@@ -88,6 +90,7 @@
         self._drained: dict[str, None] = {}
         self._dropped: dict[str, None] = {}
         self._grace_until = 0.0
+        self.evacuated_zones: frozenset[str] = frozenset()
         self.revision = 0
         self.is_known = False
 
@@ -104,9 +107,22 @@
         return [
             endpoint
             for endpoint in self.list_service(service)
-            if not endpoint.is_draining
+            if self._is_ready(endpoint)
         ]
 
+    def is_ready(self, endpoint_id: str) -> bool:
+        """Return whether an endpoint is listed and accepts new calls."""
+        endpoint = self._endpoints.get(endpoint_id)
+        return endpoint is not None and self._is_ready(endpoint)
+
+    def _is_ready(self, endpoint: Endpoint) -> bool:
+        return not endpoint.is_draining and endpoint.zone not in self.evacuated_zones
+
+    def set_evacuated_zones(self, zones: frozenset[str]) -> None:
+        """Set the zones whose endpoints accept no calls."""
+        self.revision += zones != self.evacuated_zones
+        self.evacuated_zones = zones
+
     def list_all(self) -> Iterable[Endpoint]:
         """Return every endpoint."""
         return self._endpoints.values()
--- a/roadlift/serving/engine.py
+++ b/roadlift/serving/engine.py
@@ -83,7 +83,8 @@
     NO_VICTIM: calls run on all copies. OLD_VERSION: calls run on its older
     version, which the new one would replace. NOT_TAKEN: the engine did not
     accept the order. UNREACHABLE: the engine's report can't be read.
-    TOO_LATE: its load would begin too late to serve any call.
+    TOO_LATE: its load would begin too late to serve any call. EVACUATED: the
+    operator has taken the engine's zone out of service.
     """
 
     NO_VICTIM = "no_victim"
@@ -91,6 +92,7 @@
     NOT_TAKEN = "not_taken"
     UNREACHABLE = "unreachable"
     TOO_LATE = "too_late"
+    EVACUATED = "evacuated"
 
 
 class Denied(NamedTuple):
@@ -441,6 +443,11 @@
             elif now > queued.request.until and queued.model not in self.copies:
                 self._deny(queued.model, DenialReason.TOO_LATE, now)
 
+    def deny_all(self, reason: DenialReason, now: float) -> None:
+        """Deny all adapters that are queued for loading."""
+        for model in list(self._queue):
+            self._deny(model, reason, now)
+
     def _deny(self, model: Model, reason: DenialReason, now: float) -> None:
         """Remove an adapter from the queue and record its denial."""
         del self._queue[model]
--- a/roadlift/serving/interfaces.py
+++ b/roadlift/serving/interfaces.py
@@ -15,6 +15,7 @@
 from roadlift.serving.calls import Call, Model
 from roadlift.serving.directory import Endpoint
 from roadlift.serving.eras import StoreEras
+from roadlift.serving.evacuations import Evacuation
 from roadlift.serving.orders import EngineReport, Order, OrderResult
 from roadlift.serving.position import StorePosition
 from roadlift.serving.routes import Configuration, Route
@@ -202,6 +203,9 @@
     def read_version(self, row: StoredRow) -> tuple[Model, int] | None:
         """Return a declared adapter version, or None for another row."""
 
+    def read_evacuation(self, row: StoredRow) -> Evacuation | None:
+        """Return the state of a zone's evacuation, or None for another row."""
+
     def read_endpoint(self, row: StoredRow) -> Endpoint:
         """Return the endpoint that an entry of the directory describes."""
 
--- a/roadlift/serving/messages.py
+++ b/roadlift/serving/messages.py
@@ -271,12 +271,15 @@
     """Forward rows of the operator's table.
 
     ``rows`` are [key, packed position, compressed value], as in ``PackedRow``:
-    all that are newer than the packed position ``since``.
+    all that are newer than the packed position ``since``. The oldest row of an
+    evacuation among them was written ``age`` seconds ago; negative if that is
+    not known.
     """
 
     stream: int
     since: int
     rows: list
+    age: float = -1.0
 
 
 @message("sc")
@@ -328,7 +331,8 @@
     ``basis``, else the owner sent it with that basis. ``patience`` is the
     longest wait in seconds, negative if no permit is requested; ``spent``
     counts sends without a permit. ``via`` is the aggregator that forwards the
-    request and the answer.
+    request and the answer. ``lasts`` is the seconds until the limit ends by
+    itself, or negative if it holds until the endpoint announces another.
     """
 
     address: str
@@ -342,6 +346,7 @@
     is_named: bool
     basis: list
     spent: int
+    lasts: float = -1.0
 
 
 @message("ig")
--- a/roadlift/serving/routes.py
+++ b/roadlift/serving/routes.py
@@ -26,7 +26,8 @@
     ``attempts`` is the number of endpoints that a call may run on;
     ``patience`` is the seconds without an event after which callers are
     expected to abandon a stream, or None; calls of a route that ``is_open``
-    need no key.
+    need no key; ``homes`` are the regions in which its calls may run, or None
+    for all.
     """
 
     name: str
@@ -42,6 +43,7 @@
     event_interval_objective: float | None = None
     patience: float | None = None
     is_open: bool = False
+    homes: frozenset[str] | None = None
 
     @property
     def is_repeatable(self) -> bool:
@@ -98,13 +100,16 @@
 class Service(NamedTuple):
     """A service; ``engine`` is None if it runs no models.
 
-    ``max_connections`` is how many one endpoint accepts from all callers.
+    ``max_connections`` is how many one endpoint accepts from all callers;
+    ``cold_rate`` is how many calls a second a cold one accepts, or 0 if that
+    is not limited.
     """
 
     name: str
     health_path: str
     max_connections: int
     engine: EngineCapacity | None = None
+    cold_rate: float = 0.0
 
 
 class Allowance(NamedTuple):
@@ -129,13 +134,15 @@
 class Organisation(NamedTuple):
     """A customer; ``keys`` are the digests of its keys, see ``digest_key``.
 
-    ``priority`` overrides that of routes unless it is None.
+    ``priority`` overrides that of routes unless it is None; ``homes`` are the
+    regions in which its calls may run, or None for all.
     """
 
     name: str
     keys: frozenset[str]
     priority: int | None = None
     allowance: Allowance | None = None
+    homes: frozenset[str] | None = None
 
 
 class Configuration(NamedTuple):
--- a/roadlift/serving/statements.py
+++ b/roadlift/serving/statements.py
@@ -14,7 +14,8 @@
     ``faults`` are the errors of values that can't be read; ``unknown`` are the
     names of headers that no table of the platform's adapter lists. With
     ``is_rejected`` the call was rejected for lack of capacity, with a back-off
-    or without.
+    or without. ``cold_time`` is the seconds for which the endpoint stays cold,
+    or None.
     """
 
     limit: float | None = None
@@ -23,6 +24,7 @@
     faults: tuple[RoadliftError, ...] = ()
     unknown: tuple[str, ...] = ()
     is_rejected: bool = False
+    cold_time: float | None = None
 
     def has_fault(self, kind: type[RoadliftError]) -> bool:
         """Return whether a value failed to parse with a kind of error."""
--- a/standins/installation.py
+++ b/standins/installation.py
@@ -23,6 +23,7 @@
 from roadlift.relay.upstream import Address, Receiver, Request
 from standins.hub import HubLine
 from standins.limits import LimitWatch
+from standins.places import PlaceWatch
 from standins.replies import DELAY, Reply
 from standins.statements import StatementWatch
 from standins.store import Store
@@ -139,6 +140,7 @@
 
 LATE_ORDER = 3.0  # Seconds until an unanswered order is carried out late.
 CRASH_DELAY = 0.08  # Seconds from a deadly call's beginning to a runner's end.
+HEARTBEAT = 1.2  # Seconds between the entries that a cold runner writes.
 RETURN_DELAY = 2.0  # Seconds until a runner that ended is back.
 LAPSE = 3.6  # Seconds until the entry of a runner that ended is gone.
 
@@ -189,6 +191,7 @@
         self.turned_away = 1.0
         self.more: dict[str, str] = {}
         self._turned = 0.0
+        self.cold_until = 0.0
         self.born = 0
         self.on_end: Callable[[], None] = lambda: None
         self.on_return: Callable[[], None] = lambda: None
@@ -230,6 +233,24 @@
         """Say from now on that this runner leaves; its entry says nothing."""
         self.is_leaving = True
 
+    def turn_cold(self, rate: float, seconds: float) -> None:
+        """Be cold from now on; the entry tells it with each heartbeat."""
+        now = self._timeline.now()
+        self.cold_until = now + seconds
+        self._installation.places.note_cold(self.id, rate, now, self.cold_until)
+        self._beat()
+
+    def _measure_cold_time(self) -> float:
+        return max(0.0, self.cold_until - self._timeline.now())
+
+    def _beat(self) -> None:
+        """Write the entry while the runner is cold, and once behind that."""
+        if self._installation.runners.get(self.id) is not self:
+            return
+        self._installation.store.put("servers", self.id, self.describe())
+        if self._timeline.now() < self.cold_until:
+            self._timeline.call_later(HEARTBEAT, self._beat)
+
     def want_rest(self, text: str | None, part: float = 1.0) -> None:
         """Turn a part of the calls away from now on, or none."""
         self.rest = text
@@ -282,6 +303,9 @@
             "slots": 8,
             "state": state,
             "models": models,
+            "coldLeftMs": round(
+                1000 * max(0.0, self.cold_until - self._timeline.now())
+            ),
             "seq": self.sequence,
             **({"born": self.born} if self.born else {}),
         }
@@ -510,16 +534,27 @@
         self.deadly_adapters: set[str] = set()
         self.deadly_loads: list[str] = []
         self.limits = LimitWatch()
+        self.places = PlaceWatch(self.limits)
         self.statements = StatementWatch()
         # Ids of calls whose answers runners broke off by themselves.
         self.spoiled: set[str] = set()
 
+    def evacuate(self, zone: str) -> None:
+        """Write the operator's row that takes a zone out of service."""
+        self.store.put("op", f"evacuate/{zone}", {})
+        self.places.note_evacuation(zone, self.clock.now())
+
+    def take_back(self, zone: str) -> None:
+        """Delete the operator's row."""
+        self.store.delete("op", f"evacuate/{zone}")
+        self.places.note_return(zone, self.clock.now())
+
     def note_deadly(self, runner: str, body: bytes, call_id: str) -> None:
         """Count a run of a deadly call."""
         runs = self.deadly_runs.setdefault(body, [])
         runs.append(DeadlyRun(self.clock.now(), runner, call_id))
 
-    def replace(self, ended: Runner) -> None:
+    def replace(self, ended: Runner) -> Runner:
         """Start another runner at the address of one that ended."""
         runner = Runner(self, ended.service, f"{ended.id}'", ended.zone)
         runner.address = ended.address
@@ -529,6 +564,7 @@
         runner.queue_time = ended.queue_time
         self.runners[runner.id] = runner
         self.store.put("servers", runner.id, runner.describe())
+        return runner
 
     def add_runner(self, service: str, name: str, zone: str, base: str) -> Runner:
         """Start a runner that registers itself."""
--- a/tests/adapter/adapter.feature
+++ b/tests/adapter/adapter.feature
@@ -106,6 +106,63 @@
       | Cache-Control: no    | none          |
       | Server-Tired: 1      | server-tired  |
 
+  Scenario Outline: A runner's answer says for how long it stays cold
+    When it is read what an answer 200 with <header> says of its runner
+    Then it says for cold_time: <value>
+
+    Examples:
+      | header                | value             |
+      | nothing               | None              |
+      | Cold-Ms: 0            | 0.0               |
+      | Cold-Ms: 2500         | 2.5               |
+      | Cold-Ms: 500, 2500    | 2.5               |
+      | Cold-Ms: -1           | invalid_cold_time |
+      | Cold-Ms: nan          | invalid_cold_time |
+      | Cold-Ms: inf          | invalid_cold_time |
+      | Cold-Ms: long         | invalid_cold_time |
+
+  Scenario Outline: The operator's row of an evacuation is read
+    When the operator's row <key> with <value> is read
+    Then the evacuation is <result>
+
+    Examples: The key alone is the request
+      | key           | value     | result                |
+      | evacuate/z1   | {}        | z1 begins             |
+      | evacuate/z1   | 7         | z1 begins             |
+      | evacuate/z1   | no JSON   | z1 begins             |
+      | evacuate/z1   | nothing   | z1 ends               |
+      | evacuate/a/b  | {}        | a/b begins            |
+      | evacuate/     | {}        | invalid_configuration |
+      | evacuated     | {}        | none                  |
+      | config        | {}        | none                  |
+
+  Scenario Outline: A service's rate while its runners are cold is read
+    When a configuration with <change> is read
+    Then the cold rate is <rate>
+
+    Examples:
+      | change                   | rate                  |
+      | nothing special          | 0.0                   |
+      | 17.5 as its cold rate    | 17.5                  |
+      | 0 as its cold rate       | 0.0                   |
+      | -1 as its cold rate      | invalid_configuration |
+      | a text as its cold rate  | invalid_configuration |
+      | 1e99 as its cold rate    | invalid_configuration |
+
+  Scenario Outline: A cold runner's entry is read
+    When an entry with <change> is read
+    Then it is cold for <seconds> seconds
+
+    Examples: What can't be read says nothing, and the entry stays good
+      | change                   | seconds |
+      | nothing special          | 0       |
+      | 1500 as its coldLeftMs   | 1.5     |
+      | 0 as its coldLeftMs      | 0       |
+      | -5 as its coldLeftMs     | 0       |
+      | text as its coldLeftMs   | 0       |
+      | true as its coldLeftMs   | 0       |
+      | null as its coldLeftMs   | 0       |
+
   Scenario Outline: A configuration is read
     When a configuration with <change> is read
     Then the route has <result>
--- a/tests/core/messages.feature
+++ b/tests/core/messages.feature
@@ -6,12 +6,12 @@
 
   Scenario Outline: Every message of release <release> can be decoded and has the same fields
     Then each message in tests/core/messages-<release>.txt is decoded, with defaults for the rest
-    And each message in tests/core/messages-<release>.txt has as many fields as now
+    And messages have the fields of tests/core/messages-<release>.txt, and <added>
 
     Examples:
-      | release |
-      | 0.8     |
-      | 0.9     |
+      | release | added              |
+      | 0.8     | sv: age            |
+      | 0.9     | il: lasts, sv: age |
 
   Scenario: Fields that a later release adds are ignored
     Then each message with two further fields is decoded as without them
--- a/tests/steps/adapter_steps.py
+++ b/tests/steps/adapter_steps.py
@@ -140,7 +140,11 @@
         "headerTimeoutMs": 1,
         "idleTimeoutMs": 1,
     }
-    return {"version": 7, "routes": [route], "backends": [], "limits": limits}
+    service = {"name": "b", "healthPath": "/healthz", "maxConns": 100}
+    return {"version": 7, "routes": [route], "backends": [service], "limits": limits}
+
+
+_HOMES = {"a text": "north", "a list of numbers": [1, 2], "an empty name": ["", "a"]}
 
 
 @when("a configuration with {change} is read")
@@ -158,6 +162,12 @@
         route["kind"] = "sometimes"
     elif change == "no routes":
         del content["routes"]
+    elif change.startswith("homes that are "):
+        route["allowedRegions"] = _HOMES[change.removeprefix("homes that are ")]
+    elif change.endswith(" as its cold rate"):
+        text = change.removesuffix(" as its cold rate")
+        rate = text if text == "a text" else float(text)
+        content["backends"][0]["coldPerS"] = rate
     content.update(make_tenants(change))
     row = _row("config", content)
     if change == "text in place of JSON":
@@ -165,6 +175,40 @@
     context.read = _run(lambda: _ADAPTER.state.read_configuration(row))
 
 
+@then("the cold rate is {rate}")
+def step_cold_rate(context, rate):
+    """Check the rate of the only service, or the error."""
+    if isinstance(context.read, RoadliftError):
+        assert context.read.code == rate, context.read
+        return
+    assert str(context.read.services["b"].cold_rate) == rate, context.read.services
+
+
+@then("it is cold for {seconds:g} seconds")
+def step_cold_time(context, seconds):
+    """Check the cold time of an entry."""
+    assert context.read.cold_time == seconds, context.read
+
+
+@when("the operator's row {key} with {value} is read")
+def step_evacuation_row(context, key, value):
+    """Read a row of the operator's table as an evacuation."""
+    data = None if value == "nothing" else value.encode()
+    row = StoredRow(key, data, _PLACE)
+    context.read = _run(lambda: _ADAPTER.state.read_evacuation(row))
+
+
+@then("the evacuation is {result}")
+def step_evacuation(context, result):
+    """Check what the row requests, or the error."""
+    found = context.read
+    if isinstance(found, RoadliftError):
+        assert found.code == result, found
+        return
+    state = found and f"{found.zone} {'begins' if found.is_active else 'ends'}"
+    assert (state or "none") == result, found
+
+
 @then("the route has {result}")
 def step_route(context, result):
     """Check the route."""
@@ -468,7 +512,8 @@
 
 def _fill_template(context, example):
     text = (ROOT / "deploy/node.json").read_text()
-    text = re.sub(r"\{\{#zones\}\}.*\{\{/zones\}\}", "z1,z2", text)
+    zones = lambda match: "z1=south,z2=south" if "=" in match[1] else "z1,z2"
+    text = re.sub(r"\{\{#zones\}\}(.*)\{\{/zones\}\}", zones, text)
     text = re.sub(
         r"\{\{#([^}]+)\}\}(.*)\{\{/\1\}\}",
         lambda match: match[2] if example.get(match[1]) else "",
--- a/tests/steps/message_steps.py
+++ b/tests/steps/message_steps.py
@@ -44,12 +44,18 @@
         ), tag
 
 
-@then("each message in tests/core/{name} has as many fields as now")
-def step_same_fields(context, name):
-    """Check that no field was added or removed since that release."""
+@then("messages have the fields of tests/core/{name}, and {added}")
+def step_same_fields(context, name, added):
+    """Check that no other field was added or removed since that release."""
     kinds = list_messages()
+    later = [
+        f"{tag}: {field}"
+        for tag, content in _read_release(name).items()
+        for field in kinds[tag]._fields[len(content) - 2 :]
+    ]
+    assert later == ([] if added == "no other" else added.split(", ")), later
     for tag, content in _read_release(name).items():
-        assert len(kinds[tag]._fields) == len(content) - 2, tag
+        assert len(kinds[tag]._fields) >= len(content) - 2, tag
 
 
 @then("each message with two further fields is decoded as without them")
--- a/tests/support/configuration.py
+++ b/tests/support/configuration.py
@@ -27,14 +27,24 @@
 
 
 def describe_routes(
-    version: int, routes: list[dict], services: dict[str, bool], adapter_slots: int
+    version: int,
+    routes: list[dict],
+    services: dict[str, bool],
+    adapter_slots: int,
+    cold_rate: float = 0.0,
 ) -> dict:
-    """Return a configuration; True marks the services with engines."""
+    """Return a configuration; True marks the services with engines.
+
+    A cold endpoint of each service accepts ``cold_rate`` calls a second.
+    """
     return {
         "version": version,
         "routes": routes,
         "backends": [
-            _describe_service(name, has_engine, adapter_slots)
+            {
+                **_describe_service(name, has_engine, adapter_slots),
+                "coldPerS": cold_rate,
+            }
             for name, has_engine in services.items()
         ],
         "limits": {
--- a/tests/support/entries.py
+++ b/tests/support/entries.py
@@ -210,11 +210,19 @@
             self.installation.timeline.run_due()
 
     def configure(
-        self, routes: list[dict], services: dict[str, bool], adapter_slots: int = 2
+        self,
+        routes: list[dict],
+        services: dict[str, bool],
+        adapter_slots: int = 2,
+        cold_rate: float = 0.0,
+        tenants: dict | None = None,
     ) -> None:
         """Write a configuration; True marks the services with engines."""
         self.version += 1
-        content = describe_routes(self.version, routes, services, adapter_slots)
+        content = describe_routes(
+            self.version, routes, services, adapter_slots, cold_rate
+        )
+        content.update(tenants or {})
         self.installation.store.put("op", "config", content)
 
     def call(
