Fill the zones of a plain service's own region before others

Cause: what exceeds a zone's capacity went to all other zones by their free capacity, so calls crossed regions, 20 ms one way, while a neighbour had room.

Change: the zones of the own region get the excess first; settings name the regions.

--- a/roadlift/decisions/balancing.py
+++ b/roadlift/decisions/balancing.py
@@ -8,8 +8,9 @@
 calls they have in progress, as decaying means, and the sums by zone are sent
 back to all. Each instance then knows the demand of its zone and the free
 capacity of the others, and sends to remote zones only what exceeds the local
-capacity. A sum of means changes slowly enough to be used for 0.5 s. Each call
-samples its zone at random, so that not all choose the same one.
+capacity, and to other regions only what exceeds that of its own. A sum of
+means changes slowly enough to be used for 0.5 s. Each call samples its zone at
+random, so that not all choose the same one.
 
 If the demand exceeds the capacity, the endpoints' queues fill and calls are
 served late: half of them at 1.2 times the capacity. The admitted rate is then
@@ -18,9 +19,10 @@
 """
 
 import random
-from collections.abc import Mapping, Sequence
+from collections.abc import Collection, Mapping, Sequence
 from typing import NamedTuple
 
+from roadlift.decisions.homes import NO_REGIONS, Regions
 from roadlift.decisions.rates import LevelMean, Rate
 from roadlift.serving.directory import Endpoint
 
@@ -92,12 +94,16 @@
 
 
 def compute_zone_fractions(
-    local_zone: str, busy: Mapping[str, float], slots: Mapping[str, float]
+    local_zone: str,
+    busy: Mapping[str, float],
+    slots: Mapping[str, float],
+    far: Collection[str] = (),
 ) -> dict[str, float]:
     """Return the fraction of a zone's calls that goes to each zone.
 
     ``busy`` is the number of calls in progress of each zone's instances,
-    ``slots`` the number that each zone's endpoints run at once.
+    ``slots`` the number that each zone's endpoints run at once; ``far`` are
+    the zones of other regions.
     """
     total = sum(slots.values())
     level = max(LOCAL_FRACTION, sum(busy.values()) / total)
@@ -110,12 +116,25 @@
         for zone, count in slots.items()
         if zone != local_zone
     }
-    total_spare = sum(spare.values())
-    if not total_spare:
+    if not sum(spare.values()):
         return {zone: count / total for zone, count in slots.items()}
     remote = (local_busy - capacity) / local_busy
-    fractions = {zone: remote * count / total_spare for zone, count in spare.items()}
-    return {local_zone: 1.0 - remote, **fractions}
+    near_spare = {zone: count for zone, count in spare.items() if zone not in far}
+    far_spare = {zone: count for zone, count in spare.items() if zone in far}
+    near = remote
+    if sum(far_spare.values()):
+        near = min(remote, sum(near_spare.values()) / local_busy)
+    return {
+        local_zone: 1.0 - remote,
+        **_divide(near, near_spare),
+        **_divide(remote - near, far_spare),
+    }
+
+
+def _divide(fraction: float, spare: Mapping[str, float]) -> dict[str, float]:
+    """Divide a fraction of the calls by the free capacity of zones."""
+    total = sum(spare.values())
+    return {zone: fraction * count / total for zone, count in spare.items() if total}
 
 
 def compute_admitted_fraction(
@@ -134,8 +153,11 @@
 class ServiceBalancer:
     """The load of plain services as known to one instance."""
 
-    def __init__(self, local_zone: str, rng: random.Random) -> None:
+    def __init__(
+        self, local_zone: str, rng: random.Random, regions: Regions = NO_REGIONS
+    ) -> None:
         self._local_zone = local_zone
+        self._regions = regions
         self._rng = rng
         self._loads: Mapping[str, Mapping[str, ServiceLoad]] = {}
         self._received_at = float("-inf")
@@ -164,7 +186,8 @@
         if not loads or not slots:
             return None
         busy = {zone: load.busy for zone, load in loads.items()}
-        fractions = compute_zone_fractions(self._local_zone, busy, slots)
+        far = [one for one in slots if self._regions.are_apart(one, self._local_zone)]
+        fractions = compute_zone_fractions(self._local_zone, busy, slots, far)
         return self._rng.choices(list(fractions), list(fractions.values()))[0]
 
     def compute_fill(
--- a/roadlift/decisions/homes.py
+++ b/roadlift/decisions/homes.py
@@ -70,3 +70,7 @@
         if not binding:
             return None
         return self.list_zones(frozenset.intersection(*binding))
+
+
+# Where the settings name no regions, all zones count as of one.
+NO_REGIONS = Regions({})
--- a/roadlift/instance/serviceloads.py
+++ b/roadlift/instance/serviceloads.py
@@ -12,6 +12,7 @@
     ServiceBalancer,
     ServiceLoad,
 )
+from roadlift.decisions.homes import Regions
 
 # Calls running and calls a second below which a service is not reported.
 MIN_REPORTED_LOAD = 0.005
@@ -47,7 +48,11 @@
         self._local: dict[str, LocalLoad] = {}
         self._members: dict[str, _Report] = {}
         self._aggregators: dict[str, _Report] = {}
-        self.balancer = ServiceBalancer(self._zone, random.Random(kernel.started_at_ms))
+        self.balancer = ServiceBalancer(
+            self._zone,
+            random.Random(kernel.started_at_ms),
+            Regions.parse(kernel.settings.regions),
+        )
 
     def start(self) -> None:
         """Nothing to start; the work is done for each call."""
--- a/tests/decisions/services.feature
+++ b/tests/decisions/services.feature
@@ -41,6 +41,18 @@
       | z1 6, z2 6         | z1 12, z2 12       | z1 1.0                   |
       | z1 6, z2 6         | z1 18, z2 6        | z1 0.67, z2 0.33         |
 
+  Scenario Outline: Calls of z1 with <busy> in progress, <far> in other regions
+    Given slots <slots> and calls in progress <busy> by zone
+    Then the calls of z1 go to <fractions> where <far> are in other regions
+
+    Examples: The zones of its own region are filled before others
+      | slots            | busy                | far       | fractions                |
+      | z1 6, z2 6, z3 6 | z1 7.2, z2 0, z3 0  | z3        | z1 0.5, z2 0.5, z3 0.0   |
+      | z1 6, z2 6, z3 6 | z1 9, z2 1.8, z3 0  | z3        | z1 0.4, z2 0.2, z3 0.4   |
+      | z1 6, z2 6, z3 6 | z1 7.2, z2 6, z3 0  | z3        | z1 0.61, z3 0.39         |
+      | z1 6, z2 6, z3 6 | z1 7.2, z2 0, z3 0  | z2 and z3 | z1 0.5, z2 0.25, z3 0.25 |
+      | z1 6, z2 6, z3 6 | z1 7.2, z2 0, z3 12 | z3        | z1 0.89, z2 0.11         |
+
   Scenario: Under any load all calls of a zone are placed, and no zone is overfilled
     Then for 500 random loads of 1 to 5 zones the fractions sum to 1, and fill no zone beyond the mean
 
--- a/tests/steps/service_steps.py
+++ b/tests/steps/service_steps.py
@@ -70,10 +70,16 @@
     context.slots, context.busy = _parse(slots), _parse(busy)
 
 
+@then("the calls of z1 go to {fractions} where {far} are in other regions")
+def step_region_fractions(context, fractions, far):
+    """Compare the fractions with zones of several regions."""
+    step_fractions(context, fractions, far.split(" and "))
+
+
 @then("the calls of z1 go to {fractions}")
-def step_fractions(context, fractions):
+def step_fractions(context, fractions, far=()):
     """Compare the fractions."""
-    found = compute_zone_fractions("z1", context.busy, context.slots)
+    found = compute_zone_fractions("z1", context.busy, context.slots, far)
     expected = _parse(fractions)
     assert set(found) == set(expected), found
     for zone, fraction in expected.items():
