Place calls by what their prompts do to streams, and copy hot adapters ahead

Each instance learned the pace of engines from its own few calls.

Change: instances report prompt tokens sent and read to owners, which tell all the pace of each engine and the fraction of its time that prompts take. A call avoids engines where its prompt stalls streams for longer than their callers bear, that are full, or whose slots are in use. The owner of an engine that is much fuller than others has its hottest adapter loaded elsewhere before calls need it.

--- a/roadlift/core/events.py
+++ b/roadlift/core/events.py
@@ -277,6 +277,14 @@
         "An endpoint announced in an answer that it is draining (of that status, to "
         "what was sent age seconds before); it gets no new calls.",
     ),
+    Event(
+        "owner",
+        "copy_requested",
+        ("model", "endpoint", "zone", "full", "fill", "rate"),
+        "An owner requests a further copy of an adapter at an engine, as another one "
+        "(full) reads prompts for that fraction of its time, and gets that many calls "
+        "a second for the adapter.",
+    ),
     Event(
         "evacuations",
         "zone_evacuated",
--- a/roadlift/decisions/placement.py
+++ b/roadlift/decisions/placement.py
@@ -37,6 +37,17 @@
 # divided by their number. A copy occupies its slot for as long as calls run on
 # it.
 LAST_SLOT_COST = 0.25
+# Fraction of the longest pause that callers bear for which prompts may stall
+# the streams at an engine: of what is left, further prompts take a part before
+# the next event.
+FREE_STALL = 0.25
+# Cost in seconds of a prompt that stalls all streams at an engine for longer
+# than their callers bear: each of them is late then.
+STALL_COST = 1.0
+# Fraction of its time in which an engine may read prompts before its streams
+# begin to pause, and the cost in seconds of reading all the time.
+FREE_FILL = 0.25
+FILL_COST = 0.6
 
 
 class Engine(NamedTuple):
@@ -49,6 +60,9 @@
     seconds until a further load begins; ``wait`` the seconds until a send is
     available if the engine is rate-limited; one that ``is_in_reserve`` is
     rate-limited and kept in reserve; one that ``is_far`` is in another region.
+    ``running`` calls of all instances run there, of ``slots`` that it runs at
+    once, or 0 if that is not known; ``fill`` is the fraction of the time in
+    which it reads prompts.
     """
 
     endpoint: Endpoint
@@ -61,13 +75,22 @@
     wait: float = 0.0
     is_in_reserve: bool = False
     is_far: bool = False
+    running: int = 0
+    slots: int = 0
+    fill: float = 0.0
 
 
 class Requirements(NamedTuple):
-    """What a call requires: prompt tokens to be read, near a zone."""
+    """What a call requires: prompt tokens to be read, near a zone.
+
+    Its callers bear ``pause`` seconds between two events, or None if that is
+    not limited; it occupies a slot for ``hold`` seconds.
+    """
 
     tokens: int
     zone: str
+    pause: float | None = None
+    hold: float = 0.0
 
 
 class Option(NamedTuple):
@@ -97,10 +120,10 @@
     if engine.source is not AdapterSource.HELD and engine.places <= 0:
         delay += waits.estimate_slot_wait(now) * (1 - engine.places)
     # The prompts ahead are read while the adapter is loaded.
-    expected = (
-        max(delay, engine.wait, token_time * engine.ahead)
-        + token_time * requirements.tokens
-    )
+    waited = max(delay, engine.wait, token_time * engine.ahead)
+    expected = max(waited, _estimate_slot_wait(requirements, engine))
+    expected += token_time * requirements.tokens
+    extra_cost += _estimate_stall_cost(requirements, engine, token_time)
     if engine.is_in_reserve:
         is_held = engine.source is AdapterSource.HELD
         extra_cost += RESERVED_COST if is_held else RESERVED_LOAD_COST
@@ -113,6 +136,33 @@
     return Option(engine, expected, expected + extra_cost)
 
 
+def _estimate_slot_wait(requirements: Requirements, engine: Engine) -> float:
+    """Return the seconds until an engine with all slots in use has one."""
+    if not engine.slots:
+        return 0.0
+    excess = max(0, engine.running + 1 - engine.slots)
+    return excess * requirements.hold / engine.slots
+
+
+def _estimate_stall_cost(
+    requirements: Requirements, engine: Engine, token_time: float
+) -> float:
+    """Return the cost in seconds of pauses of streams at an engine.
+
+    The streams that run there pause while the call's prompt and those ahead of
+    it are read. The call's own stream pauses for the prompts that come later,
+    by how full the engine is.
+    """
+    if requirements.pause is None:
+        return 0.0
+    own = FILL_COST * max(0.0, engine.fill - FREE_FILL)
+    if not engine.running:
+        return own
+    stall = token_time * (engine.ahead + requirements.tokens) / requirements.pause
+    risk = (stall - FREE_STALL) / (1.0 - FREE_STALL)
+    return own + STALL_COST * min(1.0, max(0.0, risk))
+
+
 def choose_engine(
     requirements: Requirements,
     engines: Iterable[Engine],
--- a/roadlift/decisions/reading.py
+++ b/roadlift/decisions/reading.py
@@ -56,6 +56,7 @@
     def __init__(self) -> None:
         self._engines: dict[str, _Mean] = {}
         self._all = _Mean()
+        self._reported: dict[str, float] = {}
 
     def note(self, endpoint: str, tokens: float, seconds: float, now: float) -> None:
         """Record the time of a call's first event.
@@ -71,6 +72,9 @@
 
     def estimate(self, endpoint: str, now: float) -> float:
         """Return an engine's seconds a token."""
+        reported = self._reported.get(endpoint)
+        if reported is not None:
+            return reported
         usual = self._all.compute_mean() if self._all.weight else INITIAL_ESTIMATE
         mean = self._engines.get(endpoint)
         if mean is None:
@@ -79,7 +83,18 @@
         total = weight * mean.compute_mean() + SHARED_WEIGHT * usual
         return total / (weight + SHARED_WEIGHT)
 
+    def record_report(self, endpoint: str, token_time: float) -> None:
+        """Record what an engine's owner learned from all instances' calls.
+
+        It goes before the samples of this process; 0 if nothing is known.
+        """
+        if token_time > 0.0:
+            self._reported[endpoint] = token_time
+        else:
+            self._reported.pop(endpoint, None)
+
     def forget(self, known: Collection[str]) -> None:
         """Drop the engines that no longer exist."""
-        for endpoint in set(self._engines) - set(known):
-            del self._engines[endpoint]
+        for times in (self._engines, self._reported):
+            for endpoint in set(times) - set(known):
+                del times[endpoint]
--- a/roadlift/decisions/workload.py
+++ b/roadlift/decisions/workload.py
@@ -15,6 +15,7 @@
 # from the last report to be reported again, and the minimum change in tokens.
 REPORT_FRACTION = 0.2
 REPORT_MIN_TOKENS = 512
+REPORT_MIN_FILL = 0.05  # Minimum change of the fill that is reported.
 # Adapter slots of an engine without a report: enough to send a request.
 UNREPORTED_SLOTS = 1
 FULL_REPORT_INTERVAL = 2.0  # Seconds between reports of the loads of all engines.
@@ -26,7 +27,9 @@
     ``free_slots`` is the number of slots into which adapters can be loaded
     now; a negative number is how many adapters wait beyond them. ``loads`` are
     in progress or waiting; each takes ``load_time`` seconds, as recently
-    observed by its owner.
+    observed by its owner. A prompt token takes ``token_time`` seconds, 0 if
+    that is not known; ``fill`` is the fraction of the time that the recent
+    prompts take.
     """
 
     running: int
@@ -34,6 +37,8 @@
     free_slots: int
     loads: int = 0
     load_time: float = INITIAL_DURATION
+    token_time: float = 0.0
+    fill: float = 0.0
 
     def differs(self, reported: "EngineLoad") -> bool:
         """Return whether subscribers need a report of this load."""
@@ -47,7 +52,14 @@
             abs(self.load_time - reported.load_time)
             > REPORT_FRACTION * reported.load_time
         )
-        return calls or tokens or load_time_change or not is_same
+        token_time_change = (
+            abs(self.token_time - reported.token_time)
+            > REPORT_FRACTION * reported.token_time
+        )
+        fill_change = abs(self.fill - reported.fill)
+        is_filled = fill_change > max(REPORT_MIN_FILL, REPORT_FRACTION * reported.fill)
+        is_other = load_time_change or token_time_change or is_filled
+        return calls or tokens or is_other or not is_same
 
 
 class ReportedLoads:
@@ -151,6 +163,16 @@
             return local
         return max(local, report.load.running + local - report.local_running)
 
+    def measure_fill(self, endpoint: str) -> float:
+        """Return the fraction of its time that an engine reads prompts."""
+        report = self._find_report(endpoint)
+        return 0.0 if report is None else report.load.fill
+
+    def get_token_time(self, endpoint: str) -> float:
+        """Return the seconds of a prompt token at an engine; 0 if unknown."""
+        report = self._find_report(endpoint)
+        return 0.0 if report is None else report.load.token_time
+
     def count_free_slots(self, endpoint: str) -> int:
         """Return the number of free adapter slots of an engine."""
         report = self._find_report(endpoint)
--- a/roadlift/instance/adapterwait.py
+++ b/roadlift/instance/adapterwait.py
@@ -88,7 +88,7 @@
             now + caller_wait - time_to_first_event,
             time_to_first_event
             + self._placement.generations.estimate(self._route.name),
-            self._call.tokens_in,
+            self._placement.describe(self._call, self._route),
             self._on_loaded,
             self._on_requested,
             now + caller_wait,
--- a/roadlift/instance/enginechoice.py
+++ b/roadlift/instance/enginechoice.py
@@ -47,22 +47,30 @@
         """Do nothing: there is nothing to close."""
 
     def find_best(
-        self, scope: Scope, model: Model, tokens: int, excluded: set[str]
+        self,
+        scope: Scope,
+        model: Model,
+        requirements: Requirements,
+        excluded: set[str],
     ) -> Option | None:
-        """Return the best engine for a prompt of some tokens, or None.
+        """Return the best engine for a call, or None.
 
         The adapter may have to be loaded there first.
         """
         usable = self._candidates.list_usable(scope, excluded)
         engines = self._describe_engines(scope, usable, model)
-        option = self._evaluate(engines, tokens)
+        option = self._evaluate(engines, requirements)
         if option is not None:
             return option
         last_resort = self._candidates.list_last_resort(scope, excluded)
-        return self.find_holder(scope, model, tokens, last_resort)
+        return self.find_holder(scope, model, requirements, last_resort)
 
     def find_holder(
-        self, scope: Scope, model: Model, tokens: int, endpoints: list[Endpoint]
+        self,
+        scope: Scope,
+        model: Model,
+        requirements: Requirements,
+        endpoints: list[Endpoint],
     ) -> Option | None:
         """Return the best of some engines that hold an adapter, or None."""
         if not endpoints:
@@ -71,10 +79,11 @@
             engine._replace(can_load=False)
             for engine in self._describe_engines(scope, endpoints, model)
         ]
-        return self._evaluate(engines, tokens)
+        return self._evaluate(engines, requirements)
 
-    def _evaluate(self, engines: list[Engine], tokens: int) -> Option | None:
-        requirements = Requirements(tokens, self._zone)
+    def _evaluate(
+        self, engines: list[Engine], requirements: Requirements
+    ) -> Option | None:
         now = self._clock.now()
         return choose_engine(
             requirements, engines, self.reading_times, self.load_waits, now
@@ -96,6 +105,8 @@
         self, endpoint: Endpoint, rank: int, model: Model, min_version: int
     ) -> Engine:
         workload = self._knowledge.workload
+        token_time = workload.get_token_time(endpoint.id)
+        self.reading_times.record_report(endpoint.id, token_time)
         return Engine(
             endpoint,
             workload.count_ahead(endpoint.id),
@@ -107,6 +118,11 @@
             self._limits.measure_wait(endpoint.id),
             self._limits.is_in_reserve(endpoint.id),
             self._regions.are_apart(endpoint.zone, self._zone),
+            workload.count_running(
+                endpoint.id, self._knowledge.health.count_running(endpoint.id)
+            ),
+            endpoint.slots,
+            workload.measure_fill(endpoint.id),
         )
 
     def _list_candidates(
--- a/roadlift/instance/exchange.py
+++ b/roadlift/instance/exchange.py
@@ -224,7 +224,9 @@
         Return False if there is no engine for it.
         """
         excluded = self._excluded | self._gate.denied
-        option = self._placement.choose_engine(self._scope, self.call, excluded)
+        option = self._placement.choose_engine(
+            self._scope, self.call, self.route, excluded
+        )
         if option is None:
             return False
         if option.engine.source is AdapterSource.HELD:
@@ -466,12 +468,10 @@
 
     def _record_reading_time(self) -> None:
         """Update the engine's reading speed by the time of the first event."""
-        now = self._kernel.clock.now()
-        self._choice.reading_times.note(
-            self._endpoint.id,
+        self._placement.record_first_event(
+            self._endpoint,
             self._tokens_ahead + self.call.tokens_in,
-            now - self._sent_at,
-            now,
+            self._kernel.clock.now() - self._sent_at,
         )
 
     # Receiver of a send
--- a/roadlift/instance/loadrequests.py
+++ b/roadlift/instance/loadrequests.py
@@ -120,8 +120,9 @@
         """
         if not waiter.is_open:
             return
-        waiter.commit(lambda: self._update_unread(endpoint, -waiter.tokens))
-        self._update_unread(endpoint, waiter.tokens)
+        tokens = waiter.requirements.tokens
+        waiter.commit(lambda: self._update_unread(endpoint, -tokens))
+        self._update_unread(endpoint, tokens)
 
     def _request_load(self, key: _Key, pending: PendingLoad, engine: Engine) -> None:
         _, model = key
@@ -166,8 +167,12 @@
         }
         for waiter in pending.waiters:
             waiter.release()
-        tokens = max((one.tokens for one in pending.waiters), default=0)
-        option = self._choice.find_best(scope, model, tokens, recently_denied)
+        if not pending.waiters:
+            return
+        largest = max(pending.waiters, key=lambda waiter: waiter.requirements.tokens)
+        option = self._choice.find_best(
+            scope, model, largest.requirements, recently_denied
+        )
         if option is None:
             return
         for waiter in pending.waiters:
--- a/roadlift/instance/metrics.py
+++ b/roadlift/instance/metrics.py
@@ -93,6 +93,14 @@
         "Sends to endpoints that failed, and why the call was not sent again.",
         "`retry budget spent`: one or all endpoints fail; see the ejections.",
     ),
+    InstanceMetric(
+        "roadlift_requested_copies",
+        "counter",
+        "copies",
+        ("service",),
+        "Further copies of adapters that this instance requested as an owner.",
+        "See `copy_requested`; many for one adapter show that its calls don't move.",
+    ),
     InstanceMetric(
         "roadlift_evacuated_zones",
         "gauge",
--- a/roadlift/instance/pendingloads.py
+++ b/roadlift/instance/pendingloads.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 
 from roadlift.decisions.homes import Scope
-from roadlift.decisions.placement import Engine
+from roadlift.decisions.placement import Engine, Requirements
 from roadlift.decisions.urgency import Urgency
 from roadlift.serving.calls import Model
 from roadlift.serving.directory import Endpoint
@@ -15,7 +15,7 @@
     ``due`` is the time by which the load must start for the call to meet its
     objective, and ``until`` the time by which it must start for the call to be
     served at all. ``hold`` is the number of seconds for which the call will
-    occupy an adapter slot, and ``tokens`` the length of its prompt. The caller
+    occupy an adapter slot; ``requirements`` choose its engine. The caller
     disconnects at ``disconnects_at``; ``on_too_late`` is called with the
     number of seconds after that at which the call would be served at best.
     """
@@ -28,7 +28,7 @@
         due: float,
         until: float,
         hold: float,
-        tokens: int,
+        requirements: Requirements,
         on_ready: Callable[[], None],
         on_request: Callable[[Endpoint], None],
         disconnects_at: float,
@@ -40,7 +40,7 @@
         self.due = due
         self.until = until
         self.hold = hold
-        self.tokens = tokens
+        self.requirements = requirements
         self.on_ready = on_ready
         self.on_request = on_request
         self.disconnects_at = disconnects_at
--- a/roadlift/instance/placement.py
+++ b/roadlift/instance/placement.py
@@ -9,7 +9,8 @@
 from roadlift.decisions.homes import Scope
 from roadlift.decisions.inactivity import InactivityMonitor
 from roadlift.decisions.loading import AdapterSource, GenerationTimes
-from roadlift.decisions.placement import Option
+from roadlift.decisions.placement import Option, Requirements
+from roadlift.decisions.reading import MIN_TOKENS
 from roadlift.decisions.urgency import Urgency
 from roadlift.instance.candidates import Candidates
 from roadlift.instance.enginechoice import EngineChoice
@@ -21,8 +22,10 @@
 from roadlift.instance.subscription import Subscription
 from roadlift.serving.calls import Call
 from roadlift.serving.directory import Endpoint
+from roadlift.serving.routes import Route
 from roadlift.serving.selection import Load, choose_least_loaded
 from roadlift.serving.speed import EngineSpeeds
+from roadlift.serving.usagereports import PromptSample
 
 INACTIVITY_CHECK_INTERVAL = 0.1  # Seconds between checks for unresponsive engines.
 
@@ -124,19 +127,28 @@
 
     # Engines
 
+    def describe(self, call: Call, route: Route) -> Requirements:
+        """Return what a call of a route requires of its engine."""
+        return Requirements(
+            call.tokens_in,
+            self._zone,
+            route.event_interval_objective,
+            self.generations.estimate(route.name),
+        )
+
     def choose_engine(
-        self, scope: Scope, call: Call, excluded: set[str]
+        self, scope: Scope, call: Call, route: Route, excluded: set[str]
     ) -> Option | None:
         """Return the best engine for a call, or None.
 
         Its adapter may have to be loaded there first.
         """
-        model, tokens = call.model, call.tokens_in
-        option = self._choice.find_best(scope, model, tokens, excluded)
+        model, requirements = call.model, self.describe(call, route)
+        option = self._choice.find_best(scope, model, requirements, excluded)
         if option is None or option.engine.source is AdapterSource.HELD:
             return option
         closing = self._candidates.list_closing(scope, excluded)
-        holder = self._choice.find_holder(scope, model, tokens, closing)
+        holder = self._choice.find_holder(scope, model, requirements, closing)
         if holder is None:
             return option
         # The zone of all engines that hold the adapter is being evacuated: the
@@ -183,6 +195,8 @@
             self._service_loads.get_local(endpoint.service).begin(now)
             return
         self._update_unread(endpoint, call.tokens_in)
+        sample = PromptSample(endpoint.id, call.tokens_in, 0, 0.0)
+        self._subscription.record_prompt(endpoint, sample)
         if call.model.adapter:
             self._subscription.record_use(endpoint, call.model, 1)
 
@@ -191,6 +205,19 @@
         if call.model is not None:
             self._update_unread(endpoint, -call.tokens_in)
 
+    def record_first_event(
+        self, endpoint: Endpoint, tokens: int, seconds: float
+    ) -> None:
+        """Record that an engine read some prompt tokens in a time.
+
+        They are those of a call and of the prompts ahead of it.
+        """
+        if tokens >= MIN_TOKENS:
+            sample = PromptSample(endpoint.id, 0, tokens, seconds)
+            self._subscription.record_prompt(endpoint, sample)
+        now = self._clock.now()
+        self._choice.reading_times.note(endpoint.id, tokens, seconds, now)
+
     def end(self, endpoint: Endpoint, call: Call, has_run: bool) -> None:
         """Stop counting a call as running."""
         self.health.end(endpoint.id)
--- a/roadlift/instance/sourcestream.py
+++ b/roadlift/instance/sourcestream.py
@@ -146,12 +146,12 @@
             return
         self._probe_at = now
         for address in self._sources.list_probe_targets(candidates):
-            self._send(address, AllZonesReport(0, False, []), True, now)
+            self._send(address, AllZonesReport(0, False, [], []), True, now)
 
     def _unsubscribe(self, address: str) -> None:
         """Unsubscribe from an aggregator."""
         if address:
-            self._send(address, AllZonesReport(0, False, []), True, 0.0)
+            self._send(address, AllZonesReport(0, False, [], []), True, 0.0)
 
     def schedule_heartbeat(self) -> None:
         """Schedule a heartbeat that reports calls, unless one is scheduled."""
--- a/roadlift/instance/subscription.py
+++ b/roadlift/instance/subscription.py
@@ -5,6 +5,7 @@
 messages with an aggregator.
 """
 
+from roadlift.core.codec import read_fields
 from roadlift.core.kernel import Kernel, components
 from roadlift.daemon.transport import Transport
 from roadlift.instance.knowledge import Knowledge
@@ -15,7 +16,7 @@
 from roadlift.serving.directory import Endpoint
 from roadlift.serving.members import MemberCalls, UseChange
 from roadlift.serving.messages import Ask, Denial, Heartbeat
-from roadlift.serving.usagereports import UsageReports
+from roadlift.serving.usagereports import PromptSample, UsageReports
 
 CHECK_INTERVAL = 0.1  # Seconds between checks for reports that are due.
 
@@ -94,6 +95,11 @@
         self._usage_reports.note_use(endpoint.zone, endpoint.id, model, begun, change)
         self._schedule(endpoint.zone)
 
+    def record_prompt(self, endpoint: Endpoint, sample: PromptSample) -> None:
+        """Record a prompt of this process that was sent or read."""
+        self._usage_reports.note_sample(endpoint.zone, sample)
+        self._schedule(endpoint.zone)
+
     def record_reading_change(self, endpoint: Endpoint) -> None:
         """Record that the unread prompt tokens of local calls have changed."""
         self._usage_reports.note_reading(endpoint.zone, endpoint.id)
@@ -135,6 +141,9 @@
                 self._members.note_reading(member, zone, endpoint, tokens)
                 self._usage_reports.note_reading(zone, endpoint)
             self._owners.schedule_subscription(zone)
+        for zone, *fields in heartbeat.samples:
+            self._usage_reports.note_sample(zone, read_fields(PromptSample, fields))
+            self._owners.schedule_subscription(zone)
 
     def forget_member(self, member: str) -> None:
         """Remove the calls that a subscriber reported."""
--- a/roadlift/instance/term.py
+++ b/roadlift/instance/term.py
@@ -12,6 +12,7 @@
 from roadlift.instance.follower import Follower
 from roadlift.instance.leases import Leases
 from roadlift.instance.metrics import InstanceMetrics
+from roadlift.instance.replication import Replication
 from roadlift.serving.calls import Model
 from roadlift.serving.copies import CopyState
 from roadlift.serving.directory import Endpoint
@@ -66,6 +67,7 @@
         self._times = LoadTimes()
         self._denials = Denials()
         self._base_loads: BaseLoadLimiter | None = None
+        self._replication = Replication(kernel, zone)
         self._loads: dict[str, EngineLoad] = {}
         self._loads_at = float("-inf")
         self._is_evacuated = False
@@ -88,6 +90,7 @@
 
         The last pulse lets them look for another owner at once.
         """
+        self._replication.close()
         for engine in self.engines.values():
             engine.close()
         if self._updates_timer is not None:
@@ -110,8 +113,10 @@
             is_engine = service is not None and service.engine is not None
             if endpoint.zone == self._zone and is_engine and not endpoint.is_draining:
                 found[endpoint.id] = (endpoint, service.engine)
-        for gone in set(self.engines) - set(found):
-            self.engines.pop(gone).close()
+        gone = set(self.engines) - set(found)
+        self._replication.forget(gone)
+        for name in gone:
+            self.engines.pop(name).close()
         self._update_evacuation()
         for endpoint, shape in found.values():
             if endpoint.id not in self.engines:
@@ -179,12 +184,16 @@
             model = Model(base, adapter)
             if begun:
                 engine.record.record_use(model, begun, now)
+                self._replication.record_calls(endpoint, model, begun)
             engine.record.usage.record_running(message.address, model, running)
         for endpoint, tokens in message.reading:
             if endpoint in self.engines:
                 self.engines[endpoint].record.usage.record_reading(
                     message.address, tokens
                 )
+        self._replication.record_samples(
+            fields for fields in message.samples if fields[0] in self.engines
+        )
         if message.uses or message.reading:
             self._schedule_loads()
         self._catch_up(message, now)
@@ -210,12 +219,15 @@
         if now - self._loads_at >= LOADS_MAX_AGE:
             self._loads_at = now
             self._loads = {
-                name: EngineLoad(
-                    engine.record.usage.count_running(),
-                    engine.record.usage.count_reading(),
-                    engine.record.count_free_slots(now),
-                    engine.record.count_loads_ahead(),
-                    engine.record.measure_load_time(),
+                name: self._replication.describe(
+                    name,
+                    EngineLoad(
+                        engine.record.usage.count_running(),
+                        engine.record.usage.count_reading(),
+                        engine.record.count_free_slots(now),
+                        engine.record.count_loads_ahead(),
+                        engine.record.measure_load_time(),
+                    ),
                 )
                 for name, engine in self.engines.items()
             }
--- a/roadlift/serving/messages.py
+++ b/roadlift/serving/messages.py
@@ -5,6 +5,7 @@
 subscribe to it.
 """
 
+from collections.abc import Sequence
 from typing import NamedTuple
 
 from roadlift.core.codec import message
@@ -17,7 +18,8 @@
     ``members`` counts the instances that it represents, including itself;
     ``count``, ``is_whole``, ``uses`` and ``reading`` are as in
     ``UsageReport``; ``fence`` and ``serial`` are of the last update from the
-    owner. With ``is_lacking`` updates after it were lost.
+    owner. With ``is_lacking`` updates after it were lost. ``samples`` are as
+    in ``UsageReport``.
     """
 
     address: str
@@ -30,6 +32,7 @@
     is_whole: bool
     uses: list
     reading: list
+    samples: Sequence = ()
 
 
 @message("sp")
@@ -58,7 +61,8 @@
     """Send an aggregator the load of engines whose load changed.
 
     ``loads`` are [engine, running calls, unread prompt tokens, free adapter
-    slots, loads in progress or queued, seconds that a load takes], of all
+    slots, loads in progress or queued, seconds that a load takes, seconds that
+    a prompt token takes, fraction of the time that prompts take], of all
     instances.
     """
 
@@ -151,6 +155,7 @@
     time, which the reply repeats, or 0 if it requests none. ``count`` and
     ``is_whole`` are as in ``UsageReport``; ``zones`` are [zone, uses,
     reading]. ``link_mbps`` is the bandwidth of the instance's link.
+    ``samples`` are as in ``AllZonesReport``.
     """
 
     address: str
@@ -167,6 +172,7 @@
     count: int
     is_whole: bool
     zones: list
+    samples: Sequence = ()
 
 
 @message("sx")
--- a/roadlift/serving/usagereports.py
+++ b/roadlift/serving/usagereports.py
@@ -10,27 +10,47 @@
 from roadlift.serving.calls import Model
 
 
+class PromptSample(NamedTuple):
+    """The prompts at an engine since the last report.
+
+    ``sent`` is the number of prompt tokens of calls that were sent. Calls that
+    had their first event waited ``seconds`` in sum for ``read`` tokens: their
+    own and those ahead of them.
+    """
+
+    endpoint: str
+    sent: int
+    read: int
+    seconds: float
+
+
 class UsageReport(NamedTuple):
     """A report to one owner.
 
     ``count`` numbers the reports to the owners of the zone. With ``is_whole``
     no calls run except those in the report. ``uses`` are [engine, base model,
     adapter, calls begun since the last report, running calls], ``reading``
-    [engine, prompt tokens of calls that are not read yet].
+    [engine, prompt tokens of calls that are not read yet], ``samples`` the
+    fields of each ``PromptSample``.
     """
 
     count: int
     is_whole: bool
     uses: list
     reading: list
+    samples: list
 
 
 class AllZonesReport(NamedTuple):
-    """A report to an aggregator: [zone, uses, reading] of all zones."""
+    """A report to an aggregator: [zone, uses, reading] of all zones.
+
+    ``samples`` are [zone, fields of a ``PromptSample``].
+    """
 
     count: int
     is_whole: bool
     zones: list
+    samples: list
 
 
 class _Zone:
@@ -42,6 +62,7 @@
         "needs_full_report",
         "readers",
         "running",
+        "samples",
         "unreported",
     )
 
@@ -50,6 +71,7 @@
         self.needs_full_report = False
         self.begun: dict[tuple[str, Model], int] = {}
         self.running: dict[tuple[str, Model], int] = {}
+        self.samples: dict[str, PromptSample] = {}
         self.readers: set[str] = set()
         self.unreported: set[str] = set()
 
@@ -78,6 +100,19 @@
         else:
             known.running.pop(key, None)
 
+    def note_sample(self, zone: str, sample: PromptSample) -> None:
+        """Add to the prompts at an engine since the last report."""
+        samples = self._find(zone).samples
+        known = samples.get(sample.endpoint)
+        if known is not None:
+            sample = PromptSample(
+                sample.endpoint,
+                known.sent + sample.sent,
+                known.read + sample.read,
+                known.seconds + sample.seconds,
+            )
+        samples[sample.endpoint] = sample
+
     def note_reading(self, zone: str, endpoint: str) -> None:
         """Record that the unread prompt tokens at an engine changed."""
         self._find(zone).unreported.add(endpoint)
@@ -110,19 +145,23 @@
         ]
         reading = [[name, count_reading(name)] for name in readers]
         known.readers -= {name for name, tokens in reading if not tokens}
-        return UsageReport(known.count, is_whole, uses, reading)
+        samples = [list(sample) for sample in known.samples.values()]
+        known.samples = {}
+        return UsageReport(known.count, is_whole, uses, reading, samples)
 
     def collect_all(self, count_reading: Callable[[str], int]) -> AllZonesReport:
         """Return the next report to an aggregator, of all zones."""
         self._count += 1
         is_whole, self._needs_full_report = self._needs_full_report, False
         zones = []
+        samples = []
         for zone, known in self._zones.items():
             known.needs_full_report = is_whole
             report = self.collect(zone, count_reading)
+            samples += [[zone, *sample] for sample in report.samples]
             if report.uses or report.reading:
                 zones.append([zone, report.uses, report.reading])
-        return AllZonesReport(self._count, is_whole, zones)
+        return AllZonesReport(self._count, is_whole, zones, samples)
 
     def request_full_aggregator_report(self) -> None:
         """Make the next report to the aggregator a full one."""
--- a/tests/steps/decision_steps.py
+++ b/tests/steps/decision_steps.py
@@ -38,8 +38,15 @@
     context.reading = ReadingTimes()
 
 
+@given("streams run at all of them, whose callers bear a pause of {pause:g} seconds")
+def step_streams(context, pause):
+    """Let streams run at the engines."""
+    context.pause = pause
+    context.engines = [one._replace(running=6) for one in context.engines]
+
+
 def _place(context, tokens, zone):
-    requirements = Requirements(tokens, zone)
+    requirements = Requirements(tokens, zone, getattr(context, "pause", None))
     return choose_engine(
         requirements, context.engines, context.reading, LoadWaits(), 1.0
     )
