Let the soak of routes take zones out, turn runners cold and bind calls to homes

Cause: the soak knew none of the three.

Change: the site evacuates zones and replaces runners by cold ones, a route has a home, and the checks count from the runners' side; each of the three rules can be taken out.

--- a/benchmarks/routes.py
+++ b/benchmarks/routes.py
@@ -24,7 +24,14 @@
 from typing import NamedTuple
 
 from benchmarks.organisations import REVOKE_LIMIT, SETTINGS, KeyRing
-from demo.installation import Answer, Channel, Deployment
+from demo.installation import (
+    COLD_RATE,
+    HOME_ZONE,
+    ZONES,
+    Answer,
+    Channel,
+    Deployment,
+)
 from roadlift.core.clock import BootClock
 from standins.proxies import Way
 from standins.statements import Sent, StatementWatch
@@ -46,6 +53,8 @@
 LEAVE_SPAN = (3.0, 8.0)  # Seconds for which a runner says that it leaves.
 RESTS = (0.6, 4.0)  # Seconds of rest that a runner asks for, at least and at most.
 REST_SPAN = (2.0, 9.0)  # Seconds for which it turns calls away.
+EVACUATION_SPAN = (4.0, 8.0)  # Seconds for which a zone is out of service.
+COLD_SPAN = (3.0, 6.0)  # Seconds for which a runner is cold.
 MOST_LOST = 8.0  # Seconds of writes that the store loses as it comes back.
 MOST_PASSED = 500  # Versions that are given out again at once behind that.
 MOST_CUT = 5.0  # Seconds for which an instance is cut from the store.
@@ -68,6 +77,9 @@
     "over_limit",
     "late_to_leaving",
     "broken_rest",
+    "late_to_evacuated",
+    "over_cold_rate",
+    "away_from_home",
     "revoked_run",
     "wrong_organisation",
     "key_passed_on",
@@ -80,10 +92,11 @@
     ("again", "/again/1", 3),
     ("once", "/once/1", 2),
     ("idem", "/idem/1", 2),
+    ("home", "/home/1", 1),
 )
 _STREAMS = ("stream", "again")
 _CUTS = (frozenset(Way), frozenset({Way.REQUESTS}), frozenset({Way.ANSWERS}))
-_REPEATABLE = ("idem", "again")
+_REPEATABLE = ("idem", "again", "home")
 _HOT = 3  # Adapters of which new versions are named.
 
 
@@ -116,6 +129,7 @@
         self._writing = asyncio.Lock()
         self._seen_routes: dict[tuple[str, int], int] = {}
         self._store_disturbed = 0.0
+        self._evacuated = ""
         self._added: list[float] = []
         self._said: dict[str, str] = {}
         self._kinds: dict[str, str] = {}
@@ -237,6 +251,8 @@
             (self._revoke_over_freeze, 2),
             (self._leave_runner, 3),
             (self._want_rest, 4),
+            (self._evacuate, 3),
+            (self._turn_cold, 3),
         )
         tasks = []
         calls, weights = zip(*faults, strict=True)
@@ -425,6 +441,24 @@
         await asyncio.sleep(self._draw.uniform(*LEAVE_SPAN))
         await self._command(restart=runner)
 
+    async def _evacuate(self) -> None:
+        """Take a zone out of service for a while, one at a time."""
+        if self._evacuated:
+            return
+        self._evacuated = zone = self._draw.choice(ZONES)
+        await self._command(evacuate=zone)
+        await asyncio.sleep(self._draw.uniform(*EVACUATION_SPAN))
+        await self._command(take_back=zone)
+        self._evacuated = ""
+
+    async def _turn_cold(self) -> None:
+        """Start a runner again, or all of a kind, that is cold then."""
+        kind = self._draw.choice("ep")
+        seconds = self._draw.uniform(*COLD_SPAN)
+        for number in range(self._draw.choice((1, 3))):
+            runner = f"{kind}{number}0"
+            await self._command(cold=runner, rate=COLD_RATE, seconds=seconds)
+
     async def _want_rest(self) -> None:
         """Let a runner, or all of a kind, turn calls away for a while."""
         kind = self._draw.choice("ep")
@@ -556,6 +590,7 @@
         for breach in self.keys.check(found["runs"]):
             self.note(breach.rule, breach.detail)
         self._check_statements(StatementWatch.read(found["statements"]))
+        self._check_places(found)
         for name in found["overfull"]:
             self.note("overfull_engine", name)
         for name, orders in found["orders"].items():
@@ -585,6 +620,28 @@
             told = f"{rest.calls} at {rest.runner} from {rest.process}"
             self.note("broken_rest", f"{told} in {rest.seconds} s from {rest.at:.1f}")
 
+    def _check_places(self, found: dict) -> None:
+        """Note calls in evacuated zones, at cold runners and away from home.
+
+        A call in an evacuated zone is excused where its instance, or the
+        store, was disturbed since the operator's row.
+        """
+        for call_id, runner, after in found["stray"]:
+            name, began = self._sent_to.get(call_id, ("", 0.0))
+            held_up = max(self._disturbed.get(name, 0.0), self._store_disturbed)
+            if name and held_up < began - after:
+                self.note("late_to_evacuated", f"{call_id} at {runner}, {after:.2f} s")
+            self.counts["stray_excused"] += held_up >= began - after
+        for runner, at, calls, allowed in found["crowded"]:
+            self.note(
+                "over_cold_rate", f"{runner} {calls} of {allowed:.0f} at {at:.1f}"
+            )
+        home = ZONES.index(HOME_ZONE)
+        for run in found["runs"]:
+            is_away = int(run["runner"][1]) != home
+            if self._kinds.get(run["id"]) == "home" and is_away:
+                self.note("away_from_home", f"{run['id']} at {run['runner']}")
+
     def _check_cuts(self, spoiled: set[str]) -> None:
         """Note the calls that were cut at a drain, but not by a runner."""
         for cut in self._cuts:
--- a/demo/installation.py
+++ b/demo/installation.py
@@ -15,6 +15,9 @@
 from tests.support.configuration import SERVICES, describe_configuration, make_route
 
 ZONES = ("z1", "z2", "z3")
+REGIONS = "z1=north,z2=north,z3=south"
+HOME_ZONE = "z3"  # Where the calls of the route /home/ may run.
+COLD_RATE = 4.0  # Calls a second that a cold runner takes.
 ADAPTER_SLOTS = 6  # Adapters that an engine holds at once.
 
 
@@ -139,6 +142,7 @@
             "instance": name,
             "zone": zone,
             "zones": ",".join(ZONES),
+            "regions": REGIONS,
             "http": f"127.0.0.1:{self._find_port(name)}",
             "ready": f"127.0.0.1:{self._find_port(name + '/ready')}",
             "peer": f"127.0.0.1:{self._find_port(name + '/peer')}",
@@ -189,7 +193,12 @@
             make_route(f"/added-{number}/", "idempotent", "plain")
             for number in range(1, self.routes + 1)
         ]
-        content = describe_configuration(self.version, added, SERVICES, ADAPTER_SLOTS)
+        added.append(
+            make_route("/home/", "idempotent", "plain", allowedRegions=["south"])
+        )
+        content = describe_configuration(
+            self.version, added, SERVICES, ADAPTER_SLOTS, COLD_RATE
+        )
         if self.tenants:
             content["tenants"] = self.tenants
         self.command(put="config", content=content)
--- a/standins/broken.py
+++ b/standins/broken.py
@@ -9,6 +9,7 @@
 
 from roadlift.crashes.ledger import CrashLedger
 from roadlift.daemon import main as daemon
+from roadlift.decisions.homes import Regions
 from roadlift.endpoints.events import EventFrames
 from roadlift.instance.access import Access
 from roadlift.instance.allowances import Allowances
@@ -17,6 +18,7 @@
 from roadlift.instance.follower import Follower
 from roadlift.instance.ingress import Ingress
 from roadlift.instance.limits import EndpointLimits
+from roadlift.serving.directory import Directory
 from roadlift.serving.engine import EngineRecord
 from roadlift.serving.eras import StoreEras
 from roadlift.serving.lease import Lease
@@ -124,6 +126,21 @@
     Availabilities._record_backoff = lambda self, endpoint, seconds, status, age: None
 
 
+def _ignore_evacuations() -> None:
+    """Send to zones that the operator has taken out of service."""
+    Directory.set_evacuated_zones = lambda self, zones: None
+
+
+def _ignore_cold() -> None:
+    """Send to cold endpoints as to others."""
+    EndpointLimits._apply_cold = lambda self, endpoint, now: None
+
+
+def _ignore_homes() -> None:
+    """Run calls in any region."""
+    Regions.choose_zones = lambda self, *homes: None
+
+
 def _ignore_eras() -> None:
     """Compare versions of the store, whatever it lost in between."""
     StoreEras.record_era = lambda self, era, source: True
@@ -157,6 +174,9 @@
     "allowances": _ignore_allowances,
     "leaving": _ignore_leaving,
     "rests": _ignore_rests,
+    "evacuations": _ignore_evacuations,
+    "cold": _ignore_cold,
+    "homes": _ignore_homes,
     "eras": _ignore_eras,
     "old_rows": _trust_old_rows,
 }
--- a/standins/installation.py
+++ b/standins/installation.py
@@ -399,7 +399,9 @@
 
     def _run(self, request: Request, headers: dict, line: MemoryLine) -> None:
         call_id = headers["request-id"]
-        self._installation.limits.note_call(self.id, self._timeline.now())
+        now = self._timeline.now()
+        self._installation.limits.note_call(self.id, now)
+        self._installation.places.note_call(self.id, self.zone, call_id, now)
         self._installation.statements.note_call(self.run, call_id, self._timeline.now())
         if self._is_turned_away():
             self._turn_away(call_id, line)
@@ -534,7 +536,7 @@
         self.deadly_adapters: set[str] = set()
         self.deadly_loads: list[str] = []
         self.limits = LimitWatch()
-        self.places = PlaceWatch(self.limits)
+        self.places = PlaceWatch()
         self.statements = StatementWatch()
         # Ids of calls whose answers runners broke off by themselves.
         self.spoiled: set[str] = set()
--- a/standins/limits.py
+++ b/standins/limits.py
@@ -70,11 +70,6 @@
         calls = self._calls.get(runner, [])
         return bisect_right(calls, until) - bisect_right(calls, since)
 
-    def list_calls(self, runner: str, since: float, until: float) -> list[float]:
-        """Return when calls came, behind a time and up to another."""
-        calls = self._calls.get(runner, [])
-        return calls[bisect_right(calls, since) : bisect_right(calls, until)]
-
     def _find_binding(self, runner: str, at: float) -> _Naming | None:
         """Return the limit that binds in the window up to a time, or None.
 
--- a/standins/loopback.py
+++ b/standins/loopback.py
@@ -93,15 +93,16 @@
 
     def __init__(self, site: "Site", runner: Runner) -> None:
         self._site = site
-        self._runner = runner
+        self.runner = runner
 
     def handle(self, received: ReceivedRequest, caller: Connection) -> None:
         """Take a request."""
-        before = len(self._runner.ran)
+        runner = self.runner
+        before = len(runner.ran)
         request = _make_request(received)
-        self._runner.handle(request, SocketLine(caller))
-        if len(self._runner.ran) > before:
-            self._site.note_run(self._runner, self._runner.ran[-1])
+        runner.handle(request, SocketLine(caller))
+        if len(runner.ran) > before:
+            self._site.note_run(runner, runner.ran[-1])
 
 
 class StoreHandler:
@@ -136,6 +137,8 @@
         self._loop = loop
         self.installation = Installation(loop.clock, LoopTimeline(loop))
         self._runners: list[Runner] = []
+        self._handlers: dict[str, RunnerHandler] = {}
+        self._names: dict[str, str] = {}  # Of runners that were replaced.
         self._named: dict[str, tuple[int, float]] = {}
         self._runs: list[dict] = []
 
@@ -153,7 +156,7 @@
         runner.restart()
         self.installation.runners[name] = runner
         self._runners.append(runner)
-        handler = RunnerHandler(self, runner)
+        handler = self._handlers[name] = RunnerHandler(self, runner)
         server = Server(self._loop, runner.address, handler, HttpLimits())
         runner.on_end = server.close
         runner.on_return = server.start
@@ -162,7 +165,7 @@
 
     def _find_runner(self, name: str) -> Runner | None:
         """Return a runner, or None while it is away."""
-        return self.installation.runners.get(name)
+        return self.installation.runners.get(self._names.get(name, name))
 
     def _beat(self, runner: Runner) -> None:
         if self._find_runner(runner.id) is not None:
@@ -211,6 +214,12 @@
             self._leave(command["leaving"])
         if "rest" in command:
             self._want_rest(command["runner"], command["rest"], command["part"])
+        if "evacuate" in command:
+            self.installation.evacuate(command["evacuate"])
+        if "take_back" in command:
+            self.installation.take_back(command["take_back"])
+        if "cold" in command:
+            self._turn_cold(command["cold"], command["rate"], command["seconds"])
         if "fault" in command:
             self._spoil(command["runner"], command["fault"])
 
@@ -227,6 +236,25 @@
             runner.restart()
             self._write(runner)
 
+    def _turn_cold(self, name: str, rate: float, seconds: float) -> None:
+        """Replace a runner by another one at its address, which is cold.
+
+        It bears another name, so that who does not know of it yet is told.
+        """
+        ended = self._find_runner(name)
+        if ended is None:
+            return
+        del self.installation.runners[ended.id]
+        self.installation.store.delete("servers", ended.id)
+        runner = self.installation.replace(ended)
+        runner.restart()
+        runner.on_end, runner.on_return = ended.on_end, ended.on_return
+        self._handlers[name].runner = runner
+        self._names[name] = runner.id
+        self._runners.append(runner)
+        runner.turn_cold(rate, seconds)
+        self._beat(runner)
+
     def _spoil(self, name: str, fault: str) -> None:
         runner = self._find_runner(name)
         if runner is not None:
@@ -270,6 +298,8 @@
             },
             "excess": [list(one) for one in self.installation.limits.list_excess()],
             "statements": self.installation.statements.describe(),
+            "stray": [list(one) for one in self.installation.places.list_stray()],
+            "crowded": [list(one) for one in self.installation.places.list_crowded()],
             "overfull": [one.id for one in runners if one.crashed],
             "store_calls": self.installation.store.calls,
         }
--- a/tests/steps/place_steps.py
+++ b/tests/steps/place_steps.py
@@ -58,16 +58,11 @@
             getattr(context, kind).clear()
 
 
-def _list_zones(context):
-    runners = context.entries.installation.runners.values()
-    return [(runner.id, runner.zone) for runner in runners]
-
-
 @then("no call and no order reached the zone late")
 def step_none_late(context):
     """Check the calls and orders at the endpoints of evacuated zones."""
     installation = context.entries.installation
-    stray = installation.places.list_stray(_list_zones(context))
+    stray = installation.places.list_stray()
     worst = max(stray, key=lambda one: one.after, default=None)
     assert not stray, (len(stray), worst)
     late = installation.places.list_late(
--- a/tests/support/configuration.py
+++ b/tests/support/configuration.py
@@ -20,10 +20,15 @@
 
 
 def describe_configuration(
-    version: int, added: list[dict], services: dict[str, bool], adapter_slots: int
+    version: int,
+    added: list[dict],
+    services: dict[str, bool],
+    adapter_slots: int,
+    cold_rate: float = 0.0,
 ) -> dict:
     """Return a configuration with the usual routes and further ones."""
-    return describe_routes(version, [*ROUTES, *added], services, adapter_slots)
+    routes = [*ROUTES, *added]
+    return describe_routes(version, routes, services, adapter_slots, cold_rate)
 
 
 def describe_routes(
