--- a/benchmarks/allowances.py
+++ b/benchmarks/allowances.py
@@ -144,7 +144,7 @@
 
     def _make_aggregator(self) -> FleetUse:
         found = FleetUse(LIMITS)
-        found.set_allowances({NAME: self.allowance})
+        found.set_allowances({NAME: self.allowance}, self.now)
         return found
 
     @property
@@ -161,7 +161,7 @@
         for one in self.instances:
             one.meter.allowance = allowance
         for one in self._aggregators:
-            one.set_allowances({NAME: allowance})
+            one.set_allowances({NAME: allowance}, self.now)
 
     def restart(self) -> None:
         """Let all begin anew."""
--- a/roadlift/decisions/placement.py
+++ b/roadlift/decisions/placement.py
@@ -37,6 +37,10 @@
 # divided by their number. A copy occupies its slot for as long as calls run on
 # it.
 LAST_SLOT_COST = 0.25
+# Additional cost in seconds of a load from the weight store if another engine
+# holds the adapter: each of many instances would load a copy for a burst that
+# is over when it arrives. Owners request copies of what stays hot.
+FURTHER_COPY_COST = 0.5
 # Fraction of the longest pause that callers bear for which prompts may stall
 # the streams at an engine: of what is left, further prompts take a part before
 # the next event.
@@ -47,7 +51,7 @@
 # Fraction of its time in which an engine may read prompts before its streams
 # begin to pause, and the cost in seconds of reading all the time.
 FREE_FILL = 0.25
-FILL_COST = 0.6
+FILL_COST = 0.5
 
 
 class Engine(NamedTuple):
@@ -163,6 +167,12 @@
     return own + STALL_COST * min(1.0, max(0.0, risk))
 
 
+def _add_copy_cost(option: Option) -> Option:
+    """Add what a further copy costs if it comes from the weight store."""
+    is_fetched = option.engine.source is AdapterSource.STORE
+    return option._replace(cost=option.cost + FURTHER_COPY_COST * is_fetched)
+
+
 def choose_engine(
     requirements: Requirements,
     engines: Iterable[Engine],
@@ -176,6 +186,8 @@
         for engine in engines
         if engine.source is AdapterSource.HELD or engine.can_load
     ]
+    if any(option.engine.source is AdapterSource.HELD for option in options):
+        options = [_add_copy_cost(option) for option in options]
     return min(
         options,
         key=lambda option: (option.cost, option.engine.endpoint.id),
--- a/roadlift/decisions/replication.py
+++ b/roadlift/decisions/replication.py
@@ -23,7 +23,7 @@
 FULL_FACTOR = 1.3
 # Smallest fill that an adapter causes at an engine for which a copy is worth
 # a load and a slot.
-MIN_ADAPTER_FILL = 0.06
+MIN_ADAPTER_FILL = 0.07
 # Seconds until the same adapter may get a further copy: the time of a load,
 # and until the calls have moved and the fills of both engines show it.
 COPY_INTERVAL = 1.5
