--- a/roadlift/explanation/story.py
+++ b/roadlift/explanation/story.py
@@ -134,6 +134,7 @@
 def _find_causes(end: Line, around: list[Line], met: set[str]) -> list[str]:
     """Return what the lines around speak for, the likeliest first."""
     causes = _explain_refusal(end)
+    causes += _explain_evacuations(end, around)
     causes += _explain_leaving(end, around)
     causes += _explain_configuration(end, around)
     causes += _explain_store(end, around)
@@ -167,6 +168,9 @@
         return _explain_limits(end)
     if code == "endpoints_resting":
         return _explain_rests(end)
+    if code == "home_unavailable":
+        detail = str(end.fields.get("error")).partition(": ")[2]
+        return [f"it may only run at home, and no endpoint is ready there: {detail}"]
     return []
 
 
@@ -194,6 +198,21 @@
     ]
 
 
+def _explain_evacuations(end: Line, around: list[Line]) -> list[str]:
+    """Tell which zones the operator had taken out for a refused call."""
+    if not str(end.fields.get("error")).startswith("zones_evacuated"):
+        return []
+    zones = sorted(
+        {
+            line.fields["zone"]
+            for line in around
+            if line.name == "zone_evacuated" and line.instance == end.instance
+        }
+    )
+    text = "all zones with endpoints of its service are evacuated"
+    return [f"{text}, of late {', '.join(zones)}" if zones else text]
+
+
 def _explain_leaving(end: Line, around: list[Line]) -> list[str]:
     """Tell which endpoints of the service of a refused call had left."""
     if not str(end.fields.get("error")).startswith("no_endpoint"):
--- a/roadlift/management/rows.py
+++ b/roadlift/management/rows.py
@@ -7,7 +7,13 @@
 from roadlift.core.errors import PlatformUnavailable, RoadliftError
 from roadlift.core.kernel import Kernel
 from roadlift.instance.platform import Platform, import_plugins
-from roadlift.serving.interfaces import Rows, RowStore, RowWrite, StoreTime
+from roadlift.serving.interfaces import (
+    Rows,
+    RowStore,
+    RowWrite,
+    StateFormat,
+    StoreTime,
+)
 from roadlift.serving.position import StorePosition
 
 TIMEOUT = 5.0  # Seconds.
@@ -27,6 +33,7 @@
         self._kernel = Kernel(settings)
         self._kernel.open([Platform.name])
         self._store: RowStore = self._kernel.get(Platform).store
+        self.state: StateFormat = self._kernel.get(Platform).adapter.state
 
     def close(self) -> None:
         """End what is open."""
--- a/tests/management/commands.feature
+++ b/tests/management/commands.feature
@@ -23,6 +23,7 @@
       | unserved       | the adapters that were never served       |
       | barred         | what is refused for ends of endpoints     |
       | unbar          | Let work in again                         |
+      | zones          | which zones are evacuated                 |
 
   Scenario: A session from proposal to report
     Given a platform, an engine and 2 instances in 2 zones
--- a/tests/steps/barred_steps.py
+++ b/tests/steps/barred_steps.py
@@ -94,7 +94,11 @@
 
 
 def _unbar(context, identity):
-    command = [sys.executable, "-m", "roadlift.management.main", "unbar", identity]
+    _run(context, "unbar", identity)
+
+
+def _run(context, *arguments):
+    command = [sys.executable, "-m", "roadlift.management.main", *arguments]
     command += ["--platform", str(context.site.address)]
     context.done = subprocess.run(
         command,
@@ -122,3 +126,33 @@
     """Look at the failure."""
     assert context.done.returncode == 1, context.done
     assert text in context.done.stderr, context.done.stderr
+
+
+@when("the zone {zone} is evacuated there")
+def step_evacuate(context, zone):
+    """Write the operator's row."""
+    context.site.ask("POST", "/control", {"evacuate": zone})
+
+
+@when("the zone {zone} is taken back there")
+def step_take_back(context, zone):
+    """Delete the operator's row."""
+    context.site.ask("POST", "/control", {"take_back": zone})
+
+
+@then('the tool shows "{zone}" as "{state}"')
+def step_zone(context, zone, state):
+    """Run the command, and look for the zone."""
+    _run(context, "zones", "--json")
+    assert context.done.returncode == 0, context.done
+    zones = json.loads(context.done.stdout)["zones"]
+    found = {one["zone"] for one in zones if one["is_evacuated"]}
+    assert state == "evacuated" and found == {zone}, zones
+
+
+@then('the tool shows nothing as "{state}"')
+def step_no_zone(context, state):
+    """Run the command; its table has no such state."""
+    _run(context, "zones")
+    assert context.done.returncode == 0, context.done
+    assert state not in context.done.stdout, context.done.stdout
