Show that answers are cut because their engine pauses

What callers saw: a stream that had begun was closed in the middle of the answer at 1.1 s of its 10 s; no engine had broken off and no instance was stopped.

Cause, as far as shown here: an instance ends the run of a call as soon as none of its own streams at that engine had a byte for 0.6 s, and only then looks whether the call may be sent again and where. Where the answer is no, the run that would have ended well is gone and the answer is cut; a call without an event fails the same way.

--- a/standins/installation.py
+++ b/standins/installation.py
@@ -23,6 +23,7 @@
 from roadlift.relay.upstream import Address, Receiver, Request
 from standins.hub import HubLine
 from standins.limits import LimitWatch
+from standins.overlaps import OverlapWatch
 from standins.places import PlaceWatch
 from standins.replies import DELAY, Reply
 from standins.statements import StatementWatch
@@ -37,6 +38,12 @@
 REST = "retry-after"
 
 
+class Pause(NamedTuple):
+    """A fault: a stream makes no event for some seconds, and then goes on."""
+
+    seconds: float
+
+
 class Timeline:
     """Calls in the future, on a clock that the test advances."""
 
@@ -150,7 +157,8 @@
 
     ``faults`` are played one a call: a Reply is given in place of the
     answer, "mute" answers nothing, "cut" ends a stream in its middle,
-    "stall" leaves it there and "lose" runs the call and loses its answer. A
+    "stall" leaves it there, a Pause holds it up there and "lose" runs the
+    call and loses its answer. A
     call whose body is deadly ends the runner soon after it began to run. Of
     the next ``lost_orders``, none is answered; every second is carried out
     late. While ``is_mute``, no report is given. ``named`` is the limit that
@@ -456,6 +464,8 @@
     def _stream(self, line, head: dict, first: int, fault: object) -> None:
         if line.is_closed:
             return
+        is_closed = lambda: line.is_closed
+        self._installation.overlaps.note_run(head["request-id"], is_closed)
         line.receiver.receive_head(200, self._add_said(head, head["request-id"]))
         self._send_event(line, first, fault)
 
@@ -473,6 +483,10 @@
             return
         if fault == "deadly" or (fault == "stall" and number == 1):
             return
+        if isinstance(fault, Pause) and number == 1:
+            go_on = lambda: self._send_event(line, number, None)
+            self._timeline.call_later(fault.seconds, go_on)
+            return
         line.receiver.receive_body(event)
         send = lambda: self._send_event(line, number + 1, fault)
         self._timeline.call_later(EVENT_GAP, send)
@@ -536,6 +550,7 @@
         self.deadly_adapters: set[str] = set()
         self.deadly_loads: list[str] = []
         self.limits = LimitWatch()
+        self.overlaps = OverlapWatch(self.timeline)
         self.places = PlaceWatch()
         self.statements = StatementWatch()
         # Ids of calls whose answers runners broke off by themselves.
--- /dev/null
+++ b/tests/instance/pauses.feature
@@ -0,0 +1,41 @@
+Feature: An answer is not cut because its engine makes no event for a while
+
+  Guards against ending a run of a sound engine before another one is sure to go on with it.
+  An engine that read long prompts of others sent nothing to the one stream that an instance
+  had there for 0.6 seconds; the stream was closed, could not be resumed, and its caller got
+  a part of the answer, with nine of ten seconds left.
+
+  Scenario: A stream whose engine pauses ends whole where no other engine can go on with it
+    When a stream has its first event, and its engine pauses for 0.9 seconds
+      | where                                           |
+      | the retry budget is spent                       |
+      | the adapter takes too long to load elsewhere    |
+      | all other engines refuse it                     |
+      | there is no other engine                        |
+    Then each of these answers is whole and has each event once
+    And no call ran at two engines at once for long
+
+  Scenario: A call that waits at an engine whose streams pause is not failed
+    When a call waits at an engine whose only stream pauses for 0.9 seconds
+      | where                                           |
+      | the retry budget is spent                       |
+      | the adapter takes too long to load elsewhere    |
+      | all other engines refuse it                     |
+      | there is no other engine                        |
+    Then each of these answers is whole and has each event once
+    And no call ran at two engines at once for long
+
+  Scenario Outline: A stream whose engine went silent for good goes on elsewhere in time
+    When a stream has its first event, and its engine pauses for 60 seconds
+      | where   |
+      | <where> |
+    Then each of these answers is whole and has each event once
+    And its longest pause is <longest> seconds at most
+    And no call ran at two engines at once for long
+
+    Examples:
+      | where                                        | longest |
+      | the others can go on at once                 | 0.8     |
+      | the adapter is loaded elsewhere in time      | 1.05    |
+      | the first sends elsewhere are refused        | 1.4     |
+      | the adapter takes too long to load elsewhere | 2.6     |
