Split one send of a call from the exchange of the call

What one send knows (its line, its endpoint, the answer's head, how much came, whether its prompt counts as unread, its trial slot) was kept in the exchange, for one send at a time. A call can only keep a run beside the search for another one if each send keeps its own.

--- a/roadlift/instance/exchange.py
+++ b/roadlift/instance/exchange.py
@@ -39,20 +39,15 @@
 from roadlift.instance.placement import Placement
 from roadlift.instance.platform import Platform
 from roadlift.instance.progress import Progress
+from roadlift.instance.send import MAX_BUFFERED_BYTES, Send
 from roadlift.relay.caller import Caller
-from roadlift.relay.upstream import CallHandle
+from roadlift.relay.upstream import Request
 from roadlift.serving.calls import Call, Kind, Model
 from roadlift.serving.directory import Endpoint
 from roadlift.serving.identity import identify, identify_load
 from roadlift.serving.interfaces import Guard, Verdict
 from roadlift.serving.routes import Route
 
-# Bytes of an answer that are buffered until it is complete; a longer answer is
-# forwarded as it arrives.
-MAX_BUFFERED_BYTES = 131072
-# Seconds without a byte after which a send to an endpoint times out. The
-# call's own time limit is usually shorter.
-ENDPOINT_INACTIVITY_TIMEOUT = 30.0
 # Seconds after which a caller may retry if no owner may send orders: a large
 # part of the time in which another instance takes over.
 NO_OWNER_RETRY_DELAY = 1.0
@@ -70,7 +65,7 @@
 
 
 class Exchange:
-    """One call, its sends and its answer; also the receiver of each send."""
+    """One call, its sends and its answer."""
 
     def __init__(
         self,
@@ -120,8 +115,7 @@
             GateCallbacks(self._record_step, self._on_permitted, self._try_send),
         )
         self._identity: bytes | None = None
-        self._holds_trial_slot = False
-        self._line: CallHandle | None = None
+        self._send: Send | None = None
         self._endpoint: Endpoint | None = None
         self._excluded: set[str] = set()
         self._is_second_round = False
@@ -134,14 +128,10 @@
         self._progress = Progress(self._began_at)
         self._status = 0
         self._headers: dict[str, str] = {}
-        self._verdict: Verdict | None = None
         self._buffer = bytearray()
         self._frames: EventFrames | None = None
         self._resume_after = call.resume_after
         self._sent_at = 0.0
-        self._is_prompt_unread = False
-        self._tokens_ahead = 0
-        self._chunks_received = 0  # Chunks of the current send's body.
         caller.on_gone = self._on_caller_gone
         caller.on_drained = self._on_caller_drained
 
@@ -168,12 +158,13 @@
         A call that still waits at an engine would crash it as well. One that
         has brought events is not the cause, or it is too late to end it.
         """
-        if self._is_over or self._chunks_received or self._identify() != identity:
+        has_begun = self._send is not None and self._send.chunks_received
+        if self._is_over or has_begun or self.identify() != identity:
             return
-        obstacle = self._ledger.judge(self._identify)
+        obstacle = self._ledger.judge(self.identify)
         if obstacle is None:
             return
-        if self._line is not None and self._line.written:
+        if self._send is not None and self._send.is_written:
             self._unconfirmed_error = ConnectionLost(
                 f"at {self._endpoint.id}: cancelled, work quarantined"
             )
@@ -194,11 +185,11 @@
         """Send the call to an endpoint, or wait for one."""
         if self._is_over:
             return
-        obstacle = self._authorization.check() or self._ledger.judge(self._identify)
+        obstacle = self._authorization.check() or self._ledger.judge(self.identify)
         if obstacle is not None:
             self._fail(obstacle)
             return
-        if self._crashes.await_trial_slot(self._identify, self._try_send):
+        if self._crashes.await_trial_slot(self.identify, self._try_send):
             self._record_step("turn")
             return
         is_handled = (
@@ -307,9 +298,9 @@
 
     def _on_permitted(self, endpoint: Endpoint, basis: Basis) -> None:
         """Send the call, unless it is not permitted any longer."""
-        obstacle = self._authorization.check() or self._ledger.judge(self._identify)
+        obstacle = self._authorization.check() or self._ledger.judge(self.identify)
         if obstacle is None:
-            self._send(endpoint, basis)
+            self._begin_send(endpoint, basis)
         else:
             self._fail(obstacle)
 
@@ -323,7 +314,7 @@
             self._fail(NoEndpoint(f"service {self._service} is full", retry_delay))
         return retry_delay is not None
 
-    def _identify(self) -> bytes:
+    def identify(self) -> bytes:
         """Return the identity of the call's work; computed once."""
         if self._identity is None:
             self._identity = identify(self.call)
@@ -343,48 +334,40 @@
             )
         return disconnects_at - now
 
-    def _send(self, endpoint: Endpoint, basis: Basis) -> None:
-        now = self._kernel.clock.now()
-        self._gate.begin(endpoint, basis)
-        version = None
-        if self.call.model is not None and self.call.model.adapter:
-            version = self._follower.find_version(self.call.model) or None
-        self._tokens_ahead = self._placement.count_ahead(endpoint.id)
-        guard = Guard(
-            self._deadline - now,
-            self._choose_priority(endpoint, now),
-            version,
-            self._resume_after,
-            self._authorization.name,
-        )
-        request = self._format.build_request(self.call, self.route, endpoint, guard)
-        request = request._replace(may_send=lambda: self._gate.may_send(endpoint))
+    def _begin_send(self, endpoint: Endpoint, basis: Basis) -> None:
+        """Send the call to an endpoint."""
+        send = Send(self._kernel, self, self._gate, self._gate.begin(endpoint, basis))
         self._sends += 1
         self._authorization.begin()
-        self._sent_at = now
-        running = self._placement.count_running(endpoint.id)
+        self._sent_at = send.sent_at
         self._record_step(
             "send",
             endpoint=endpoint.id,
             zone=endpoint.zone,
-            running=running,
-            ahead=self._tokens_ahead,
+            running=self._placement.count_running(endpoint.id),
+            ahead=send.tokens_ahead,
             **self._describe_state_age(endpoint),
         )
         self._endpoint = endpoint
-        self._verdict = None
-        self._chunks_received = 0
         self._buffer.clear()
-        self._placement.begin(endpoint, self.call)
-        self._holds_trial_slot = self._crashes.begin(self._identify)
-        self._is_prompt_unread = True
-        if self.call.model is not None:
-            self._placement.inactivity.begin(
-                endpoint.id, self, self._on_unresponsive, now
-            )
-        self._line = self._kernel.dialer.open(
-            endpoint.address, request, self, ENDPOINT_INACTIVITY_TIMEOUT
+        self._send = send
+        send.open(self._build_request(send))
+
+    def _build_request(self, send: Send) -> Request:
+        """Return the request of a send, with what guards its run."""
+        call, endpoint = self.call, send.endpoint
+        version = None
+        if call.model is not None and call.model.adapter:
+            version = self._follower.find_version(call.model) or None
+        guard = Guard(
+            self._deadline - send.sent_at,
+            self._choose_priority(send),
+            version,
+            self._resume_after,
+            self._authorization.name,
         )
+        request = self._format.build_request(call, self.route, endpoint, guard)
+        return request._replace(may_send=lambda: self._gate.may_send(endpoint))
 
     def _describe_state_age(self, endpoint: Endpoint) -> dict[str, float]:
         """Return the age in seconds of the state of a chosen engine.
@@ -400,110 +383,55 @@
             {"sign": round(owner_inactivity, 3)} if isfinite(owner_inactivity) else {}
         )
 
-    def _choose_priority(self, endpoint: Endpoint, now: float) -> int:
+    def _choose_priority(self, send: Send) -> int:
         """Return the priority of a send; late calls come after others."""
         priority = self.route.priority
         if self.call.model is None or self._progress.writes:
             return priority
-        tokens = self._tokens_ahead + self.call.tokens_in
-        expected = self._choice.estimate_reading_time(endpoint.id, tokens)
-        is_late = now + expected - self._began_at > self.route.objective
+        tokens = send.tokens_ahead + self.call.tokens_in
+        expected = self._choice.estimate_reading_time(send.endpoint.id, tokens)
+        is_late = send.sent_at + expected - self._began_at > self.route.objective
         return priority + LATE_PRIORITY_PENALTY if is_late else priority
 
     def _cancel_send(self) -> None:
-        """Cancel the current send; the endpoint cancels its run."""
+        """Cancel the current send, or the search for an endpoint."""
         self._adapter_wait.close()
         self._gate.close()
-        if self._line is not None:
-            line, self._line = self._line, None
-            line.close()
-            self._end_send()
-
-    def _detach_send(self) -> None:
-        """Detach from the current send, which has ended by itself."""
-        if self._line is not None:
-            self._line = None
-            self._end_send()
-
-    def _end_send(self) -> None:
-        self._placement.inactivity.end(self._endpoint.id, self)
-        self._record_prompt_read()
-        has_run = self._verdict in (Verdict.SUCCEEDED, Verdict.FAILED)
-        self._placement.end(self._endpoint, self.call, has_run)
-        self._release_trial_slot()
-
-    def _release_trial_slot(self) -> None:
-        """Release the trial slot of a call that may crash endpoints.
-
-        Another copy of the same call may wait for it.
-        """
-        if self._holds_trial_slot:
-            self._holds_trial_slot = False
-            self._crashes.end(self._identify())
-
-    def _record_prompt_read(self) -> None:
-        """Stop counting the prompt as unread, once for each send."""
-        if self._is_prompt_unread:
-            self._is_prompt_unread = False
-            self._placement.end_reading(self._endpoint, self.call)
-
-    def _record_event(self, now: float) -> None:
-        """Update the state of the engine by an event of a stream."""
-        if self._is_prompt_unread:
-            self._record_reading_time()
-            self._record_prompt_read()
-        self._placement.inactivity.record_event(self._endpoint.id, self, now)
-
-    def _on_unresponsive(self) -> None:
+        if self._send is not None:
+            send, self._send = self._send, None
+            send.close()
+
+    # Owner of a send
+
+    def on_unresponsive(self, send: Send) -> None:
         """Abandon an unresponsive engine if the call may run again."""
         may_resend = self.route.is_repeatable and self._runs + 1 < self.route.attempts
-        if self._line is None or not may_resend:
+        if not may_resend:
             return
-        line = self._line
-        self._detach_send()
-        line.close()
+        self._cancel_send()
         self._runs += 1
-        self._excluded.add(self._endpoint.id)
-        self._on_failure(StreamCut(f"{self._endpoint.id}: unresponsive"), False)
-
-    def _record_reading_time(self) -> None:
-        """Update the engine's reading speed by the time of the first event."""
-        self._placement.record_first_event(
-            self._endpoint,
-            self._tokens_ahead + self.call.tokens_in,
-            self._kernel.clock.now() - self._sent_at,
-        )
-
-    # Receiver of a send
+        self._excluded.add(send.endpoint.id)
+        self._on_failure(send, StreamCut(f"{send.endpoint.id}: unresponsive"), False)
 
-    def receive_head(self, status: int, headers: dict[str, str]) -> None:
-        """Classify an answer's head, and forward the head of a stream."""
-        self._placement.health.record_answer(self._endpoint.id)
-        self._verdict = self._format.judge(status, headers)
-        has_run = self._verdict is Verdict.SUCCEEDED
-        self._gate.record_head(self._endpoint, status, headers, has_run)
+    def on_head(self, send: Send) -> None:
+        """Forward the head of a stream."""
         if self._frames is not None:
             # A resumed stream continues below the head that was already sent.
             return
-        self._status = status
-        self._headers = drop_hop_by_hop(headers)
+        self._status = send.status
+        self._headers = drop_hop_by_hop(send.headers)
         is_stream = self.route.kind is Kind.STREAM
-        content_type = headers.get("content-type", "")
+        content_type = send.headers.get("content-type", "")
         if (
-            self._verdict is Verdict.SUCCEEDED
+            send.verdict is Verdict.SUCCEEDED
             and is_stream
             and _EVENT_STREAM in content_type
         ):
             self._frames = EventFrames()
             self._write_head(None)
 
-    def receive_body(self, data: bytes) -> None:
+    def on_body(self, send: Send, data: bytes) -> None:
         """Forward complete events; buffer other answers until complete."""
-        self._chunks_received += 1
-        self._release_trial_slot()
-        if self._verdict is not Verdict.SUCCEEDED:
-            self._buffer += data[: MAX_BUFFERED_BYTES - len(self._buffer)]
-            return
         if self._frames is not None:
             self._write(self._frames.extract_complete(data))
             return
@@ -517,50 +445,51 @@
             buffered, self._buffer = bytes(self._buffer), bytearray()
             self._write(buffered)
 
-    def receive_end(self) -> None:
+    def on_end(self, send: Send) -> None:
         """Finish a complete answer, or handle a rejection."""
-        verdict = self._verdict
-        endpoint = self._endpoint
-        self._detach_send()
-        if verdict is Verdict.SUCCEEDED:
+        self._send = None
+        endpoint = send.endpoint
+        if send.verdict is Verdict.SUCCEEDED:
             self._runs += 1
-            self._record_served(endpoint)
+            self._record_served(send)
             self._finish()
-        elif verdict is Verdict.WRONG_ENDPOINT:
-            self._on_wrong_endpoint(endpoint)
-        elif verdict is Verdict.NOT_RUN:
-            self._on_failure(RefusedByEndpoint(f"{endpoint.id}: {self._status}"))
+        elif send.verdict is Verdict.WRONG_ENDPOINT:
+            self._on_wrong_endpoint(send)
+        elif send.verdict is Verdict.NOT_RUN:
+            error = RefusedByEndpoint(f"{endpoint.id}: {send.status}")
+            self._on_failure(send, error)
         else:
             self._runs += 1
-            self._on_failure(EndpointFailed(f"{endpoint.id}: {self._status}"))
+            self._on_failure(send, EndpointFailed(f"{endpoint.id}: {send.status}"))
 
-    def _record_served(self, endpoint: Endpoint) -> None:
-        now = self._kernel.clock.now()
-        self._ledger.clear(self._identify)
-        self._placement.health.record_success(endpoint.id, now)
-        if self._frames is None:
-            self._placement.speeds.note(endpoint.id, now - self._sent_at, now)
-        elif self._progress.writes > 1:
-            seconds = self._progress.generation_time
-            intervals = self._progress.writes - 1
-            self._placement.generations.note(self.route.name, seconds)
-            self._placement.speeds.note(endpoint.id, seconds / intervals, now)
-
-    def receive_error(self, error: RoadliftError) -> None:
+    def on_error(self, send: Send, error: RoadliftError) -> None:
         """Send the call again, or end the answer with the error."""
-        endpoint = self._endpoint
-        self._detach_send()
+        self._send = None
+        endpoint = send.endpoint
         if isinstance(error, SendingRevoked):
             self._on_revoked(endpoint)
             return
         if isinstance(error, ConnectionLost):
-            has_begun = self._describe_answer() == "head"
-            self._crashes.record_cut(endpoint, self._identify(), has_begun)
+            has_begun = send.describe_answer() == "head"
+            self._crashes.record_cut(endpoint, self.identify(), has_begun)
         if error.outcome is not Outcome.NOT_RUN:
             self._runs += 1
         if self._caller.started:
             error = StreamCut(f"{endpoint.id}: {error.detail}")
-        self._on_failure(error)
+        self._on_failure(send, error)
+
+    def _record_served(self, send: Send) -> None:
+        now = self._kernel.clock.now()
+        endpoint = send.endpoint
+        self._ledger.clear(self.identify)
+        self._placement.health.record_success(endpoint.id, now)
+        if self._frames is None:
+            self._placement.speeds.note(endpoint.id, now - send.sent_at, now)
+        elif self._progress.writes > 1:
+            seconds = self._progress.generation_time
+            intervals = self._progress.writes - 1
+            self._placement.generations.note(self.route.name, seconds)
+            self._placement.speeds.note(endpoint.id, seconds / intervals, now)
 
     def _on_revoked(self, endpoint: Endpoint) -> None:
         """Choose again: the endpoint refuses calls by now; none was sent."""
@@ -580,40 +509,43 @@
             return
         now = self._kernel.clock.now()
         if self.call.model is not None:
-            self._record_event(now)
+            self._send.record_event(now)
         self._progress.record_write(now)
         self._caller.write(data)
-        if self._caller.is_full and self._line is not None:
-            self._line.pause()
+        if self._caller.is_full:
+            self._send.pause()
 
     def _finish(self) -> None:
         if self._caller.started:
             self._caller.finish()
         else:
             self._progress.record_complete(self._kernel.clock.now())
-            self._answer_buffered()
+            self._answer_buffered(self._buffer)
         self._end("served", None)
 
-    def _answer_buffered(self) -> None:
+    def _answer_buffered(self, buffer: bytearray) -> None:
         headers = dict(self._headers)
         headers.pop("content-length", None)
-        self._caller.answer(self._status, headers, bytes(self._buffer))
+        self._caller.answer(self._status, headers, bytes(buffer))
 
     # Failures
 
-    def _on_wrong_endpoint(self, endpoint: Endpoint) -> None:
+    def _on_wrong_endpoint(self, send: Send) -> None:
         """Send elsewhere: the endpoint was restarted or lacks the adapter."""
-        model = self.call.model
+        endpoint, model = send.endpoint, self.call.model
         if model is not None and model.adapter:
             self._load_requests.report_missing(endpoint.id, model)
-        self._on_failure(RefusedByEndpoint(f"{endpoint.id}: misdirected"), False)
+        error = RefusedByEndpoint(f"{endpoint.id}: misdirected")
+        self._on_failure(send, error, False)
 
-    def _on_failure(self, error: RoadliftError, is_excluded: bool = True) -> None:
+    def _on_failure(
+        self, send: Send, error: RoadliftError, is_excluded: bool = True
+    ) -> None:
         """Send again if the call's kind, time and budgets permit it."""
         if self._is_over:
             return
         now = self._kernel.clock.now()
-        endpoint = self._endpoint
+        endpoint = send.endpoint
         if isinstance(error, EndpointUnreachable):
             self._excluded.add(endpoint.id)
             self._placement.health.record_connect_failure(endpoint.id, now)
@@ -636,8 +568,8 @@
             sends=self._sends,
             age=round(now - self._began_at, 3),
             given_up=reason,
-            identity=self._identify().hex(),
-            got=self._describe_answer(),
+            identity=self.identify().hex(),
+            got=send.describe_answer(),
         )
         self._record_step("failed", error=str(error), given_up=reason)
         if reason is None:
@@ -648,7 +580,7 @@
             self._resend(error)
         elif isinstance(error, EndpointFailed) and self._may_forward_failure():
             # An error answer of the endpoint is forwarded unchanged.
-            self._answer_buffered()
+            self._answer_buffered(send.buffer)
             self._end("failed", error)
         else:
             self._fail(error)
@@ -666,12 +598,6 @@
             self._ingress.measures.count("roadlift_ejections", self._service)
             log.event("endpoint_ejected", endpoint=endpoint.id, error=str(error))
 
-    def _describe_answer(self) -> str:
-        """Return how much of the last send's answer was received."""
-        if self._verdict is None:
-            return "nothing"
-        return "events" if self._chunks_received else "head"
-
     def _resend(self, error: RoadliftError) -> None:
         """Send again; after a cut, wait until a crash would be known."""
         if isinstance(error, ConnectionLost | StreamCut):
@@ -730,8 +656,7 @@
         """Fail the call at its time limit, whatever its state."""
         if self._is_over:
             return
-        line = self._line
-        if line is not None and line.written:
+        if self._send is not None and self._send.is_written:
             self._unconfirmed_error = RequestTimeout(f"at {self._endpoint.id}")
         error = NoEndpoint("time limit exceeded", DEFAULT_RETRY_AFTER)
         self._fail(self._unconfirmed_error or error)
@@ -746,8 +671,8 @@
         self._end("cancelled", ConnectionLost("caller disconnected"))
 
     def _on_caller_drained(self) -> None:
-        if self._line is not None:
-            self._line.resume()
+        if self._send is not None:
+            self._send.resume()
 
     def _end(self, outcome: str, error: RoadliftError | None) -> None:
         self._is_over = True
--- a/roadlift/instance/gate.py
+++ b/roadlift/instance/gate.py
@@ -46,6 +46,14 @@
     on_choose_again: Callable[[], None]
 
 
+class SentCall(NamedTuple):
+    """A call that is sent to an endpoint, the permit's basis, and when."""
+
+    endpoint: Endpoint
+    basis: Basis
+    at: float
+
+
 class Gate:
     """The permits of one call; ``denied`` holds endpoints that denied one."""
 
@@ -62,8 +70,6 @@
         self._scope = scope
         self._callbacks = callbacks
         self._permit_wait: PendingPermit | None = None
-        self._basis = NO_BASIS
-        self._sent_at = 0.0
         self.denied: set[str] = set()
 
     def close(self) -> None:
@@ -158,12 +164,11 @@
 
     # Sends and their answers
 
-    def begin(self, endpoint: Endpoint, basis: Basis) -> None:
+    def begin(self, endpoint: Endpoint, basis: Basis) -> SentCall:
         """Count a send on the given basis."""
-        self._basis = basis
-        self._sent_at = self._clock.now()
         self._limits.record_send(endpoint, basis.fence > 0)
         self._standings.record_send(endpoint)
+        return SentCall(endpoint, basis, self._clock.now())
 
     def may_send(self, endpoint: Endpoint) -> bool:
         """Return whether the first byte of the call may still be written."""
@@ -175,15 +180,15 @@
 
     def record_head(
         self,
-        endpoint: Endpoint,
+        sent: SentCall,
         status: int,
         headers: Mapping[str, str],
         has_run: bool,
     ) -> None:
         """Update the endpoint's state by an answer; notify its owner."""
-        age = self._clock.now() - self._sent_at
+        endpoint, age = sent.endpoint, self._clock.now() - sent.at
         statement = self._standings.note_head(endpoint, status, headers, age)
-        answer = SendAnswer(status, statement, has_run, self._basis, age)
+        answer = SendAnswer(status, statement, has_run, sent.basis, age)
         announcement = self._limits.record_answer(endpoint, answer)
         if announcement is not None:
             self._permits.report_announcement(endpoint, announcement)
--- /dev/null
+++ b/roadlift/instance/send.py
@@ -0,0 +1,183 @@
+"""Send a call to one endpoint, and receive its answer."""
+
+from typing import Protocol
+
+from roadlift.core.errors import RoadliftError
+from roadlift.core.kernel import Kernel
+from roadlift.instance.crashes import CrashMonitor
+from roadlift.instance.gate import Gate, SentCall
+from roadlift.instance.placement import Placement
+from roadlift.instance.platform import Platform
+from roadlift.relay.upstream import CallHandle, Request
+from roadlift.serving.calls import Call
+from roadlift.serving.interfaces import Verdict
+
+# Seconds without a byte after which a send to an endpoint times out. The
+# call's own time limit is usually shorter.
+ENDPOINT_INACTIVITY_TIMEOUT = 30.0
+# Bytes of an answer that are buffered until it is complete; a longer answer is
+# forwarded as it arrives.
+MAX_BUFFERED_BYTES = 131072
+
+
+class SendOwner(Protocol):
+    """The call that a send belongs to; it handles what the send receives."""
+
+    call: Call
+
+    def identify(self) -> bytes:
+        """Return the identity of the call's work."""
+
+    def on_head(self, send: "Send") -> None:
+        """Handle the head of an answer."""
+
+    def on_body(self, send: "Send", data: bytes) -> None:
+        """Handle body bytes of an answer."""
+
+    def on_end(self, send: "Send") -> None:
+        """Handle the end of a complete answer; the send is over."""
+
+    def on_error(self, send: "Send", error: RoadliftError) -> None:
+        """Handle a send that ended without a complete answer."""
+
+    def on_unresponsive(self, send: "Send") -> None:
+        """Handle that the endpoint stopped responding; the send goes on."""
+
+
+class Send:
+    """One send of a call; also the receiver of its answer.
+
+    ``tokens_ahead`` are the unread prompt tokens at the engine when the call
+    was sent. ``status``, ``headers`` and ``verdict`` are those of the answer,
+    ``chunks_received`` its parts so far, and ``buffer`` what is kept of it.
+    """
+
+    def __init__(
+        self, kernel: Kernel, owner: SendOwner, gate: Gate, sent: SentCall
+    ) -> None:
+        self._kernel = kernel
+        self._owner = owner
+        self._gate = gate
+        self._sent = sent
+        self._format = kernel.get(Platform).adapter.calls
+        self._placement = kernel.get(Placement)
+        self._crashes = kernel.get(CrashMonitor)
+        self._line: CallHandle | None = None
+        self._holds_trial_slot = False
+        self._is_prompt_unread = False
+        self.endpoint = sent.endpoint
+        self.sent_at = sent.at
+        self.tokens_ahead = self._placement.count_ahead(sent.endpoint.id)
+        self.status = 0
+        self.headers: dict[str, str] = {}
+        self.verdict: Verdict | None = None
+        self.chunks_received = 0
+        self.buffer = bytearray()
+
+    def open(self, request: Request) -> None:
+        """Send the request."""
+        call = self._owner.call
+        self._placement.begin(self.endpoint, call)
+        self._holds_trial_slot = self._crashes.begin(self._owner.identify)
+        self._is_prompt_unread = True
+        if call.model is not None:
+            self._placement.inactivity.begin(
+                self.endpoint.id,
+                self,
+                lambda: self._owner.on_unresponsive(self),
+                self.sent_at,
+            )
+        self._line = self._kernel.dialer.open(
+            self.endpoint.address, request, self, ENDPOINT_INACTIVITY_TIMEOUT
+        )
+
+    def close(self) -> None:
+        """Cancel the send; the endpoint cancels its run."""
+        if self._line is not None:
+            self._line.close()
+            self._end()
+
+    def pause(self) -> None:
+        """Stop reading the answer until ``resume``."""
+        if self._line is not None:
+            self._line.pause()
+
+    def resume(self) -> None:
+        """Go on reading the answer."""
+        if self._line is not None:
+            self._line.resume()
+
+    @property
+    def is_written(self) -> bool:
+        """Return whether the send is open and a byte of it was written."""
+        return self._line is not None and self._line.written
+
+    def describe_answer(self) -> str:
+        """Return how much of the answer was received."""
+        if self.verdict is None:
+            return "nothing"
+        return "events" if self.chunks_received else "head"
+
+    def record_event(self, now: float) -> None:
+        """Update the state of the engine by an event of its stream."""
+        if self._is_prompt_unread:
+            tokens = self.tokens_ahead + self._owner.call.tokens_in
+            self._placement.record_first_event(
+                self.endpoint, tokens, now - self.sent_at
+            )
+            self._record_prompt_read()
+        self._placement.inactivity.record_event(self.endpoint.id, self, now)
+
+    def release_trial_slot(self) -> None:
+        """Release the trial slot of a call that may crash endpoints.
+
+        Another copy of the same call may wait for it.
+        """
+        if self._holds_trial_slot:
+            self._holds_trial_slot = False
+            self._crashes.end(self._owner.identify())
+
+    def _end(self) -> None:
+        self._line = None
+        self._placement.inactivity.end(self.endpoint.id, self)
+        self._record_prompt_read()
+        has_run = self.verdict in (Verdict.SUCCEEDED, Verdict.FAILED)
+        self._placement.end(self.endpoint, self._owner.call, has_run)
+        self.release_trial_slot()
+
+    def _record_prompt_read(self) -> None:
+        """Stop counting the prompt as unread, once."""
+        if self._is_prompt_unread:
+            self._is_prompt_unread = False
+            self._placement.end_reading(self.endpoint, self._owner.call)
+
+    # Receiver of the answer
+
+    def receive_head(self, status: int, headers: dict[str, str]) -> None:
+        """Classify an answer's head."""
+        self._placement.health.record_answer(self.endpoint.id)
+        self.status = status
+        self.headers = headers
+        self.verdict = self._format.judge(status, headers)
+        has_run = self.verdict is Verdict.SUCCEEDED
+        self._gate.record_head(self._sent, status, headers, has_run)
+        self._owner.on_head(self)
+
+    def receive_body(self, data: bytes) -> None:
+        """Pass body bytes on; those of other than successes are buffered."""
+        self.chunks_received += 1
+        self.release_trial_slot()
+        if self.verdict is Verdict.SUCCEEDED:
+            self._owner.on_body(self, data)
+        else:
+            self.buffer += data[: MAX_BUFFERED_BYTES - len(self.buffer)]
+
+    def receive_end(self) -> None:
+        """End with a complete answer."""
+        self._end()
+        self._owner.on_end(self)
+
+    def receive_error(self, error: RoadliftError) -> None:
+        """End without a complete answer."""
+        self._end()
+        self._owner.on_error(self, error)
