Keep the run at a silent engine until another one continues the call

What callers saw: a stream that had begun was closed in the middle of its answer, at 1.1 s of its 10 s; calls that waited at the same engine failed with stream_cut. The engine was sound.

Cause: an engine of which this instance's own one or two streams got nothing for 0.6 s counted as gone, and each call that may be repeated closed its run there first and asked afterwards whether it may be sent again and where. If the retry budget was spent, no adapter could be loaded in time, or all others refused, the run that would have ended well was gone.

Change: the run is kept (KeptSends) while an engine that continues the call is searched for and sent to. Whichever brings the next event continues; the other is closed at that moment, so that no two of them run for long. If no other can, the call stays where it is and searches again while its engine is silent. A send of which no byte was written is left at once, as before. A retry that was taken from the budget and never sent is returned. `send_silent`, `silence_ended` and roadlift_silent_sends tell false verdicts from true ones.

--- a/roadlift/core/events.py
+++ b/roadlift/core/events.py
@@ -74,6 +74,21 @@
         "A send failed; given_up says why no retry follows. Calls of one identity "
         "request the same work; got is nothing, head or events.",
     ),
+    Event(
+        "exchange",
+        "send_silent",
+        ("request", "endpoint", "got", "sends", "age"),
+        "The engine of a call does not respond; another one is searched for while "
+        "the send is kept. got is nothing, head or events.",
+    ),
+    Event(
+        "exchange",
+        "silence_ended",
+        ("request", "endpoint", "outcome", "error", "age"),
+        "What became of a send that was kept: resumed (its engine responded first), "
+        "replaced (another engine continues the call), kept (no other could, as "
+        "error says) or failed.",
+    ),
     Event(
         "follower",
         "configuration_in_force",
--- a/roadlift/endpoints/events.py
+++ b/roadlift/endpoints/events.py
@@ -43,6 +43,10 @@
     def discard_partial(self) -> str:
         """Discard a partial event; return the id of the last complete one."""
         self._held = b""
+        return self.find_last_id()
+
+    def find_last_id(self) -> str:
+        """Return the id of the last complete event, or empty."""
         start = self._last.rfind(_ID)
         while start > 0 and self._last[start - 1 : start] != b"\n":
             start = self._last.rfind(_ID, 0, start)
--- a/roadlift/instance/adapterwait.py
+++ b/roadlift/instance/adapterwait.py
@@ -110,6 +110,11 @@
         )
         self._load_requests.await_load(self._waiter, option)
 
+    @property
+    def is_open(self) -> bool:
+        """Return whether the call waits now."""
+        return self._waiter is not None
+
     def close(self) -> None:
         """Cancel the wait."""
         if self._waiter is not None:
--- a/roadlift/instance/exchange.py
+++ b/roadlift/instance/exchange.py
@@ -16,6 +16,7 @@
 )
 from roadlift.core.kernel import Kernel
 from roadlift.core.logs import ComponentLog
+from roadlift.core.loop import Timer
 from roadlift.crashes.detection import DETECTION_DELAY
 from roadlift.crashes.ledger import CrashLedger
 from roadlift.decisions.limits import Basis
@@ -34,6 +35,7 @@
 from roadlift.instance.enginechoice import EngineChoice
 from roadlift.instance.follower import Follower
 from roadlift.instance.gate import Gate, GateCallbacks
+from roadlift.instance.keptsends import KeptSends
 from roadlift.instance.knowledge import OWNER_RETURN_TIMEOUT, Knowledge
 from roadlift.instance.loadrequests import LoadRequests
 from roadlift.instance.placement import Placement
@@ -54,6 +56,9 @@
 OWNER_POLL_INTERVAL = 0.05  # Seconds between checks for an owner that is expected.
 # Seconds until endpoints that have all rejected a call are tried once more.
 SECOND_ROUND_DELAY = 0.05
+# Minimum seconds between two searches for an engine that continues a call, as
+# its own engine does not respond.
+SEARCH_INTERVAL = 0.3
 # Added to the priority number of a late call, so that engines first read the
 # prompts of calls that can still meet their objective.
 LATE_PRIORITY_PENALTY = 4
@@ -65,7 +70,12 @@
 
 
 class Exchange:
-    """One call, its sends and its answer."""
+    """One call, its sends and its answer.
+
+    A send whose engine does not respond is kept until another engine has
+    brought the next event. If the first one does so before, or no other engine
+    can continue, the call stays with it.
+    """
 
     def __init__(
         self,
@@ -116,6 +126,10 @@
         )
         self._identity: bytes | None = None
         self._send: Send | None = None
+        self._kept = KeptSends()
+        self._searched_at = float("-inf")
+        self._search_timer: Timer | None = None
+        self._has_unused_retry = False
         self._endpoint: Endpoint | None = None
         self._excluded: set[str] = set()
         self._is_second_round = False
@@ -128,7 +142,7 @@
         self._progress = Progress(self._began_at)
         self._status = 0
         self._headers: dict[str, str] = {}
-        self._buffer = bytearray()
+        self._answering: Send | None = None  # The send whose head is used.
         self._frames: EventFrames | None = None
         self._resume_after = call.resume_after
         self._sent_at = 0.0
@@ -148,7 +162,7 @@
         """Cut the exchange when the process ends."""
         if self._is_over:
             return
-        self._cancel_send()
+        self._cancel_all()
         self._caller.truncate()
         self._end("cut", None)
 
@@ -158,22 +172,34 @@
         A call that still waits at an engine would crash it as well. One that
         has brought events is not the cause, or it is too late to end it.
         """
-        has_begun = self._send is not None and self._send.chunks_received
-        if self._is_over or has_begun or self.identify() != identity:
+        if self._is_over or self._has_events() or self.identify() != identity:
             return
         obstacle = self._ledger.judge(self.identify)
         if obstacle is None:
             return
-        if self._send is not None and self._send.is_written:
+        written = self._find_written()
+        if written is not None:
             self._unconfirmed_error = ConnectionLost(
-                f"at {self._endpoint.id}: cancelled, work quarantined"
+                f"at {written.endpoint.id}: cancelled, work quarantined"
             )
-        self._fail(obstacle)
+        self._end_with_error(obstacle)
+
+    def _has_events(self) -> bool:
+        """Return whether a send that is open has brought events."""
+        return any(send.chunks_received for send in self._list_open())
+
+    def _find_written(self) -> Send | None:
+        """Return an open send of which a byte was written, or None."""
+        return next((send for send in self._list_open() if send.is_written), None)
+
+    def _list_open(self) -> list[Send]:
+        current = [] if self._send is None else [self._send]
+        return [*current, *self._kept]
 
     def abort(self, error: Exception) -> None:
         """Fail the call after an internal error of this process."""
         log.error("Unhandled error in the exchange of a call: %r.", error)
-        self._fail(RoadliftError(type(error).__name__))
+        self._end_with_error(RoadliftError(type(error).__name__))
 
     def _record_step(self, step: str, **fields: object) -> None:
         """Record a step for the log line of the call's end."""
@@ -183,7 +209,8 @@
 
     def _try_send(self) -> None:
         """Send the call to an endpoint, or wait for one."""
-        if self._is_over:
+        is_waiting = self._adapter_wait.is_open or self._gate.is_open
+        if self._is_over or self._send is not None or is_waiting:
             return
         obstacle = self._authorization.check() or self._ledger.judge(self.identify)
         if obstacle is not None:
@@ -243,8 +270,8 @@
             # Each endpoint has rejected the call once; all are tried once
             # more.
             self._is_second_round = True
-            self._excluded.clear()
-            self._kernel.loop.call_later(SECOND_ROUND_DELAY, self._try_send)
+            self._excluded = self._kept.list_endpoints()
+            self._schedule_try(SECOND_ROUND_DELAY)
             return
         if self._refuse_if_limited():
             return
@@ -257,7 +284,7 @@
             and self._compute_caller_wait(now) > OWNER_RETURN_TIMEOUT
         ):
             self._record_step("wait", expected=OWNER_RETURN_TIMEOUT)
-            self._kernel.loop.call_later(OWNER_POLL_INTERVAL, self._try_send)
+            self._schedule_try(OWNER_POLL_INTERVAL)
             return
         if self._wait_for_backoff(model):
             return
@@ -266,6 +293,10 @@
             NoEndpoint(f"no owner available to load {model}", NO_OWNER_RETRY_DELAY)
         )
 
+    def _schedule_try(self, seconds: float) -> None:
+        """Try to send again after some seconds."""
+        self._search_timer = self._kernel.loop.call_later(seconds, self._try_send)
+
     def _refuse_if_limited(self) -> bool:
         """Refuse a call that the endpoints' rate limits leave no room for."""
         error = self._gate.check_limits(self._ingress.sample_jitter())
@@ -338,6 +369,7 @@
         """Send the call to an endpoint."""
         send = Send(self._kernel, self, self._gate, self._gate.begin(endpoint, basis))
         self._sends += 1
+        self._has_unused_retry = False
         self._authorization.begin()
         self._sent_at = send.sent_at
         self._record_step(
@@ -349,7 +381,6 @@
             **self._describe_state_age(endpoint),
         )
         self._endpoint = endpoint
-        self._buffer.clear()
         self._send = send
         send.open(self._build_request(send))
 
@@ -359,6 +390,8 @@
         version = None
         if call.model is not None and call.model.adapter:
             version = self._follower.find_version(call.model) or None
+        if self._frames is not None:
+            self._resume_after = self._frames.find_last_id() or self._resume_after
         guard = Guard(
             self._deadline - send.sent_at,
             self._choose_priority(send),
@@ -393,28 +426,129 @@
         is_late = send.sent_at + expected - self._began_at > self.route.objective
         return priority + LATE_PRIORITY_PENALTY if is_late else priority
 
-    def _cancel_send(self) -> None:
+    def _cancel_all(self) -> None:
+        """Cancel all sends, and the search for an endpoint."""
+        self._cancel_search()
+        for send in self._kept.clear():
+            send.close()
+
+    def _cancel_search(self) -> None:
         """Cancel the current send, or the search for an endpoint."""
         self._adapter_wait.close()
         self._gate.close()
+        if self._search_timer is not None:
+            self._search_timer.close()
+            self._search_timer = None
         if self._send is not None:
             send, self._send = self._send, None
+            self._count_cancelled(send)
             send.close()
 
-    # Owner of a send
+    def _count_cancelled(self, send: Send) -> None:
+        """Count a cancelled send, which may have run if it was written."""
+        if send.is_written:
+            self._runs += 1
+        else:
+            self._authorization.refund()
+
+    # Engines that do not respond
 
     def on_unresponsive(self, send: Send) -> None:
-        """Abandon an unresponsive engine if the call may run again."""
-        may_resend = self.route.is_repeatable and self._runs + 1 < self.route.attempts
-        if not may_resend:
+        """Search for an engine that continues the call; keep this send."""
+        now = self._kernel.clock.now()
+        if send is not self._send or now - self._searched_at < SEARCH_INTERVAL:
             return
-        self._cancel_send()
-        self._runs += 1
-        self._excluded.add(send.endpoint.id)
-        self._on_failure(send, StreamCut(f"{send.endpoint.id}: unresponsive"), False)
+        if not send.is_written:
+            self._cancel_search()
+            self._on_failure(send, EndpointUnreachable("unresponsive"))
+            return
+        self._searched_at = now
+        error = StreamCut(f"{send.endpoint.id}: unresponsive")
+        reason = self._find_obstacle(error, now)
+        self._record_step("silent", endpoint=send.endpoint.id, given_up=reason)
+        if reason is None:
+            self._search_beside(send)
+
+    def _search_beside(self, send: Send) -> None:
+        """Search for another engine while the current send is kept."""
+        log.event(
+            "send_silent",
+            request=self.call.id,
+            endpoint=send.endpoint.id,
+            got=send.describe_answer(),
+            sends=self._sends,
+            age=round(self._kernel.clock.now() - self._began_at, 3),
+        )
+        self._has_unused_retry = True
+        self._send = None
+        self._kept.add(send)
+        self._is_second_round = False
+        self._excluded |= self._kept.list_endpoints()
+        self._gate.denied.clear()
+        self._schedule_try(DETECTION_DELAY)
+
+    def _return_to_kept(self, error: RoadliftError) -> None:
+        """Stay with an unresponsive engine, as no other can continue."""
+        self._continue_with(self._kept.pop())
+        self._end_silence("kept", self._send, error)
+
+    def _continue_with(self, send: Send) -> None:
+        """Make a kept send the current one, and cancel the search."""
+        self._cancel_search()
+        self._refund_retry()
+        self._send = send
+        self._excluded.discard(send.endpoint.id)
+
+    def _refund_retry(self) -> None:
+        """Return a retry that was taken from the budget and not sent."""
+        if self._has_unused_retry:
+            self._has_unused_retry = False
+            self._ingress.refund_retry(self._service, self._kernel.clock.now())
+
+    def _end_silence(
+        self, outcome: str, send: Send, error: RoadliftError | None = None
+    ) -> None:
+        """Log what became of a send that was kept, and count it."""
+        self._ingress.measures.count("roadlift_silent_sends", self._service, outcome)
+        text = {} if error is None else {"error": str(error)}
+        self._record_step(outcome, endpoint=send.endpoint.id, **text)
+        log.event(
+            "silence_ended",
+            request=self.call.id,
+            endpoint=send.endpoint.id,
+            outcome=outcome,
+            error=text.get("error"),
+            age=round(self._kernel.clock.now() - self._began_at, 3),
+        )
+
+    def _decide_between(self, send: Send) -> None:
+        """Let the engine that brings the next event continue the call."""
+        if send is not self._send:
+            self._kept.remove(send)
+            self._continue_with(send)
+            self._end_silence("resumed", send)
+            return
+        for other in self._kept.clear():
+            self._discard_partial(other)
+            self._count_cancelled(other)
+            other.close()
+            self._end_silence("replaced", other)
+
+    def _discard_partial(self, send: Send) -> None:
+        """Discard the part of an event that a send has left behind."""
+        if self._frames is not None and send.chunks_received:
+            self._frames.discard_partial()
+
+    # Owner of a send
 
     def on_head(self, send: Send) -> None:
-        """Forward the head of a stream."""
+        """Forward the head of a stream, unless other sends are open."""
+        if not self._kept:
+            self._adopt_head(send)
+
+    def _adopt_head(self, send: Send) -> None:
+        """Use the head of a send, and forward that of a stream."""
+        self._answering = send
         if self._frames is not None:
             # A resumed stream continues below the head that was already sent.
             return
@@ -432,52 +566,87 @@
 
     def on_body(self, send: Send, data: bytes) -> None:
         """Forward complete events; buffer other answers until complete."""
+        self._choose_answer(send)
         if self._frames is not None:
             self._write(self._frames.extract_complete(data))
             return
         if self._caller.started:
             self._write(data)
             return
-        self._buffer += data
-        if len(self._buffer) > MAX_BUFFERED_BYTES:
+        send.buffer += data
+        if len(send.buffer) > MAX_BUFFERED_BYTES:
             length = self._headers.get("content-length")
             self._write_head(int(length) if length else None)
-            buffered, self._buffer = bytes(self._buffer), bytearray()
-            self._write(buffered)
+            self._write(bytes(send.buffer))
+            send.buffer.clear()
+
+    def _choose_answer(self, send: Send) -> None:
+        """Let a send that succeeds answer the caller, and no other one."""
+        if self._kept:
+            self._decide_between(send)
+        if self._answering is not send:
+            self._adopt_head(send)
 
     def on_end(self, send: Send) -> None:
         """Finish a complete answer, or handle a rejection."""
-        self._send = None
-        endpoint = send.endpoint
         if send.verdict is Verdict.SUCCEEDED:
+            self._choose_answer(send)
+            self._send = None
             self._runs += 1
             self._record_served(send)
-            self._finish()
-        elif send.verdict is Verdict.WRONG_ENDPOINT:
-            self._on_wrong_endpoint(send)
-        elif send.verdict is Verdict.NOT_RUN:
-            error = RefusedByEndpoint(f"{endpoint.id}: {send.status}")
-            self._on_failure(send, error)
-        else:
-            self._runs += 1
-            self._on_failure(send, EndpointFailed(f"{endpoint.id}: {send.status}"))
+            self._finish(send)
+            return
+        error = self._classify_failure(send)
+        if send in self._kept:
+            self._on_kept_failed(send, error)
+            return
+        self._send = None
+        self._runs += error.outcome is not Outcome.NOT_RUN
+        if send.verdict is Verdict.WRONG_ENDPOINT:
+            self._report_missing(send)
+        is_excluded = send.verdict is not Verdict.WRONG_ENDPOINT
+        self._on_failure(send, error, is_excluded)
+
+    def _classify_failure(self, send: Send) -> RoadliftError:
+        """Return the error of a complete answer that is not a success."""
+        endpoint = send.endpoint.id
+        if send.verdict is Verdict.WRONG_ENDPOINT:
+            return RefusedByEndpoint(f"{endpoint}: misdirected")
+        if send.verdict is Verdict.NOT_RUN:
+            return RefusedByEndpoint(f"{endpoint}: {send.status}")
+        return EndpointFailed(f"{endpoint}: {send.status}")
 
     def on_error(self, send: Send, error: RoadliftError) -> None:
         """Send the call again, or end the answer with the error."""
-        self._send = None
         endpoint = send.endpoint
-        if isinstance(error, SendingRevoked):
-            self._on_revoked(endpoint)
-            return
         if isinstance(error, ConnectionLost):
             has_begun = send.describe_answer() == "head"
             self._crashes.record_cut(endpoint, self.identify(), has_begun)
+        self._discard_partial(send)
+        if send in self._kept:
+            self._on_kept_failed(send, error)
+            return
+        self._send = None
+        if isinstance(error, SendingRevoked):
+            self._on_revoked(endpoint)
+            return
         if error.outcome is not Outcome.NOT_RUN:
             self._runs += 1
         if self._caller.started:
             error = StreamCut(f"{endpoint.id}: {error.detail}")
         self._on_failure(send, error)
 
+    def _on_kept_failed(self, send: Send, error: RoadliftError) -> None:
+        """Go on with the search alone: a send that was kept has ended."""
+        self._kept.remove(send)
+        self._excluded.add(send.endpoint.id)
+        if error.outcome is not Outcome.NOT_RUN:
+            self._runs += 1
+            self._unconfirmed_error = error
+            now = self._kernel.clock.now()
+            self._record_failure(send.endpoint, error, now)
+        self._end_silence("failed", send, error)
+
     def _record_served(self, send: Send) -> None:
         now = self._kernel.clock.now()
         endpoint = send.endpoint
@@ -515,12 +684,12 @@
         if self._caller.is_full:
             self._send.pause()
 
-    def _finish(self) -> None:
+    def _finish(self, send: Send) -> None:
         if self._caller.started:
             self._caller.finish()
         else:
             self._progress.record_complete(self._kernel.clock.now())
-            self._answer_buffered(self._buffer)
+            self._answer_buffered(send.buffer)
         self._end("served", None)
 
     def _answer_buffered(self, buffer: bytearray) -> None:
@@ -530,13 +699,11 @@
 
     # Failures
 
-    def _on_wrong_endpoint(self, send: Send) -> None:
-        """Send elsewhere: the endpoint was restarted or lacks the adapter."""
-        endpoint, model = send.endpoint, self.call.model
+    def _report_missing(self, send: Send) -> None:
+        """Record that an endpoint was restarted or lacks the adapter."""
+        model = self.call.model
         if model is not None and model.adapter:
-            self._load_requests.report_missing(endpoint.id, model)
-        error = RefusedByEndpoint(f"{endpoint.id}: misdirected")
-        self._on_failure(send, error, False)
+            self._load_requests.report_missing(send.endpoint.id, model)
 
     def _on_failure(
         self, send: Send, error: RoadliftError, is_excluded: bool = True
@@ -573,12 +740,13 @@
         )
         self._record_step("failed", error=str(error), given_up=reason)
         if reason is None:
-            if self._frames is not None:
-                self._resume_after = (
-                    self._frames.discard_partial() or self._resume_after
-                )
+            self._has_unused_retry = not isinstance(error, EndpointUnreachable)
             self._resend(error)
-        elif isinstance(error, EndpointFailed) and self._may_forward_failure():
+        elif (
+            isinstance(error, EndpointFailed)
+            and self._may_forward_failure()
+            and not self._kept
+        ):
             # An error answer of the endpoint is forwarded unchanged.
             self._answer_buffered(send.buffer)
             self._end("failed", error)
@@ -601,7 +769,7 @@
     def _resend(self, error: RoadliftError) -> None:
         """Send again; after a cut, wait until a crash would be known."""
         if isinstance(error, ConnectionLost | StreamCut):
-            self._kernel.loop.call_later(DETECTION_DELAY, self._try_send)
+            self._schedule_try(DETECTION_DELAY)
         else:
             self._try_send()
 
@@ -615,7 +783,7 @@
         sends = Sends(
             self._sends,
             self._unreached,
-            self._runs,
+            self._runs + len(self._list_open()),
             self._deadline - now,
             self._caller.started and self._frames is None,
         )
@@ -633,6 +801,15 @@
         return not is_plain or self._placement.has_spare_slots(self._scope)
 
     def _fail(self, error: RoadliftError) -> None:
+        """Stay with a send that is kept, or end the call with an error."""
+        if self._is_over:
+            return
+        if self._kept:
+            self._return_to_kept(error)
+        else:
+            self._end_with_error(error)
+
+    def _end_with_error(self, error: RoadliftError) -> None:
         """Answer the caller with an error, or end the answer that has begun.
 
         A call of which an earlier send may have run is not reported as "not
@@ -642,7 +819,7 @@
             return
         if error.outcome is Outcome.NOT_RUN and self._unconfirmed_error is not None:
             error = self._unconfirmed_error
-        self._cancel_send()
+        self._cancel_all()
         if self._caller.started:
             self._caller.truncate()
         else:
@@ -656,10 +833,11 @@
         """Fail the call at its time limit, whatever its state."""
         if self._is_over:
             return
-        if self._send is not None and self._send.is_written:
-            self._unconfirmed_error = RequestTimeout(f"at {self._endpoint.id}")
+        written = self._find_written()
+        if written is not None:
+            self._unconfirmed_error = RequestTimeout(f"at {written.endpoint.id}")
         error = NoEndpoint("time limit exceeded", DEFAULT_RETRY_AFTER)
-        self._fail(self._unconfirmed_error or error)
+        self._end_with_error(self._unconfirmed_error or error)
 
     # Caller
 
@@ -667,16 +845,17 @@
         """Cancel the run of a caller that disconnected."""
         if self._is_over:
             return
-        self._cancel_send()
+        self._cancel_all()
         self._end("cancelled", ConnectionLost("caller disconnected"))
 
     def _on_caller_drained(self) -> None:
-        if self._send is not None:
-            self._send.resume()
+        for send in self._list_open():
+            send.resume()
 
     def _end(self, outcome: str, error: RoadliftError | None) -> None:
         self._is_over = True
         self._timer.close()
+        self._refund_retry()
         now = self._kernel.clock.now()
         time_to_first_byte = self._progress.time_to_first_byte
         is_late = self._progress.is_late(self.route)
--- a/roadlift/instance/gate.py
+++ b/roadlift/instance/gate.py
@@ -11,6 +11,7 @@
 
 from roadlift.core.errors import EndpointsResting, LimitReached
 from roadlift.core.kernel import Kernel
+from roadlift.core.loop import Timer
 from roadlift.decisions.homes import Scope
 from roadlift.decisions.limits import NO_BASIS, Basis
 from roadlift.instance.adapterwait import DEFAULT_RETRY_AFTER
@@ -70,10 +71,19 @@
         self._scope = scope
         self._callbacks = callbacks
         self._permit_wait: PendingPermit | None = None
+        self._backoff_timer: Timer | None = None
         self.denied: set[str] = set()
 
+    @property
+    def is_open(self) -> bool:
+        """Return whether a permit is requested now."""
+        return self._permit_wait is not None
+
     def close(self) -> None:
-        """Cancel a pending permit request."""
+        """Cancel a pending permit request, or the wait for a backoff."""
+        if self._backoff_timer is not None:
+            self._backoff_timer.close()
+            self._backoff_timer = None
         if self._permit_wait is not None:
             self._permit_wait.close()
             self._permit_wait = None
@@ -160,7 +170,9 @@
     def await_backoff(self, backoff: Backoff) -> None:
         """Let the call choose again when a backoff has ended."""
         wait = max(MIN_BACKOFF_WAIT, backoff.seconds)
-        self._loop.call_later(wait, self._callbacks.on_choose_again)
+        self._backoff_timer = self._loop.call_later(
+            wait, self._callbacks.on_choose_again
+        )
 
     # Sends and their answers
 
--- a/roadlift/instance/ingress.py
+++ b/roadlift/instance/ingress.py
@@ -159,6 +159,10 @@
         instances = self._knowledge.count_instances()
         return self.get_budget(service).spend(now, instances)
 
+    def refund_retry(self, service: str, now: float) -> None:
+        """Return a retry that was consumed and not sent."""
+        self.get_budget(service).refund(now)
+
     def handle(self, received: ReceivedRequest, caller: Connection) -> None:
         """Start the exchange of a request, or refuse it."""
         call = None
--- a/roadlift/instance/metrics.py
+++ b/roadlift/instance/metrics.py
@@ -85,6 +85,15 @@
         "Requests refused before a route was followed, by error code.",
         "`no_configuration`: the store could not be read since the start.",
     ),
+    InstanceMetric(
+        "roadlift_silent_sends",
+        "counter",
+        "sends",
+        ("service", "outcome"),
+        "Sends kept while another engine was searched for, as theirs did not "
+        "respond, by what came: resumed, replaced, kept or failed.",
+        "Many resumed: sound engines pause; check the prompts that they read.",
+    ),
     InstanceMetric(
         "roadlift_failed_sends",
         "counter",
--- a/roadlift/retries/window.py
+++ b/roadlift/retries/window.py
@@ -47,6 +47,15 @@
         self._retries += 1
         return True
 
+    def refund(self, now: float) -> None:
+        """Return a retry that was consumed and not sent."""
+        self._get_bucket(now)
+        for bucket in reversed(self._buckets):
+            if bucket.retries:
+                bucket.retries -= 1
+                self._retries -= 1
+                return
+
     def _get_bucket(self, now: float) -> _Bucket:
         """Return the current bucket; drop those older than the window."""
         while self._buckets and now - self._buckets[0].since > self._window:
