Try again to continue a begun answer while its caller stays

What callers saw: an engine broke a stream off, and the answer was cut at once, with more than eight of ten seconds left, because the first engine that was asked could not continue it at that moment: its load was overdue at 2.5 times the usual time, or the retry budget was spent.

Cause: a refusal is right for a call that has no answer, since its caller can come back; a begun answer was ended by the same refusals.

Change: if a begun stream may run again, a refusal that passes by itself (no engine or owner now, a load overdue, a rate limit, a back-off, knowledge too old, a spent budget) leads to another try 0.1 s later, until the caller is about to leave. The budget and the attempts hold as before, and a retry that was taken and not sent is used by the next try.

A stream that may run once, and all refusals that last, end the answer at once as before.

--- a/roadlift/decisions/resending.py
+++ b/roadlift/decisions/resending.py
@@ -23,6 +23,8 @@
 MAX_UNREACHED = 8
 # Seconds that must be left of a call's time to begin a further send.
 MIN_TIME_LEFT = 0.02
+# The obstacle that passes by itself: the budget of a service refills.
+BUDGET_SPENT = "retry budget spent"
 
 
 class Sends(NamedTuple):
@@ -64,4 +66,4 @@
             return "no slot to spare"
     if sends.has_begun:
         return "answer begun"
-    return None if spend_budget() else "retry budget spent"
+    return None if spend_budget() else BUDGET_SPENT
--- a/roadlift/instance/exchange.py
+++ b/roadlift/instance/exchange.py
@@ -5,13 +5,16 @@
 from roadlift.core.errors import (
     ConnectionLost,
     EndpointFailed,
+    EndpointsResting,
     EndpointUnreachable,
+    LimitReached,
     NoEndpoint,
     Outcome,
     RefusedByEndpoint,
     RequestTimeout,
     RoadliftError,
     SendingRevoked,
+    StaleConfiguration,
     StreamCut,
 )
 from roadlift.core.kernel import Kernel
@@ -21,7 +24,7 @@
 from roadlift.crashes.ledger import CrashLedger
 from roadlift.decisions.limits import Basis
 from roadlift.decisions.loading import AdapterSource
-from roadlift.decisions.resending import Sends, find_obstacle
+from roadlift.decisions.resending import BUDGET_SPENT, Sends, find_obstacle
 from roadlift.endpoints.events import EventFrames
 from roadlift.http.messages import drop_hop_by_hop
 from roadlift.instance.access import Authorization
@@ -59,9 +62,13 @@
 # Minimum seconds between two searches for an engine that continues a call, as
 # its own engine does not respond.
 SEARCH_INTERVAL = 0.3
+# Seconds until a begun answer that can't be continued now is tried again.
+RESUMPTION_INTERVAL = 0.1
 # Added to the priority number of a late call, so that engines first read the
 # prompts of calls that can still meet their objective.
 LATE_PRIORITY_PENALTY = 4
+# Errors of a search for an endpoint that may succeed later.
+_TEMPORARY = (EndpointsResting, LimitReached, NoEndpoint, StaleConfiguration)
 # Statuses that tell a caller that its call did not run.
 _NOT_RUN_STATUSES = (408, 421, 429, 503)
 _EVENT_STREAM = "text/event-stream"
@@ -742,6 +749,8 @@
         if reason is None:
             self._has_unused_retry = not isinstance(error, EndpointUnreachable)
             self._resend(error)
+        elif reason == BUDGET_SPENT and self._may_resume_later():
+            self._schedule_resumption(error)
         elif (
             isinstance(error, EndpointFailed)
             and self._may_forward_failure()
@@ -806,6 +815,38 @@
             return
         if self._kept:
             self._return_to_kept(error)
+        elif isinstance(error, _TEMPORARY) and self._may_resume_later():
+            self._schedule_resumption(error)
+        else:
+            self._end_with_error(error)
+
+    def _may_resume_later(self) -> bool:
+        """Return whether a begun answer can wait until it is continued."""
+        is_resumable = self._frames is not None and self.route.is_repeatable
+        wait = self._compute_caller_wait(self._kernel.clock.now())
+        return is_resumable and not self._kept and wait > RESUMPTION_INTERVAL
+
+    def _schedule_resumption(self, error: RoadliftError) -> None:
+        """Search a little later for an engine that continues a stream."""
+        self._cancel_search()
+        self._is_second_round = False
+        self._gate.denied.clear()
+        self._record_step("again", error=str(error))
+        self._search_timer = self._kernel.loop.call_later(
+            RESUMPTION_INTERVAL, lambda: self._resume(error)
+        )
+
+    def _resume(self, error: RoadliftError) -> None:
+        """Search again, with a retry from the budget."""
+        if self._has_unused_retry:
+            self._try_send()
+            return
+        reason = self._find_obstacle(error, self._kernel.clock.now())
+        if reason is None:
+            self._has_unused_retry = True
+            self._try_send()
+        elif reason == BUDGET_SPENT and self._may_resume_later():
+            self._schedule_resumption(error)
         else:
             self._end_with_error(error)
 
--- a/tests/steps/pause_steps.py
+++ b/tests/steps/pause_steps.py
@@ -27,15 +27,23 @@
 }
 _DURATION = 6.0  # Seconds for which a case is played.
 _STEP = 0.01  # Seconds.
+_ONCE = make_route("/once/", "streaming", "llm", timeoutMs=10000, attempts=1)
+_REST = REFUSAL._replace(headers={**REFUSAL.headers, "retry-after": "1.0"})
+_ONE_RETRY = {"retry_share": 0.0, "retry_slack": 1.7, "retry_window": 2.0}
 _NO_RETRIES = {"retry_share": 0.0, "retry_slack": 0.0}
 
+_SETTINGS = {
+    "the retry budget is spent": _NO_RETRIES,
+    "the retry budget is spent for two seconds": _ONE_RETRY,
+}
+
 
 def _start(context, where):
     """Start an instance and engines of which one holds the adapter."""
     entries = Entries()
     context.add_cleanup(entries.close)
-    entries.configure([_ROUTE], SERVICES)
-    entries.start("a", "z1", _NO_RETRIES if "budget" in where else {})
+    entries.configure([_ROUTE, _ONCE], SERVICES)
+    entries.start("a", "z1", _SETTINGS.get(where, {}))
     names = ["e1"] if where == "there is no other engine" else ["e1", "e2", "e3"]
     for name in names:
         runner = entries.installation.add_runner("llm", name, "z1", BASE)
@@ -64,12 +72,29 @@
             runner.faults = [REFUSAL] * 50
         elif where == "the first sends elsewhere are refused":
             runner.faults = [REFUSAL]
+        elif where == "all other engines rest for a second":
+            runner.held["x"] = 1
+            runner.want_rest("1.0")
+            stop = lambda one=runner: one.want_rest(None)
+            entries.installation.timeline.call_later(1.5, stop)
     if where == "the others can go on at once":
         entries.advance(3.0)
+    if where == "the retry budget is spent for two seconds":
+        _spend_retry(entries, holder)
+
+
+def _spend_retry(entries, holder):
+    """Let the instance use its only retry for another call."""
+    holder.faults = ["cut"]
+    entries.call("a", "/again/0", _HEADERS)
+    entries.advance(1.0)
 
 
-def _measure_longest_pause(entries, caller):
-    """Let some seconds pass; return the longest between two events."""
+def _measure_longest_pause(context, entries, caller):
+    """Let some seconds pass; return the longest between two events.
+
+    How long behind its last event an answer was cut is kept as well.
+    """
     clock = entries.installation.clock
     last_at, longest, size = clock.now(), 0.0, len(caller.body)
     for _ in range(round(_DURATION / _STEP)):
@@ -77,44 +102,74 @@
         if len(caller.body) > size:
             longest = max(longest, clock.now() - last_at) if size else 0.0
             last_at, size = clock.now(), len(caller.body)
+        if caller.is_cut and caller not in context.cut_after:
+            context.cut_after[caller] = clock.now() - last_at
     return longest
 
 
-def _play(context, where, seconds, is_waiting):
-    """Return the callers whose engine pauses in one case."""
+def _play(context, where, play):
+    """Return the callers that ``play`` makes in one case."""
     entries = _start(context, where)
     holder = _find_holder(entries)
     _prepare_others(entries, holder, where)
-    holder.faults = [Pause(seconds)]
-    callers = [entries.call("a", "/again/1", _HEADERS)]
-    if is_waiting:
-        entries.advance(0.1)
-        holder.queue_time = seconds
-        callers.append(entries.call("a", "/again/2", _HEADERS))
-    context.pauses.append(_measure_longest_pause(entries, callers[0]))
+    callers = play(entries, holder)
+    context.pauses.append(_measure_longest_pause(context, entries, callers[0]))
     context.deployments.append(entries)
     return callers
 
 
-def _play_cases(context, seconds, is_waiting):
+def _play_cases(context, play):
     context.deployments = []
     context.pauses = []
+    context.cut_after = {}
     context.played = {
-        row["where"]: _play(context, row["where"], seconds, is_waiting)
-        for row in context.table
+        row["where"]: _play(context, row["where"], play) for row in context.table
     }
 
 
 @when("a stream has its first event, and its engine pauses for {seconds:g} seconds")
 def step_stream(context, seconds):
     """Play each case of the table on a deployment of its own."""
-    _play_cases(context, seconds, False)
+
+    def play(entries, holder):
+        """Send one stream."""
+        holder.faults = [Pause(seconds)]
+        return [entries.call("a", "/again/1", _HEADERS)]
+
+    _play_cases(context, play)
 
 
 @when("a call waits at an engine whose only stream pauses for {seconds:g} seconds")
 def step_waiting(context, seconds):
     """Play each case, with a call that has no event yet beside the stream."""
-    _play_cases(context, seconds, True)
+
+    def play(entries, holder):
+        """Send two calls, of which the second has no event yet."""
+        holder.faults = [Pause(seconds)]
+        stream = entries.call("a", "/again/1", _HEADERS)
+        entries.advance(0.1)
+        holder.queue_time = seconds
+        return [stream, entries.call("a", "/again/2", _HEADERS)]
+
+    _play_cases(context, play)
+
+
+@when("a stream has its first event, and its engine breaks off")
+def step_break(context):
+    """Play each case with a stream that may run again."""
+    _play_cases(context, lambda entries, holder: _break(entries, holder, "/again/1"))
+
+
+@when("a stream that may run once has its first event, and its engine breaks off")
+def step_break_once(context):
+    """Play each case with a stream that may not run again."""
+    _play_cases(context, lambda entries, holder: _break(entries, holder, "/once/1"))
+
+
+def _break(entries, holder, target):
+    holder.faults = ["cut"]
+    callers = [entries.call("a", target, _HEADERS)]
+    return callers
 
 
 def _describe_fault(caller):
@@ -150,3 +205,11 @@
 def step_pause(context, longest):
     """Check the times between the events that the callers got."""
     assert max(context.pauses) <= longest, context.pauses
+
+
+@then("each of these answers is cut within {seconds:g} seconds")
+def step_cut(context, seconds):
+    """Check when the answers were cut, behind their last events."""
+    callers = [one for callers in context.played.values() for one in callers]
+    found = [context.cut_after.get(caller) for caller in callers]
+    assert all(after is not None and after <= seconds for after in found), found
