Do not take an answer that is not read for one of a silent engine

What callers saw: a caller that reads slowly fills its buffer, its stream is paused, and 0.6 s later its engine counted as silent: the call was sent to a second engine as well, and new calls avoided the first.

Cause: the monitor of silent engines took the silence of this instance's own making for the engine's. Bytes of an event that was not complete did not count as a sign of life either.

--- a/tests/instance/pauses.feature
+++ b/tests/instance/pauses.feature
@@ -25,6 +25,13 @@
     Then each of these answers is whole and has each event once
     And no call ran at two engines at once for long
 
+  Scenario: A stream whose caller does not read is not taken for one of a silent engine
+    When a stream has its first event, and its caller reads nothing for 1.5 seconds
+      | where                        |
+      | the others can go on at once |
+    Then each of these answers is whole and has each event once
+    And each of these calls ran once
+
   Scenario Outline: A stream whose engine went silent for good goes on elsewhere in time
     When a stream has its first event, and its engine pauses for 60 seconds
       | where   |
--- a/tests/steps/pause_steps.py
+++ b/tests/steps/pause_steps.py
@@ -154,6 +154,38 @@
     _play_cases(context, play)
 
 
+@when(
+    "a stream has its first event, and its caller reads nothing for {seconds:g} seconds"
+)
+def step_full(context, seconds):
+    """Let the caller's buffer be full for a while."""
+
+    def play(entries, holder):
+        """Send a stream whose caller stops to read."""
+        caller = entries.call("a", "/again/1", _HEADERS)
+        caller.is_full = True
+        timeline = entries.installation.timeline
+        timeline.call_later(seconds, lambda: _read_again(caller))
+        return [caller]
+
+    _play_cases(context, play)
+
+
+def _read_again(caller):
+    caller.is_full = False
+    caller.on_drained()
+
+
+@then("each of these calls ran once")
+def step_once(context):
+    """Count the runs of the last call of each deployment."""
+    for entries in context.deployments:
+        runners = entries.installation.runners.values()
+        last = f"r{len(entries.callers)}"
+        runs = [one for it in runners for one in it.ran if one["request-id"] == last]
+        assert len(runs) == 1, len(runs)
+
+
 @when("a stream has its first event, and its engine breaks off")
 def step_break(context):
     """Play each case with a stream that may run again."""
