Split the answer of a call from its exchange

The head that is used, the events that were passed on, and what is buffered belong to the answer, which may come from several sends; the exchange decides which send it comes from. A buffer belongs to the send that filled it.

--- a/roadlift/decisions/inactivity.py
+++ b/roadlift/decisions/inactivity.py
@@ -20,11 +20,12 @@
 class _MonitoredEngine:
     """This process's calls at an engine, and when it last responded."""
 
-    __slots__ = ("calls", "generating", "last_event_at")
+    __slots__ = ("calls", "generating", "last_event_at", "paused")
 
     def __init__(self, now: float) -> None:
         self.calls: dict[object, Callable[[], None]] = {}
         self.generating: set[object] = set()
+        self.paused: set[object] = set()
         self.last_event_at = now
 
 
@@ -48,11 +49,27 @@
         monitored.calls[call] = on_unresponsive
 
     def record_event(self, endpoint: str, call: object, now: float) -> None:
-        """Record an event of a call, which generates from now on."""
+        """Record bytes of a call, which generates from now on."""
         monitored = self._engines.get(endpoint)
-        if monitored is not None:
+        if monitored is None:
+            return
+        monitored.last_event_at = now
+        if call not in monitored.paused:
             monitored.generating.add(call)
-            monitored.last_event_at = now
+
+    def pause(self, endpoint: str, call: object) -> None:
+        """Ignore a generating call whose answer is not read for now."""
+        monitored = self._engines.get(endpoint)
+        if monitored is not None:
+            monitored.generating.discard(call)
+            monitored.paused.add(call)
+
+    def resume(self, endpoint: str, call: object, now: float) -> None:
+        """Monitor a call again whose answer is read from now on."""
+        monitored = self._engines.get(endpoint)
+        if monitored is not None and call in monitored.paused:
+            monitored.paused.discard(call)
+            self.record_event(endpoint, call, now)
 
     def end(self, endpoint: str, call: object) -> None:
         """Stop monitoring a call."""
@@ -61,6 +78,7 @@
             return
         monitored.calls.pop(call, None)
         monitored.generating.discard(call)
+        monitored.paused.discard(call)
         if not monitored.calls:
             del self._engines[endpoint]
 
@@ -78,8 +96,10 @@
         ]
 
     def abandon(self, endpoint: str) -> None:
-        """Make all calls leave an engine."""
+        """Make all calls leave an engine, except those that are paused."""
         monitored = self._engines.get(endpoint)
-        if monitored is not None:
-            for on_unresponsive in list(monitored.calls.values()):
+        if monitored is None:
+            return
+        for call, on_unresponsive in list(monitored.calls.items()):
+            if call not in monitored.paused:
                 on_unresponsive()
--- a/roadlift/instance/exchange.py
+++ b/roadlift/instance/exchange.py
@@ -25,14 +25,13 @@
 from roadlift.decisions.limits import Basis
 from roadlift.decisions.loading import AdapterSource
 from roadlift.decisions.resending import BUDGET_SPENT, Sends, find_obstacle
-from roadlift.endpoints.events import EventFrames
-from roadlift.http.messages import drop_hop_by_hop
 from roadlift.instance.access import Authorization
 from roadlift.instance.adapterwait import (
     DEFAULT_RETRY_AFTER,
     AdapterWait,
     WaitCallbacks,
 )
+from roadlift.instance.answer import NOT_RUN_STATUSES, Answer
 from roadlift.instance.candidates import Candidates
 from roadlift.instance.crashes import CrashMonitor
 from roadlift.instance.enginechoice import EngineChoice
@@ -44,10 +43,10 @@
 from roadlift.instance.placement import Placement
 from roadlift.instance.platform import Platform
 from roadlift.instance.progress import Progress
-from roadlift.instance.send import MAX_BUFFERED_BYTES, Send
+from roadlift.instance.send import Send
 from roadlift.relay.caller import Caller
 from roadlift.relay.upstream import Request
-from roadlift.serving.calls import Call, Kind, Model
+from roadlift.serving.calls import Call, Model
 from roadlift.serving.directory import Endpoint
 from roadlift.serving.identity import identify, identify_load
 from roadlift.serving.interfaces import Guard, Verdict
@@ -69,9 +68,6 @@
 LATE_PRIORITY_PENALTY = 4
 # Errors of a search for an endpoint that may succeed later.
 _TEMPORARY = (EndpointsResting, LimitReached, NoEndpoint, StaleConfiguration)
-# Statuses that tell a caller that its call did not run.
-_NOT_RUN_STATUSES = (408, 421, 429, 503)
-_EVENT_STREAM = "text/event-stream"
 
 log = ComponentLog("exchange")
 
@@ -147,11 +143,7 @@
         self._unconfirmed_error: RoadliftError | None = None
         self._is_over = False
         self._progress = Progress(self._began_at)
-        self._status = 0
-        self._headers: dict[str, str] = {}
-        self._answering: Send | None = None  # The send whose head is used.
-        self._frames: EventFrames | None = None
-        self._resume_after = call.resume_after
+        self._answer = Answer(kernel.clock, call, route, caller, self._progress)
         self._sent_at = 0.0
         caller.on_gone = self._on_caller_gone
         caller.on_drained = self._on_caller_drained
@@ -397,13 +389,11 @@
         version = None
         if call.model is not None and call.model.adapter:
             version = self._follower.find_version(call.model) or None
-        if self._frames is not None:
-            self._resume_after = self._frames.find_last_id() or self._resume_after
         guard = Guard(
             self._deadline - send.sent_at,
             self._choose_priority(send),
             version,
-            self._resume_after,
+            self._answer.find_position(),
             self._authorization.name,
         )
         request = self._format.build_request(call, self.route, endpoint, guard)
@@ -536,63 +526,28 @@
             self._end_silence("resumed", send)
             return
         for other in self._kept.clear():
-            self._discard_partial(other)
+            self._answer.discard_partial(other)
             self._count_cancelled(other)
             other.close()
             self._end_silence("replaced", other)
 
-    def _discard_partial(self, send: Send) -> None:
-        """Discard the part of an event that a send has left behind."""
-        if self._frames is not None and send.chunks_received:
-            self._frames.discard_partial()
-
     # Owner of a send
 
     def on_head(self, send: Send) -> None:
         """Forward the head of a stream, unless other sends are open."""
         if not self._kept:
-            self._adopt_head(send)
-
-    def _adopt_head(self, send: Send) -> None:
-        """Use the head of a send, and forward that of a stream."""
-        self._answering = send
-        if self._frames is not None:
-            # A resumed stream continues below the head that was already sent.
-            return
-        self._status = send.status
-        self._headers = drop_hop_by_hop(send.headers)
-        is_stream = self.route.kind is Kind.STREAM
-        content_type = send.headers.get("content-type", "")
-        if (
-            send.verdict is Verdict.SUCCEEDED
-            and is_stream
-            and _EVENT_STREAM in content_type
-        ):
-            self._frames = EventFrames()
-            self._write_head(None)
+            self._answer.adopt(send)
 
     def on_body(self, send: Send, data: bytes) -> None:
-        """Forward complete events; buffer other answers until complete."""
+        """Forward the body of a success."""
         self._choose_answer(send)
-        if self._frames is not None:
-            self._write(self._frames.extract_complete(data))
-            return
-        if self._caller.started:
-            self._write(data)
-            return
-        send.buffer += data
-        if len(send.buffer) > MAX_BUFFERED_BYTES:
-            length = self._headers.get("content-length")
-            self._write_head(int(length) if length else None)
-            self._write(bytes(send.buffer))
-            send.buffer.clear()
+        self._answer.write(send, data)
 
     def _choose_answer(self, send: Send) -> None:
         """Let a send that succeeds answer the caller, and no other one."""
         if self._kept:
             self._decide_between(send)
-        if self._answering is not send:
-            self._adopt_head(send)
+        self._answer.adopt(send)
 
     def on_end(self, send: Send) -> None:
         """Finish a complete answer, or handle a rejection."""
@@ -601,7 +556,8 @@
             self._send = None
             self._runs += 1
             self._record_served(send)
-            self._finish(send)
+            self._answer.finish(send)
+            self._end("served", None)
             return
         error = self._classify_failure(send)
         if send in self._kept:
@@ -629,7 +585,7 @@
         if isinstance(error, ConnectionLost):
             has_begun = send.describe_answer() == "head"
             self._crashes.record_cut(endpoint, self.identify(), has_begun)
-        self._discard_partial(send)
+        self._answer.discard_partial(send)
         if send in self._kept:
             self._on_kept_failed(send, error)
             return
@@ -639,7 +595,7 @@
             return
         if error.outcome is not Outcome.NOT_RUN:
             self._runs += 1
-        if self._caller.started:
+        if self._answer.has_begun:
             error = StreamCut(f"{endpoint.id}: {error.detail}")
         self._on_failure(send, error)
 
@@ -659,7 +615,7 @@
         endpoint = send.endpoint
         self._ledger.clear(self.identify)
         self._placement.health.record_success(endpoint.id, now)
-        if self._frames is None:
+        if not self._answer.is_stream:
             self._placement.speeds.note(endpoint.id, now - send.sent_at, now)
         elif self._progress.writes > 1:
             seconds = self._progress.generation_time
@@ -675,35 +631,6 @@
         self._record_step("held", endpoint=endpoint.id)
         self._try_send()
 
-    def _write_head(self, length: int | None) -> None:
-        headers = dict(self._headers)
-        headers.pop("content-length", None)
-        self._caller.write_head(self._status, headers, length)
-
-    def _write(self, data: bytes) -> None:
-        if not data:
-            return
-        now = self._kernel.clock.now()
-        if self.call.model is not None:
-            self._send.record_event(now)
-        self._progress.record_write(now)
-        self._caller.write(data)
-        if self._caller.is_full:
-            self._send.pause()
-
-    def _finish(self, send: Send) -> None:
-        if self._caller.started:
-            self._caller.finish()
-        else:
-            self._progress.record_complete(self._kernel.clock.now())
-            self._answer_buffered(send.buffer)
-        self._end("served", None)
-
-    def _answer_buffered(self, buffer: bytearray) -> None:
-        headers = dict(self._headers)
-        headers.pop("content-length", None)
-        self._caller.answer(self._status, headers, bytes(buffer))
-
     # Failures
 
     def _report_missing(self, send: Send) -> None:
@@ -753,11 +680,11 @@
             self._schedule_resumption(error)
         elif (
             isinstance(error, EndpointFailed)
-            and self._may_forward_failure()
+            and self._answer.may_forward_failure
             and not self._kept
         ):
             # An error answer of the endpoint is forwarded unchanged.
-            self._answer_buffered(send.buffer)
+            self._answer.forward(send)
             self._end("failed", error)
         else:
             self._fail(error)
@@ -782,10 +709,6 @@
         else:
             self._try_send()
 
-    def _may_forward_failure(self) -> bool:
-        is_failure = self._status >= 400 and self._status not in _NOT_RUN_STATUSES
-        return is_failure and not self._caller.started
-
     def _find_obstacle(self, error: RoadliftError, now: float) -> str | None:
         """Return why the call is not sent again, or None."""
         self._unreached += isinstance(error, EndpointUnreachable)
@@ -794,7 +717,7 @@
             self._unreached,
             self._runs + len(self._list_open()),
             self._deadline - now,
-            self._caller.started and self._frames is None,
+            self._answer.has_begun and not self._answer.is_stream,
         )
         return find_obstacle(
             error,
@@ -822,7 +745,7 @@
 
     def _may_resume_later(self) -> bool:
         """Return whether a begun answer can wait until it is continued."""
-        is_resumable = self._frames is not None and self.route.is_repeatable
+        is_resumable = self._answer.is_stream and self.route.is_repeatable
         wait = self._compute_caller_wait(self._kernel.clock.now())
         return is_resumable and not self._kept and wait > RESUMPTION_INTERVAL
 
@@ -861,13 +784,10 @@
         if error.outcome is Outcome.NOT_RUN and self._unconfirmed_error is not None:
             error = self._unconfirmed_error
         self._cancel_all()
-        if self._caller.started:
-            self._caller.truncate()
-        else:
-            headers = dict(self._format.describe(self.call.id))
-            if error.status in _NOT_RUN_STATUSES:
-                headers["Retry-After"] = f"{error.retry_after or DEFAULT_RETRY_AFTER:g}"
-            self._caller.answer_error(error, headers)
+        headers = dict(self._format.describe(self.call.id))
+        if error.status in NOT_RUN_STATUSES:
+            headers["Retry-After"] = f"{error.retry_after or DEFAULT_RETRY_AFTER:g}"
+        self._answer.fail(error, headers)
         self._end("refused" if error.outcome is Outcome.NOT_RUN else "failed", error)
 
     def _on_deadline(self) -> None:
@@ -913,7 +833,7 @@
             service=self._service,
             endpoint=self._endpoint.id if self._endpoint else None,
             sends=self._sends,
-            status=self._status,
+            status=self._answer.status,
             tokens_in=self.call.tokens_in,
             tokens_out=self.call.tokens_out,
             sent=round(self._sent_at - self._began_at, 4) if self._sends else None,
--- a/roadlift/instance/send.py
+++ b/roadlift/instance/send.py
@@ -100,11 +100,14 @@
     def pause(self) -> None:
         """Stop reading the answer until ``resume``."""
         if self._line is not None:
+            self._placement.inactivity.pause(self.endpoint.id, self)
             self._line.pause()
 
     def resume(self) -> None:
         """Go on reading the answer."""
         if self._line is not None:
+            now = self._kernel.clock.now()
+            self._placement.inactivity.resume(self.endpoint.id, self, now)
             self._line.resume()
 
     @property
@@ -119,14 +122,13 @@
         return "events" if self.chunks_received else "head"
 
     def record_event(self, now: float) -> None:
-        """Update the state of the engine by an event of its stream."""
-        if self._is_prompt_unread:
+        """Update the reading speed of the engine by a first event."""
+        if self._is_prompt_unread and self._owner.call.model is not None:
             tokens = self.tokens_ahead + self._owner.call.tokens_in
             self._placement.record_first_event(
                 self.endpoint, tokens, now - self.sent_at
             )
             self._record_prompt_read()
-        self._placement.inactivity.record_event(self.endpoint.id, self, now)
 
     def release_trial_slot(self) -> None:
         """Release the trial slot of a call that may crash endpoints.
@@ -167,6 +169,8 @@
         """Pass body bytes on; those of other than successes are buffered."""
         self.chunks_received += 1
         self.release_trial_slot()
+        now = self._kernel.clock.now()
+        self._placement.inactivity.record_event(self.endpoint.id, self, now)
         if self.verdict is Verdict.SUCCEEDED:
             self._owner.on_body(self, data)
         else:
