Let a begun answer wait for one load instead of ordering several

What engines saw: a begun answer whose load was overdue was refused, tried again, and each time another engine was chosen and ordered to load the adapter, as the first load counts as a slot in use there.

Cause: a wait ends at 2.5 times the usual time of a load, since another instance may serve the caller sooner. A begun answer, or a call whose run is kept, can't go to another instance.

Change: those wait for the load that was ordered as long as their caller stays.

Evidence: the new scenario of tests/instance/resumption.feature found copies at three engines before, at two (the first and the next) now.

--- a/roadlift/instance/adapterwait.py
+++ b/roadlift/instance/adapterwait.py
@@ -67,10 +67,11 @@
         self._max_wait = 0.0
         self.seconds = 0.0
 
-    def begin(self, option: Option, caller_wait: float) -> None:
+    def begin(self, option: Option, caller_wait: float, is_patient: bool) -> None:
         """Request the adapter, or refuse if the caller disconnects before.
 
-        The caller stays connected for ``caller_wait`` seconds.
+        The caller stays connected for ``caller_wait`` seconds. A call that
+        ``is_patient`` can't come back, and waits for a load that is overdue.
         """
         if option.expected > caller_wait:
             self._refuse_too_late(option.expected - caller_wait)
@@ -99,7 +100,8 @@
         # patience would always complete just after the refusal and serve
         # nobody.
         self._deadline = now + caller_wait - reading_time
-        self._max_wait = OVERDUE_FACTOR * option.expected
+        max_wait = OVERDUE_FACTOR * option.expected
+        self._max_wait = caller_wait if is_patient else max_wait
         self._schedule_refusal()
         self._callbacks.on_step(
             "wait",
--- a/roadlift/instance/exchange.py
+++ b/roadlift/instance/exchange.py
@@ -261,7 +261,9 @@
             self._fail(obstacle)
         else:
             self._adapter_wait.begin(
-                option, self._compute_caller_wait(self._kernel.clock.now())
+                option,
+                self._compute_caller_wait(self._kernel.clock.now()),
+                bool(self._kept) or self._answer.has_begun,
             )
         return True
 
--- a/tests/instance/resumption.feature
+++ b/tests/instance/resumption.feature
@@ -30,3 +30,10 @@
       | where                     |
       | the retry budget is spent |
     Then each of these answers is cut within 4 seconds
+
+  Scenario: A load for a begun answer is ordered at one engine, however long it takes
+    When a stream has its first event, and its engine breaks off
+      | where                                        |
+      | the adapter takes too long to load elsewhere |
+    Then each of these answers is whole and has each event once
+    And the adapter was ordered at one other engine
--- a/tests/steps/pause_steps.py
+++ b/tests/steps/pause_steps.py
@@ -245,3 +245,12 @@
     callers = [one for callers in context.played.values() for one in callers]
     found = [context.cut_after.get(caller) for caller in callers]
     assert all(after is not None and after <= seconds for after in found), found
+
+
+@then("the adapter was ordered at one other engine")
+def step_one_order(context):
+    """Count the engines that hold the adapter at the end, but for the first."""
+    for entries in context.deployments:
+        runners = entries.installation.runners.values()
+        holders = [one.id for one in runners if "x" in one.held or "x" in one.arriving]
+        assert len(holders) == 2, holders
