--- a/tests/steps/pause_steps.py
+++ b/tests/steps/pause_steps.py
@@ -249,7 +249,7 @@
 
 @then("the adapter was ordered at one other engine")
 def step_one_order(context):
-    """Count the engines that hold the adapter at the end, but for the first."""
+    """Count the engines that hold the adapter at the end."""
     for entries in context.deployments:
         runners = entries.installation.runners.values()
         holders = [one.id for one in runners if "x" in one.held or "x" in one.arriving]
