--- /dev/null
+++ b/roadlift/instance/attempts.py
@@ -0,0 +1,98 @@
+"""Count the sends of a call, and the retries that they take."""
+
+from collections.abc import Callable
+from typing import NamedTuple, Protocol
+
+from roadlift.core.errors import EndpointUnreachable, RoadliftError
+from roadlift.decisions.resending import Sends, find_obstacle
+from roadlift.serving.routes import Route
+
+
+class RetryBudgets(Protocol):
+    """The retry budgets of the services."""
+
+    def consume_retry(self, service: str, now: float) -> bool:
+        """Consume a retry; return False without one."""
+
+    def refund_retry(self, service: str, now: float) -> None:
+        """Return a retry that was not sent."""
+
+
+class CallState(NamedTuple):
+    """The state of a call when it may be sent again.
+
+    ``time_left`` is in seconds, ``open_sends`` the number of sends that go on;
+    an answer that ``has_begun`` can't be continued by another send.
+    """
+
+    time_left: float
+    open_sends: int
+    has_begun: bool
+    has_spare_slot: Callable[[], bool]
+
+
+class Attempts:
+    """The sends of one call so far.
+
+    ``runs`` of those that have ended may have run. ``has_retry`` tells that a
+    retry was taken from the budget and has not been sent yet.
+    """
+
+    def __init__(self, budgets: RetryBudgets, service: str, route: Route) -> None:
+        self._budgets = budgets
+        self._service = service
+        self._route = route
+        self._unreached = 0
+        self._used_retry = False  # Whether the last send took one.
+        self.sends = 0
+        self.runs = 0
+        self.has_retry = False
+
+    def begin(self) -> None:
+        """Count a send, which uses the retry that was taken."""
+        self.sends += 1
+        self._used_retry, self.has_retry = self.has_retry, False
+
+    def return_send(self) -> None:
+        """Keep the retry of the last send, of which nothing was written."""
+        self.has_retry = self.has_retry or self._used_retry
+
+    def revoke(self) -> None:
+        """Uncount the last send, which its endpoint's state has prevented."""
+        self.sends -= 1
+        self.return_send()
+
+    def take_retry(
+        self, error: RoadliftError, state: CallState, now: float
+    ) -> str | None:
+        """Return why the call is not sent again, or take a retry.
+
+        A send that reached no endpoint takes none.
+        """
+        is_unreached = isinstance(error, EndpointUnreachable)
+        self._unreached += is_unreached
+        sends = Sends(
+            self.sends,
+            self._unreached,
+            self.runs + state.open_sends,
+            state.time_left,
+            state.has_begun,
+        )
+        obstacle = find_obstacle(
+            error,
+            self._route,
+            sends,
+            state.has_spare_slot,
+            lambda: self._budgets.consume_retry(self._service, now),
+        )
+        if obstacle is None and is_unreached:
+            self.return_send()
+        elif obstacle is None:
+            self.has_retry = True
+        return obstacle
+
+    def refund(self, now: float) -> None:
+        """Return a retry that was taken and not sent to the budget."""
+        if self.has_retry:
+            self.has_retry = False
+            self._budgets.refund_retry(self._service, now)
--- a/roadlift/instance/exchange.py
+++ b/roadlift/instance/exchange.py
@@ -24,7 +24,7 @@
 from roadlift.crashes.ledger import CrashLedger
 from roadlift.decisions.limits import Basis
 from roadlift.decisions.loading import AdapterSource
-from roadlift.decisions.resending import BUDGET_SPENT, Sends, find_obstacle
+from roadlift.decisions.resending import BUDGET_SPENT
 from roadlift.instance.access import Authorization
 from roadlift.instance.adapterwait import (
     DEFAULT_RETRY_AFTER,
@@ -32,6 +32,7 @@
     WaitCallbacks,
 )
 from roadlift.instance.answer import NOT_RUN_STATUSES, Answer
+from roadlift.instance.attempts import Attempts, CallState
 from roadlift.instance.candidates import Candidates
 from roadlift.instance.crashes import CrashMonitor
 from roadlift.instance.enginechoice import EngineChoice
@@ -137,16 +138,12 @@
         self._searched_at = float("-inf")
         self._search_timer: Timer | None = None
         self._handover_timer: Timer | None = None
-        self._has_unused_retry = False
-        self._used_retry = False  # Whether the current send took one.
         self._silence_obstacle: str | None = None
         self._endpoint: Endpoint | None = None
         self._excluded: set[str] = set()
         self._is_second_round = False
         self._is_admitted = False
-        self._sends = 0
-        self._unreached = 0
-        self._runs = 0
+        self._attempts = Attempts(ingress, self._service, route)
         self._unconfirmed_error: RoadliftError | None = None
         self._is_over = False
         self._progress = Progress(self._began_at)
@@ -376,8 +373,7 @@
     def _begin_send(self, endpoint: Endpoint, basis: Basis) -> None:
         """Send the call to an endpoint."""
         send = Send(self._kernel, self, self._gate, self._gate.begin(endpoint, basis))
-        self._sends += 1
-        self._used_retry, self._has_unused_retry = self._has_unused_retry, False
+        self._attempts.begin()
         self._authorization.begin()
         self._sent_at = send.sent_at
         self._record_step(
@@ -457,16 +453,12 @@
     def _cancel(self, send: Send) -> None:
         """Cancel a send, which may have run if it was written."""
         if send.is_written:
-            self._runs += 1
+            self._attempts.runs += 1
         else:
-            self._return_send()
+            self._authorization.refund()
+            self._attempts.return_send()
         send.close()
 
-    def _return_send(self) -> None:
-        """Return what the current send was charged, as it was not sent."""
-        self._authorization.refund()
-        self._has_unused_retry = self._used_retry
-
     # Engines that do not respond
 
     def on_unresponsive(self, send: Send) -> None:
@@ -480,7 +472,7 @@
             return
         self._searched_at = now
         error = StreamCut(f"{send.endpoint.id}: unresponsive")
-        reason = self._find_obstacle(error, now)
+        reason = self._take_retry(error)
         if reason is None:
             self._search_beside(send)
         elif reason != self._silence_obstacle:
@@ -494,11 +486,10 @@
             request=self.call.id,
             endpoint=send.endpoint.id,
             got=send.describe_answer(),
-            sends=self._sends,
+            sends=self._attempts.sends,
             age=round(self._kernel.clock.now() - self._began_at, 3),
         )
         self._record_step("silent", endpoint=send.endpoint.id)
-        self._has_unused_retry = True
         self._send = None
         self._kept.add(send)
         self._is_second_round = False
@@ -514,18 +505,13 @@
     def _continue_with(self, send: Send) -> None:
         """Make a kept send the current one, and cancel the search."""
         self._cancel_search()
-        self._refund_retry()
+        self._attempts.refund(self._kernel.clock.now())
+        self._is_second_round = False
         self._send = send
         self._endpoint = send.endpoint
         self._sent_at = send.sent_at
         self._excluded.clear()
 
-    def _refund_retry(self) -> None:
-        """Return a retry that was taken from the budget and not sent."""
-        if self._has_unused_retry:
-            self._has_unused_retry = False
-            self._ingress.refund_retry(self._service, self._kernel.clock.now())
-
     def _end_silence(
         self, outcome: str, send: Send, error: RoadliftError | None = None
     ) -> None:
@@ -595,7 +581,7 @@
         if send.verdict is Verdict.SUCCEEDED:
             self._choose_answer(send)
             self._send = None
-            self._runs += 1
+            self._attempts.runs += 1
             self._record_served(send)
             self._answer.finish(send)
             self._end("served", None)
@@ -607,7 +593,7 @@
         self._send = None
         if not self._kept:
             self._answer.adopt(send)
-        self._runs += error.outcome is not Outcome.NOT_RUN
+        self._attempts.runs += error.outcome is not Outcome.NOT_RUN
         if send.verdict is Verdict.WRONG_ENDPOINT:
             self._report_missing(send)
         is_excluded = send.verdict is not Verdict.WRONG_ENDPOINT
@@ -637,7 +623,7 @@
             self._on_revoked(endpoint)
             return
         if error.outcome is not Outcome.NOT_RUN:
-            self._runs += 1
+            self._attempts.runs += 1
         if self._answer.has_begun:
             error = StreamCut(f"{endpoint.id}: {error.detail}")
         self._on_failure(send, error)
@@ -649,7 +635,7 @@
         if send.verdict is Verdict.WRONG_ENDPOINT:
             self._report_missing(send)
         if error.outcome is not Outcome.NOT_RUN:
-            self._runs += 1
+            self._attempts.runs += 1
             self._unconfirmed_error = error
             now = self._kernel.clock.now()
             self._record_failure(send.endpoint, error, now)
@@ -670,8 +656,8 @@
 
     def _on_revoked(self, endpoint: Endpoint) -> None:
         """Choose again: the endpoint refuses calls by now; none was sent."""
-        self._sends -= 1
-        self._return_send()
+        self._authorization.refund()
+        self._attempts.revoke()
         self._excluded.add(endpoint.id)
         self._record_step("held", endpoint=endpoint.id)
         self._try_send()
@@ -702,7 +688,7 @@
             self._unconfirmed_error = error
         else:
             self._authorization.refund()
-        reason = self._find_obstacle(error, now)
+        reason = self._take_retry(error)
         self._ingress.measures.count(
             "roadlift_failed_sends", self._service, error.code, reason or "no"
         )
@@ -711,7 +697,7 @@
             request=self.call.id,
             endpoint=endpoint.id,
             error=str(error),
-            sends=self._sends,
+            sends=self._attempts.sends,
             age=round(now - self._began_at, 3),
             given_up=reason,
             identity=self.identify().hex(),
@@ -719,7 +705,6 @@
         )
         self._record_step("failed", error=str(error), given_up=reason)
         if reason is None:
-            self._has_unused_retry = not isinstance(error, EndpointUnreachable)
             self._resend(error)
         elif reason == BUDGET_SPENT and self._may_resume_later():
             self._schedule_resumption(error)
@@ -754,23 +739,16 @@
         else:
             self._try_send()
 
-    def _find_obstacle(self, error: RoadliftError, now: float) -> str | None:
+    def _take_retry(self, error: RoadliftError) -> str | None:
         """Return why the call is not sent again, or None."""
-        self._unreached += isinstance(error, EndpointUnreachable)
-        sends = Sends(
-            self._sends,
-            self._unreached,
-            self._runs + len(self._list_open()),
+        now = self._kernel.clock.now()
+        state = CallState(
             self._deadline - now,
+            len(self._list_open()),
             self._answer.has_begun and not self._answer.is_stream,
-        )
-        return find_obstacle(
-            error,
-            self.route,
-            sends,
             self._has_spare_slot,
-            lambda: self._ingress.consume_retry(self._service, now),
         )
+        return self._attempts.take_retry(error, state, now)
 
     def _has_spare_slot(self) -> bool:
         """Return whether a retry takes no slot from a call's first send."""
@@ -806,12 +784,9 @@
 
     def _resume(self, error: RoadliftError) -> None:
         """Search again, with a retry from the budget."""
-        if self._has_unused_retry:
-            self._try_send()
-            return
-        reason = self._find_obstacle(error, self._kernel.clock.now())
+        has_retry = self._attempts.has_retry
+        reason = None if has_retry else self._take_retry(error)
         if reason is None:
-            self._has_unused_retry = True
             self._try_send()
         elif reason == BUDGET_SPENT and self._may_resume_later():
             self._schedule_resumption(error)
@@ -861,7 +836,7 @@
     def _end(self, outcome: str, error: RoadliftError | None) -> None:
         self._is_over = True
         self._timer.close()
-        self._refund_retry()
+        self._attempts.refund(self._kernel.clock.now())
         now = self._kernel.clock.now()
         time_to_first_byte = self._progress.time_to_first_byte
         is_late = self._progress.is_late(self.route)
@@ -877,11 +852,13 @@
             organisation=self._authorization.name,
             service=self._service,
             endpoint=self._endpoint.id if self._endpoint else None,
-            sends=self._sends,
+            sends=self._attempts.sends,
             status=self._answer.status,
             tokens_in=self.call.tokens_in,
             tokens_out=self.call.tokens_out,
-            sent=round(self._sent_at - self._began_at, 4) if self._sends else None,
+            sent=round(self._sent_at - self._began_at, 4)
+            if self._attempts.sends
+            else None,
             waited=round(self._adapter_wait.seconds, 4),
             first=None if time_to_first_byte is None else round(time_to_first_byte, 4),
             pause=round(self._progress.longest_pause, 4),
