Tell callers of a begun stream that it was cut, not that it did not run

What callers saw: a stream that had brought events and was cut, and whose engine refused to continue it, ended with refused_by_endpoint or invalid_request, outcome not_run. With an idempotency key the claim was released for that, and the same key ran the call a second time.

Cause: a cut was reported as stream_cut where it was received; the refusal of a resumption is judged as if it refused a run, and nothing looked at what the caller had received by then.

Change: once an answer has begun, whatever ends it is reported as stream_cut, outcome failed, at the one place where failures end a call.

The stand-in of the hub makes streams that are cut, resumed and refused.

--- a/roadlift/daemon/exchange.py
+++ b/roadlift/daemon/exchange.py
@@ -252,8 +252,6 @@
             has_begun = self._head is not None and not self._has_body
             ends, identity = self._calls.ends, self._identify()
             ends.record_cut(endpoint, self._address, identity, has_begun)
-        if self._head is not None and not self._is_refusal:
-            error = StreamCut(error.detail)
         self._on_failure(error)
 
     def _pass(self, data: bytes) -> None:
@@ -280,6 +278,9 @@
         self._leave_endpoint()
         if self._is_over:
             return
+        if self._caller.started:
+            # What ran in part ran, whatever its continuation was refused for.
+            error = StreamCut(error.detail)
         if error.outcome is not Outcome.NOT_RUN:
             self._doubt = error
         repeatable = self.call.repeatable and not self.call.key
--- a/standins/hub.py
+++ b/standins/hub.py
@@ -34,6 +34,7 @@
     UNLOAD_PATH,
     EngineState,
     make_answer,
+    make_event,
     shorten,
 )
 
@@ -118,6 +119,8 @@
 
 CRASH_DELAY = 0.05  # Seconds from a deadly run's beginning to the engine's end.
 RETURN_DELAY = 2.0  # Seconds until an engine that ended is back.
+EVENT_GAP = 0.05  # Seconds between the events of a stream.
+STREAM_PATH = "/streams/"
 
 
 class HubLine:
@@ -126,6 +129,7 @@
     def __init__(self, receiver: Receiver) -> None:
         self.receiver = receiver
         self.is_closed = False
+        self.is_paused = False
         self.written = True
         self.on_close: Callable[[], None] = lambda: None
 
@@ -136,10 +140,12 @@
             self.on_close()
 
     def pause(self) -> None:
-        """Do nothing; answers in memory are whole at once."""
+        """Let the events of a stream wait; other answers are whole at once."""
+        self.is_paused = True
 
     def resume(self) -> None:
-        """Do nothing; see pause."""
+        """Let them come."""
+        self.is_paused = False
 
 
 class HubDialer:
@@ -158,8 +164,22 @@
         return line
 
 
+class HubStream(NamedTuple):
+    """A stream that an engine keeps, so that it can be resumed."""
+
+    run: int
+    path: str
+    prompt: str
+    count: int
+
+
 class HubEngine:
-    """An engine in memory: a load takes time, a run takes time."""
+    """An engine in memory: a load takes time, a run takes time.
+
+    Each answer with events is cut before the event that the next number of
+    ``cuts`` names. Resumptions meet ``refusal``: a status, "no way", "a loss",
+    or nothing, and come at the times in ``resumptions``.
+    """
 
     def __init__(self, hub: "Hub", zone: str, slots: int, fences: bool) -> None:
         self._hub = hub
@@ -175,13 +195,18 @@
         # the times of the calls that came.
         self.rest = 0
         self.turned_away: list[float] = []
+        self.streams: dict[str, HubStream] = {}
+        self.can_resume = True
+        self.cuts: list[int] = []
+        self.refusal = ""
+        self.resumptions: list[float] = []
 
     def crash(self) -> None:
         """End, and be back with nothing a while later."""
         if self.is_down:
             return
         self.is_down = True
-        self.state.restart()
+        self.restart()
         self._hub.call_later(RETURN_DELAY, self._return)
 
     def _return(self) -> None:
@@ -190,6 +215,7 @@
 
     def restart(self) -> None:
         """Lose everything; calls in flight lose their connections."""
+        self.streams.clear()
         self.state.restart()
 
     def handle(self, request: Request, line: HubLine) -> None:
@@ -204,6 +230,8 @@
             text = f"process_start_time_seconds {self.state.started_at!r}\n"
             text += f"vllm:num_requests_running {len(self.state.runs)}"
             self._reply(line, 200, text.encode())
+        elif request.path.startswith(STREAM_PATH):
+            self._resume(request.path, headers, line)
         else:
             self._run(json.loads(request.body), line)
 
@@ -251,6 +279,11 @@
         path, prompt = self.state.copies[name], shorten(call["prompt"])
         number = self.state.begin_run(name, prompt)
         line.on_close = lambda: self.state.end_run(number, False)
+        if call.get("stream"):
+            stream = HubStream(number, path, prompt, call["max_tokens"])
+            self.streams[str(number)] = stream
+            self._stream(str(number), 0, line)
+            return
         answer = make_answer(path, prompt, call.get("max_tokens", 4), False)
         finish = lambda: self._finish_run(number, answer, line)
         self._hub.call_later(self.run_time, finish)
@@ -267,6 +300,63 @@
         self.state.end_run(number, True)
         self._reply(line, 200, json.dumps(answer).encode())
 
+    def _resume(self, path: str, headers: dict[str, str], line: HubLine) -> None:
+        self.resumptions.append(self._hub.clock.now())
+        key = path.removeprefix(STREAM_PATH)
+        rest = {"retry-after": str(self.rest)} if self.rest else {}
+        if self.refusal == "no way":
+            line.receiver.receive_error(EndpointUnreachable("connect timeout"))
+        elif self.refusal == "a loss":
+            line.receiver.receive_error(ConnectionLost("closed early"))
+        elif self.refusal:
+            self._reply(line, int(self.refusal), b"refused", rest)
+        elif key not in self.streams:
+            self._reply(line, 404, b"no such stream")
+        else:
+            run = self.streams[key].run
+            line.on_close = lambda: self.state.end_run(run, False)
+            self._stream(key, int(headers["last-event-id"]) + 1, line)
+
+    def _stream(self, key: str, first: int, line: HubLine) -> None:
+        """Give a stream's events from one on."""
+        headers = {"content-type": "text/event-stream"}
+        if self.can_resume:
+            headers["x-resume-path"] = STREAM_PATH + key
+        line.receiver.receive_head(200, headers)
+        cut = self.cuts.pop(0) if self.cuts else -1
+        self._schedule_event(key, first, cut, line)
+
+    def _schedule_event(self, key: str, index: int, cut: int, line: HubLine) -> None:
+        give = lambda: self._give_event(key, index, cut, line)
+        self._hub.call_later(EVENT_GAP, give)
+
+    def _give_event(self, key: str, index: int, cut: int, line: HubLine) -> None:
+        """Give one event, or what ends the stream or this answer of it."""
+        if line.is_closed:
+            return
+        if line.is_paused:
+            self._schedule_event(key, index, cut, line)
+            return
+        if index == cut or key not in self.streams:
+            line.receiver.receive_error(ConnectionLost("closed early"))
+            return
+        run, path, prompt, count = self.streams[key]
+        if index == count:
+            self._end_stream(run, cut, line)
+            return
+        event = json.dumps(make_event(path, prompt, index, False))
+        line.receiver.receive_body(f"id: {index}\ndata: {event}\n\n".encode())
+        self._schedule_event(key, index + 1, cut, line)
+
+    def _end_stream(self, run: int, cut: int, line: HubLine) -> None:
+        """Give the end mark; the answer's end is lost if it is cut there."""
+        self.state.end_run(run, True)
+        line.receiver.receive_body(b"data: [DONE]\n\n")
+        if cut > self.streams[str(run)].count:
+            line.receiver.receive_error(ConnectionLost("closed early"))
+        else:
+            line.receiver.receive_end()
+
     def _reply(self, line, status, body, headers=None) -> None:
         if line.is_closed:
             return
@@ -540,6 +630,11 @@
         alive = self._hub.kernels.get(self._sender) is self._process
         return self._line.is_closed or not alive
 
+    @property
+    def is_paused(self) -> bool:
+        """Tell whether the caller reads no events now."""
+        return self._line.is_paused
+
     @property
     def on_close(self) -> Callable[[], None]:
         """Return what the endpoint does when the caller closes."""
--- /dev/null
+++ b/tests/steps/resumption_steps.py
@@ -0,0 +1,149 @@
+"""Steps on streams of the hub's engines that are cut and resumed."""
+
+import json
+import re
+
+from behave import step, then, when
+
+from roadlift.daemon.gateway import Gateway
+from roadlift.daemon.pins import Pins
+from roadlift.http.messages import ReceivedRequest
+from standins.hub import EVENT_GAP, HubCaller
+
+MODEL = "m3@1"
+KEY = "key-1"
+
+
+def _get_engine(context):
+    return context.deployment.hub.get_engine("engine-a0")
+
+
+def _open_stream(context, events, key="", model=MODEL):
+    """Send a call for a stream and wait for its first event."""
+    caller = HubCaller()
+    content = {"model": model, "prompt": "p", "max_tokens": events, "stream": True}
+    headers = {"idempotency-key": key} if key else {}
+    body = json.dumps(content).encode()
+    request = ReceivedRequest("POST", "/v1/completions", headers, body)
+    context.deployment.get("entry-a0", Gateway).handle(request, caller)
+    context.callers = [*getattr(context, "callers", []), caller]
+    context.events = events
+    return caller
+
+
+def _await_event(context, caller):
+    context.deployment.hub.advance_until(lambda: bool(caller.body), 10.0)
+
+
+@when(
+    "a stream of {events:d} events is cut behind {count:d}, and its resumption meets"
+    " {refusal} for {span:g} s"
+)
+def step_refuse(context, events, count, refusal, span):
+    """Cut a stream, refuse its resumption, and end that after a while."""
+    engine = _get_engine(context)
+    engine.cuts = [count]
+    engine.refusal = refusal
+    _await_event(context, _open_stream(context, events))
+    context.deployment.hub.advance(count * EVENT_GAP + span)
+    engine.refusal = ""
+
+
+@when(
+    "a stream of {events:d} events is cut {times:d} times, each behind one more event"
+)
+def step_cut_often(context, events, times):
+    """Cut a stream and its resumptions."""
+    _get_engine(context).cuts = list(range(1, times + 1))
+    _open_stream(context, events)
+
+
+@when("a stream of {events:d} events is cut at an engine {state}")
+def step_cut_for_good(context, events, state):
+    """Cut a stream at an engine that will not continue it."""
+    _cut_for_good(context, events, state)
+
+
+@when("a stream of {events:d} events with a key is cut at an engine {state}")
+def step_cut_key_for_good(context, events, state):
+    """Do the same to a call with an idempotency key."""
+    _cut_for_good(context, events, state, KEY)
+
+
+@when("the stream with the key is asked for again")
+def step_again(context):
+    """Send the same call as a caller that comes back."""
+    engine = _get_engine(context)
+    engine.refusal, engine.cuts = "", []
+    _open_stream(context, context.events, KEY)
+
+
+def _cut_for_good(context, events, state, key=""):
+    engine = _get_engine(context)
+    if state == "without a way on":
+        engine.can_resume = False
+    if state.startswith("that answers "):
+        engine.refusal = state.removeprefix("that answers ")
+    engine.cuts = [1]
+    _await_event(context, _open_stream(context, events, key))
+    if state == "that ended":
+        engine.crash()
+    elif state == "that restarted":
+        engine.restart()
+    context.deployment.hub.advance(EVENT_GAP)
+
+
+@step("its caller goes away meanwhile")
+def step_go_away(context):
+    """Take the caller away while its stream waits."""
+    context.callers[-1].on_gone()
+    context.resumed = len(_get_engine(context).resumptions)
+
+
+@then("it is resumed no more")
+def step_no_more(context):
+    """Wait for a resumption that must not come."""
+    context.deployment.hub.advance(5.0)
+    assert len(_get_engine(context).resumptions) == context.resumed
+
+
+@then("each stream is whole, with each event once, and ran once")
+def step_whole(context):
+    """Compare the numbers of the events and the engines' journals."""
+    for caller in context.callers:
+        assert caller.is_whole, (caller.error, caller.body)
+        numbers = re.findall(rb"^id: (\d+)$", caller.body, re.MULTILINE)
+        assert [int(number) for number in numbers] == list(range(context.events))
+        assert caller.body.count(b"[DONE]") == 1, caller.body
+    engines = context.deployment.hub.engines.values()
+    runs = sum(engine.state.count("run") for engine in engines)
+    assert runs == len(context.callers), runs
+
+
+@then("its engine ran it once")
+def step_ran_once(context):
+    """Look into the engine's journal."""
+    assert _get_engine(context).state.count("run") == 1
+
+
+@then("it was resumed at most {most:d} times")
+def step_resumed(context, most):
+    """Count the resumptions that reached the engine."""
+    found = len(_get_engine(context).resumptions)
+    assert 0 < found <= most, found
+
+
+@then("its caller is told {code}")
+def step_told(context, code):
+    """Check that the answer ended with an error."""
+    caller = context.callers[-1]
+    assert not caller.is_whole
+    assert caller.error is not None and caller.error.code == code, caller.error
+
+
+@then("no call runs under a pin")
+def step_no_pin(context):
+    """Look into the instance's table of pins."""
+    table = context.deployment.get("entry-a0", Pins).table
+    names = context.deployment.hub.engine_names
+    assert sum(table.count_running(name) for name in names) == 0
