Resume a cut stream as long as its caller would wait for a place

What callers saw: a stream that was cut, and whose engine refused to continue it for a moment (503, 429, a path that did not connect), ended with an error a few milliseconds later, with its run kept at the engine and all of the time that the caller may wait still left. A long stream ended with an error at its eighth cut, though each of them had been resumed.

Cause: all failures of a resumption were followed by the next try at once, and eight sends in the whole life of a call were the only limit.

Change: the tries are spaced, from 0.05 s doubled up to 1 s, until the time for which a request waits to be placed (queue_timeout, batch_timeout) has passed without a new event; each event starts it anew. The pin is held meanwhile. An engine that has no listener any more, does not know the stream or rejects the request itself is not asked again. `resumed` counts the streams that an engine did continue, not the tries.

--- a/roadlift/daemon/exchange.py
+++ b/roadlift/daemon/exchange.py
@@ -28,6 +28,7 @@
 from roadlift.daemon.metrics import Metrics
 from roadlift.daemon.pins import Pins
 from roadlift.daemon.rests import Rests
+from roadlift.daemon.resumption import Resumption, is_final
 from roadlift.endpoints.api import engine_apis
 from roadlift.endpoints.events import EventFrames
 from roadlift.http.messages import parse_retry_after
@@ -379,6 +380,7 @@
         self._pin: HeldPin | None = None
         self._frames: EventFrames | None = None
         self._resume_from: dict[str, str] = {}
+        self._resumption = Resumption(self._wait)
         self._placing_since = 0.0
         self._is_waiting = False
 
@@ -386,14 +388,18 @@
     def _priority(self) -> str:
         return self._service["priority"] if self._service else "standard"
 
+    @property
+    def _wait(self) -> float:
+        """Return the seconds to wait for a place, or for a resumption."""
+        is_batch = self._priority == "batch"
+        settings = self._settings
+        return settings.batch_timeout if is_batch else settings.queue_timeout
+
     def _try(self) -> None:
         now = self._kernel.clock.now()
         self._placing_since = now
         self._is_waiting = True
-        is_batch = self._priority == "batch"
-        settings = self._settings
-        wait = settings.batch_timeout if is_batch else settings.queue_timeout
-        deadline = now + wait
+        deadline = now + self._wait
         waiter = Waiter(self._priority, deadline, self._on_pin, self._on_no_pin)
         self._pins.place(self.call.model, waiter)
 
@@ -448,6 +454,8 @@
             self._head = (status, headers)
             self._error_body.clear()
             self._note_rest(status, headers)
+            if not self._is_refusal:
+                self._metrics.count("resumed")
             return
         super().receive_head(status, headers)
         if status < 400 and "text/event-stream" in headers.get("content-type", ""):
@@ -466,21 +474,38 @@
         super()._finish()
 
     def _on_failure(self, error: RoadliftError) -> None:
-        if self._frames is not None and self._resume():
+        if self._frames is not None and self._schedule_resumption(error):
             return
         super()._on_failure(error)
 
-    def _resume(self) -> bool:
-        """Go on with a cut stream behind the last whole event."""
+    def _schedule_resumption(self, error: RoadliftError) -> bool:
+        """Plan to continue a cut stream behind the last whole event.
+
+        The pin is kept meanwhile: the run may go on at the engine.
+        """
         last_id = self._frames.discard_partial()
         request = self._api.build_resume(self._resume_from, last_id)
-        if request is None or self._tries >= MOST_TRIES or self._pin is None:
+        status = self._head[0] if self._is_refusal else 0
+        if request is None or self._pin is None or is_final(error, status):
             return False
-        self._metrics.count("resumed")
-        self._tries += 1
-        self._open(self._address, request)
+        delay = self._resumption.plan(last_id, self._kernel.clock.now())
+        if delay is None:
+            return False
+        if self._resumption.tries == 2:
+            endpoint = self._name_endpoint()
+            log.warning("A stream can't be resumed at %s yet: %s.", endpoint, error)
+        if delay:
+            resume = lambda: self._resume(request)
+            self._kernel.loop.call_later(delay, resume)
+        else:
+            self._resume(request)
         return True
 
+    def _resume(self, request: Request) -> None:
+        if not self._is_over:
+            self._head = None
+            self._open(self._address, request)
+
 
 class ServiceExchange(Exchange):
     """A call to a plain service beside the engines."""
--- a/tests/daemon/resumption.feature
+++ b/tests/daemon/resumption.feature
@@ -1,5 +1,37 @@
 Feature: A begun stream ends whole while its engine can still continue it
 
+  A stream that was cut was resumed eight times within milliseconds; an engine that
+  refused it for a moment got all of them in that moment, and the caller's answer was cut
+  with half a minute left.
+
+  Scenario Outline: A stream whose resumption meets <refusal> for <span> s ends whole
+    Given a deployment of 1 zone with 1 instances and 1 fencing engine
+    When a stream of 6 events is cut behind 2, and its resumption meets <refusal> for <span> s
+    And 3 s pass
+    Then each stream is whole, with each event once, and ran once
+    And it was resumed at most <most> times
+
+    Examples:
+      | refusal | span | most |
+      | 503     | 0.5  | 6    |
+      | 503     | 5    | 11   |
+      | 429     | 5    | 11   |
+      | 500     | 5    | 11   |
+      | no way  | 5    | 11   |
+      | a loss  | 5    | 11   |
+      | 503     | 28   | 34   |
+
+  Scenario Outline: A stream that is cut <times> times ends whole
+    Given a deployment of 1 zone with 1 instances and 1 fencing engine
+    When a stream of 30 events is cut <times> times, each behind one more event
+    And 10 s pass
+    Then each stream is whole, with each event once, and ran once
+
+    Examples:
+      | times |
+      | 3     |
+      | 20    |
+
   Scenario Outline: A stream that <engine> can't continue ends with an error at once
     Given a deployment of 1 zone with 1 instances and 1 fencing engine
     When a stream of 6 events is cut at <engine>
@@ -30,3 +62,16 @@
       | an engine that restarted    |
       | an engine that answers 410  |
       | an engine without a way on  |
+
+  Scenario: A resumption that is refused for good ends with an error in time
+    Given a deployment of 1 zone with 1 instances and 1 fencing engine
+    When a stream of 6 events is cut behind 2, and its resumption meets 503 for 31 s
+    Then its caller is told stream_cut
+    And no call runs under a pin
+
+  Scenario: A caller that goes away ends the wait for a resumption
+    Given a deployment of 1 zone with 1 instances and 1 fencing engine
+    When a stream of 6 events is cut behind 2, and its resumption meets 503 for 2 s
+    But its caller goes away meanwhile
+    Then it is resumed no more
+    And no call runs under a pin
