Finish a stream whose connection is lost behind its end mark

What callers saw: all events and the end mark of a stream, and behind them an error event and a connection that was closed without the final chunk.

Cause: a connection lost before the answer's framing was closed counted as a cut, whatever had come by then; the end mark has no id, so that the stream could not be resumed behind it either.

Change: a failure behind the end mark finishes the answer.

Evidence: both rows of the added scenario failed with stream_cut before and pass.

--- a/roadlift/daemon/exchange.py
+++ b/roadlift/daemon/exchange.py
@@ -474,6 +474,10 @@
         super()._finish()
 
     def _on_failure(self, error: RoadliftError) -> None:
+        if self._frames is not None and self._frames.is_ended:
+            # The caller has the whole answer; only its framing is not closed.
+            super()._finish()
+            return
         if self._frames is not None and self._schedule_resumption(error):
             return
         super()._on_failure(error)
--- a/tests/daemon/resumption.feature
+++ b/tests/daemon/resumption.feature
@@ -75,3 +75,14 @@
     But its caller goes away meanwhile
     Then it is resumed no more
     And no call runs under a pin
+
+  Scenario Outline: A stream whose connection is lost behind its end mark is whole
+    Given a deployment of 1 zone with 1 instances and 1 fencing engine
+    When a stream of 6 events loses its connection behind its end mark at an engine that <can> resume
+    And 1 s pass
+    Then each stream is whole, with each event once, and ran once
+
+    Examples:
+      | can    |
+      | can    |
+      | cannot |
--- a/tests/steps/resumption_steps.py
+++ b/tests/steps/resumption_steps.py
@@ -93,6 +93,18 @@
     context.deployment.hub.advance(EVENT_GAP)
 
 
+@when(
+    "a stream of {events:d} events loses its connection behind its end mark at an"
+    " engine that {can} resume"
+)
+def step_lose_end(context, events, can):
+    """Cut a stream when all of it was sent but the end of its framing."""
+    engine = _get_engine(context)
+    engine.can_resume = can == "can"
+    engine.cuts = [events + 1]
+    _open_stream(context, events)
+
+
 @step("its caller goes away meanwhile")
 def step_go_away(context):
     """Take the caller away while its stream waits."""
