Give an engine the rest that it asks for as it refuses a resumption

What callers saw: engines that answered resumptions with 429 or 503 and a Retry-After got all further tries within it, from each cut stream; the rest held for new calls alone.

Cause: a resumption was sent past the check that other sends pass, and counted neither as a send nor as a trial of the slow start behind a rest.

Change: a resumption waits for the end of the engine's rest where the caller has the time, is checked once more as its first byte is sent, and counts as a send.

--- a/roadlift/daemon/exchange.py
+++ b/roadlift/daemon/exchange.py
@@ -187,13 +187,14 @@
         self._kept_head = (0, {})
         if self._kept is not None:
             self._kept.clear()
+        self._open(address, request)
+
+    def _open(self, address: Address, request: Request) -> None:
         endpoint = self._name_endpoint()
         self._rests.record_send(endpoint)
         # The call may wait for its connection when the endpoint wants rest.
         may_send = lambda: self._rests.is_awake(endpoint)
-        self._open(address, request._replace(may_send=may_send))
-
-    def _open(self, address: Address, request: Request) -> None:
+        request = request._replace(may_send=may_send)
         self._address = address
         self._sent_at = self._kernel.clock.now()
         timeout = self._settings.answer_timeout
@@ -506,9 +507,18 @@
         return True
 
     def _resume(self, request: Request) -> None:
-        if not self._is_over:
+        """Send the request to resume, once the engine's rest is over."""
+        if self._is_over:
+            return
+        endpoint = self._name_endpoint()
+        rest = self._rests.measure(endpoint)
+        if not rest:
             self._head = None
             self._open(self._address, request)
+        elif self._resumption.may_wait(rest, self._kernel.clock.now()):
+            self._kernel.loop.call_later(rest, lambda: self._resume(request))
+        else:
+            super()._on_failure(EndpointsResting(endpoint, rest))
 
 
 class ServiceExchange(Exchange):
--- a/roadlift/daemon/resumption.py
+++ b/roadlift/daemon/resumption.py
@@ -48,8 +48,12 @@
             self._backoff = 0.0
             self.tries = 0
         delay = self._backoff
-        if now + delay >= self._until:
+        if not self.may_wait(delay, now):
             return None
         self._backoff = min(MAX_RETRY_BACKOFF, max(MIN_RETRY_BACKOFF, 2 * delay))
         self.tries += 1
         return delay
+
+    def may_wait(self, seconds: float, now: float) -> bool:
+        """Return whether there is time for a try after some seconds."""
+        return now + seconds < self._until
--- a/tests/daemon/resumption.feature
+++ b/tests/daemon/resumption.feature
@@ -86,3 +86,23 @@
       | can    |
       | can    |
       | cannot |
+
+  Scenario Outline: An engine that asks for rest as it refuses a resumption gets it
+    Given a deployment of 1 zone with 1 instances and 1 fencing engine
+    When <count> streams of 6 events are cut, and the engine answers <status> and wants 4 s of rest
+    And 9 s pass
+    Then each stream is whole, with each event once, and ran once
+    And the engine got at most <most> resumptions within the rest
+
+    Examples:
+      | count | status | most |
+      | 1     | 429    | 1    |
+      | 1     | 503    | 1    |
+      | 4     | 429    | 4    |
+
+  Scenario: A stream whose engine wants more rest than there is time ends with an error
+    Given a deployment of 1 zone with 1 instances and 1 fencing engine
+    When 1 streams of 6 events are cut, and the engine answers 429 and wants 60 s of rest
+    Then its caller is told stream_cut
+    And the engine got at most 1 resumptions within the rest
+    And no call runs under a pin
--- a/tests/steps/resumption_steps.py
+++ b/tests/steps/resumption_steps.py
@@ -105,6 +105,33 @@
     _open_stream(context, events)
 
 
+@when(
+    "{count:d} streams of {events:d} events are cut, and the engine answers {status:d}"
+    " and wants {rest:d} s of rest"
+)
+def step_want_rest(context, count, events, status, rest):
+    """Cut streams at once, and refuse their resumptions for some seconds."""
+    hub, engine = context.deployment.hub, _get_engine(context)
+    engine.cuts = [2] * count
+    engine.refusal = str(status)
+    for number in range(count):
+        _open_stream(context, events, model=f"m{number}@1")
+    hub.advance_until(lambda: not engine.cuts, 10.0)
+    engine.rest = rest
+    hub.advance_until(lambda: bool(engine.resumptions), 1.0)
+    context.rest_until = hub.clock.now() + rest
+    hub.advance(rest - 0.1)
+    engine.rest, engine.refusal = 0, ""
+
+
+@then("the engine got at most {most:d} resumptions within the rest")
+def step_in_rest(context, most):
+    """Count the resumptions that came before its rest was over."""
+    times = _get_engine(context).resumptions
+    found = sum(time < context.rest_until for time in times)
+    assert 0 < found <= most, found
+
+
 @step("its caller goes away meanwhile")
 def step_go_away(context):
     """Take the caller away while its stream waits."""
