Place calls elsewhere when a bundle removed their endpoint

What callers saw: for the seconds for which an idle pin is kept, calls for the adapters that were pinned at a removed endpoint failed with no_endpoint, though another engine could run them. Other calls of the instance were refused their retries afterwards.

Cause: a pin at an endpoint that the bundle in force does not have was chosen, counted as a failed send and chosen again. No send ends this loop: it consumed the whole retry budget of the process, call by call.

Change: such a pin is used no more, and the search for another place is no retry.

--- a/roadlift/daemon/exchange.py
+++ b/roadlift/daemon/exchange.py
@@ -413,7 +413,9 @@
         if self._is_over:
             return
         if endpoint is None or not self._pins.table.begin(pin):
-            self._on_failure(NoEndpoint(pin.endpoint))
+            # Nothing was sent: a search for another place is no retry.
+            self._pins.drop(pin)
+            self._attempt()
             return
         self._pin = pin
         request = self._api.build_run(
--- a/tests/support/deployment.py
+++ b/tests/support/deployment.py
@@ -71,6 +71,11 @@
         sign(self.store, digest, "ben")
         return roll(self.store, digest).number
 
+    def roll_without(self, endpoint: str) -> int:
+        """Roll a bundle that an engine is not in; return its number."""
+        del self.hub.engine_names[endpoint]
+        return self.roll()
+
     def get(self, name: str, part: type):
         """Return a part of an instance."""
         return self.hub.kernels[name].get(part)
