Pass the head of an answer on with its first bytes

What callers saw: a completion whose engine was lost between its head and its first event, or the first byte of a whole answer, ended with stream_cut, although other engines could run it and the caller had nothing of the answer.

Cause: the head was written to the caller as it came. From then on the answer counts as begun, and neither a retry nor an error status is possible; a resumption isn't either, as there is no event to continue behind.

Change: the head is kept until a byte of the body, or the end of the answer, is passed on.

A call with a key still runs once.

--- a/roadlift/daemon/exchange.py
+++ b/roadlift/daemon/exchange.py
@@ -95,6 +95,7 @@
         self._claim: Claim | None = None
         self._kept = bytearray() if call.key else None
         self._kept_head: tuple[int, dict[str, str]] = (0, {})
+        self._length: int | None = None
         self._upstream: CallHandle | None = None
         self._address: Address | None = None
         self._sent_at = 0.0
@@ -208,7 +209,10 @@
     # The receiver of the upstream call.
 
     def receive_head(self, status: int, headers: dict[str, str]) -> None:
-        """Take the head; an answer below 400 goes to the caller."""
+        """Take the head; the caller gets it with the first bytes behind it.
+
+        Until then the call may still be sent to another endpoint.
+        """
         self._head = (status, headers)
         self._error_body.clear()
         self._note_rest(status, headers)
@@ -220,7 +224,11 @@
         passed.update(self._describe())
         self._kept_head = (status, passed)
         length = headers.get("content-length")
-        self._caller.write_head(status, passed, int(length) if length else None)
+        self._length = int(length) if length else None
+
+    def _write_head(self) -> None:
+        if not self._caller.started:
+            self._caller.write_head(*self._kept_head, self._length)
 
     def _note_rest(self, status: int, headers: dict[str, str]) -> None:
         """Learn whether the endpoint wants calls from this process."""
@@ -257,6 +265,7 @@
         self._on_failure(error)
 
     def _pass(self, data: bytes) -> None:
+        self._write_head()
         if self._kept is not None:
             self._kept += data
         self._caller.write(data)
@@ -273,6 +282,7 @@
             status, headers = self._kept_head
             answer = StoredAnswer(status, headers, bytes(self._kept))
             self._calls.claims.store_answer(self._claim, answer)
+        self._write_head()
         self._caller.finish()
         self._end()
 
@@ -418,6 +428,7 @@
             self._attempt()
             return
         self._pin = pin
+        self._frames = None
         request = self._api.build_run(
             self.call.path, self.call.content, pin.copy, self._priority
         )
@@ -468,7 +479,8 @@
     def _pass(self, data: bytes) -> None:
         if self._frames is not None:
             data = self._frames.extract_complete(data)
-        super()._pass(data)
+        if data:
+            super()._pass(data)
 
     def _finish(self) -> None:
         if self._frames is not None and not self._frames.is_ended:
--- a/standins/hub.py
+++ b/standins/hub.py
@@ -176,9 +176,9 @@
 class HubEngine:
     """An engine in memory: a load takes time, a run takes time.
 
-    Each answer with events is cut before the event that the next number of
-    ``cuts`` names. Resumptions meet ``refusal``: a status, "no way", "a loss",
-    or nothing, and come at the times in ``resumptions``.
+    Each answer is cut before the event that the next number of ``cuts`` names,
+    a whole one behind its head for 0. Resumptions meet ``refusal``: a status,
+    "no way", "a loss", or nothing, and come at the times in ``resumptions``.
     """
 
     def __init__(self, hub: "Hub", zone: str, slots: int, fences: bool) -> None:
@@ -297,8 +297,14 @@
         if number not in self.state.runs:
             line.receiver.receive_error(ConnectionLost("restart"))
             return
+        body = json.dumps(answer).encode()
+        if self.cuts and self.cuts.pop(0) == 0:
+            self.state.end_run(number, False)
+            line.receiver.receive_head(200, {"content-length": str(len(body))})
+            line.receiver.receive_error(ConnectionLost("closed early"))
+            return
         self.state.end_run(number, True)
-        self._reply(line, 200, json.dumps(answer).encode())
+        self._reply(line, 200, body)
 
     def _resume(self, path: str, headers: dict[str, str], line: HubLine) -> None:
         self.resumptions.append(self._hub.clock.now())
--- a/tests/daemon/placing.feature
+++ b/tests/daemon/placing.feature
@@ -5,3 +5,21 @@
     When a bundle without engine-a0 comes into force amid calls for 6 models
     Then each of these calls is served
     And the retry budget is whole
+
+  Scenario Outline: An answer of which the caller has nothing but the head runs again
+    Given a deployment of 1 zone with 1 instances and 2 fencing engines
+    When a <kind> loses its connection behind its head at an engine that <can> resume
+    And 3 s pass
+    Then it is answered whole by the engine that its head names
+
+    Examples:
+      | kind         | can    |
+      | stream       | can    |
+      | stream       | cannot |
+      | whole answer | cannot |
+
+  Scenario: An answer with a key of which the caller has nothing but the head runs once
+    Given a deployment of 1 zone with 1 instances and 2 fencing engines
+    When a stream with a key loses its connection behind its head at an engine that cannot resume
+    And 3 s pass
+    Then it ran once and its caller is told connection_lost, unknown
--- a/tests/steps/placing_steps.py
+++ b/tests/steps/placing_steps.py
@@ -1,8 +1,13 @@
-"""Steps on where calls go when an endpoint is removed."""
+"""Steps on where calls go when their first place is lost."""
+
+import json
 
 from behave import then, when
 
 from roadlift.daemon.calls import Calls
+from roadlift.daemon.gateway import Gateway
+from roadlift.http.messages import ReceivedRequest
+from standins.hub import HubCaller
 
 GAP = 0.1  # Seconds between calls.
 ENTRY = "entry-a0"
@@ -47,3 +52,42 @@
     while budget.spend():
         left += 1
     assert left == 20, left
+
+
+@when("a {kind} loses its connection behind its head at an engine that {can} resume")
+def step_lose_head(context, kind, can):
+    """Cut the first answer of each engine behind its head."""
+    for engine in context.deployment.hub.engines.values():
+        engine.can_resume = can == "can"
+        engine.cuts = [0]
+    content = {"model": "m3@1", "prompt": "p", "max_tokens": 4}
+    content["stream"] = kind.startswith("stream")
+    headers = {"idempotency-key": "key-1"} if kind.endswith("with a key") else {}
+    body = json.dumps(content).encode()
+    request = ReceivedRequest("POST", "/v1/completions", headers, body)
+    context.caller = HubCaller()
+    context.deployment.get(ENTRY, Gateway).handle(request, context.caller)
+
+
+def _count(deployment, kind):
+    engines = deployment.hub.engine_names
+    return {name: deployment.hub.get_engine(name).state.count(kind) for name in engines}
+
+
+@then("it is answered whole by the engine that its head names")
+def step_answered(context):
+    """Compare the head with the engines' journals."""
+    caller = context.caller
+    assert caller.is_whole, caller.error
+    ended = _count(context.deployment, "end")
+    assert sum(ended.values()) == 1, ended
+    assert ended[caller.headers["X-Roadlift-Endpoint"]] == 1, caller.headers
+
+
+@then("it ran once and its caller is told {code}, {outcome}")
+def step_told(context, code, outcome):
+    """Look into the engines' journals and at the error."""
+    assert sum(_count(context.deployment, "run").values()) == 1
+    error = context.caller.error
+    assert not context.caller.is_whole and error is not None
+    assert (error.code, str(error.outcome)) == (code, outcome), error
