Let a run with a key go on when its caller stops reading and leaves

What callers saw: a call with an idempotency key whose caller had stopped to read and then went away never ended. Its key was answered with idempotency_in_progress for as long as the instance lived, its adapter kept its slot, and the instance could not leave before its drain limit.

Cause: the engine's answer is read no more while the caller's buffer is full. A connection that closes reports that the caller is gone, and not that its buffer has drained; and a paused answer has no timeout.

Change: reading goes on when the caller is gone.

Evidence: of the two rows of the added scenario the one with a caller that had stopped to read failed before: a call still ran under its pin 2 s later. Both pass; the caller that comes back has each event once, of one run.

--- a/roadlift/daemon/exchange.py
+++ b/roadlift/daemon/exchange.py
@@ -343,7 +343,11 @@
         A call with an idempotency key runs on: its caller only watches, and
         comes back for the answer with the same key.
         """
-        if self._is_over or self._claim is not None:
+        if self._is_over:
+            return
+        if self._claim is not None:
+            # A connection that is closed reports no more that it has drained.
+            self._on_drained()
             return
         self._metrics.count("cancelled")
         if self._upstream is not None:
--- a/tests/daemon/resumption.feature
+++ b/tests/daemon/resumption.feature
@@ -106,3 +106,18 @@
     Then its caller is told stream_cut
     And the engine got at most 1 resumptions within the rest
     And no call runs under a pin
+
+  Scenario Outline: A stream with a key whose caller <how> and goes away is kept for it
+    Given a deployment of 1 zone with 1 instances and 1 fencing engine
+    When a stream of 6 events with a key has a caller that <how> and goes away
+    And 2 s pass
+    Then no call runs under a pin
+    When the stream with the key is asked for again
+    And 1 s pass
+    Then its caller has each event once
+    And its engine ran it once
+
+    Examples:
+      | how                     |
+      | reads                   |
+      | has stopped to read     |
--- a/tests/steps/resumption_steps.py
+++ b/tests/steps/resumption_steps.py
@@ -132,6 +132,32 @@
     assert 0 < found <= most, found
 
 
+@when("a stream of {events:d} events with a key has a caller that {how} and goes away")
+def step_leave_key(context, events, how):
+    """Take the caller away behind its first events."""
+    caller = _open_stream(context, events, KEY)
+    hub = context.deployment.hub
+    _await_event(context, caller)
+    caller.is_full = how == "has stopped to read"
+    hub.advance(2 * EVENT_GAP)
+    # A connection that is closed has nothing left to send.
+    caller.is_full = False
+    caller.on_gone()
+
+
+@then("its caller has each event once")
+def step_has_all(context):
+    """Compare the numbers of the events."""
+    caller = context.callers[-1]
+    assert caller.is_whole, caller.error
+    assert _list_numbers(caller) == list(range(context.events)), caller.body
+
+
+def _list_numbers(caller):
+    numbers = re.findall(rb"^id: (\d+)$", caller.body, re.MULTILINE)
+    return [int(number) for number in numbers]
+
+
 @step("its caller goes away meanwhile")
 def step_go_away(context):
     """Take the caller away while its stream waits."""
@@ -151,8 +177,7 @@
     """Compare the numbers of the events and the engines' journals."""
     for caller in context.callers:
         assert caller.is_whole, (caller.error, caller.body)
-        numbers = re.findall(rb"^id: (\d+)$", caller.body, re.MULTILINE)
-        assert [int(number) for number in numbers] == list(range(context.events))
+        assert _list_numbers(caller) == list(range(context.events)), caller.body
         assert caller.body.count(b"[DONE]") == 1, caller.body
     engines = context.deployment.hub.engines.values()
     runs = sum(engine.state.count("run") for engine in engines)
