Request a pin anew when its grant came too late for the older waiter

What callers saw: of two calls that waited for one adapter, the second waited on after the adapter was loaded at an idle engine, and failed with no_endpoint at its own time limit.

Cause: the waiters of a search share one pin request, which has the deadline of the waiters at that time. A grant behind it is not accepted, which closes the request; the search went on sending the closed request, whose grants are never accepted.

Change: a grant that is not accepted is followed by a new request, as a refusal is. What the table accepts is unchanged.

--- a/roadlift/pins/requester.py
+++ b/roadlift/pins/requester.py
@@ -303,7 +303,13 @@
         pin = self.table.accept(grant, self._host.now())
         local_running = self.table.count_running(grant.endpoint)
         self._levels[grant.endpoint] = (grant.running, local_running + 1)
-        if pin is not None and search is not None:
+        if search is None:
+            return
+        if pin is None:
+            # The request is closed now; waiters that are left need another.
+            search.all_were_full = False
+            self._request_next(search)
+        else:
             self._finish(search, pin)
 
     def _handle_refuse(self, sender: str, refuse: Refuse) -> None:
--- a/tests/daemon/placing.feature
+++ b/tests/daemon/placing.feature
@@ -23,3 +23,8 @@
     When a stream with a key loses its connection behind its head at an engine that cannot resume
     And 3 s pass
     Then it ran once and its caller is told connection_lost, unknown
+
+  Scenario: A call that waits beside an older one is not held to the time of that one
+    Given a deployment of 1 zone with 1 instances and 1 fencing engine
+    When a load fails and the next one ends 2 s behind the time of the first of 2 calls
+    Then the second call is served within 1 s of the load
--- a/tests/steps/placing_steps.py
+++ b/tests/steps/placing_steps.py
@@ -91,3 +91,29 @@
     error = context.caller.error
     assert not context.caller.is_whole and error is not None
     assert (error.code, str(error.outcome)) == (code, outcome), error
+
+
+@when(
+    "a load fails and the next one ends {late:g} s behind the time of the first of"
+    " 2 calls"
+)
+def step_late_load(context, late):
+    """Send one call, another one amid its wait, and let a load end between."""
+    deployment = context.deployment
+    hub, engine = deployment.hub, deployment.hub.get_engine("engine-a0")
+    wait = hub.kernels[ENTRY].settings.queue_timeout
+    engine.load_time = (wait + late) / 2
+    engine.state.faults["fail_loads"] = 1
+    first = deployment.call(ENTRY, "m3@1")
+    hub.advance(wait * 0.6)
+    context.caller = deployment.call(ENTRY, "m3@1")
+    hub.advance_until(lambda: first.error is not None, wait)
+    assert not engine.state.copies
+    hub.advance_until(lambda: bool(engine.state.copies), 2 * late)
+
+
+@then("the second call is served within {limit:g} s of the load")
+def step_served_soon(context, limit):
+    """Wait for its answer."""
+    context.deployment.hub.advance(limit)
+    assert context.caller.is_whole, context.caller.error
