--- a/roadlift/daemon/exchange.py
+++ b/roadlift/daemon/exchange.py
@@ -28,6 +28,7 @@
 from roadlift.daemon.metrics import Metrics
 from roadlift.daemon.pins import Pins
 from roadlift.daemon.rests import Rests
+from roadlift.daemon.resumption import Resumption, is_final
 from roadlift.endpoints.api import engine_apis
 from roadlift.endpoints.events import EventFrames
 from roadlift.http.messages import parse_retry_after
@@ -94,6 +95,7 @@
         self._claim: Claim | None = None
         self._kept = bytearray() if call.key else None
         self._kept_head: tuple[int, dict[str, str]] = (0, {})
+        self._length: int | None = None
         self._upstream: CallHandle | None = None
         self._address: Address | None = None
         self._sent_at = 0.0
@@ -186,13 +188,14 @@
         self._kept_head = (0, {})
         if self._kept is not None:
             self._kept.clear()
+        self._open(address, request)
+
+    def _open(self, address: Address, request: Request) -> None:
         endpoint = self._name_endpoint()
         self._rests.record_send(endpoint)
         # The call may wait for its connection when the endpoint wants rest.
         may_send = lambda: self._rests.is_awake(endpoint)
-        self._open(address, request._replace(may_send=may_send))
-
-    def _open(self, address: Address, request: Request) -> None:
+        request = request._replace(may_send=may_send)
         self._address = address
         self._sent_at = self._kernel.clock.now()
         timeout = self._settings.answer_timeout
@@ -206,7 +209,10 @@
     # The receiver of the upstream call.
 
     def receive_head(self, status: int, headers: dict[str, str]) -> None:
-        """Take the head; an answer below 400 goes to the caller."""
+        """Take the head; the caller gets it with the first bytes behind it.
+
+        Until then the call may still be sent to another endpoint.
+        """
         self._head = (status, headers)
         self._error_body.clear()
         self._note_rest(status, headers)
@@ -218,7 +224,11 @@
         passed.update(self._describe())
         self._kept_head = (status, passed)
         length = headers.get("content-length")
-        self._caller.write_head(status, passed, int(length) if length else None)
+        self._length = int(length) if length else None
+
+    def _write_head(self) -> None:
+        if not self._caller.started:
+            self._caller.write_head(*self._kept_head, self._length)
 
     def _note_rest(self, status: int, headers: dict[str, str]) -> None:
         """Learn whether the endpoint wants calls from this process."""
@@ -252,11 +262,10 @@
             has_begun = self._head is not None and not self._has_body
             ends, identity = self._calls.ends, self._identify()
             ends.record_cut(endpoint, self._address, identity, has_begun)
-        if self._head is not None and not self._is_refusal:
-            error = StreamCut(error.detail)
         self._on_failure(error)
 
     def _pass(self, data: bytes) -> None:
+        self._write_head()
         if self._kept is not None:
             self._kept += data
         self._caller.write(data)
@@ -273,6 +282,7 @@
             status, headers = self._kept_head
             answer = StoredAnswer(status, headers, bytes(self._kept))
             self._calls.claims.store_answer(self._claim, answer)
+        self._write_head()
         self._caller.finish()
         self._end()
 
@@ -280,6 +290,9 @@
         self._leave_endpoint()
         if self._is_over:
             return
+        if self._caller.started:
+            # What ran in part ran, whatever its continuation was refused for.
+            error = StreamCut(error.detail)
         if error.outcome is not Outcome.NOT_RUN:
             self._doubt = error
         repeatable = self.call.repeatable and not self.call.key
@@ -330,7 +343,11 @@
         A call with an idempotency key runs on: its caller only watches, and
         comes back for the answer with the same key.
         """
-        if self._is_over or self._claim is not None:
+        if self._is_over:
+            return
+        if self._claim is not None:
+            # A connection that is closed reports no more that it has drained.
+            self._on_drained()
             return
         self._metrics.count("cancelled")
         if self._upstream is not None:
@@ -378,6 +395,7 @@
         self._pin: HeldPin | None = None
         self._frames: EventFrames | None = None
         self._resume_from: dict[str, str] = {}
+        self._resumption = Resumption(self._wait)
         self._placing_since = 0.0
         self._is_waiting = False
 
@@ -385,14 +403,18 @@
     def _priority(self) -> str:
         return self._service["priority"] if self._service else "standard"
 
+    @property
+    def _wait(self) -> float:
+        """Return the seconds to wait for a place, or for a resumption."""
+        is_batch = self._priority == "batch"
+        settings = self._settings
+        return settings.batch_timeout if is_batch else settings.queue_timeout
+
     def _try(self) -> None:
         now = self._kernel.clock.now()
         self._placing_since = now
         self._is_waiting = True
-        is_batch = self._priority == "batch"
-        settings = self._settings
-        wait = settings.batch_timeout if is_batch else settings.queue_timeout
-        deadline = now + wait
+        deadline = now + self._wait
         waiter = Waiter(self._priority, deadline, self._on_pin, self._on_no_pin)
         self._pins.place(self.call.model, waiter)
 
@@ -405,9 +427,12 @@
         if self._is_over:
             return
         if endpoint is None or not self._pins.table.begin(pin):
-            self._on_failure(NoEndpoint(pin.endpoint))
+            # Nothing was sent: a search for another place is no retry.
+            self._pins.drop(pin)
+            self._attempt()
             return
         self._pin = pin
+        self._frames = None
         request = self._api.build_run(
             self.call.path, self.call.content, pin.copy, self._priority
         )
@@ -447,6 +472,8 @@
             self._head = (status, headers)
             self._error_body.clear()
             self._note_rest(status, headers)
+            if not self._is_refusal:
+                self._metrics.count("resumed")
             return
         super().receive_head(status, headers)
         if status < 400 and "text/event-stream" in headers.get("content-type", ""):
@@ -456,7 +483,8 @@
     def _pass(self, data: bytes) -> None:
         if self._frames is not None:
             data = self._frames.extract_complete(data)
-        super()._pass(data)
+        if data:
+            super()._pass(data)
 
     def _finish(self) -> None:
         if self._frames is not None and not self._frames.is_ended:
@@ -465,21 +493,51 @@
         super()._finish()
 
     def _on_failure(self, error: RoadliftError) -> None:
-        if self._frames is not None and self._resume():
+        if self._frames is not None and self._frames.is_ended:
+            # The caller has the whole answer; only its framing is not closed.
+            super()._finish()
+            return
+        if self._frames is not None and self._schedule_resumption(error):
             return
         super()._on_failure(error)
 
-    def _resume(self) -> bool:
-        """Go on with a cut stream behind the last whole event."""
+    def _schedule_resumption(self, error: RoadliftError) -> bool:
+        """Plan to continue a cut stream behind the last whole event.
+
+        The pin is kept meanwhile: the run may go on at the engine.
+        """
         last_id = self._frames.discard_partial()
         request = self._api.build_resume(self._resume_from, last_id)
-        if request is None or self._tries >= MOST_TRIES or self._pin is None:
+        status = self._head[0] if self._is_refusal else 0
+        if request is None or self._pin is None or is_final(error, status):
             return False
-        self._metrics.count("resumed")
-        self._tries += 1
-        self._open(self._address, request)
+        delay = self._resumption.plan(last_id, self._kernel.clock.now())
+        if delay is None:
+            return False
+        if self._resumption.tries == 2:
+            endpoint = self._name_endpoint()
+            log.warning("A stream can't be resumed at %s yet: %s.", endpoint, error)
+        if delay:
+            resume = lambda: self._resume(request)
+            self._kernel.loop.call_later(delay, resume)
+        else:
+            self._resume(request)
         return True
 
+    def _resume(self, request: Request) -> None:
+        """Send the request to resume, once the engine's rest is over."""
+        if self._is_over:
+            return
+        endpoint = self._name_endpoint()
+        rest = self._rests.measure(endpoint)
+        if not rest:
+            self._head = None
+            self._open(self._address, request)
+        elif self._resumption.may_wait(rest, self._kernel.clock.now()):
+            self._kernel.loop.call_later(rest, lambda: self._resume(request))
+        else:
+            super()._on_failure(EndpointsResting(endpoint, rest))
+
 
 class ServiceExchange(Exchange):
     """A call to a plain service beside the engines."""
