Take a verdict of silence back with the engine's next event

What callers saw: an engine sent nothing to the one stream that an instance had there for 0.9 s and went on. A new call 0.2 s later, for an adapter that this engine alone held, waited for a load at another engine: its first event took 0.31 s, and it got none in 5 s where loads were slow.

Cause: each check of a silent engine, 0.1 s apart, counted one more failed connection while a call stayed there, so the engine was avoided for up to 4 s behind the last check. Only the head of an answer took that back. A stream that goes on brings events and no head, and an instance with one or two streams at an engine rarely gets a head there.

Change: the first event from an engine that was called silent counts as an answer, as a head does. Events of other engines change nothing, so one of an old connection does not lift the verdict on new ones that failed.

Evidence: tests/instance/verdicts.feature. Its first scenario failed before in all six cases (0.31 s four times, no event in 5 s twice). The rows on an engine that went silent for good passed before and pass now: no new call for 5 s while the stream stays, the first one after 0.95 s and 4.25 s where it continues elsewhere at once or after a load. Counting a silence as one failure, however long it lasts, was tried and not kept: these came after 0.75 s and 2.15 s then. 382 scenarios of tests/instance and 618 of pauses, decisions, serving and docs pass.

--- a/roadlift/decisions/inactivity.py
+++ b/roadlift/decisions/inactivity.py
@@ -20,18 +20,24 @@
 class _MonitoredEngine:
     """This process's calls at an engine, and when it last responded."""
 
-    __slots__ = ("calls", "generating", "last_event_at")
+    __slots__ = ("calls", "generating", "is_abandoned", "last_event_at")
 
     def __init__(self, now: float) -> None:
         self.calls: dict[object, Callable[[], None]] = {}
         self.generating: set[object] = set()
+        self.is_abandoned = False
         self.last_event_at = now
 
 
 class InactivityMonitor:
-    """The calls of this process at engines, to detect unresponsive engines."""
+    """The calls of this process at engines, to detect unresponsive engines.
+
+    ``on_responsive`` receives each engine that was abandoned and has brought
+    an event since: it was unresponsive only for a while.
+    """
 
     def __init__(self, timeout: float = INACTIVITY_TIMEOUT) -> None:
+        self.on_responsive: list[Callable[[str], None]] = []
         self._timeout = timeout
         self._engines: dict[str, _MonitoredEngine] = {}
         self._checked_at: float | None = None
@@ -53,6 +59,13 @@
         if monitored is not None:
             monitored.generating.add(call)
             monitored.last_event_at = now
+            self._end_abandonment(endpoint, monitored)
+
+    def _end_abandonment(self, endpoint: str, monitored: _MonitoredEngine) -> None:
+        if monitored.is_abandoned:
+            monitored.is_abandoned = False
+            for handle in self.on_responsive:
+                handle(endpoint)
 
     def end(self, endpoint: str, call: object) -> None:
         """Stop monitoring a call."""
@@ -81,5 +94,6 @@
         """Make all calls leave an engine."""
         monitored = self._engines.get(endpoint)
         if monitored is not None:
+            monitored.is_abandoned = True
             for on_unresponsive in list(monitored.calls.values()):
                 on_unresponsive()
--- a/roadlift/instance/placement.py
+++ b/roadlift/instance/placement.py
@@ -66,6 +66,7 @@
         self.speeds = EngineSpeeds()
         self.generations = GenerationTimes()
         self.inactivity = InactivityMonitor()
+        self.inactivity.on_responsive.append(self.health.record_answer)
         self._follower.on_directory.append(self._remove_gone)
 
     def start(self) -> None:
