--- a/roadlift/decisions/inactivity.py
+++ b/roadlift/decisions/inactivity.py
@@ -20,19 +20,25 @@
 class _MonitoredEngine:
     """This process's calls at an engine, and when it last responded."""
 
-    __slots__ = ("calls", "generating", "last_event_at", "paused")
+    __slots__ = ("calls", "generating", "is_abandoned", "last_event_at", "paused")
 
     def __init__(self, now: float) -> None:
         self.calls: dict[object, Callable[[], None]] = {}
         self.generating: set[object] = set()
+        self.is_abandoned = False
         self.paused: set[object] = set()
         self.last_event_at = now
 
 
 class InactivityMonitor:
-    """The calls of this process at engines, to detect unresponsive engines."""
+    """The calls of this process at engines, to detect unresponsive engines.
+
+    ``on_responsive`` receives each engine that was abandoned and has brought
+    an event since: it was unresponsive only for a while.
+    """
 
     def __init__(self, timeout: float = INACTIVITY_TIMEOUT) -> None:
+        self.on_responsive: list[Callable[[str], None]] = []
         self._timeout = timeout
         self._engines: dict[str, _MonitoredEngine] = {}
         self._checked_at: float | None = None
@@ -56,6 +62,7 @@
         monitored.last_event_at = now
         if call not in monitored.paused:
             monitored.generating.add(call)
+        self._end_abandonment(endpoint, monitored)
 
     def pause(self, endpoint: str, call: object) -> None:
         """Ignore a generating call whose answer is not read for now."""
@@ -69,7 +76,14 @@
         monitored = self._engines.get(endpoint)
         if monitored is not None and call in monitored.paused:
             monitored.paused.discard(call)
-            self.record_event(endpoint, call, now)
+            monitored.generating.add(call)
+            monitored.last_event_at = now
+
+    def _end_abandonment(self, endpoint: str, monitored: _MonitoredEngine) -> None:
+        if monitored.is_abandoned:
+            monitored.is_abandoned = False
+            for handle in self.on_responsive:
+                handle(endpoint)
 
     def end(self, endpoint: str, call: object) -> None:
         """Stop monitoring a call."""
@@ -100,6 +114,7 @@
         monitored = self._engines.get(endpoint)
         if monitored is None:
             return
+        monitored.is_abandoned = True
         for call, on_unresponsive in list(monitored.calls.items()):
             if call not in monitored.paused:
                 on_unresponsive()
