Explain calls whose engine was silent by their own lines

The first line of a call that is no `send_failed` was taken for its end; with `send_silent` before it a call that was cancelled or cut was told as refused, without its steps. The new row failed before.

--- a/roadlift/explanation/story.py
+++ b/roadlift/explanation/story.py
@@ -15,7 +15,8 @@
 # was lost before still is missed, and clocks of instances differ.
 BEFORE = 5.0
 BEHIND = 1.0
-_OWN = ("call_ended", "call_refused", "send_failed")
+_ENDS = ("call_ended", "call_refused")
+_OWN = (*_ENDS, "send_failed", "send_silent", "silence_ended")
 _ANYWHERE = (
     "lease_gained",
     "lease_lost",
@@ -60,7 +61,7 @@
     own = [line for line in log.lines if line.fields.get("request") == request]
     if not own:
         raise RequestUnknown(request)
-    end = next((line for line in own if line.name != "send_failed"), own[-1])
+    end = next((line for line in own if line.name in _ENDS), own[-1])
     began = end.time - end.fields.get("seconds", 0.0)
     around = [
         line
@@ -336,7 +337,7 @@
 def _explain_endpoints(end: Line, around: list[Line], met: set[str]) -> list[str]:
     """Explain a send that failed, by what else failed at its endpoint."""
     steps = end.fields.get("steps", ())
-    failed = [step for step in steps if step["step"] == "failed"]
+    failed = [step for step in steps if step["step"] in ("failed", "kept")]
     sent = [step["endpoint"] for step in steps if step["step"] == "send"]
     is_silent = end.fields.get("error") or end.fields.get("outcome") == "cancelled"
     if not sent or not (failed or is_silent):
