Let a budget give answers that have begun a part of its margin

What was seen: by tests/retries/shares.feature, up to 16.7 of 100 streams that a crash cuts are denied a retry while the fleet has used 0.2 of its allowance. The caller of an answer that is cut has lost it; that of a call without an answer can come back.

Cause: all retries of an instance are held to 0.6 of its share alike, though the rest is a margin for instances that stop after spending theirs.

Change: WindowBudget.spend takes has_begun; such a retry may use 0.8 of the share. Nothing passes it yet: callers see no change before the exchange does.

Evidence: the new scenario of shares.feature has at most 1.7 of 100 denied in its hardest row, 16.7 of 100 without.

--- a/roadlift/retries/window.py
+++ b/roadlift/retries/window.py
@@ -4,11 +4,18 @@
 in any window. An instance uses the ratio of its own requests and its share of
 the slack, by the number of instances that it knows. Both are reduced by a
 margin, for instances that have just stopped after spending their share.
+
+An answer that has begun is cut if it can't be continued, while the caller of
+another call can come back. Answers that have begun may therefore use a part of
+the margin that other retries leave.
 """
 
 from collections import deque
 
 USED_FRACTION = 0.6  # Fraction of the allowance that is used.
+# The same for answers that have begun. If a fifth of the instances stop after
+# spending it, the others' shares grow by a quarter, and the sum is 0.96.
+BEGUN_FRACTION = 0.8
 BUCKETS = 20  # Buckets of a window in which requests and retries are counted.
 
 
@@ -37,11 +44,15 @@
         self._get_bucket(now).requests += 1
         self._requests += 1
 
-    def spend(self, now: float, instances: int) -> bool:
-        """Consume one retry; False means that none is left."""
+    def spend(self, now: float, instances: int, has_begun: bool = False) -> bool:
+        """Consume one retry; False means that none is left.
+
+        ``has_begun`` tells that it continues an answer that has begun.
+        """
         bucket = self._get_bucket(now)
         allowed = self._ratio * self._requests + self._slack / max(1, instances)
-        if self._retries + 1 > allowed * USED_FRACTION:
+        fraction = BEGUN_FRACTION if has_begun else USED_FRACTION
+        if self._retries + 1 > allowed * fraction:
             return False
         bucket.retries += 1
         self._retries += 1
--- a/tests/retries/shares.feature
+++ b/tests/retries/shares.feature
@@ -23,3 +23,14 @@
       | 5     | 3       | 1         | 0.25 |
     Then the fleet has used no more of what the rule allows than that part
     And at most 1 of 100 of these streams are denied a retry
+
+  Scenario: Answers that have begun are rarely denied a retry while the fleet has room
+    Given 195 instances with 2.5 calls a second
+    When a crash cuts answers that have begun, while some of 100 calls are sent again
+      | again | streams | instances | used |
+      | 2     | 1       | 12        | 0.1  |
+      | 2     | 3       | 1         | 0.1  |
+      | 5     | 1       | 12        | 0.25 |
+      | 5     | 3       | 1         | 0.25 |
+    Then the fleet has used no more of what the rule allows than that part
+    And at most 2 of 100 of these streams are denied a retry
--- a/tests/steps/share_steps.py
+++ b/tests/steps/share_steps.py
@@ -68,7 +68,7 @@
     context.instances, context.rate = instances, rate
 
 
-def _play_crash(context, row) -> _Crash:
+def _play_crash(context, row, has_begun: bool) -> _Crash:
     rng = random.Random(_SEED)
     fleets = [
         _Fleet(rng, context.instances, context.rate, float(row["again"]) / 100)
@@ -76,7 +76,7 @@
     ]
     used = max(fleet.compute_used() for fleet in fleets)
     granted = [
-        budget.spend(_CRASH_AT, fleet.count)
+        budget.spend(_CRASH_AT, fleet.count, has_begun)
         for fleet in fleets
         for budget in rng.sample(fleet.budgets, int(row["instances"]))
         for _ in range(int(row["streams"]))
@@ -85,10 +85,11 @@
     return _Crash(" ".join(row.cells), used, float(row["used"]), denied)
 
 
-@when("a crash cuts streams, while some of 100 calls are sent again")
-def step_crash(context):
+@when("a crash cuts {streams}, while some of 100 calls are sent again")
+def step_crash(context, streams):
     """Ask for a retry of each stream at once, in each case."""
-    context.crashes = [_play_crash(context, row) for row in context.table]
+    has_begun = streams == "answers that have begun"
+    context.crashes = [_play_crash(context, row, has_begun) for row in context.table]
 
 
 @then("the fleet has used no more of what the rule allows than that part")
--- a/tests/steps/window_steps.py
+++ b/tests/steps/window_steps.py
@@ -1,6 +1,8 @@
 """Steps on the retries of all instances that share a rule."""
 
 from bisect import bisect_left
+from collections.abc import Iterable
+from typing import NamedTuple
 
 from behave import given, then, when
 
@@ -24,38 +26,85 @@
     context.instances, context.slack, context.ratio = instances, slack, ratio
 
 
-def _retry_from(
-    context, rate: float, factor: float, moment: float
-) -> tuple[list, list]:
-    """Return when an instance gets calls, and when it sends them again.
+class _Plan(NamedTuple):
+    """How an instance behaves; ``counts`` are the instances that it knows of.
 
-    All instances are alike: their calls come at the same times, so that
-    nothing evens out.
+    From ``moment`` on its calls change by ``factor`` and it retries whatever
+    it may. It knows the second count from ``changes_at`` on, and ends at
+    ``ends_at``.
     """
+
+    rate: float
+    factor: float
+    has_begun: bool
+    moment: float
+    counts: tuple[int, int]
+    changes_at: float = _DURATION
+    ends_at: float = _DURATION
+
+
+class _Alike(NamedTuple):
+    """Instances that got calls and sent them again at the same times.
+
+    They are alike, so that nothing evens out.
+    """
+
+    instances: int
+    requests: list[float]
+    retries: list[float]
+
+
+def _play(context, plan: _Plan, instances: int) -> _Alike:
+    """Return what some instances do by a plan."""
     budget = WindowBudget(context.ratio, context.slack, _WINDOW)
-    requests: list[float] = []
-    retries: list[float] = []
-    for number in range(round(_DURATION / _STEP)):
+    played = _Alike(instances, [], [])
+    for number in range(round(plan.ends_at / _STEP)):
         now = number * _STEP
-        due = min(now, moment) * rate + max(0.0, now - moment) * rate * factor
-        while len(requests) < due:
+        changed = max(0.0, now - plan.moment) * plan.factor
+        due = (min(now, plan.moment) + changed) * plan.rate
+        while len(played.requests) < due:
             budget.count_request(now)
-            requests.append(now)
-        if now >= moment and budget.spend(now, context.instances):
-            retries.append(now)
-    return requests, retries
+            played.requests.append(now)
+        known = plan.counts[now >= plan.changes_at]
+        if now >= plan.moment and budget.spend(now, known, plan.has_begun):
+            played.retries.append(now)
+    return played
 
 
 @when(
     "each gets {rate:g} calls a second that {change} at a moment, and from then on"
-    " wants to retry"
+    " wants to retry {calls}"
 )
-def step_all_retry(context, rate, change):
+def step_all_retry(context, rate, change, calls):
     """Play each moment."""
-    context.played = [
-        _retry_from(context, rate, _CHANGES[change], _FIRST_MOMENT + number / _MOMENTS)
+    counts = (context.instances, context.instances)
+    has_begun = calls == "answers that have begun"
+    factor = _CHANGES[change]
+    context.plans = [
+        _Plan(rate, factor, has_begun, _FIRST_MOMENT + number / _MOMENTS, counts)
         for number in range(_MOMENTS)
     ]
+    context.played = [
+        [_play(context, plan, context.instances)] for plan in context.plans
+    ]
+
+
+def _play_stop(context, plan: _Plan, delay: float) -> list[_Alike]:
+    """Play a plan of which a fifth of the instances stops after a delay."""
+    stopped = context.instances // 5
+    others = context.instances - stopped
+    at = plan.moment + delay
+    staying = plan._replace(counts=(context.instances, others), changes_at=at)
+    return [
+        _play(context, staying, others),
+        _play(context, plan._replace(ends_at=at), stopped),
+    ]
+
+
+@when("a fifth stops {delay:g} second later, so that the others' shares grow")
+def step_fifth_stops(context, delay):
+    """Play each moment once more, with instances that stop."""
+    context.played = [_play_stop(context, plan, delay) for plan in context.plans]
 
 
 def _count(times: list[float], begin: float) -> int:
@@ -63,15 +112,23 @@
     return bisect_left(times, begin + _WINDOW) - bisect_left(times, begin)
 
 
-def _find_excess(context, requests: list, retries: list) -> float:
+def _count_all(times: Iterable[tuple[int, list[float]]], begin: float) -> int:
+    """Count what all instances have in a window."""
+    return sum(instances * _count(own, begin) for instances, own in times)
+
+
+def _find_excess(context, played: list[_Alike]) -> float:
     """Return by how much all retries of a window exceed the rule at most."""
+    requests = [(alike.instances, alike.requests) for alike in played]
+    retries = [(alike.instances, alike.retries) for alike in played]
     worst = float("-inf")
-    for begin in retries:
+    for begin in sorted({at for alike in played for at in alike.retries}):
         counted = max(
-            _count(requests, begin - earlier) for earlier in (0.0, _WINDOW / 2, _WINDOW)
+            _count_all(requests, begin - earlier)
+            for earlier in (0.0, _WINDOW / 2, _WINDOW)
         )
-        allowed = context.ratio * counted * context.instances + context.slack
-        worst = max(worst, _count(retries, begin) * context.instances - allowed)
+        allowed = context.ratio * counted + context.slack
+        worst = max(worst, _count_all(retries, begin) - allowed)
     return worst
 
 
@@ -81,7 +138,7 @@
 )
 def step_in_rule(context):
     """Check the sum over all instances in each window."""
-    worst = max(_find_excess(context, *played) for played in context.played)
+    worst = max(_find_excess(context, played) for played in context.played)
     assert worst <= 0, f"{worst:g} more than allowed"
 
 
@@ -90,7 +147,8 @@
     """Check that the rule is not kept by refusing everything."""
     gaps = [
         later - earlier
-        for _, retries in context.played
-        for earlier, later in zip(retries, retries[1:], strict=False)
+        for played in context.played
+        for alike in played
+        for earlier, later in zip(alike.retries, alike.retries[1:], strict=False)
     ]
     assert max(gaps) <= _WINDOW * 1.1, max(gaps)
