Try another engine when one refuses a call as full

What callers saw: calls whose engine answered 429 without a Retry-After were refused after 0.08 s, though another engine could run them.

Cause: the refusal told nobody anything. The pin at the refusing engine stayed the best place, so that each retry went there at once, until the eighth send or the end of the retry budget.

Change: an engine that refused a run counts as full for 1 s, until its owner has a newer figure: calls prefer other endpoints and ask their owners first. It is still used where no other can take the call.

The scenarios of tests/ownership/failures.feature pass.

--- a/roadlift/daemon/exchange.py
+++ b/roadlift/daemon/exchange.py
@@ -460,9 +460,11 @@
 
     def _judge(self, status: int, body: bytes) -> RoadliftError:
         error = self._api.classify_refusal(status, body)
-        is_unknown = isinstance(error, RefusedByEndpoint) and status == 404
-        # A resumption names a stream and not a copy.
-        if is_unknown and self._frames is None and self._pin is not None:
+        is_refused = isinstance(error, RefusedByEndpoint) and self._pin is not None
+        if is_refused and status != 404:
+            self._pins.record_refusal(self._pin.endpoint)
+        elif is_refused and self._frames is None:
+            # A resumption would name a stream and not a copy.
             self._pins.drop(self._pin)
         return error
 
--- a/roadlift/daemon/pins.py
+++ b/roadlift/daemon/pins.py
@@ -66,6 +66,10 @@
         """Use a pin no more; its copy is gone."""
         self.table.drop(pin)
 
+    def record_refusal(self, endpoint: str) -> None:
+        """Prefer other endpoints for a while, as this one says it is full."""
+        self._requester.record_refusal(endpoint)
+
     # The host of the seeker.
 
     def now(self) -> float:
--- a/roadlift/pins/requester.py
+++ b/roadlift/pins/requester.py
@@ -30,6 +30,9 @@
 MIN_RETRY_BACKOFF = 0.05  # Seconds before the first retry; doubled each time.
 MAX_RETRY_BACKOFF = 1.0
 RESEND_INTERVAL = 1.0  # Seconds until an unanswered pin request is sent again.
+# Seconds for which an endpoint that refused a run counts as full; by then its
+# owner has a newer figure.
+REFUSAL_VALIDITY = 1.0
 
 OnPin = Callable[[HeldPin], None]
 OnError = Callable[[RoadliftError], None]
@@ -96,6 +99,7 @@
         self._widths: dict[str, int] = {}
         self._searches: dict[str, _Search] = {}
         self._levels: dict[str, tuple[int, int]] = {}
+        self._refused_at: dict[str, float] = {}
         self._handlers: dict[type, Callable] = {
             Grant: self._handle_grant,
             Refuse: self._handle_refuse,
@@ -139,6 +143,10 @@
         if release is not None:
             self._send_release(release)
 
+    def record_refusal(self, endpoint: str) -> None:
+        """Prefer other endpoints for a while, as this one says it is full."""
+        self._refused_at[endpoint] = self._host.now()
+
     def receive(self, sender: str, message: object) -> None:
         """Handle a message from an owner."""
         self._handlers[type(message)](sender, message)
@@ -177,14 +185,20 @@
 
         The owner's figure lags, so it is corrected by the requests that this
         process has started and ended since. An endpoint that has requested a
-        back-off counts as infinitely full.
+        back-off counts as infinitely full, one that has refused a run as full.
         """
         if self._host.is_backing_off(endpoint):
             return math.inf
         local_running = self.table.count_running(endpoint)
         running, local_at_report = self._levels.get(endpoint, (0, 0))
         width = self._widths.get(endpoint, 1)
-        return max(local_running, running + local_running - local_at_report) / width
+        fill = max(local_running, running + local_running - local_at_report) / width
+        return max(1.0, fill) if self._has_refused(endpoint) else fill
+
+    def _has_refused(self, endpoint: str) -> bool:
+        """Return whether an endpoint refused a run within the last moment."""
+        refused_at = self._refused_at.get(endpoint, -math.inf)
+        return self._host.now() - refused_at < REFUSAL_VALIDITY
 
     def _pick_below_limit(self, search: _Search) -> HeldPin | None:
         """Return a pin at the least full endpoint below the admission limit.
@@ -208,11 +222,13 @@
             self._send_acquire(search)
 
     def _start_search(self, search: _Search, candidates: Iterable[str]) -> None:
-        search.candidates = [
+        accepting = [
             endpoint
             for endpoint in candidates
             if not self._host.is_backing_off(endpoint)
         ]
+        # Their owners may not know yet that the last of these are full.
+        search.candidates = sorted(accepting, key=self._has_refused)
         search.all_were_full = bool(search.candidates)
         self._request_next(search)
 
--- a/standins/hub.py
+++ b/standins/hub.py
@@ -192,8 +192,9 @@
         self.deadly_runs = 0
         self.is_down = False
         # Seconds of rest that it asks for as it turns calls away, or 0, and
-        # the times of the calls that came.
+        # the times of the calls that came. One that is full asks for none.
         self.rest = 0
+        self.is_full = False
         self.turned_away: list[float] = []
         self.streams: dict[str, HubStream] = {}
         self.can_resume = True
@@ -269,9 +270,10 @@
 
     def _run(self, call: dict, line: HubLine) -> None:
         name = call["model"]
-        if self.rest:
+        if self.rest or self.is_full:
+            rest = {"retry-after": str(self.rest)} if self.rest else {}
             self.turned_away.append(self._hub.clock.now())
-            self._reply(line, 429, b"full", {"retry-after": str(self.rest)})
+            self._reply(line, 429, b"full", rest)
             return
         if name not in self.state.copies:
             self._reply(line, 404, b"no such model")
--- a/tests/steps/placing_steps.py
+++ b/tests/steps/placing_steps.py
@@ -117,3 +117,36 @@
     """Wait for its answer."""
     context.deployment.hub.advance(limit)
     assert context.caller.is_whole, context.caller.error
+
+
+@when(
+    "{refusing:d} engines answer 429 without a time to 6 calls of models held at both"
+)
+def step_refuse(context, refusing):
+    """Hold pins at all engines, and let some refuse all runs."""
+    deployment = context.deployment
+    hub = deployment.hub
+    _call_in_pairs(deployment, 6)
+    deployment.settle()
+    for name in sorted(hub.engine_names)[:refusing]:
+        hub.get_engine(name).is_full = True
+    context.calls = []
+    for number in range(6):
+        context.calls.append(deployment.call(ENTRY, f"m{number}@1"))
+        hub.advance(0.5)
+    deployment.settle()
+
+
+@then("{count:d} of these calls are served")
+def step_count_served(context, count):
+    """Count the whole answers."""
+    errors = [str(call.error) for call in context.calls if call.error]
+    assert sum(call.is_whole for call in context.calls) == count, errors
+
+
+@then("no engine got more than {most:d} of them in vain")
+def step_in_vain(context, most):
+    """Count the runs that engines refused."""
+    hub = context.deployment.hub
+    refused = [len(engine.turned_away) for engine in hub.engines.values()]
+    assert 0 < max(refused) <= most, refused
