--- a/standins/hub.py
+++ b/standins/hub.py
@@ -198,6 +198,7 @@
         self.turned_away: list[float] = []
         self.streams: dict[str, HubStream] = {}
         self.can_resume = True
+        self.is_silent = False  # Its streams bring no event.
         self.cuts: list[int] = []
         self.refusal = ""
         self.resumptions: list[float] = []
@@ -342,7 +343,7 @@
         """Give one event, or what ends the stream or this answer of it."""
         if line.is_closed:
             return
-        if line.is_paused:
+        if line.is_paused or self.is_silent:
             self._schedule_event(key, index, cut, line)
             return
         if index == cut or key not in self.streams:
--- a/tests/daemon/resumption.feature
+++ b/tests/daemon/resumption.feature
@@ -140,3 +140,23 @@
       | brings events                       |
       | waits for its resumption            |
       | is lost with its engine's first run |
+
+  Scenario Outline: An engine that is silent for <span> s <moment> keeps its runs
+    Given a deployment of 1 zone with 1 instances and 1 fencing engine
+    When 3 streams of 6 events meet a silence of <span> s <moment>
+    And 2 s pass
+    Then each stream is whole, with each event once, and ran once
+    And none was resumed
+
+    Examples:
+      | span | moment                   |
+      | 0.7  | behind their first event |
+      | 60   | behind their first event |
+      | 60   | before their first event |
+
+  Scenario: A cut stream is resumed though no retry is left
+    Given a deployment of 1 zone with 1 instances and 1 fencing engine
+    When no retry is left
+    And a stream of 6 events is cut behind 2, and its resumption meets 503 for 2 s
+    And 3 s pass
+    Then each stream is whole, with each event once, and ran once
--- a/tests/steps/resumption_steps.py
+++ b/tests/steps/resumption_steps.py
@@ -5,6 +5,7 @@
 
 from behave import step, then, when
 
+from roadlift.daemon.calls import Calls
 from roadlift.daemon.gateway import Gateway
 from roadlift.daemon.leaving import Leaving
 from roadlift.daemon.pins import Pins
@@ -206,6 +207,36 @@
         assert _list_numbers(caller) == list(range(context.events)), caller.body
 
 
+@when(
+    "{count:d} streams of {events:d} events meet a silence of {span:g} s {moment} their"
+    " first event"
+)
+def step_silence(context, count, events, span, moment):
+    """Let an engine bring nothing for a while."""
+    engine = _get_engine(context)
+    engine.is_silent = moment == "before"
+    callers = [_open_stream(context, events) for _ in range(count)]
+    if moment == "behind":
+        _await_event(context, callers[-1])
+        engine.is_silent = True
+    context.deployment.hub.advance(span)
+    engine.is_silent = False
+
+
+@then("none was resumed")
+def step_none_resumed(context):
+    """Count the resumptions that reached the engine."""
+    assert not _get_engine(context).resumptions
+
+
+@when("no retry is left")
+def step_no_retry(context):
+    """Spend the retry budget."""
+    budget = context.deployment.get("entry-a0", Calls).budget
+    while budget.spend():
+        pass
+
+
 @step("its caller goes away meanwhile")
 def step_go_away(context):
     """Take the caller away while its stream waits."""
