--- a/standins/hub.py
+++ b/standins/hub.py
@@ -192,11 +192,13 @@
         self.deadly_runs = 0
         self.is_down = False
         # Seconds of rest that it asks for as it turns calls away, or 0, and
-        # the times of the calls that came.
+        # the times of the calls that came. One that is full asks for none.
         self.rest = 0
+        self.is_full = False
         self.turned_away: list[float] = []
         self.streams: dict[str, HubStream] = {}
         self.can_resume = True
+        self.is_silent = False  # Its streams bring no event.
         self.cuts: list[int] = []
         self.refusal = ""
         self.resumptions: list[float] = []
@@ -269,9 +271,10 @@
 
     def _run(self, call: dict, line: HubLine) -> None:
         name = call["model"]
-        if self.rest:
+        if self.rest or self.is_full:
+            rest = {"retry-after": str(self.rest)} if self.rest else {}
             self.turned_away.append(self._hub.clock.now())
-            self._reply(line, 429, b"full", {"retry-after": str(self.rest)})
+            self._reply(line, 429, b"full", rest)
             return
         if name not in self.state.copies:
             self._reply(line, 404, b"no such model")
@@ -340,7 +343,7 @@
         """Give one event, or what ends the stream or this answer of it."""
         if line.is_closed:
             return
-        if line.is_paused:
+        if line.is_paused or self.is_silent:
             self._schedule_event(key, index, cut, line)
             return
         if index == cut or key not in self.streams:
--- a/tests/daemon/resumption.feature
+++ b/tests/daemon/resumption.feature
@@ -121,3 +121,42 @@
       | how                     |
       | reads                   |
       | has stopped to read     |
+
+  Scenario: A stream that its engine does not know says nothing about the adapter there
+    Given a deployment of 1 zone with 1 instances and 1 fencing engine
+    When two streams of 6 events run and one of them is refused with 404
+    Then its caller is told stream_cut
+    And the adapter's pin is used by further calls
+
+  Scenario Outline: An instance that leaves cuts no answer that <state>
+    Given a deployment of 1 zone with 2 instances and 2 fencing engines
+    When an instance leaves while a stream of 30 events <state>
+    And 15 s pass
+    Then each stream is whole, with each event once
+
+    Examples:
+      | state                               |
+      | waits for its adapter               |
+      | brings events                       |
+      | waits for its resumption            |
+      | is lost with its engine's first run |
+
+  Scenario Outline: An engine that is silent for <span> s <moment> keeps its runs
+    Given a deployment of 1 zone with 1 instances and 1 fencing engine
+    When 3 streams of 6 events meet a silence of <span> s <moment>
+    And 2 s pass
+    Then each stream is whole, with each event once, and ran once
+    And none was resumed
+
+    Examples:
+      | span | moment                   |
+      | 0.7  | behind their first event |
+      | 60   | behind their first event |
+      | 60   | before their first event |
+
+  Scenario: A cut stream is resumed though no retry is left
+    Given a deployment of 1 zone with 1 instances and 1 fencing engine
+    When no retry is left
+    And a stream of 6 events is cut behind 2, and its resumption meets 503 for 2 s
+    And 3 s pass
+    Then each stream is whole, with each event once, and ran once
