Continue begun answers from the part of the budget that is theirs

A stream that its engine broke off was denied a retry once other calls had used 0.6 of an instance's share: at 195 instances three retries in 10 s. The budget has a part for begun answers; the exchange says now which retry continues one. A search beside a silent engine does not count as one: nothing is cut there.

The new scenario of tests/instance/resumption.feature fails without it.

--- a/roadlift/instance/attempts.py
+++ b/roadlift/instance/attempts.py
@@ -11,8 +11,11 @@
 class RetryBudgets(Protocol):
     """The retry budgets of the services."""
 
-    def consume_retry(self, service: str, now: float) -> bool:
-        """Consume a retry; return False without one."""
+    def consume_retry(self, service: str, now: float, has_begun: bool) -> bool:
+        """Consume a retry; return False without one.
+
+        ``has_begun`` tells that it continues an answer that has begun.
+        """
 
     def refund_retry(self, service: str, now: float) -> None:
         """Return a retry that was not sent."""
@@ -21,13 +24,14 @@
 class CallState(NamedTuple):
     """The state of a call when it may be sent again.
 
-    ``time_left`` is in seconds, ``open_sends`` the number of sends that go on;
-    an answer that ``has_begun`` can't be continued by another send.
+    ``time_left`` is in seconds, ``open_sends`` the number of sends that go on.
+    An answer that has begun ``can_continue`` if it is a stream of events.
     """
 
     time_left: float
     open_sends: int
     has_begun: bool
+    can_continue: bool
     has_spare_slot: Callable[[], bool]
 
 
@@ -76,14 +80,15 @@
             self._unreached,
             self.runs + state.open_sends,
             state.time_left,
-            state.has_begun,
+            state.has_begun and not state.can_continue,
         )
+        is_cut = state.has_begun and not state.open_sends
         obstacle = find_obstacle(
             error,
             self._route,
             sends,
             state.has_spare_slot,
-            lambda: self._budgets.consume_retry(self._service, now),
+            lambda: self._budgets.consume_retry(self._service, now, is_cut),
         )
         if obstacle is None and is_unreached:
             self.return_send()
--- a/roadlift/instance/exchange.py
+++ b/roadlift/instance/exchange.py
@@ -745,7 +745,8 @@
         state = CallState(
             self._deadline - now,
             len(self._list_open()),
-            self._answer.has_begun and not self._answer.is_stream,
+            self._answer.has_begun,
+            self._answer.is_stream,
             self._has_spare_slot,
         )
         return self._attempts.take_retry(error, state, now)
--- a/roadlift/instance/ingress.py
+++ b/roadlift/instance/ingress.py
@@ -154,10 +154,13 @@
             )
         return budget
 
-    def consume_retry(self, service: str, now: float) -> bool:
-        """Consume a retry of a service's budget; return False without one."""
+    def consume_retry(self, service: str, now: float, has_begun: bool) -> bool:
+        """Consume a retry of a service's budget; return False without one.
+
+        ``has_begun`` tells that it continues an answer that has begun.
+        """
         instances = self._knowledge.count_instances()
-        return self.get_budget(service).spend(now, instances)
+        return self.get_budget(service).spend(now, instances, has_begun)
 
     def refund_retry(self, service: str, now: float) -> None:
         """Return a retry that was consumed and not sent."""
--- a/tests/instance/resumption.feature
+++ b/tests/instance/resumption.feature
@@ -37,3 +37,10 @@
       | the adapter takes too long to load elsewhere |
     Then each of these answers is whole and has each event once
     And the adapter was ordered at one other engine
+
+  Scenario: The budget leaves a begun answer a retry that other calls don't get
+    When a stream has its first event, and its engine breaks off
+      | where                                       |
+      | other calls have used their part of retries |
+    Then each of these answers is whole and has each event once
+    And its longest pause is 1 seconds at most
--- a/tests/steps/pause_steps.py
+++ b/tests/steps/pause_steps.py
@@ -32,7 +32,9 @@
 _ONE_RETRY = {"retry_share": 0.0, "retry_slack": 1.7, "retry_window": 2.0}
 _NO_RETRIES = {"retry_share": 0.0, "retry_slack": 0.0}
 
+_FOUR_RETRIES = {"retry_share": 0.0, "retry_slack": 5.1}
 _SETTINGS = {
+    "other calls have used their part of retries": _FOUR_RETRIES,
     "the retry budget is spent": _NO_RETRIES,
     "the retry budget is spent for two seconds": _ONE_RETRY,
 }
@@ -80,10 +82,19 @@
             entries.installation.timeline.call_later(1.5, stop)
     if where.startswith("the others "):
         entries.advance(3.0)
+    if where == "other calls have used their part of retries":
+        _spend_retries(entries)
     if where == "the retry budget is spent for two seconds":
         _spend_retry(entries, holder)
 
 
+def _spend_retries(entries):
+    """Let calls without an answer use all retries that they get."""
+    ingress, now = entries.entries["a"].ingress, entries.installation.clock.now()
+    while ingress.consume_retry("llm", now, False):
+        pass
+
+
 def _spend_retry(entries, holder):
     """Let the instance use its only retry for another call."""
     holder.faults = ["cut"]
