Give a call that is read again after a pause time to be read

A call whose caller had not read for a while failed as request_timeout if the check for inactivity came right behind the moment at which reading went on: the bytes that waited had not been read yet. Reading again counts as progress now; the new scenario failed before.

--- a/roadlift/relay/upstream.py
+++ b/roadlift/relay/upstream.py
@@ -185,8 +185,9 @@
         self._update_watch()
 
     def resume(self) -> None:
-        """Resume reading after a pause."""
+        """Resume reading after a pause, with a new timeout."""
         self._is_reading = True
+        self._has_progress = True
         self._update_watch()
 
     # The connection.
--- a/tests/relay/upstream.feature
+++ b/tests/relay/upstream.feature
@@ -94,3 +94,13 @@
     Given an endpoint and a call to it
     When the call is paused and the endpoint writes up to 64 MiB
     Then the endpoint can write less than 16 MiB
+
+  Scenario: A call that is read again after a pause is given time to be read
+    Given an endpoint and a call to it
+    When it answers "half of a length" at once and then waits
+    And the call is paused
+    And 5.1 seconds pass
+    And 4.9 seconds pass
+    And the call is read again
+    And 0.2 seconds pass
+    Then the call is still open
--- a/tests/steps/upstream_steps.py
+++ b/tests/steps/upstream_steps.py
@@ -116,6 +116,18 @@
     context.endpoint.settle()
 
 
+@when("the call is paused")
+def step_pause(context):
+    """Stop reading."""
+    context.call.pause()
+
+
+@when("the call is read again")
+def step_resume(context):
+    """Go on reading."""
+    context.call.resume()
+
+
 @when("the call is paused and the endpoint writes up to 64 MiB")
 def step_flood(context):
     """Write as much as the socket buffers accept."""
