Let the soak's engines pause and hang, and check what callers see of it

What was missing: no stand-in of the soak of `routes` ever held a sound stream up, and nothing compared a cut answer with what its engine did. An instance that closed a sound run after 0.6 s of silence, and had no place to go on, went unnoticed.

Three checks: `cut_by_instance`, `ran_at_two` and `over_attempts`. A sender may end a sound run once another run of the call has made a whole event (EndWatch); the engines note the rest. Calls whose instance stood still, ended or was cut off are left out. A call that was at an engine that hung is excused from `cut_by_drain` as one that a runner broke off. A crash breaks off what still runs there alone; runs that had ended before were excused as well.

--- a/benchmarks/routes.py
+++ b/benchmarks/routes.py
@@ -24,6 +24,8 @@
 from typing import NamedTuple
 
 from benchmarks.organisations import REVOKE_LIMIT, SETTINGS, KeyRing
+from benchmarks.silences import Silences
+from benchmarks.streams import CALL_LIMIT, SLOW_MIX, Call, StreamWatch, find_terms
 from demo.installation import (
     COLD_RATE,
     HOME_ZONE,
@@ -39,6 +41,7 @@
 
 ADAPTERS = 40
 CALLERS = 24
+READERS = 16  # Callers of streams that are long enough to be held up.
 EVENTS = 3  # Events of a whole stream.
 LEASE_TURN = 3.0  # Seconds within which holders may not take turns.
 VERSION_LIMIT = 5.0  # Seconds from a version's naming to its use at most.
@@ -84,6 +87,9 @@
     "wrong_organisation",
     "key_passed_on",
     "over_allowance",
+    "cut_by_instance",
+    "ran_at_two",
+    "over_attempts",
     "own_end",
     "no_recovery",
 )
@@ -94,9 +100,9 @@
     ("idem", "/idem/1", 2),
     ("home", "/home/1", 1),
 )
-_STREAMS = ("stream", "again")
+_STREAMS = ("stream", "again", "slow", "slow_again")
 _CUTS = (frozenset(Way), frozenset({Way.REQUESTS}), frozenset({Way.ANSWERS}))
-_REPEATABLE = ("idem", "again", "home")
+_REPEATABLE = ("idem", "again", "home", "slow_again")
 _HOT = 3  # Adapters of which new versions are named.
 
 
@@ -126,6 +132,8 @@
         self._senders: dict[str, Sent] = {}
         self._clock = BootClock()
         self.keys = KeyRing(self._draw, self._clock)
+        self._streams = StreamWatch()
+        self._silences = Silences(self._draw, self._command)
         self._writing = asyncio.Lock()
         self._seen_routes: dict[tuple[str, int], int] = {}
         self._store_disturbed = 0.0
@@ -144,9 +152,11 @@
         """Run callers and faults for some seconds, then look at the rest."""
         self._began = time.monotonic()
         self._end = self._began + seconds
-        callers = [self._run_caller(index) for index in range(CALLERS)]
+        mixes = [_MIX] * CALLERS + [SLOW_MIX] * READERS
+        callers = [self._run_caller(mix) for mix in mixes]
         watches = (self._watch_routes(), self._watch_processes())
-        await asyncio.gather(*callers, self._run_faults(), *watches)
+        silences = self._silences.run(self._end - CALM)
+        await asyncio.gather(*callers, self._run_faults(), silences, *watches)
         await self._check_recovery()
 
     def note(self, violation: str, detail: str, after: float | None = None) -> None:
@@ -164,20 +174,20 @@
         names = sorted(set(self._deployment.instances) - self._away)
         return self._draw.choice(names)
 
-    async def _run_caller(self, caller: int) -> None:
+    async def _run_caller(self, mix: tuple) -> None:
         while time.monotonic() < self._end:
             name = self._pick_instance()
             channel = Channel(self._deployment.instances[name].address)
             for _ in range(self._draw.randrange(1, 30)):
                 if time.monotonic() >= self._end or name in self._away:
                     break
-                await self._send(channel, name)
+                await self._send(channel, name, mix)
                 await asyncio.sleep(self._draw.uniform(0.0, 0.1))
             channel.close()
 
-    async def _send(self, channel: Channel, name: str) -> None:
-        kinds, paths, weights = zip(*_MIX, strict=True)
-        index = self._draw.choices(range(len(_MIX)), weights)[0]
+    async def _send(self, channel: Channel, name: str, mix: tuple) -> None:
+        kinds, paths, weights = zip(*mix, strict=True)
+        index = self._draw.choices(range(len(mix)), weights)[0]
         kind, path = kinds[index], paths[index]
         self._serial += 1
         call_id = f"r{self._serial}"
@@ -185,13 +195,31 @@
         if kind in _STREAMS:
             rank = min(int(self._draw.paretovariate(0.7)) - 1, ADAPTERS - 1)
             model = f"base/x{rank}"
-        headers = make_headers(Wanted(call_id, model, 4.0, self.keys.pick(call_id)))
+        key = self.keys.pick(call_id)
+        headers = make_headers(Wanted(call_id, model, CALL_LIMIT, key))
         began = time.monotonic()
         self._kinds[call_id] = kind
         self._note_sent(call_id, name, began)
+        run = self._runs_of.get(name, 0)
         answer = await channel.call("POST", path, headers)
+        self._note_call(call_id, path, name, run, began, answer)
         self._judge(call_id, kind, name, began, answer)
 
+    def _note_call(self, call_id, path, name, run, began, answer: Answer) -> None:
+        """Keep how a call ended, and whether its instance could serve it."""
+        after = round(time.monotonic() - self._began, 1)
+        lasted = time.monotonic() - began
+        is_cut = answer.status == 200 and not answer.is_whole
+        is_held_up = self._is_held_up(name, run, began)
+        terms = find_terms(path)
+        call = Call(call_id, name, terms, after, lasted, is_cut, is_held_up)
+        self._streams.note(call)
+
+    def _is_held_up(self, name: str, run: int, began: float) -> bool:
+        """Tell whether an instance was disturbed or ended since a time."""
+        has_ended = name in self._away or self._runs_of.get(name, 0) != run
+        return has_ended or self._disturbed.get(name, 0.0) >= began
+
     def _note_sent(self, call_id: str, name: str, began: float) -> None:
         """Keep to which run of an instance a call is sent, by both clocks."""
         self._sent_to[call_id] = (name, began)
@@ -581,7 +609,11 @@
                 self.note("false_not_run", f"{call_id} {kind}")
             if said == "served" and not runs[call_id]:
                 self.note("lost_answer", f"{call_id} {kind}")
-        self._check_cuts(set(found["spoiled"]))
+        self._check_cuts(set(found["spoiled"]) | set(found["hung"]))
+        for breach, after in self._streams.check(found):
+            self.note(breach.rule, breach.detail, after)
+        self.counts.update(self._silences.counts)
+        self.counts["hung_calls"] = len(found["hung"])
         for runs in found["deadly"]:
             self._check_deadly(runs)
         for run in found["runs"]:
--- a/standins/installation.py
+++ b/standins/installation.py
@@ -23,13 +23,15 @@
 from roadlift.relay.upstream import Address, Receiver, Request
 from standins.hub import HubLine
 from standins.limits import LimitWatch
-from standins.overlaps import OverlapWatch
+from standins.overlaps import EndWatch, OverlapWatch
 from standins.places import PlaceWatch
 from standins.replies import DELAY, Reply
 from standins.statements import StatementWatch
 from standins.store import Store
 
 EVENT_GAP = 0.02  # Seconds between the events of a stream.
+SLOW = "/slow"  # The end of the paths whose streams have a longer gap.
+SLOW_GAP = 0.2  # Seconds between their events.
 
 
 REFUSAL = Reply(503, {"not-run": "1"})
@@ -80,6 +82,11 @@
     def __init__(self, receiver: Receiver) -> None:
         super().__init__(receiver)
         self.written = False
+        self.call_id = ""
+        self.progress_at = 0.0  # When it began, or made its last event.
+        # Whether its engine makes no more events, or was replaced meanwhile.
+        self.is_hung = False
+        self.is_interrupted = False
 
     def fail(self, error: RoadliftError) -> None:
         """End the call without a whole answer."""
@@ -165,7 +172,8 @@
     it names in the answers to calls, as text, or None; one that
     ``is_leaving`` says so in all its answers. While there is a ``rest``, as
     text, it turns ``turned_away`` of the calls away and asks for that.
-    ``more`` are further headers of its answers to calls.
+    ``more`` are further headers of its answers to calls. While it pauses, no
+    stream makes an event; the streams of one that hangs never make another.
     """
 
     def __init__(
@@ -203,7 +211,35 @@
         self.born = 0
         self.on_end: Callable[[], None] = lambda: None
         self.on_return: Callable[[], None] = lambda: None
-        self._lines: list[tuple[MemoryLine, str]] = []
+        self._lines: list[MemoryLine] = []
+        self._paused_until = 0.0
+        self._hung_until = 0.0
+
+    def pause(self, seconds: float) -> None:
+        """Hold all streams up for some seconds, if none are held up now."""
+        now = self._timeline.now()
+        if now >= self._paused_until:
+            self._paused_until = now + seconds
+
+    def hang(self, seconds: float) -> None:
+        """Hold the streams of now, and of some seconds, up for good."""
+        self._hung_until = self._timeline.now() + seconds
+        for line in self._list_running():
+            self._hold_up(line)
+
+    def _hold_up(self, line: MemoryLine) -> None:
+        line.is_hung = True
+        self._installation.hung.add(line.call_id)
+
+    def _list_running(self) -> list[MemoryLine]:
+        return [line for line in self._lines if not line.is_closed]
+
+    def interrupt(self) -> None:
+        """Note that what runs here belongs to a process that is gone."""
+        for line in self._list_running():
+            if not line.is_interrupted:
+                line.is_interrupted = True
+                self._installation.interrupted[line.call_id] += 1
 
     def crash(self) -> None:
         """End with all that runs here, and come back after a while."""
@@ -212,9 +248,10 @@
         del self._installation.runners[self.id]
         self._installation.ended.append(self.id)
         self.on_end()
-        lines, self._lines = self._lines, []
-        for line, call_id in lines:
-            self._installation.spoiled.add(call_id)
+        self.interrupt()
+        lines, self._lines = self._list_running(), []
+        for line in lines:
+            self._installation.note_spoiled(line.call_id)
             line.fail(ConnectionLost("closed early"))
         self._timeline.call_later(RETURN_DELAY, self._return)
 
@@ -293,6 +330,8 @@
         """Start again under the same name, with nothing of before."""
         if self.named is not None:
             self.name_limit(None)
+        self.interrupt()
+        self._hung_until = 0.0
         self.is_leaving = False
         self.rest = None
         self.born += 1000 if self.born else 1_700_000_000_000
@@ -427,26 +466,33 @@
             self._refuse(line, fault, call_id)
             return
         self.ran.append({**headers, ":path": request.path, ":body": repr(request.body)})
-        line.on_close = self._count_cancel
-        self._lines = [one for one in self._lines if not one[0].is_closed]
-        self._lines.append((line, call_id))
+        line.call_id = call_id
+        line.progress_at = self._timeline.now()
+        line.on_close = lambda: self._note_left(line)
+        self._lines = self._list_running()
+        self._lines.append(line)
+        if self._timeline.now() < self._hung_until:
+            self._hold_up(line)
         if fault in ("cut", "lose"):
-            self._installation.spoiled.add(call_id)
+            self._installation.note_spoiled(call_id)
         if request.body in self._installation.deadly:
             self._installation.note_deadly(self.id, request.body, call_id)
             end = lambda: None if line.is_closed else self.crash()
             self._timeline.call_later(self.queue_time + CRASH_DELAY, end)
             fault = "deadly" if "token-count" in headers else "mute"
         if fault == "mute":
+            line.is_hung = True
             return
         if fault == "lose":
             self._timeline.call_later(
                 self.run_time, lambda: line.fail(ConnectionLost("lost"))
             )
             return
-        self._answer_run(headers, line, fault)
+        self._answer_run(headers, line, fault, request.path.endswith(SLOW))
 
-    def _answer_run(self, headers: dict, line: MemoryLine, fault: object) -> None:
+    def _answer_run(
+        self, headers: dict, line: MemoryLine, fault: object, is_slow: bool
+    ) -> None:
         stamp = f"stamp-{self.id}"
         call_id = headers["request-id"]
         head = {"request-id": call_id, "server-stamp": stamp}
@@ -459,40 +505,65 @@
         head["content-type"] = "text/event-stream"
         first = int(headers.get("last-event-id", -1)) + 1
         begin = self.queue_time + self.run_time
-        self._timeline.call_later(begin, lambda: self._stream(line, head, first, fault))
+        gap = SLOW_GAP if is_slow else EVENT_GAP
+        stream = lambda: self._stream(line, head, first, fault, gap)
+        self._timeline.call_later(begin, stream)
 
-    def _stream(self, line, head: dict, first: int, fault: object) -> None:
-        if line.is_closed:
+    def _stream(self, line, head: dict, first: int, fault: object, gap: float) -> None:
+        again = lambda: self._stream(line, head, first, fault, gap)
+        if line.is_closed or self._is_held_up(line, again):
             return
         is_closed = lambda: line.is_closed
         self._installation.overlaps.note_run(head["request-id"], is_closed)
         line.receiver.receive_head(200, self._add_said(head, head["request-id"]))
-        self._send_event(line, first, fault)
-
-    def _send_event(self, line: MemoryLine, number: int, fault: object) -> None:
-        if line.is_closed:
+        self._send_event(line, first, fault, gap)
+
+    def _is_held_up(self, line: MemoryLine, again: Callable[[], None]) -> bool:
+        """Tell whether a stream is held up; ``again`` is called later."""
+        if line.is_hung:
+            return True
+        left = self._paused_until - self._timeline.now()
+        if left > 0.0:
+            self._timeline.call_later(left, again)
+        return left > 0.0
+
+    def _send_event(
+        self, line: MemoryLine, number: int, fault: object, gap: float
+    ) -> None:
+        again = lambda: self._send_event(line, number, fault, gap)
+        if line.is_closed or self._is_held_up(line, again):
             return
         if number >= self.events:
             line.is_closed = True
+            self._installation.ends.note_whole(line.call_id)
             line.receiver.receive_end()
             return
         event = f"id: {number}\ndata: t{number}\n\n".encode()
         if fault == "cut" and number == 1:
+            self._installation.note_spoiled(line.call_id)
             line.receiver.receive_body(event[:5])
             line.fail(ConnectionLost("reset"))
             return
         if fault == "deadly" or (fault == "stall" and number == 1):
             return
         if isinstance(fault, Pause) and number == 1:
-            go_on = lambda: self._send_event(line, number, None)
+            go_on = lambda: self._send_event(line, number, None, gap)
             self._timeline.call_later(fault.seconds, go_on)
             return
+        line.progress_at = self._timeline.now()
+        self._installation.ends.note_event(line.call_id, line, line.progress_at)
         line.receiver.receive_body(event)
-        send = lambda: self._send_event(line, number + 1, fault)
-        self._timeline.call_later(EVENT_GAP, send)
+        send = lambda: self._send_event(line, number + 1, fault, gap)
+        self._timeline.call_later(gap, send)
 
-    def _count_cancel(self) -> None:
+    def _note_left(self, line: MemoryLine) -> None:
+        """Count a run that its sender ends, and note it if it was sound."""
         self.cancelled += 1
+        ends = self._installation.ends
+        if line.is_hung or line.is_interrupted:
+            ends.note_unsound(line.call_id)
+        else:
+            ends.note_left(line.call_id, line, line.progress_at)
 
     def _turn_away(self, call_id: str, line: MemoryLine) -> None:
         """Refuse a call, and ask its sender for rest."""
@@ -555,6 +626,11 @@
         self.statements = StatementWatch()
         # Ids of calls whose answers runners broke off by themselves.
         self.spoiled: set[str] = set()
+        self.ends = EndWatch()
+        # Ids of calls that were at an engine that hung.
+        self.hung: set[str] = set()
+        # Of each call, its runs whose runner ended or was replaced meanwhile.
+        self.interrupted: Counter[str] = Counter()
 
     def evacuate(self, zone: str) -> None:
         """Write the operator's row that takes a zone out of service."""
@@ -566,6 +642,11 @@
         self.store.delete("op", f"evacuate/{zone}")
         self.places.note_return(zone, self.clock.now())
 
+    def note_spoiled(self, call_id: str) -> None:
+        """Note that a runner breaks a call off."""
+        self.spoiled.add(call_id)
+        self.ends.note_unsound(call_id)
+
     def note_deadly(self, runner: str, body: bytes, call_id: str) -> None:
         """Count a run of a deadly call."""
         runs = self.deadly_runs.setdefault(body, [])
--- a/standins/loopback.py
+++ b/standins/loopback.py
@@ -16,7 +16,14 @@
 from roadlift.http.messages import HttpLimits, ReceivedRequest
 from roadlift.http.server import Server
 from roadlift.relay.upstream import Address, Request
-from standins.installation import REFUSAL, Installation, MemoryLine, Reply, Runner
+from standins.installation import (
+    REFUSAL,
+    Installation,
+    MemoryLine,
+    Pause,
+    Reply,
+    Runner,
+)
 
 CONTROL = "/control"
 BEAT = 1.2  # Seconds between a runner's entries in the list.
@@ -222,6 +229,10 @@
             self._turn_cold(command["cold"], command["rate"], command["seconds"])
         if "fault" in command:
             self._spoil(command["runner"], command["fault"])
+        if "pause" in command:
+            self._pause(command["runner"], Pause(command["pause"]))
+        if "hang" in command:
+            self._hang(command["runner"], command["hang"])
 
     def _go_back(self, seconds: float, passed: int) -> None:
         """Bring the store back from a copy; what it lost is written again."""
@@ -244,6 +255,7 @@
         ended = self._find_runner(name)
         if ended is None:
             return
+        ended.interrupt()
         del self.installation.runners[ended.id]
         self.installation.store.delete("servers", ended.id)
         runner = self.installation.replace(ended)
@@ -260,6 +272,17 @@
         if runner is not None:
             runner.faults.append(_FAULTS.get(fault, fault))
 
+    def _pause(self, name: str, pause: Pause) -> None:
+        """Let all streams of a runner pause, and then go on."""
+        runner = self._find_runner(name)
+        if runner is not None:
+            runner.pause(pause.seconds)
+
+    def _hang(self, name: str, seconds: float) -> None:
+        runner = self._find_runner(name)
+        if runner is not None:
+            runner.hang(seconds)
+
     def _name_limit(self, name: str, limit: str | None) -> None:
         runner = self._find_runner(name)
         if runner is not None:
@@ -289,6 +312,10 @@
         return {
             "runs": self._runs,
             "spoiled": sorted(self.installation.spoiled),
+            "ends": self.installation.ends.ends,
+            "hung": sorted(self.installation.hung),
+            "interrupted": dict(self.installation.interrupted),
+            "overlaps": self.installation.overlaps.found,
             "deadly": [[run.call_id for run in runs] for runs in deadly],
             "orders": {
                 one.id: [
--- a/standins/overlaps.py
+++ b/standins/overlaps.py
@@ -1,7 +1,7 @@
-"""Watch for calls that run at two runners at the same time."""
+"""Watch the runs of a call: whether two overlap, and how they end."""
 
 from collections.abc import Callable
-from typing import Protocol
+from typing import NamedTuple, Protocol
 
 ALLOWED = 0.4  # Seconds for which the run before may go on beside the next.
 
@@ -30,3 +30,41 @@
         if before is not None and not before():
             check = lambda: None if before() else self.found.append(call_id)
             self._timeline.call_later(ALLOWED, check)
+
+
+class _Event(NamedTuple):
+    """A whole event of a call: which run made it, and when."""
+
+    run: object
+    at: float
+
+
+class EndWatch:
+    """How the runs of calls ended: sound ones that senders gave up.
+
+    A sender may end a sound run as soon as another one makes a whole event.
+    """
+
+    def __init__(self) -> None:
+        self._events: dict[str, _Event] = {}
+        self.ends: dict[str, bool] = {}  # Whether a sound run was given up.
+
+    def note_event(self, call_id: str, run: object, now: float) -> None:
+        """Record a whole event; with it, the call goes on at this run."""
+        self._events[call_id] = _Event(run, now)
+        self.ends.pop(call_id, None)
+
+    def note_left(self, call_id: str, run: object, progress_at: float) -> None:
+        """Record that a sender ends a sound run, of which this came last."""
+        last = self._events.get(call_id)
+        is_replaced = last is not None and last.run is not run
+        if not (is_replaced and last.at >= progress_at):
+            self.ends[call_id] = True
+
+    def note_whole(self, call_id: str) -> None:
+        """Record a run that came to its end."""
+        self.ends[call_id] = True
+
+    def note_unsound(self, call_id: str) -> None:
+        """Record a run whose engine broke it off, or could not go on."""
+        self.ends.setdefault(call_id, False)
--- a/tests/benchmarks/soak.feature
+++ b/tests/benchmarks/soak.feature
@@ -51,3 +51,86 @@
       | rest    | 3     | 1.0   | 0    | 1      |
       | rest    | 9     | 0.4   | 0    | 0      |
       | rest    | 9     | 3.1   | 0    | 0      |
+
+  Scenario Outline: A stream of a route with a limit of 2 seconds is cut <case>
+    Given a soak in which a stream is cut after <lasted> seconds, <case>
+    Then <violations> streams were cut by an instance, and <expired> at their limit
+
+    Examples:
+      | case                            | lasted | violations | expired |
+      | at an engine that noted no end  | 1.1    | 1          | 0       |
+      | at a sound engine               | 1.1    | 1          | 0       |
+      | at a sound engine               | 1.99   | 1          | 0       |
+      | at a sound engine               | 2.0    | 0          | 1       |
+      | as its engine was not sound     | 1.1    | 0          | 0       |
+      | as another call's was not       | 1.1    | 1          | 0       |
+      | at an instance that stood still | 1.1    | 0          | 0       |
+
+  Scenario Outline: A call that ran at two engines at once <case>
+    Given a soak in which a call runs at two engines at once, <case>
+    Then <violations> calls ran at two engines
+
+    Examples:
+      | case                            | violations |
+      | at a sound instance             | 1          |
+      | at an instance that stood still | 0          |
+      | of which no caller knows        | 1          |
+
+  Scenario Outline: A call of a route with 2 attempts runs <runs> times, <ended> at engines that end
+    Given a soak in which a call runs <runs> times, <ended> of them at engines that end
+    Then <violations> calls had too many runs
+
+    Examples:
+      | runs | ended | violations |
+      | 2    | 0     | 0          |
+      | 3    | 0     | 1          |
+      | 3    | 1     | 0          |
+      | 4    | 1     | 1          |
+
+  Scenario Outline: A call to an instance that <what> is held up: <is_held_up>
+    Given a soak in which an instance <what> behind a call's sending
+    Then the call is held up: <is_held_up>
+
+    Examples:
+      | what         | is_held_up |
+      | does nothing | no         |
+      | stands still | yes        |
+      | goes on      | yes        |
+      | is away      | yes        |
+      | starts again | yes        |
+
+  Scenario: A call to an instance that went on before it was sent is not held up
+    Given a soak in which an instance goes on before a call's sending
+    Then the call is held up: no
+
+  Scenario Outline: An engine that <fault> during two streams, and one that comes then
+    Given an engine with two streams and an event of each
+    When it <fault> for 1 second, and a third stream comes
+    Then the streams have "<at_once>" events 0.9 seconds later
+    And "<behind>" events 0.5 seconds behind that
+
+    Examples:
+      | fault   | at_once | behind  |
+      | pauses  | 1, 1, 0 | 3, 3, 3 |
+      | hangs   | 1, 1, 0 | 1, 1, 0 |
+
+  Scenario Outline: A sound run was given up of a stream that <ends>: <is_given_up>
+    Given an engine with two streams and an event of each
+    When the first <ends>
+    Then a sound run of it was given up: <is_given_up>
+
+    Examples:
+      | ends                                            | is_given_up |
+      | is whole                                        | yes         |
+      | is whole, and its engine crashes                | yes         |
+      | is left by its sender                           | yes         |
+      | is left as its engine pauses                    | yes         |
+      | is left as its engine hangs                     | no          |
+      | is left as its engine starts again              | no          |
+      | is broken off as its engine crashes             | no          |
+      | is broken off, and a second is whole            | yes         |
+      | hangs, and a second is left                     | yes         |
+      | is replaced, and a second is broken off         | no          |
+      | is left, and a second is broken off             | no          |
+      | is left, and a second is broken off at once     | yes         |
+      | is broken off, and a second is left             | yes         |
--- a/tests/steps/soak_steps.py
+++ b/tests/steps/soak_steps.py
@@ -5,6 +5,10 @@
 from behave import given, then, when
 
 from benchmarks.routes import Cut, Soak
+from benchmarks.streams import Call, StreamWatch, find_terms
+from demo.installation import Answer
+from roadlift.relay.upstream import Request
+from standins.installation import SLOW, Installation, MemoryLine
 from standins.statements import Sent, StatementWatch
 
 
@@ -93,3 +97,238 @@
     """Look at the counts."""
     found = context.soak.violations
     assert (found["late_to_leaving"], found["broken_rest"]) == (late, broken), found
+
+
+_PATH = "/again/1"
+_AT = 100.0  # When a call is sent, in seconds.
+_FOUND = {"ends": {}, "interrupted": {}, "overlaps": [], "runs": []}
+_ENDS = {
+    "at a sound engine": {"r1": True},
+    "as its engine was not sound": {"r1": False},
+    "as another call's was not": {"r1": True, "r2": False},
+}
+
+
+def _note_call(watch, case, is_cut=False, lasted=1.0):
+    is_held_up = case == "at an instance that stood still"
+    terms = find_terms(_PATH)
+    watch.note(Call("r1", "entry-0", terms, 5.0, lasted, is_cut, is_held_up))
+
+
+def _count(watch, rule, **found):
+    """Return how often a rule was broken."""
+    found = json.loads(json.dumps({**_FOUND, **found}))
+    return sum(breach.rule == rule for breach, _ in watch.check(found))
+
+
+@given("a soak in which a stream is cut after {lasted:g} seconds, {case}")
+def step_stream_cut(context, lasted, case):
+    """Note a stream that was cut, and what its engine did."""
+    watch = StreamWatch()
+    _note_call(watch, case, is_cut=True, lasted=lasted)
+    count = _count(watch, "cut_by_instance", ends=_ENDS.get(case, {}))
+    context.found = (count, int(watch.is_expired("r1")))
+
+
+@then("{violations:d} streams were cut by an instance, and {expired:d} at their limit")
+def step_cut_by_instance(context, violations, expired):
+    """Look at the counts."""
+    assert context.found == (violations, expired), context.found
+
+
+@given("a soak in which a call runs at two engines at once, {case}")
+def step_two_engines(context, case):
+    """Note a call that its engines saw run twice at once."""
+    watch = StreamWatch()
+    if case != "of which no caller knows":
+        _note_call(watch, case)
+    context.found = _count(watch, "ran_at_two", overlaps=["r1"])
+
+
+@then("{violations:d} calls ran at two engines")
+def step_ran_at_two(context, violations):
+    """Look at the count."""
+    assert context.found == violations, context.found
+
+
+@given(
+    "a soak in which a call runs {runs:d} times, {ended:d} of them at engines that end"
+)
+def step_runs(context, runs, ended):
+    """Note the runs of a call whose route has two attempts."""
+    watch = StreamWatch()
+    _note_call(watch, "")
+    interrupted = {"r1": ended} if ended else {}
+    noted = [{"id": "r1"}] * runs
+    context.found = _count(watch, "over_attempts", runs=noted, interrupted=interrupted)
+
+
+@then("{violations:d} calls had too many runs")
+def step_over_attempts(context, violations):
+    """Look at the count."""
+    assert context.found == violations, context.found
+
+
+@given("a soak in which an instance {what} behind a call's sending")
+def step_held_up(context, what):
+    """Disturb an instance, or not, while a call is there."""
+    soak = context.soak = Soak(None, 1)
+    if what in ("stands still", "goes on"):
+        soak._disturbed["entry-0"] = _AT + (60.0 if what == "stands still" else 0.5)
+    elif what == "is away":
+        soak._away.add("entry-0")
+    elif what == "starts again":
+        soak._runs_of["entry-0"] = 1
+
+
+@given("a soak in which an instance goes on before a call's sending")
+def step_went_on(context):
+    """Disturb an instance before a call is there."""
+    context.soak = Soak(None, 1)
+    context.soak._disturbed["entry-0"] = _AT - 0.1
+
+
+@then("the call is held up: {answer}")
+def step_is_held_up(context, answer):
+    """Note the call's answer, which is cut."""
+    soak = context.soak
+    cut = Answer(200, {}, b"", False)
+    soak._note_call("r1", _PATH, "entry-0", 0, _AT, cut)
+    call = soak._streams._calls["r1"]
+    assert call.is_cut
+    assert call.is_held_up == (answer == "yes"), call
+
+
+class _Events:
+    """Counts the events of a stream."""
+
+    def __init__(self):
+        self.count = 0
+
+    def receive_head(self, status, headers):
+        """Take no notice of the head."""
+
+    def receive_body(self, data):
+        """Count an event."""
+        self.count += 1
+
+    def receive_end(self):
+        """Take no notice of the end."""
+
+    def receive_error(self, error):
+        """Take no notice of the connection's loss."""
+
+
+def _begin_stream(context, call_id=None):
+    number = len(context.streams) + 1
+    headers = {"request-id": call_id or f"r{number}", "token-count": "10,20"}
+    line = MemoryLine(_Events())
+    request = Request("POST", f"/again{SLOW}", headers, b"")
+    context.engine.handle(request, line)
+    context.streams.append(line)
+
+
+def _pass_time(context, seconds):
+    timeline = context.installation.timeline
+    end = timeline.now() + seconds
+    while (due := timeline.find_next()) is not None and due <= end:
+        context.installation.clock.advance(max(0.0, due - timeline.now()))
+        timeline.run_due()
+    context.installation.clock.advance(end - timeline.now())
+
+
+def _list_counts(context):
+    return ", ".join(str(line.receiver.count) for line in context.streams)
+
+
+@given("an engine with two streams and an event of each")
+def step_streams(context):
+    """Begin two streams with events 0.2 seconds apart."""
+    context.installation = Installation()
+    context.engine = context.installation.add_runner("llm", "e1", "z1", "base")
+    context.streams = []
+    for _ in range(2):
+        _begin_stream(context)
+    _pass_time(context, 0.1)
+
+
+@when("it {fault} for 1 second, and a third stream comes")
+def step_silent(context, fault):
+    """Hold the engine's streams up."""
+    engine = context.engine
+    silence = engine.pause if fault == "pauses" else engine.hang
+    silence(1.0)
+    _begin_stream(context)
+
+
+@then('the streams have "{events}" events 0.9 seconds later')
+def step_events(context, events):
+    """Look while the engine is silent."""
+    _pass_time(context, 0.9)
+    assert _list_counts(context) == events, _list_counts(context)
+
+
+@then('"{events}" events 0.5 seconds behind that')
+def step_events_behind(context, events):
+    """Look when its pause is over, and which calls it noted."""
+    _pass_time(context, 0.5)
+    assert _list_counts(context) == events, _list_counts(context)
+    is_hung = events.startswith("1")
+    wanted = {"r1", "r2", "r3"} if is_hung else set()
+    assert context.installation.hung == wanted, context.installation.hung
+
+
+def _run_again(context):
+    """Run the first call once more, at the same engine."""
+    _begin_stream(context, "r1")
+    _pass_time(context, 0.1)
+
+
+@when("the first {ends}")
+def step_first_ends(context, ends):
+    """End the run of the first stream, and maybe another one."""
+    engine, line = context.engine, context.streams[0]
+    if "pauses" in ends:
+        engine.pause(1.0)
+    elif "hangs" in ends:
+        engine.hang(0.0)
+    elif "starts again" in ends:
+        engine.restart()
+    if "a second" in ends:
+        _end_two(context, ends)
+    elif "broken off" in ends:
+        engine.crash()
+    elif "left" in ends:
+        line.close()
+    else:
+        _pass_time(context, 1.0)
+        if "crashes" in ends:
+            engine.crash()
+
+
+def _end_two(context, ends):
+    """End the first run of the first stream, and then a second run."""
+    engine, line = context.engine, context.streams[0]
+    if ends.startswith("is left"):
+        line.close()
+    elif ends.startswith("is broken off"):
+        engine.crash()
+        _pass_time(context, 3.0)
+    if ends.endswith("at once"):
+        _begin_stream(context, "r1")
+    else:
+        _run_again(context)
+    line.close()
+    if ends.endswith("whole"):
+        _pass_time(context, 1.0)
+    elif "second is broken off" in ends:
+        engine.crash()
+    else:
+        context.streams[-1].close()
+
+
+@then("a sound run of it was given up: {answer}")
+def step_given_up(context, answer):
+    """Look at what the installation noted."""
+    is_given_up = context.installation.ends.ends["r1"]
+    assert is_given_up == (answer == "yes"), context.installation.ends.ends
