Count no stream that was cut at its time limit as cut by a drain

What was wrong with the check: each answer that was cut at an instance that was leaving counted, unless a runner broke it off. While no sound engine paused, no call came to its time limit there.

Change: an answer that began, and was cut at its route's time limit or later, is counted as `cut_at_limit`. One that was cut before is a violation as before, and so is a call that got no answer.

Evidence: five scenarios, of which one is cut at 1.95 s of 2 and counts.

--- a/benchmarks/routes.py
+++ b/benchmarks/routes.py
@@ -233,6 +233,8 @@
             self._check_answer(call_id, kind, answer)
         elif answer.status in PROMISES:
             self._said[call_id] = "not_run"
+        elif self._streams.is_expired(call_id):
+            self.counts["cut_at_limit"] += 1
         elif answer.status in (0, 200):
             self._check_cut(call_id, name, began)
 
--- a/tests/benchmarks/soak.feature
+++ b/tests/benchmarks/soak.feature
@@ -17,6 +17,18 @@
       | r1, r2  | 0          | 2       |
       | r3      | 2          | 0       |
 
+  Scenario Outline: A call of a route with a limit of 2 seconds ends at a drain: <answer>
+    Given a soak in which a call ends at a drain after <lasted> seconds, <answer>
+    Then <violations> calls were cut by a drain and <expired> at their limit
+
+    Examples:
+      | answer                | lasted | violations | expired |
+      | its answer is cut     | 1.5    | 1          | 0       |
+      | its answer is cut     | 1.95   | 1          | 0       |
+      | its answer is cut     | 2.0    | 0          | 1       |
+      | it has no answer      | 2.0    | 1          | 0       |
+      | its answer is whole   | 2.0    | 0          | 0       |
+
   Scenario Outline: A runner with a limit gets <calls> calls, <late> behind its naming
     Given a soak in which a runner that may get 18 calls gets <calls>, <late> of them late
     Then <violations> runners got more than their limit
--- a/tests/steps/soak_steps.py
+++ b/tests/steps/soak_steps.py
@@ -1,6 +1,7 @@
 """Steps on what the soak of processes checks."""
 
 import json
+import time
 
 from behave import given, then, when
 
@@ -332,3 +333,29 @@
     """Look at what the installation noted."""
     is_given_up = context.installation.ends.ends["r1"]
     assert is_given_up == (answer == "yes"), context.installation.ends.ends
+
+
+_ANSWERS = {
+    "its answer is cut": Answer(200, {}, b"", False),
+    "it has no answer": Answer(0, {}, b"", False),
+    "its answer is whole": Answer(200, {}, b"", True),
+}
+
+
+@given("a soak in which a call ends at a drain after {lasted:g} seconds, {answer}")
+def step_drain(context, lasted, answer):
+    """Judge the answer of a call to an instance that leaves."""
+    soak = context.soak = Soak(None, 1)
+    began = time.monotonic() - lasted
+    soak._leaving_at["entry-0"] = began
+    soak._note_call("r1", _PATH, "entry-0", 0, began, _ANSWERS[answer])
+    soak._judge("r1", "again", "entry-0", began, _ANSWERS[answer])
+    soak._check_cuts(set())
+
+
+@then("{violations:d} calls were cut by a drain and {expired:d} at their limit")
+def step_drain_limit(context, violations, expired):
+    """Look at the counts."""
+    soak = context.soak
+    found = (soak.violations["cut_by_drain"], soak.counts["cut_at_limit"])
+    assert found == (violations, expired), found
