Write no entry of a runner that was replaced

The list held p00 beside p00', which had replaced it at its address, so each send to p00 was answered 421 until the retry budget was spent.

Cause: a stand-in's heartbeat looked its runner up by the name that it had, which leads to the one that replaced it, and wrote the old entry again 0.7 s behind its deletion.

Change: a runner writes its entry while it is itself the one of its name.

--- a/standins/loopback.py
+++ b/standins/loopback.py
@@ -175,7 +175,7 @@
         return self.installation.runners.get(self._names.get(name, name))
 
     def _beat(self, runner: Runner) -> None:
-        if self._find_runner(runner.id) is not None:
+        if self.installation.runners.get(runner.id) is runner:
             self._write(runner)
         self._loop.call_later(BEAT, lambda: self._beat(runner))
 
