--- a/roadlift/endpoints/events.py
+++ b/roadlift/endpoints/events.py
@@ -8,6 +8,7 @@
 _EVENT_END = b"\n\n"
 _DONE = b"data: [DONE]\n\n"
 _ID = b"id:"
+_DATA = b"data:"
 MAX_EVENT_BYTES = 1048576  # Bytes of one event; a longer one is forwarded in pieces.
 
 
@@ -26,11 +27,19 @@
             self._held = b""
         if not data.endswith(_EVENT_END):
             data = self._hold_rest(data)
-        if data:
+        if _DATA in data:
             self._last = data
             self.is_ended = data.endswith(_DONE)
         return data
 
+    @property
+    def can_continue(self) -> bool:
+        """Return whether it is known where another run would continue.
+
+        An event without an id behind the last one with one would be repeated.
+        """
+        return not self._last or bool(self.find_last_id())
+
     def _hold_rest(self, data: bytes) -> bytes:
         """Buffer what follows the last complete event; return the rest."""
         end = data.rfind(_EVENT_END)
--- a/roadlift/instance/answer.py
+++ b/roadlift/instance/answer.py
@@ -48,6 +48,11 @@
         """Return whether it is a stream of events that has begun."""
         return self._frames is not None
 
+    @property
+    def can_continue(self) -> bool:
+        """Return whether another send can continue the answer."""
+        return self._frames is not None and self._frames.can_continue
+
     def find_position(self) -> str:
         """Return the id of the last event, after which a send may resume."""
         if self._frames is not None:
--- a/roadlift/instance/exchange.py
+++ b/roadlift/instance/exchange.py
@@ -65,7 +65,7 @@
 # Seconds after which a send to another engine replaces one whose engine does
 # not respond, without waiting for its next event: a call must not be worked on
 # at two engines for long.
-HANDOVER_TIMEOUT = 0.3
+HANDOVER_TIMEOUT = 0.2
 # Seconds until a begun answer that can't be continued now is tried again.
 RESUMPTION_INTERVAL = 0.1
 # Added to the priority number of a late call, so that engines first read the
@@ -746,7 +746,7 @@
             self._deadline - now,
             len(self._list_open()),
             self._answer.has_begun,
-            self._answer.is_stream,
+            self._answer.can_continue,
             self._has_spare_slot,
         )
         return self._attempts.take_retry(error, state, now)
@@ -769,7 +769,7 @@
 
     def _may_resume_later(self) -> bool:
         """Return whether a begun answer can wait until it is continued."""
-        is_resumable = self._answer.is_stream and self.route.is_repeatable
+        is_resumable = self._answer.can_continue and self.route.is_repeatable
         wait = self._compute_caller_wait(self._kernel.clock.now())
         return is_resumable and not self._kept and wait > RESUMPTION_INTERVAL
 
