Let an engine bring a whole event before it replaces a kept run

Cause: any bytes of the new engine decided, not a whole event.

Change: bytes of a new send are held back until they have a whole event, as long as another run is kept.

--- a/roadlift/instance/exchange.py
+++ b/roadlift/instance/exchange.py
@@ -566,9 +566,16 @@
             self._answer.adopt(send)
 
     def on_body(self, send: Send, data: bytes) -> None:
-        """Forward the body of a success."""
+        """Forward the body of a success.
+
+        While other sends are kept, a new one has to bring a whole event first.
+        """
+        is_new = self._kept and send is self._send
+        if is_new and not send.hold(data):
+            return
         self._choose_answer(send)
-        self._answer.write(send, data)
+        held = send.take_held()
+        self._answer.write(send, held if is_new else held + data)
 
     def _choose_answer(self, send: Send) -> None:
         """Let a send that succeeds answer the caller, and no other one."""
@@ -580,6 +587,7 @@
         """Finish a complete answer, or handle a rejection."""
         if send.verdict is Verdict.SUCCEEDED:
             self._choose_answer(send)
+            self._answer.write(send, send.take_held())
             self._send = None
             self._attempts.runs += 1
             self._record_served(send)
--- a/roadlift/instance/send.py
+++ b/roadlift/instance/send.py
@@ -18,6 +18,8 @@
 # Bytes of an answer that are buffered until it is complete; a longer answer is
 # forwarded as it arrives.
 MAX_BUFFERED_BYTES = 131072
+_EVENT_STREAM = "text/event-stream"
+_EVENT_END = b"\n\n"
 
 
 class SendOwner(Protocol):
@@ -73,6 +75,7 @@
         self.verdict: Verdict | None = None
         self.chunks_received = 0
         self.buffer = bytearray()
+        self._held = bytearray()
 
     def open(self, request: Request) -> None:
         """Send the request."""
@@ -115,6 +118,21 @@
         """Return whether the send is open and a byte of it was written."""
         return self._line is not None and self._line.written
 
+    def hold(self, data: bytes) -> bool:
+        """Hold body bytes back; return whether they have a whole event.
+
+        An answer that is no stream counts as whole at once.
+        """
+        self._held += data
+        is_stream = _EVENT_STREAM in self.headers.get("content-type", "")
+        return not is_stream or _EVENT_END in self._held
+
+    def take_held(self) -> bytes:
+        """Return the bytes that were held back, once."""
+        held = bytes(self._held)
+        self._held.clear()
+        return held
+
     def describe_answer(self) -> str:
         """Return how much of the answer was received."""
         if self.verdict is None:
--- a/tests/instance/pauses.feature
+++ b/tests/instance/pauses.feature
@@ -13,6 +13,7 @@
       | all other engines refuse it                     |
       | there is no other engine                        |
       | the others read prompts for 1.5 seconds first   |
+      | the others break off within their first event   |
     Then each of these answers is whole and has each event once
     And no call ran at two engines at once for long
 
--- a/tests/steps/pause_steps.py
+++ b/tests/steps/pause_steps.py
@@ -71,6 +71,7 @@
         elif where.startswith("the others "):
             runner.held["x"] = 1
             runner.queue_time = 1.5 if "read prompts" in where else 0.0
+            runner.faults = ["cut"] if "break off" in where else []
         elif where == "all other engines refuse it":
             runner.faults = [REFUSAL] * 50
         elif where == "the first sends elsewhere are refused":
