--- a/benchmarks/streams.py
+++ b/benchmarks/streams.py
@@ -10,7 +10,7 @@
 from typing import NamedTuple
 
 from benchmarks.organisations import Breach
-from tests.support.configuration import ROUTES, make_route
+from tests.support.configuration import Terms, make_route, read_terms
 
 CALL_LIMIT = 4.0  # Seconds that a caller gives a call.
 SLOW_MIX = (
@@ -20,13 +20,6 @@
 _ADDED = make_route("/home/", "idempotent", "plain")
 
 
-class Terms(NamedTuple):
-    """What a call may take: seconds until its limit, and runs."""
-
-    limit: float
-    attempts: int
-
-
 class Call(NamedTuple):
     """A call as its caller saw it end, ``lasted`` seconds behind its sending.
 
@@ -45,9 +38,8 @@
 
 def find_terms(path: str) -> Terms:
     """Return the terms of the route that a path has."""
-    found = (one for one in ROUTES if path.startswith(one["pathPrefix"]))
-    route = next(found, _ADDED)
-    return Terms(min(CALL_LIMIT, route["timeoutMs"] / 1000), route["attempts"])
+    terms = read_terms(path, _ADDED)
+    return terms._replace(limit=min(CALL_LIMIT, terms.limit))
 
 
 class StreamWatch:
--- a/tests/support/configuration.py
+++ b/tests/support/configuration.py
@@ -1,5 +1,7 @@
 """Describe the configuration of a stand-in installation."""
 
+from typing import NamedTuple
+
 BASE = "base"
 
 
@@ -91,6 +93,20 @@
 SERVICES = {"plain": False, "llm": True}
 
 
+class Terms(NamedTuple):
+    """What a call may take: seconds until its limit, and runs."""
+
+    limit: float
+    attempts: int
+
+
+def read_terms(path: str, other: dict) -> Terms:
+    """Return the terms of the usual route that a path has, or of another."""
+    found = (one for one in ROUTES if path.startswith(one["pathPrefix"]))
+    route = next(found, other)
+    return Terms(route["timeoutMs"] / 1000, route["attempts"])
+
+
 def make_tenant(name: str, keys: list[str], **more: object) -> dict:
     """Return a tenant as the operator writes it."""
     return {"name": name, "apiKeys": keys, **more}
