Reproduce a stream that ends inside an event and is framed as complete

Engines of the stand-in learn answers with neither a length nor chunks, which end with their connection, in order or by a reset, behind any byte; its other streams now say that they come in chunks.

What callers get: one event of six, and the end of a complete answer.

--- a/standins/installation.py
+++ b/standins/installation.py
@@ -21,6 +21,7 @@
     SendingRevoked,
 )
 from roadlift.relay.upstream import Address, Receiver, Request
+from standins.framings import CHUNKED, Unframed
 from standins.hub import HubLine
 from standins.limits import LimitWatch
 from standins.overlaps import EndWatch, OverlapWatch
@@ -85,6 +86,8 @@
         self.written = False
         self.call_id = ""
         self.progress_at = 0.0  # When it began, or made its last event.
+        self.sent = 0  # Body bytes of its stream.
+        self.framing: Unframed | None = None  # None where the answer is framed.
         # Whether its engine makes no more events, or was replaced meanwhile.
         self.is_hung = False
         self.is_interrupted = False
@@ -97,6 +100,14 @@
         """Go on reading the answer."""
         self.receiver.resume()
 
+    def break_off(self) -> None:
+        """End the call as its connection does, in order or by a reset."""
+        if self.framing is None or self.framing.is_reset:
+            self.fail(ConnectionLost("reset"))
+        elif not self.is_closed:
+            self.is_closed = True
+            self.receiver.receive_end()
+
     def fail(self, error: RoadliftError) -> None:
         """End the call without a whole answer."""
         if not self.is_closed:
@@ -193,7 +204,8 @@
     ``faults`` are played one a call: a Reply is given in place of the
     answer, "mute" answers nothing, "fail" breaks off within a failure, "cut"
     ends a stream in its middle, "stall" leaves it there, a Pause holds it up
-    there and "lose" runs the call and loses its answer. A
+    there and "lose" runs the call and loses its answer. One that is Unframed
+    has neither a length nor chunks; with ``is_unframed``, all streams are. A
     call whose body is deadly ends the runner soon after it began to run. Of
     the next ``lost_orders``, none is answered; every second is carried out
     late. While ``is_mute``, no report is given. ``named`` is the limit that
@@ -227,6 +239,7 @@
         self.cancelled = 0
         self.crashed = False
         self.faults: list[object] = []
+        self.is_unframed = False  # Whether no stream has a length or chunks.
         self.lost_orders = 0
         self.is_mute = False
         self.named: str | None = None
@@ -280,7 +293,10 @@
         lines, self._lines = self._list_running(), []
         for line in lines:
             self._installation.note_spoiled(line.call_id)
-            line.fail(ConnectionLost("closed early"))
+            if line.framing is None:
+                line.fail(ConnectionLost("closed early"))
+            else:
+                line.break_off()
         self._timeline.call_later(RETURN_DELAY, self._return)
 
     def _return(self) -> None:
@@ -546,7 +562,11 @@
         again = lambda: self._stream(line, head, first, fault, gap)
         if line.is_closed or self._is_held_up(line, again):
             return
-        line.receiver.receive_head(200, self._add_said(head, head["request-id"]))
+        is_unframed = self.is_unframed or isinstance(fault, Unframed)
+        if is_unframed:
+            line.framing = fault if isinstance(fault, Unframed) else Unframed()
+        framed = head if is_unframed else {**head, **CHUNKED}
+        line.receiver.receive_head(200, self._add_said(framed, head["request-id"]))
         self._send_event(line, first, fault, gap)
 
     def _is_held_up(self, line: MemoryLine, again: Callable[[], None]) -> bool:
@@ -570,6 +590,8 @@
             line.receiver.receive_end()
             return
         event = f"id: {number}\ndata: t{number}\n\n".encode()
+        if line.framing is not None and self._break_off(line, event):
+            return
         if fault == "cut" and number == 1:
             self._installation.note_spoiled(line.call_id)
             line.receiver.receive_body(event[:5])
@@ -598,8 +620,20 @@
         send = lambda: self._send_event(line, number + 1, None, gap)
         self._timeline.call_later(gap, send)
 
+    def _break_off(self, line: MemoryLine, event: bytes) -> bool:
+        """End an answer before or within its next event; tell whether."""
+        rest = line.framing.find_rest(line.sent, event)
+        if rest is None:
+            return False
+        self._installation.note_spoiled(line.call_id)
+        if rest:
+            line.receiver.receive_body(rest)
+        line.break_off()
+        return True
+
     def _make_event(self, line: MemoryLine, data: bytes) -> None:
         """Make an event whole."""
+        line.sent += len(data)
         line.progress_at = self._timeline.now()
         self._installation.ends.note_event(line.call_id, line, line.progress_at)
         line.receiver.receive_body(data)
