Forward events whose lines end by CR or CRLF as they arrive

What callers got: a stream whose lines end by CRLF or CR was held back whole, and as nothing gives out what is held at the end, its answer was empty and framed as complete.

Cause: the only blank line that EventFrames knew was LF LF; the format of server-sent events also ends lines by CR and CRLF. The end mark of the interface openai and the id of the last event were found by LF alone too.

Change: an event ends at any blank line. The usual one is still found by a look at the last two bytes of a read.

--- a/roadlift/endpoints/events.py
+++ b/roadlift/endpoints/events.py
@@ -2,13 +2,18 @@
 
 Only complete events are forwarded to the caller, so that an interrupted
 stream can be resumed after the last of them. An event ends at a blank line;
-its text is not parsed.
+a line ends at LF, CR or CRLF. The text of events is not parsed.
 """
 
-_EVENT_END = b"\n\n"
-_DONE = b"data: [DONE]\n\n"
+_DONE = b"data: [DONE]"
 _ID = b"id:"
 _DATA = b"data:"
+_LINE_ENDS = b"\r\n"
+_USUAL_EVENT_END = b"\n\n"
+# Pairs of bytes that end a line and the blank one behind it; CR LF is a
+# single line end.
+_BLANK_LINES = (_USUAL_EVENT_END, b"\n\r", b"\r\r")
+_DONE_SIZE = len(_DONE) + 4  # Bytes of the end mark and its blank line at most.
 MAX_EVENT_BYTES = 1048576  # Bytes of one event; a longer one is forwarded in pieces.
 
 
@@ -18,6 +23,7 @@
     def __init__(self) -> None:
         self._held = b""
         self._last = b""
+        self._may_end_with_lf = False  # Whether the last line end was a CR.
         self.is_ended = False
 
     def extract_complete(self, data: bytes) -> bytes:
@@ -25,11 +31,11 @@
         if self._held:
             data = self._held + data
             self._held = b""
-        if not data.endswith(_EVENT_END):
+        if not data.endswith(_USUAL_EVENT_END):
             data = self._hold_rest(data)
         if _DATA in data:
             self._last = data
-            self.is_ended = data.endswith(_DONE)
+            self.is_ended = data[-_DONE_SIZE:].rstrip(_LINE_ENDS).endswith(_DONE)
         return data
 
     @property
@@ -42,10 +48,12 @@
 
     def _hold_rest(self, data: bytes) -> bytes:
         """Buffer what follows the last complete event; return the rest."""
-        end = data.rfind(_EVENT_END)
-        if end < 0 and len(data) > MAX_EVENT_BYTES:
+        end = _find_event_end(data)
+        if not end and self._may_end_with_lf and data.startswith(b"\n"):
+            end = 1
+        self._may_end_with_lf = data[:end].endswith(b"\r")
+        if not end and len(data) > MAX_EVENT_BYTES:
             return data
-        end = end + len(_EVENT_END) if end >= 0 else 0
         self._held = data[end:]
         return data[:end]
 
@@ -57,9 +65,18 @@
     def find_last_id(self) -> str:
         """Return the id of the last complete event, or empty."""
         start = self._last.rfind(_ID)
-        while start > 0 and self._last[start - 1 : start] != b"\n":
+        while start > 0 and self._last[start - 1] not in _LINE_ENDS:
             start = self._last.rfind(_ID, 0, start)
         if start < 0:
             return ""
-        line = self._last[start:].split(b"\n", 1)[0]
+        line = self._last[start:].splitlines()[0]
         return line[len(_ID) :].strip().decode("latin-1")
+
+
+def _find_event_end(data: bytes) -> int:
+    """Return the index behind the last blank line, or 0 if there is none."""
+    start = max(data.rfind(pair) for pair in _BLANK_LINES)
+    if start < 0:
+        return 0
+    end = start + 2
+    return end + 1 if data[end - 1 : end + 1] == b"\r\n" else end
--- a/tests/relay/events.feature
+++ b/tests/relay/events.feature
@@ -17,3 +17,38 @@
       | id 1 data, data                        | it can't be continued           |
       | data                                   | it can't be continued           |
       | id 1 data, part                        | it can be continued behind 1    |
+
+  Scenario Outline: The events of a stream are forwarded once they are complete, lines ended by <ends>
+    Guards against holding a stream back whole whose lines don't end by LF alone: its caller
+    got an empty answer, framed as complete.
+
+    When a stream with lines ended by <ends> is read <how>
+    Then each of its events was returned by the read of its last byte, or the next
+    And its bytes are returned unchanged
+    And it can be continued behind 2
+
+    Examples:
+      | ends        | how          |
+      | LF          | at once      |
+      | LF          | byte by byte |
+      | LF          | in halves    |
+      | CRLF        | at once      |
+      | CRLF        | byte by byte |
+      | CRLF        | in halves    |
+      | CR          | at once      |
+      | CR          | byte by byte |
+      | CR          | in halves    |
+      | CRLF and LF | byte by byte |
+      | LF and CR   | byte by byte |
+      | LF and CR   | at once      |
+
+  Scenario Outline: A stream's end mark is found, lines ended by <ends>
+    When a stream with an end mark and lines ended by <ends> is read <how>
+    Then it has ended
+
+    Examples:
+      | ends | how          |
+      | LF   | at once      |
+      | CRLF | byte by byte |
+      | CRLF | at once      |
+      | CR   | byte by byte |
--- a/tests/steps/event_steps.py
+++ b/tests/steps/event_steps.py
@@ -14,6 +14,21 @@
     "part": b"id: 2\nda",
 }
 
+# The ends of odd and of even lines.
+_LINE_ENDS = {
+    "LF": (b"\n", b"\n"),
+    "CRLF": (b"\r\n", b"\r\n"),
+    "CR": (b"\r", b"\r"),
+    "CRLF and LF": (b"\r\n", b"\n"),
+    "LF and CR": (b"\n", b"\r"),
+}
+_EVENT = (b"id: %d", b"data: a", b": two words", b"")
+_END_MARK = (b"data: [DONE]", b"")
+
+
+def _make_lines(ends, lines):
+    return b"".join(line + ends[index % 2] for index, line in enumerate(lines))
+
 
 @when('a stream is read as "{reads}"')
 def step_read(context, reads):
@@ -23,6 +38,58 @@
         context.frames.extract_complete(_READS[read])
 
 
+def _read_parts(context, events, how):
+    """Read the events, and keep what each read returned."""
+    context.frames = EventFrames()
+    context.events = events
+    stream = b"".join(events)
+    size = {"at once": len(stream), "byte by byte": 1, "in halves": len(stream) // 2}
+    context.returned = []
+    for start in range(0, len(stream), size[how]):
+        read = stream[start : start + size[how]]
+        context.returned.append((read, context.frames.extract_complete(read)))
+
+
+@when("a stream with lines ended by {ends} is read {how}")
+def step_read_lines(context, ends, how):
+    """Read two events."""
+    events = [_make_lines(_LINE_ENDS[ends], _EVENT) % one for one in (1, 2)]
+    _read_parts(context, events, how)
+
+
+@when("a stream with an end mark and lines ended by {ends} is read {how}")
+def step_read_end(context, ends, how):
+    """Read an event, and the end mark."""
+    event = _make_lines(_LINE_ENDS[ends], _EVENT) % 1
+    _read_parts(context, [event, _make_lines(_LINE_ENDS[ends], _END_MARK)], how)
+
+
+@then("each of its events was returned by the read of its last byte, or the next")
+def step_returned(context):
+    """Compare what was returned with what had been read."""
+    read = returned = 0
+    behind = [sum(map(len, context.events[:count])) for count in (1, 2)]
+    for data, part in context.returned:
+        due = max((end for end in behind if end <= read), default=0)
+        read += len(data)
+        returned += len(part)
+        assert returned >= due, (read, returned)
+    assert returned >= behind[-1] - 1, (returned, behind)
+
+
+@then("its bytes are returned unchanged")
+def step_unchanged(context):
+    """Compare the returned bytes with those that were read."""
+    returned = b"".join(part for _, part in context.returned)
+    assert b"".join(context.events).startswith(returned), returned
+
+
+@then("it has ended")
+def step_ended(context):
+    """Check that the end mark was found."""
+    assert context.frames.is_ended
+
+
 @then("it can be continued from the start")
 def step_start(context):
     """Check that nothing was read."""
