Log how an endpoint's answer was framed, and what it left of an event

call_ended has the framing of the endpoint's answer and the bytes of an event that it left incomplete, send_failed the framing; explain prints both.

--- a/roadlift/core/events.py
+++ b/roadlift/core/events.py
@@ -70,9 +70,11 @@
             "given_up",
             "identity",
             "got",
+            "framing",
         ),
         "A send failed; given_up says why no retry follows. Calls of one identity "
-        "request the same work; got is nothing, head or events.",
+        "request the same work; got is nothing, head or events, and framing what "
+        "ends the answer: length, chunks or the close of its connection.",
     ),
     Event(
         "exchange",
@@ -158,6 +160,8 @@
             "endpoint",
             "sends",
             "status",
+            "framing",
+            "partial",
             "tokens_in",
             "tokens_out",
             "sent",
@@ -172,8 +176,9 @@
             "one_in",
         ),
         "A call ended; steps are its decisions, with the age of the liveness signal "
-        "of the engine's owner at each send. Of calls in time, one in one_in is "
-        "logged.",
+        "of the engine's owner at each send; framing is that of the endpoint's "
+        "answer, and partial the bytes of an event that it left incomplete. Of calls "
+        "in time, one in one_in is logged.",
     ),
     Event(
         "ingress",
--- a/roadlift/endpoints/events.py
+++ b/roadlift/endpoints/events.py
@@ -5,9 +5,12 @@
 a line ends at LF, CR or CRLF. The text of events is not parsed.
 """
 
+import codecs
+
 _DONE = b"data: [DONE]"
 _ID = b"id:"
 _DATA = b"data:"
+_COMMENT = b":"
 _LINE_ENDS = b"\r\n"
 _USUAL_EVENT_END = b"\n\n"
 # Pairs of bytes that end a line and the blank one behind it; CR LF is a
@@ -38,6 +41,15 @@
             self.is_ended = data[-_DONE_SIZE:].rstrip(_LINE_ENDS).endswith(_DONE)
         return data
 
+    def count_partial(self) -> int:
+        """Return the bytes of an event that has begun and not ended, or 0.
+
+        Blank lines and comments begin no event.
+        """
+        lines = self._held.removeprefix(codecs.BOM_UTF8).splitlines()
+        has_begun = any(line and not line.startswith(_COMMENT) for line in lines)
+        return len(self._held) if has_begun else 0
+
     @property
     def can_continue(self) -> bool:
         """Return whether it is known where another run would continue.
--- a/roadlift/instance/answer.py
+++ b/roadlift/instance/answer.py
@@ -9,6 +9,7 @@
 from roadlift.instance.progress import Progress
 from roadlift.instance.send import MAX_BUFFERED_BYTES, Send
 from roadlift.relay.caller import Caller
+from roadlift.relay.framing import Framing
 from roadlift.serving.calls import Call, Kind
 from roadlift.serving.interfaces import Verdict
 from roadlift.serving.routes import Route
@@ -43,6 +44,15 @@
         """Return whether the caller has received a part of the answer."""
         return self._caller.started
 
+    @property
+    def framing(self) -> Framing | None:
+        """Return what ended the endpoint's answer, or None without one."""
+        return None if self._source is None else self._source.framing
+
+    def count_partial(self) -> int:
+        """Return the bytes of an event that the endpoint left incomplete."""
+        return 0 if self._frames is None else self._frames.count_partial()
+
     @property
     def is_stream(self) -> bool:
         """Return whether it is a stream of events that has begun."""
--- a/roadlift/instance/exchange.py
+++ b/roadlift/instance/exchange.py
@@ -710,6 +710,7 @@
             given_up=reason,
             identity=self.identify().hex(),
             got=send.describe_answer(),
+            framing=send.framing,
         )
         self._record_step("failed", error=str(error), given_up=reason)
         if reason is None:
@@ -863,6 +864,8 @@
             endpoint=self._endpoint.id if self._endpoint else None,
             sends=self._attempts.sends,
             status=self._answer.status,
+            framing=self._answer.framing,
+            partial=self._answer.count_partial(),
             tokens_in=self.call.tokens_in,
             tokens_out=self.call.tokens_out,
             sent=round(self._sent_at - self._began_at, 4)
--- a/roadlift/instance/send.py
+++ b/roadlift/instance/send.py
@@ -8,6 +8,7 @@
 from roadlift.instance.gate import Gate, SentCall
 from roadlift.instance.placement import Placement
 from roadlift.instance.platform import Platform
+from roadlift.relay.framing import Framing, find_framing
 from roadlift.relay.upstream import CallHandle, Request
 from roadlift.serving.calls import Call
 from roadlift.serving.interfaces import Verdict
@@ -133,6 +134,11 @@
         self._held.clear()
         return held
 
+    @property
+    def framing(self) -> Framing | None:
+        """Return what ends the answer, or None as long as it has no head."""
+        return find_framing(self.headers) if self.status else None
+
     def describe_answer(self) -> str:
         """Return how much of the answer was received."""
         if self.verdict is None:
--- a/roadlift/relay/upstream.py
+++ b/roadlift/relay/upstream.py
@@ -23,6 +23,7 @@
 )
 from roadlift.core.loop import Loop
 from roadlift.http.messages import add_header, has_token
+from roadlift.relay.framing import Framing, find_framing
 from roadlift.relay.pool import Channel, ConnectionPool
 
 READ_SIZE = 65536  # Bytes read from a socket at most at once.
@@ -319,8 +320,8 @@
         self._status = status
         headers = self._headers
         self._is_skipping = not self._matches_request(status, headers)
-        has_length = "content-length" in headers or "transfer-encoding" in headers
-        self._ends_with_close = not has_length and status not in _BODILESS_STATUSES
+        is_unframed = find_framing(headers) is Framing.CLOSE
+        self._ends_with_close = is_unframed and status not in _BODILESS_STATUSES
         if self._is_skipping:
             self._is_unusable = True
             return
--- a/tests/relay/events.feature
+++ b/tests/relay/events.feature
@@ -52,3 +52,28 @@
       | CRLF | byte by byte |
       | CRLF | at once      |
       | CR   | byte by byte |
+
+  Scenario Outline: A stream that ends as "<stream>" leaves <size> bytes of an event
+    When a stream ends as "<stream>"
+    Then it leaves <size> bytes of an event
+
+    Examples: Escapes are those of Python
+      | stream                            | size |
+      |                                   | 0    |
+      | id: 1\ndata: a\n\n                | 0    |
+      | id: 1\ndata: a\n                  | 14   |
+      | id: 1\ndata: a                    | 13   |
+      | id: 1\ndata: a\n\ni               | 1    |
+      | id: 1\ndata: a\n\nid: 2\n         | 6    |
+      | id: 1\ndata: a\n\nid: 2\n\n       | 0    |
+      | id: 1\ndata: a\n\n\n              | 0    |
+      | id: 1\ndata: a\n\n\r\n            | 0    |
+      | id: 1\ndata: a\n\n: ping          | 0    |
+      | id: 1\ndata: a\n\n: ping\n        | 0    |
+      | id: 1\ndata: a\n\n: ping\ndata: b | 14   |
+      | id: 1\r\ndata: a\r\n              | 16   |
+      | id: 1\r\ndata: a\r\n\r            | 0    |
+      | id: 1\rdata: a\r\r\r              | 0    |
+      | \xef\xbb\xbf                      | 0    |
+      | \xef\xbb\xbf: ping                | 0    |
+      | \xef\xbb\xbfdata: a               | 10   |
--- a/tests/steps/event_steps.py
+++ b/tests/steps/event_steps.py
@@ -108,3 +108,23 @@
 def step_not(context):
     """Check that nothing is known of the place."""
     assert not context.frames.can_continue
+
+
+@when('a stream ends as "{stream}"')
+def step_stream(context, stream):
+    """Read it at once."""
+    context.frames = EventFrames()
+    data = stream.encode("latin-1").decode("unicode_escape").encode("latin-1")
+    context.frames.extract_complete(data)
+
+
+@when('a stream ends as ""')
+def step_empty_stream(context):
+    """Read nothing."""
+    context.frames = EventFrames()
+
+
+@then("it leaves {size:d} bytes of an event")
+def step_partial(context, size):
+    """Check what is left of an incomplete event."""
+    assert context.frames.count_partial() == size, context.frames.count_partial()
--- a/tests/steps/unframed_steps.py
+++ b/tests/steps/unframed_steps.py
@@ -149,11 +149,11 @@
     assert "endpoint_ejected" in names, names
 
 
-@then("the end of the send names its framing and {count:d} bytes of an event")
+@then("the end of the call names its framing and {count:d} bytes of an event")
 def step_logged(context, count):
-    """Check the line of the send that failed."""
+    """Check the line of the call."""
     events = context.recorder.events
-    (line,) = [one for one in events if one["event"] == "send_failed"]
+    (line,) = [one for one in events if one["event"] == "call_ended"]
     assert line["framing"] == "close", line
     assert line["partial"] == count, line
 
