Take the end of a connection for an answer's end only if its content is whole

What callers saw: 200, framed as complete, with the events before the one in which the engine crashed.

Cause: an answer with neither a length nor chunks is complete at the end of its connection, and whatever was held of an event was dropped without a word. From there the call was a success everywhere: health, the crash ledger (a call that ends engines was cleared by each answer that it broke off), kept sends (a second send that ended inside its first event ended the first one).

Change: each send splits its own stream; only whole events go up, and what ends inside an event is a lost connection, as a reset has been. An unframed stream without an event is one as well. Blank lines and comments behind the last event are none, and are passed on. Bytes of two sends can't meet in one event any more, so nothing holds back and nothing discards. A success that is no stream of events does not continue one.

--- a/roadlift/endpoints/events.py
+++ b/roadlift/endpoints/events.py
@@ -50,6 +50,16 @@
         has_begun = any(line and not line.startswith(_COMMENT) for line in lines)
         return len(self._held) if has_begun else 0
 
+    @property
+    def has_data(self) -> bool:
+        """Return whether a complete event with data was extracted."""
+        return bool(self._last)
+
+    def take_rest(self) -> bytes:
+        """Return what follows the last complete event, once."""
+        rest, self._held = self._held, b""
+        return rest
+
     @property
     def can_continue(self) -> bool:
         """Return whether it is known where another run would continue.
--- a/roadlift/instance/answer.py
+++ b/roadlift/instance/answer.py
@@ -11,19 +11,18 @@
 from roadlift.relay.caller import Caller
 from roadlift.relay.framing import Framing
 from roadlift.serving.calls import Call, Kind
-from roadlift.serving.interfaces import Verdict
 from roadlift.serving.routes import Route
 
 # Statuses that tell a caller that its call did not run.
 NOT_RUN_STATUSES = (408, 421, 429, 503)
-_EVENT_STREAM = "text/event-stream"
 
 
 class Answer:
     """The answer of a call: its head, and what was written of its body.
 
     The head is that of the first send whose head is used. ``status`` is 0 as
-    long as there is none. The events of a stream may come from several sends.
+    long as there is none. The events of a stream may come from several sends;
+    ``is_stream`` tells whether one has begun.
     """
 
     def __init__(
@@ -35,8 +34,8 @@
         self._progress = progress
         self._headers: dict[str, str] = {}
         self._source: Send | None = None
-        self._frames: EventFrames | None = None
         self._position = call.resume_after
+        self.is_stream = False
         self.status = 0
 
     @property
@@ -49,19 +48,22 @@
         """Return what ended the endpoint's answer, or None without one."""
         return None if self._source is None else self._source.framing
 
+    @property
+    def _frames(self) -> EventFrames | None:
+        return None if self._source is None else self._source.frames
+
     def count_partial(self) -> int:
         """Return the bytes of an event that the endpoint left incomplete."""
         return 0 if self._frames is None else self._frames.count_partial()
 
-    @property
-    def is_stream(self) -> bool:
-        """Return whether it is a stream of events that has begun."""
-        return self._frames is not None
-
     @property
     def can_continue(self) -> bool:
         """Return whether another send can continue the answer."""
-        return self._frames is not None and self._frames.can_continue
+        return self.is_stream and (self._frames is None or self._frames.can_continue)
+
+    def can_use(self, send: Send) -> bool:
+        """Return whether a success fits the answer: events continue events."""
+        return not self.is_stream or send.frames is not None
 
     def find_position(self) -> str:
         """Return the id of the last event, after which a send may resume."""
@@ -73,27 +75,19 @@
         """Use the head of a send, and forward that of a stream."""
         if send is self._source:
             return
+        self.find_position()
         self._source = send
-        if self._frames is not None:
+        if self.is_stream:
             # A resumed stream continues below the head that was already sent.
             return
         self.status = send.status
         self._headers = drop_hop_by_hop(send.headers)
-        is_stream = self._route.kind is Kind.STREAM
-        content_type = send.headers.get("content-type", "")
-        if (
-            send.verdict is Verdict.SUCCEEDED
-            and is_stream
-            and _EVENT_STREAM in content_type
-        ):
-            self._frames = EventFrames()
+        if send.frames is not None and self._route.kind is Kind.STREAM:
+            self.is_stream = True
             self._write_head(None)
 
     def write(self, send: Send, data: bytes) -> None:
-        """Forward complete events; buffer other answers until complete."""
-        if self._frames is not None:
-            self._write(send, self._frames.extract_complete(data))
-            return
+        """Forward events; buffer other answers until they are complete."""
         if self._caller.started:
             self._write(send, data)
             return
@@ -104,11 +98,6 @@
             self._write(send, bytes(send.buffer))
             send.buffer.clear()
 
-    def discard_partial(self, send: Send) -> None:
-        """Discard the part of an event that a send has left behind."""
-        if self._frames is not None and send is self._source:
-            self._frames.discard_partial()
-
     def finish(self, send: Send) -> None:
         """End the answer as complete."""
         if self._caller.started:
--- a/roadlift/instance/exchange.py
+++ b/roadlift/instance/exchange.py
@@ -539,7 +539,6 @@
     def _replace_kept(self) -> None:
         """Close the kept sends, as the current one continues the call."""
         for other in self._kept.clear():
-            self._answer.discard_partial(other)
             self._cancel(other)
             self._end_silence("replaced", other)
 
@@ -566,16 +565,10 @@
             self._answer.adopt(send)
 
     def on_body(self, send: Send, data: bytes) -> None:
-        """Forward the body of a success.
-
-        While other sends are kept, a new one has to bring a whole event first.
-        """
-        is_new = self._kept and send is self._send
-        if is_new and not send.hold(data):
-            return
-        self._choose_answer(send)
-        held = send.take_held()
-        self._answer.write(send, held if is_new else held + data)
+        """Forward the body of a success, or the next events of a stream."""
+        if self._answer.can_use(send):
+            self._choose_answer(send)
+            self._answer.write(send, data)
 
     def _choose_answer(self, send: Send) -> None:
         """Let a send that succeeds answer the caller, and no other one."""
@@ -585,9 +578,8 @@
 
     def on_end(self, send: Send) -> None:
         """Finish a complete answer, or handle a rejection."""
-        if send.verdict is Verdict.SUCCEEDED:
+        if send.verdict is Verdict.SUCCEEDED and self._answer.can_use(send):
             self._choose_answer(send)
-            self._answer.write(send, send.take_held())
             self._send = None
             self._attempts.runs += 1
             self._record_served(send)
@@ -622,7 +614,6 @@
         if isinstance(error, ConnectionLost):
             has_begun = send.describe_answer() == "head"
             self._crashes.record_cut(endpoint, self.identify(), has_begun)
-        self._answer.discard_partial(send)
         if send in self._kept:
             self._on_kept_failed(send, error)
             return
--- a/roadlift/instance/send.py
+++ b/roadlift/instance/send.py
@@ -2,8 +2,9 @@
 
 from typing import Protocol
 
-from roadlift.core.errors import RoadliftError
+from roadlift.core.errors import ConnectionLost, RoadliftError
 from roadlift.core.kernel import Kernel
+from roadlift.endpoints.events import EventFrames
 from roadlift.instance.crashes import CrashMonitor
 from roadlift.instance.gate import Gate, SentCall
 from roadlift.instance.placement import Placement
@@ -20,7 +21,6 @@
 # forwarded as it arrives.
 MAX_BUFFERED_BYTES = 131072
 _EVENT_STREAM = "text/event-stream"
-_EVENT_END = b"\n\n"
 
 
 class SendOwner(Protocol):
@@ -35,7 +35,7 @@
         """Handle the head of an answer."""
 
     def on_body(self, send: "Send", data: bytes) -> None:
-        """Handle body bytes of an answer."""
+        """Handle body bytes of a success; of a stream, complete events."""
 
     def on_end(self, send: "Send") -> None:
         """Handle the end of a complete answer; the send is over."""
@@ -53,6 +53,7 @@
     ``tokens_ahead`` are the unread prompt tokens at the engine when the call
     was sent. ``status``, ``headers`` and ``verdict`` are those of the answer,
     ``chunks_received`` its parts so far, and ``buffer`` what is kept of it.
+    ``frames`` are the events of a success that is a stream of them.
     """
 
     def __init__(
@@ -76,7 +77,7 @@
         self.verdict: Verdict | None = None
         self.chunks_received = 0
         self.buffer = bytearray()
-        self._held = bytearray()
+        self.frames: EventFrames | None = None
 
     def open(self, request: Request) -> None:
         """Send the request."""
@@ -119,21 +120,6 @@
         """Return whether the send is open and a byte of it was written."""
         return self._line is not None and self._line.written
 
-    def hold(self, data: bytes) -> bool:
-        """Hold body bytes back; return whether they have a whole event.
-
-        An answer that is no stream counts as whole at once.
-        """
-        self._held += data
-        is_stream = _EVENT_STREAM in self.headers.get("content-type", "")
-        return not is_stream or _EVENT_END in self._held
-
-    def take_held(self) -> bytes:
-        """Return the bytes that were held back, once."""
-        held = bytes(self._held)
-        self._held.clear()
-        return held
-
     @property
     def framing(self) -> Framing | None:
         """Return what ends the answer, or None as long as it has no head."""
@@ -186,26 +172,53 @@
         self.headers = headers
         self.verdict = self._format.judge(status, headers)
         has_run = self.verdict is Verdict.SUCCEEDED
+        if has_run and _EVENT_STREAM in headers.get("content-type", ""):
+            self.frames = EventFrames()
         self._gate.record_head(self._sent, status, headers, has_run)
         self._owner.on_head(self)
 
     def receive_body(self, data: bytes) -> None:
-        """Pass body bytes on; those of other than successes are buffered."""
+        """Pass a success on, of a stream complete events; buffer the rest."""
         self.chunks_received += 1
         self.release_trial_slot()
         now = self._kernel.clock.now()
         self._placement.inactivity.record_event(self.endpoint.id, self, now)
         if self.verdict is Verdict.SUCCEEDED:
-            self._owner.on_body(self, data)
+            data = data if self.frames is None else self.frames.extract_complete(data)
+            self._pass_on(data)
         else:
             self.buffer += data[: MAX_BUFFERED_BYTES - len(self.buffer)]
 
     def receive_end(self) -> None:
-        """End with a complete answer."""
+        """End with a complete answer, if its content does not end too soon."""
+        error = self._find_cut()
+        if error is not None:
+            self.receive_error(error)
+            return
         self._end()
+        if self.frames is not None:
+            self._pass_on(self.frames.take_rest())
         self._owner.on_end(self)
 
     def receive_error(self, error: RoadliftError) -> None:
         """End without a complete answer."""
         self._end()
         self._owner.on_error(self, error)
+
+    def _pass_on(self, data: bytes) -> None:
+        if data:
+            self._owner.on_body(self, data)
+
+    def _find_cut(self) -> RoadliftError | None:
+        """Return the error of a stream that was broken off, or None.
+
+        The end of a connection may be that of its endpoint.
+        """
+        if self.frames is None:
+            return None
+        partial = self.frames.count_partial()
+        if partial:
+            return ConnectionLost(f"ended inside an event, behind {partial} bytes")
+        if self.framing is Framing.CLOSE and not self.frames.has_data:
+            return ConnectionLost("ended before the first event")
+        return None
