Continue no stream in the middle of an event that was passed on in pieces

What callers would get: an event longer than 1 MiB is passed on in pieces; if its engine broke off within it, the id of the cut event was taken for the place to go on, and the next event was joined to a part of this one; at an end in order the part counted as whole.

Change: the pieces count as an event that has not ended, and the place behind it is unknown until an event with an id follows. The end of a piece that may be half of a blank line is held.

--- a/roadlift/endpoints/events.py
+++ b/roadlift/endpoints/events.py
@@ -16,6 +16,7 @@
 # Pairs of bytes that end a line and the blank one behind it; CR LF is a
 # single line end.
 _BLANK_LINES = (_USUAL_EVENT_END, b"\n\r", b"\r\r")
+_UNKNOWN_PLACE = _DATA  # Stands for an event whose id is not known.
 _DONE_SIZE = len(_DONE) + 4  # Bytes of the end mark and its blank line at most.
 MAX_EVENT_BYTES = 1048576  # Bytes of one event; a longer one is forwarded in pieces.
 
@@ -26,6 +27,7 @@
     def __init__(self) -> None:
         self._held = b""
         self._last = b""
+        self._split_bytes = 0  # Of an event that is returned in pieces.
         self._may_end_with_lf = False  # Whether the last line end was a CR.
         self.is_ended = False
 
@@ -34,9 +36,11 @@
         if self._held:
             data = self._held + data
             self._held = b""
-        if not data.endswith(_USUAL_EVENT_END):
+        if data.endswith(_USUAL_EVENT_END):
+            self._split_bytes = 0
+        else:
             data = self._hold_rest(data)
-        if _DATA in data:
+        if not self._split_bytes and _DATA in data:
             self._last = data
             self.is_ended = data[-_DONE_SIZE:].rstrip(_LINE_ENDS).endswith(_DONE)
         return data
@@ -46,6 +50,8 @@
 
         Blank lines and comments begin no event.
         """
+        if self._split_bytes:
+            return self._split_bytes + len(self._held)
         lines = self._held.removeprefix(codecs.BOM_UTF8).splitlines()
         has_begun = any(line and not line.startswith(_COMMENT) for line in lines)
         return len(self._held) if has_begun else 0
@@ -74,8 +80,13 @@
         if not end and self._may_end_with_lf and data.startswith(b"\n"):
             end = 1
         self._may_end_with_lf = data[:end].endswith(b"\r")
-        if not end and len(data) > MAX_EVENT_BYTES:
-            return data
+        if end:
+            self._split_bytes = 0
+        elif self._split_bytes or len(data) > MAX_EVENT_BYTES:
+            self._last = _UNKNOWN_PLACE
+            # A line end may be the first half of a blank line.
+            end = len(data.rstrip(_LINE_ENDS))
+            self._split_bytes += end
         self._held = data[end:]
         return data[:end]
 
--- a/tests/relay/events.feature
+++ b/tests/relay/events.feature
@@ -77,3 +77,21 @@
       | \xef\xbb\xbf                      | 0    |
       | \xef\xbb\xbf: ping                | 0    |
       | \xef\xbb\xbfdata: a               | 10   |
+
+  Scenario Outline: An event that is too long to be held ends as <end>
+    Guards against continuing a stream in the middle of an event that its caller has a part of.
+
+    When an event that is too long to be held is read, and then "<end>"
+    Then it leaves <partial> event
+    And <place>
+
+    Examples: Escapes are those of Python; "/" is between two reads
+      | end                             | partial | place                         |
+      | a                               | a part of an | it can't be continued         |
+      | a\n                             | a part of an | it can't be continued         |
+      | a\n/\n                          | no      | it can't be continued         |
+      | a\r/\n\r/\n                     | no      | it can't be continued         |
+      | a\n\n                           | no      | it can't be continued         |
+      | a\n\n/id: 2\ndata: b\n\n        | no      | it can be continued behind 2  |
+      | a\n\n/data: b\n\n               | no      | it can't be continued         |
+      | a\n/id: 1\n\nid: 2\ndata: b\n\n | no      | it can be continued behind 2  |
--- a/tests/steps/event_steps.py
+++ b/tests/steps/event_steps.py
@@ -2,7 +2,7 @@
 
 from behave import then, when
 
-from roadlift.endpoints.events import EventFrames
+from roadlift.endpoints.events import MAX_EVENT_BYTES, EventFrames
 
 _READS = {
     "nothing": b"",
@@ -110,12 +110,36 @@
     assert not context.frames.can_continue
 
 
+def _unescape(text):
+    return text.encode("latin-1").decode("unicode_escape").encode("latin-1")
+
+
 @when('a stream ends as "{stream}"')
 def step_stream(context, stream):
     """Read it at once."""
     context.frames = EventFrames()
-    data = stream.encode("latin-1").decode("unicode_escape").encode("latin-1")
-    context.frames.extract_complete(data)
+    context.frames.extract_complete(_unescape(stream))
+
+
+@when('an event that is too long to be held is read, and then "{reads}"')
+def step_long(context, reads):
+    """Read most of it, and then the rest in one read or several."""
+    context.frames = EventFrames()
+    context.frames.extract_complete(b"id: 1\ndata: " + b"x" * MAX_EVENT_BYTES)
+    for read in reads.split("/"):
+        context.frames.extract_complete(_unescape(read))
+
+
+@then("it leaves a part of an event")
+def step_has_partial(context):
+    """Check that an event has begun."""
+    assert context.frames.count_partial()
+
+
+@then("it leaves no event")
+def step_no_partial(context):
+    """Check that no event has begun."""
+    assert not context.frames.count_partial(), context.frames.count_partial()
 
 
 @when('a stream ends as ""')
