Fail an answer that is longer than what is kept of it

Readers of lists, reports and rows got the first 64 MiB of a longer answer as if it were whole: a shortened list reads as a short one, or as no JSON.

Change: the collector fails with connection_lost, as for an answer that was broken off. Of the new scenario's three rows one failed before.

The other readers were looked through: the store's tables, lists, reports and configurations are JSON objects, of which no beginning parses, and fail as unavailable.

--- a/roadlift/relay/upstream.py
+++ b/roadlift/relay/upstream.py
@@ -402,7 +402,7 @@
 class AnswerCollector:
     """A receiver that collects an answer and delivers it once complete.
 
-    Body bytes beyond ``limit`` are dropped.
+    One with more than ``limit`` body bytes is a failure.
     """
 
     def __init__(
@@ -417,6 +417,7 @@
         self._status = 0
         self._headers: dict[str, str] = {}
         self._body = bytearray()
+        self._size = 0
 
     def receive_head(self, status: int, headers: dict[str, str]) -> None:
         """Store the head."""
@@ -425,10 +426,14 @@
 
     def receive_body(self, data: bytes) -> None:
         """Append to the body, up to the limit."""
+        self._size += len(data)
         self._body += data[: self._limit - len(self._body)]
 
     def receive_end(self) -> None:
-        """Deliver the complete answer."""
+        """Deliver the answer if it was kept complete."""
+        if self._size > self._limit:
+            self._on_error(ConnectionLost(f"answer of {self._size} bytes"))
+            return
         self._on_answer(Answer(self._status, self._headers, bytes(self._body)))
 
     def receive_error(self, error: RoadliftError) -> None:
--- a/tests/relay/upstream.feature
+++ b/tests/relay/upstream.feature
@@ -104,3 +104,15 @@
     And the call is read again
     And 0.2 seconds pass
     Then the call is still open
+
+  Scenario Outline: An answer of <size> bytes is collected, of which <limit> may be kept
+    Guards against a list that is cut at a limit and read as a short one.
+
+    When an answer of <size> bytes is collected, of which <limit> may be kept
+    Then the collected answer <result>
+
+    Examples:
+      | size | limit | result                   |
+      | 0    | 8     | is delivered             |
+      | 8    | 8     | is delivered             |
+      | 9    | 8     | fails as connection_lost |
--- a/tests/steps/upstream_steps.py
+++ b/tests/steps/upstream_steps.py
@@ -2,7 +2,7 @@
 
 from behave import given, then, when
 
-from roadlift.relay.upstream import Request
+from roadlift.relay.upstream import AnswerCollector, Request
 from tests.support.sockets import Endpoint, read_all
 
 _ID = b"X-Call: c1\r\n"
@@ -203,3 +203,27 @@
 def step_bounded(context):
     """Check that only the socket buffers were filled."""
     assert context.written < 16 << 20 and context.recorder.body == b""
+
+
+@when("an answer of {size:d} bytes is collected, of which {limit:d} may be kept")
+def step_collect(context, size, limit):
+    """Hand it to a collector in two pieces."""
+    context.answers, context.errors = [], []
+    collector = AnswerCollector(context.answers.append, context.errors.append, limit)
+    collector.receive_head(200, {})
+    collector.receive_body(b"x" * (size // 2))
+    collector.receive_body(b"x" * (size - size // 2))
+    collector.receive_end()
+
+
+@then("the collected answer is delivered")
+def step_delivered(context):
+    """Check that the answer came, and no error."""
+    assert len(context.answers) == 1 and not context.errors
+
+
+@then("the collected answer fails as {code}")
+def step_collected_failure(context, code):
+    """Check that the error came, and no answer."""
+    assert not context.answers
+    assert [error.code for error in context.errors] == [code]
