Reproduce calls that fail at instances which reach no runner

Stand-in runners refuse connections of chosen instances, or never answer them; instances of a test reach one another's callers' side.

--- a/standins/installation.py
+++ b/standins/installation.py
@@ -703,6 +703,10 @@
         self.versions: dict[str, int] = {}
         self.cut_from_store: set[MemoryDialer] = set()
         self.cut_from_runners: set[MemoryDialer] = set()
+        # Instances whose connections to runners are refused.
+        self.refused_by_runners: set[MemoryDialer] = set()
+        # What takes a request at the address of an instance.
+        self.instances: dict[Address, Callable[[Request, MemoryLine], None]] = {}
         self.store_calls: Counter[MemoryDialer] = Counter()
         # Bodies of calls under which a runner ends, and the runs of each.
         self.deadly: set[bytes] = set()
@@ -787,8 +791,15 @@
             if not self.store.is_down and dialer not in self.cut_from_store:
                 self.store.handle(request, line)
             return
+        if address in self.instances:
+            line.written = True
+            self.instances[address](request, line)
+            return
         if dialer in self.cut_from_runners:
             return
+        if dialer in self.refused_by_runners:
+            line.fail(ConnectionRefused("refused"))
+            return
         found = [one for one in self.runners.values() if one.address == address]
         if not found:
             line.fail(ConnectionRefused("refused"))
--- /dev/null
+++ b/tests/instance/isolation.feature
@@ -0,0 +1,20 @@
+Feature: Callers of an instance that reaches no runner are served
+
+  Guards against refusing, at an instance that is cut off from all runners, what its
+  neighbours could serve. Four of seven instances were cut off for 12 seconds; callers, the
+  store and the others reached them, and of 166 first tries there 8 were served, of 562 at the
+  others 556.
+
+  Scenario: Calls are served at instances that are cut off from all runners
+    When instances are cut off from all runners for 8 seconds, with 60 calls a second
+      | instances | connections |
+      | a         | hang        |
+      | a         | are refused |
+      | a, b      | hang        |
+      | a, b      | are refused |
+      | a, c      | hang        |
+      | a, c      | are refused |
+      | a, b, c   | hang        |
+      | a, b, c   | are refused |
+    Then 95 in 100 of the calls at each instance are served, 3 seconds behind the cut and later
+    And no call that may run once ran twice
--- a/tests/support/entries.py
+++ b/tests/support/entries.py
@@ -4,12 +4,15 @@
 
 from roadlift.conf.settings import Settings
 from roadlift.core.clock import Clock
+from roadlift.core.errors import ConnectionLost
 from roadlift.core.kernel import Kernel
 from roadlift.http.messages import ReceivedRequest
 from roadlift.instance.ingress import Ingress
 from roadlift.instance.platform import import_plugins
+from roadlift.relay.upstream import Address, Request
+from standins.framings import CHUNKED
 from standins.hub import HubCaller, HubTransport
-from standins.installation import DELAY, Installation, MemoryDialer
+from standins.installation import DELAY, Installation, MemoryDialer, MemoryLine
 from standins.statements import Sent
 from tests.support.configuration import describe_routes
 
@@ -41,6 +44,52 @@
             self._left_out += seconds
 
 
+class LineCaller(HubCaller):
+    """A caller that is another instance, at the far end of a line."""
+
+    def __init__(self, line: MemoryLine) -> None:
+        super().__init__()
+        self._line = line
+        line.on_close = lambda: self.on_gone and self.on_gone()
+
+    def write_head(self, status, headers, length=None) -> None:
+        """Pass the head on."""
+        super().write_head(status, headers, length)
+        framing = CHUNKED if length is None else {"content-length": str(length)}
+        head = {name.lower(): text for name, text in headers.items()}
+        if not self._line.is_closed:
+            self._line.receiver.receive_head(status, {**head, **framing})
+
+    def write(self, data: bytes) -> None:
+        """Pass body bytes on."""
+        super().write(data)
+        if data and not self._line.is_closed:
+            self._line.receiver.receive_body(data)
+
+    def finish(self) -> None:
+        """End the answer."""
+        super().finish()
+        if not self._line.is_closed:
+            self._line.is_closed = True
+            self._line.receiver.receive_end()
+
+    def answer(self, status, headers, body) -> None:
+        """Pass a whole answer on."""
+        self.write_head(status, headers, len(body))
+        self.write(body)
+        self.finish()
+
+    def answer_error(self, error, headers) -> None:
+        """Pass an error on."""
+        super().answer_error(error, headers)
+        self.answer(error.status, headers, str(error).encode())
+
+    def truncate(self) -> None:
+        """Break the answer off."""
+        super().truncate()
+        self._line.fail(ConnectionLost("closed early"))
+
+
 class Entry:
     """One instance; ``counts`` tells whether its clock counts suspensions."""
 
@@ -55,6 +104,7 @@
         self.name = name
         self.zone = zone
         self.address = deployment.find_address(name)
+        self.front = deployment.find_front(name)
         self.dialer = MemoryDialer(deployment.installation)
         self.transport = HubTransport(deployment, name, self.address)
         settings = Settings(
@@ -62,7 +112,7 @@
                 "instance": name,
                 "zone": zone,
                 "zones": "z1,z2",
-                "http": "127.0.0.1:0",
+                "http": str(self.front),
                 "ready": "127.0.0.1:0",
                 "peer": self.address,
                 "platform": str(deployment.installation.store_address),
@@ -93,6 +143,13 @@
         """Return what tells the runs and suspensions of an instance apart."""
         return f"{self.name} {self.kernel.started_at_ms} {self.suspensions}"
 
+    def handle(self, request: Request, line: MemoryLine) -> None:
+        """Take a call from another instance."""
+        headers = {name.lower(): value for name, value in request.headers.items()}
+        headers["host"] = request.host
+        received = ReceivedRequest(request.method, request.path, headers, request.body)
+        self.ingress.handle(received, LineCaller(line))
+
     def close(self) -> None:
         """End the instance at once."""
         self.kernel.close()
@@ -121,6 +178,11 @@
         number = len(self._addresses)
         return self._addresses.setdefault(name, f"127.0.0.1:{9000 + number}")
 
+    def find_front(self, name: str) -> Address:
+        """Return the address of an instance's callers, any port of its own."""
+        self.find_address(name)
+        return Address(f"127.0.1.{list(self._addresses).index(name) + 1}", 0)
+
     def count_start(self) -> int:
         """Return the number of a process, which no other has."""
         self._starts += 1
@@ -129,8 +191,9 @@
     def start(self, name: str, zone: str, more: dict[str, str] | None = None) -> Entry:
         """Start an instance; ``more`` are settings beside the usual ones."""
         counts = self.counts_suspension
-        self.entries[name] = Entry(self, name, zone, more or {}, counts)
-        return self.entries[name]
+        entry = self.entries[name] = Entry(self, name, zone, more or {}, counts)
+        self.installation.instances[entry.front] = entry.handle
+        return entry
 
     def suspend(self, name: str, seconds: float) -> None:
         """Suspend the machine of an instance, and let the others go on."""
@@ -148,7 +211,9 @@
 
     def end(self, name: str) -> None:
         """Kill an instance: it does nothing more."""
-        self.entries.pop(name).close()
+        entry = self.entries.pop(name)
+        self.installation.instances.pop(entry.front, None)
+        entry.close()
 
     def close(self) -> None:
         """End everything."""
