Serve the calls of an instance that reaches no endpoint at its neighbours

What callers saw: at instances that were cut off from all runners 8 of 166 first tries were served (11 of 79), at the others 556 of 562 (649 of 659).

Cause: an instance did not know that it reached no endpoint. Each failed connection was that endpoint's own, so that each call tried one after the other and was refused, or hung until its time limit; nothing passed a call on, and leases stayed with owners that could not order.

Change: - A suspicion costs nothing: connections to two endpoints failed within a second, or nothing was heard for half a second though calls were sent. New connections to endpoints of several zones and services confirm it: one of eleven that is accepted clears it, so that a dead endpoint, service or zone or a link that loses packets is not taken for it. - An isolated instance asks owners, its aggregator and subscribers who reaches endpoints, and forwards calls there, to its own zone first, once. The other instance authorizes and runs them as its own and never forwards them again; what it refuses is refused. A call that may have run stays unless it may be repeated. Nothing is sent between instances while none is isolated. - As soon as another instance is known to reach endpoints, leases are released and none is acquired. At the end, twice confirmed, failures that were held against endpoints are forgotten.

Readiness is unchanged: where under half of a zone is ready, the platform uses all of it, and forwarded calls are served.

--- a/roadlift/core/events.py
+++ b/roadlift/core/events.py
@@ -366,4 +366,24 @@
         ("address", "before"),
         "The aggregator that this instance receives updates from changed.",
     ),
+    Event(
+        "isolation",
+        "isolated",
+        (),
+        "No endpoint is reached from here: new connections to endpoints of several "
+        "zones and services failed.",
+    ),
+    Event(
+        "isolation",
+        "isolation_ended",
+        (),
+        "Endpoints are reached again; what was held against them is forgotten.",
+    ),
+    Event(
+        "forwarding",
+        "call_forwarded",
+        ("request", "address", "outcome", "status", "error", "seconds"),
+        "A call that came while no endpoint was reached was given to the instance "
+        "at address, whose call_ended tells the rest.",
+    ),
 )
--- a/roadlift/instance/exchange.py
+++ b/roadlift/instance/exchange.py
@@ -37,7 +37,9 @@
 from roadlift.instance.crashes import CrashMonitor
 from roadlift.instance.enginechoice import EngineChoice
 from roadlift.instance.follower import Follower
+from roadlift.instance.forwarding import Forwarded
 from roadlift.instance.gate import Gate, GateCallbacks
+from roadlift.instance.isolation import Isolation
 from roadlift.instance.keptsends import KeptSends
 from roadlift.instance.knowledge import OWNER_RETURN_TIMEOUT, Knowledge
 from roadlift.instance.loadrequests import LoadRequests
@@ -107,6 +109,7 @@
         self._knowledge = kernel.get(Knowledge)
         self._follower = kernel.get(Follower)
         self._crashes = kernel.get(CrashMonitor)
+        self._isolation = kernel.get(Isolation)
         self._ledger = kernel.get(CrashLedger)
         self._format = kernel.get(Platform).adapter.calls
         self._service = route.choose_service(call.id)
@@ -191,6 +194,25 @@
             )
         self._end_with_error(obstacle)
 
+    def pass_on(self) -> bool:
+        """Forward the call if no endpoint is reached; return whether it was.
+
+        It stays if its answer has begun, or if it may have run and must not
+        run again.
+        """
+        may_run = self._unconfirmed_error is None and self._find_written() is None
+        is_free = not self._answer.has_begun and not self._attempts.runs
+        is_free = is_free and (may_run or self.route.is_repeatable)
+        if self._is_over or self.call.is_forwarded or not is_free:
+            return False
+        if self._isolation.choose_gateway() is None:
+            return False
+        self._cancel_all()
+        self._end("forwarded", None)
+        forwarded = Forwarded(self.call, self.route, self._deadline)
+        self._ingress.forward(forwarded, self._caller)
+        return True
+
     def _find_written(self) -> Send | None:
         """Return an open send of which a byte was written, or None."""
         return next((send for send in self._list_open() if send.is_written), None)
@@ -215,6 +237,8 @@
         is_waiting = self._adapter_wait.is_open or self._gate.is_open
         if self._is_over or self._send is not None or is_waiting:
             return
+        if self.pass_on():
+            return
         obstacle = self._authorization.check() or self._ledger.judge(self.identify)
         if obstacle is not None:
             self._fail(obstacle)
--- a/roadlift/instance/ingress.py
+++ b/roadlift/instance/ingress.py
@@ -6,6 +6,7 @@
 from roadlift.core.errors import (
     Draining,
     NoConfiguration,
+    NoEndpoint,
     NoRoute,
     RoadliftError,
 )
@@ -23,6 +24,8 @@
 from roadlift.instance.crashes import CrashMonitor
 from roadlift.instance.exchange import Exchange
 from roadlift.instance.follower import Follower
+from roadlift.instance.forwarding import Forwarded, ForwardedCall
+from roadlift.instance.isolation import Isolation
 from roadlift.instance.knowledge import Knowledge
 from roadlift.instance.leases import Leases
 from roadlift.instance.limits import EndpointLimits
@@ -46,6 +49,9 @@
 # One of this many calls that were served in time is logged; of all other
 # calls, each one.
 SERVED_LOG_SAMPLE = 20
+# Seconds after which a call may come back that another instance forwarded to
+# one that reaches no endpoint either: the time in which that is found out.
+ISOLATED_RETRY_DELAY = 0.5
 
 log = ComponentLog("ingress")
 
@@ -62,6 +68,7 @@
         CrashLedger.name,
         CrashMonitor.name,
         "follower",
+        Isolation.name,
         "knowledge",
         "leases",
         EndpointLimits.name,
@@ -84,7 +91,9 @@
         self._knowledge = kernel.get(Knowledge)
         self._access = kernel.get(Access)
         self.measures = kernel.get(InstanceMetrics)
-        self._exchanges: set[Exchange] = set()
+        self._isolation = kernel.get(Isolation)
+        self._isolation.on_gateway.append(self._pass_on)
+        self._exchanges: set[Exchange | ForwardedCall] = set()
         self._budgets: dict[str, WindowBudget] = {}
         self._served_count = 0
         self._served_adapters = ServedAdapters(kernel)
@@ -178,7 +187,13 @@
             log.error("Unhandled error in the ingress: %r.", error)
             self._refuse(received, caller, RoadliftError(type(error).__name__), call)
 
-    def finish(self, exchange: Exchange) -> None:
+    def forward(self, forwarded: Forwarded, caller: Connection) -> None:
+        """Let another instance take a call."""
+        call = ForwardedCall(self._kernel, forwarded, caller, self.finish)
+        self._exchanges.add(call)
+        call.start()
+
+    def finish(self, exchange: Exchange | ForwardedCall) -> None:
         """Remove an exchange that has ended."""
         self._exchanges.discard(exchange)
         self.measures.set("roadlift_running_calls", len(self._exchanges))
@@ -220,6 +235,8 @@
         if phase >= Phase.ENDED or (phase is Phase.CLOSED and route.is_long):
             # A stream that starts now might be cut at the end of the drain.
             raise Draining(retry_after=0.1)
+        if self._isolation.is_isolated and self._forward(call, route, caller):
+            return
         authorization = self._access.admit(call, route)
         exchange = Exchange(self._kernel, self, call, route, authorization, caller)
         self._exchanges.add(exchange)
@@ -231,6 +248,28 @@
             # running.
             exchange.abort(error)
 
+    def _forward(self, call: Call, route: Route, caller: Connection) -> bool:
+        """Forward a call that arrives now; return False if it has to stay.
+
+        One that another instance forwarded is refused: it reaches nothing here
+        either.
+        """
+        if call.is_forwarded:
+            raise NoEndpoint("no endpoint is reached", ISOLATED_RETRY_DELAY)
+        if self._isolation.choose_gateway() is None:
+            return False
+        limit = route.timeout
+        if call.time_limit is not None:
+            limit = min(limit, call.time_limit)
+        deadline = self._kernel.clock.now() + limit
+        self.forward(Forwarded(call, route, deadline), caller)
+        return True
+
+    def _pass_on(self) -> None:
+        """Forward the calls that are stuck here."""
+        for exchange in list(self._exchanges):
+            exchange.pass_on()
+
     def _refuse(
         self,
         received: ReceivedRequest,
--- a/roadlift/instance/leases.py
+++ b/roadlift/instance/leases.py
@@ -93,6 +93,7 @@
         self._next_read = 0.0
         self._read_at = float("-inf")
         self._is_shutting_down = False
+        self._is_suspended = False
         self._timer = None
         self.on_change: list[Callable[[str], None]] = []
         self.on_release: list[Callable[[str], None]] = []
@@ -112,7 +113,7 @@
     @property
     def is_candidate(self) -> bool:
         """Return whether this process may acquire leases."""
-        return not self._is_shutting_down
+        return not (self._is_shutting_down or self._is_suspended)
 
     def get(self, zone: str) -> Lease | None:
         """Return the lease of a zone, or None for an unknown zone."""
@@ -170,6 +171,17 @@
         for zone in self.list_held():
             self.release_zone(zone)
 
+    def suspend(self) -> None:
+        """Release every held lease, and acquire none until ``resume``."""
+        if not self._is_suspended:
+            self._is_suspended = True
+            for zone in self.list_held():
+                self.release_zone(zone)
+
+    def resume(self) -> None:
+        """Acquire leases again."""
+        self._is_suspended = False
+
     def release_zone(self, zone: str) -> None:
         """Release a zone's lease, so that another instance can acquire it."""
         lease = self._leases[zone]
@@ -190,7 +202,7 @@
     def _handle_offer(self, sender: str, message: HandOver) -> None:
         """Try to acquire a released lease that is offered to this process."""
         lease = self._leases.get(message.zone)
-        if lease is None or lease.is_held or self._is_shutting_down:
+        if lease is None or lease.is_held or not self.is_candidate:
             return
         log.event("lease_offered", zone=message.zone)
         self._offered_until[message.zone] = self._kernel.clock.now() + OFFER_TTL
@@ -232,7 +244,7 @@
                 must_read = is_due = True
             if step is Step.RENEW:
                 self._write(zone, lease, now)
-            elif step is Step.TAKE and now < self._reacquire_after.get(zone, 0.0):
+            elif step is Step.TAKE and not self._may_acquire(zone, now):
                 continue
             elif step is Step.TAKE and now - self._read_at > MAX_READ_AGE:
                 must_read = is_due = True
@@ -247,6 +259,10 @@
             self._next_read = now + self._compute_read_interval()
             self._store.read(TABLE, self._handle_rows, self._handle_read_error)
 
+    def _may_acquire(self, zone: str, now: float) -> bool:
+        is_released = now < self._reacquire_after.get(zone, 0.0)
+        return not is_released and not self._is_suspended
+
     def _list_maintained(self, now: float) -> list[str]:
         """Return the zones whose leases this process maintains.
 
--- a/roadlift/instance/metrics.py
+++ b/roadlift/instance/metrics.py
@@ -102,6 +102,22 @@
         "Sends to endpoints that failed, and why the call was not sent again.",
         "`retry budget spent`: one or all endpoints fail; see the ejections.",
     ),
+    InstanceMetric(
+        "roadlift_isolated",
+        "gauge",
+        "0 or 1",
+        (),
+        "Whether this instance reaches no endpoint.",
+        "Check its network path to the endpoints.",
+    ),
+    InstanceMetric(
+        "roadlift_forwarded_calls",
+        "counter",
+        "calls",
+        ("outcome",),
+        "Calls given to other instances while no endpoint was reached.",
+        "`refused` or `failed`: the others reach none either, or are full.",
+    ),
     InstanceMetric(
         "roadlift_requested_copies",
         "counter",
--- a/roadlift/instance/send.py
+++ b/roadlift/instance/send.py
@@ -7,6 +7,7 @@
 from roadlift.endpoints.events import EventFrames
 from roadlift.instance.crashes import CrashMonitor
 from roadlift.instance.gate import Gate, SentCall
+from roadlift.instance.isolation import Isolation
 from roadlift.instance.placement import Placement
 from roadlift.instance.platform import Platform
 from roadlift.relay.framing import Framing, find_framing
@@ -66,6 +67,7 @@
         self._format = kernel.get(Platform).adapter.calls
         self._placement = kernel.get(Placement)
         self._crashes = kernel.get(CrashMonitor)
+        self._isolation = kernel.get(Isolation)
         self._line: CallHandle | None = None
         self._holds_trial_slot = False
         self._is_prompt_unread = False
@@ -85,6 +87,7 @@
         self._placement.begin(self.endpoint, call)
         self._holds_trial_slot = self._crashes.begin(self._owner.identify)
         self._is_prompt_unread = True
+        self._isolation.record_sent()
         if call.model is not None:
             self._placement.inactivity.begin(
                 self.endpoint.id,
@@ -168,6 +171,7 @@
     def receive_head(self, status: int, headers: dict[str, str]) -> None:
         """Classify an answer's head."""
         self._placement.health.record_answer(self.endpoint.id)
+        self._isolation.record_heard()
         self.status = status
         self.headers = headers
         self.verdict = self._format.judge(status, headers)
@@ -202,6 +206,7 @@
 
     def receive_error(self, error: RoadliftError) -> None:
         """End without a complete answer."""
+        self._isolation.record_error(self.endpoint.id, error)
         self._end()
         self._owner.on_error(self, error)
 
--- a/roadlift/serving/calls.py
+++ b/roadlift/serving/calls.py
@@ -40,7 +40,8 @@
     ``headers`` are those to forward; ``time_limit`` is how long the caller
     waits, in seconds from the call's arrival, or None; ``resume_after`` is
     the last event that the caller received of an interrupted stream; ``key``
-    is the digest of the caller's key, or empty.
+    is the digest of the caller's key, or empty. One that ``is_forwarded``
+    comes from another instance.
     """
 
     id: str
@@ -56,6 +57,7 @@
     tokens_out: int = 0
     resume_after: str = ""
     key: str = ""
+    is_forwarded: bool = False
 
     @property
     def path(self) -> str:
--- a/roadlift/serving/health.py
+++ b/roadlift/serving/health.py
@@ -126,6 +126,15 @@
         record.ejected_until = now + seconds
         return True
 
+    def forget_failures(self) -> None:
+        """Use all endpoints again: their failures were not their own."""
+        for record in self._records.values():
+            record.forget_outcomes()
+            record.failures = 0
+            record.ejected_until = 0.0
+            record.connect_failures = 0
+            record.unreachable_until = 0.0
+
     def is_ejected(self, endpoint: str, now: float) -> bool:
         """Return whether an endpoint is ejected."""
         record = self._records.get(endpoint)
--- a/roadlift/serving/interfaces.py
+++ b/roadlift/serving/interfaces.py
@@ -162,6 +162,12 @@
     ) -> Request:
         """Return the request that runs a call on an endpoint."""
 
+    def build_forwarded(self, call: Call, route: Route, remaining: float) -> Request:
+        """Return the request that lets another instance take a call.
+
+        ``remaining`` is the time left in seconds.
+        """
+
     def judge(self, status: int, headers: Mapping[str, str]) -> Verdict:
         """Classify the head of an endpoint's answer."""
 
--- a/roadlift/serving/messages.py
+++ b/roadlift/serving/messages.py
@@ -431,3 +431,24 @@
     address: str
     endpoint: str
     is_passed_on: bool
+
+
+@message("sfg")
+class FindGateways(NamedTuple):
+    """Ask an instance whether it reaches endpoints, and whom else to ask."""
+
+    address: str
+
+
+@message("sgw")
+class GatewayReply(NamedTuple):
+    """Tell where an instance takes calls, for one that reaches no endpoint.
+
+    ``front`` is empty if it reaches none itself; ``subscribers`` are the
+    addresses of other instances.
+    """
+
+    address: str
+    zone: str
+    front: str
+    subscribers: list
