Count no crash of an endpoint while no other endpoint is reached

What would happen to callers: where a cut resets all connections of an instance and refuses new ones, each endpoint looks as if it had ended under the calls that ran there; the instance told all others, and calls that had done nothing were refused everywhere as ends_endpoints.

Cause: that nothing listens at an endpoint is taken for its end, whatever this instance reaches otherwise.

--- a/roadlift/core/events.py
+++ b/roadlift/core/events.py
@@ -386,4 +386,11 @@
         "A call that came while no endpoint was reached was given to the instance "
         "at address, whose call_ended tells the rest.",
     ),
+    Event(
+        "crashes",
+        "endpoint_end_doubted",
+        ("endpoint", "cut"),
+        "Nothing listens at an endpoint that cut calls, and no other one is reached "
+        "from here either, so that its end is not counted.",
+    ),
 )
--- a/roadlift/instance/crashes.py
+++ b/roadlift/instance/crashes.py
@@ -12,6 +12,7 @@
 from roadlift.instance.crashnews import CrashSync
 from roadlift.instance.crashrows import CrashRows
 from roadlift.instance.follower import Follower
+from roadlift.instance.isolation import Isolation
 from roadlift.instance.metrics import InstanceMetrics
 from roadlift.serving.directory import Endpoint
 
@@ -27,6 +28,7 @@
         Aggregator.name,
         CrashLedger.name,
         "follower",
+        Isolation.name,
         "leases",
         "measures",
         "subscription",
@@ -36,11 +38,12 @@
         self._kernel = kernel
         self._follower = kernel.get(Follower)
         self._metrics = kernel.get(InstanceMetrics)
+        self._isolation = kernel.get(Isolation)
         self._ledger = kernel.get(CrashLedger)
         self._sync = CrashSync(kernel)
         self._rows = CrashRows(kernel)
         self._trial_slots = TrialSlots(kernel.loop)
-        self._crash_check = CrashDetector(kernel, self._record_crash)
+        self._crash_check = CrashDetector(kernel, self._confirm_crash)
         self._ledger.on_change.append(self._update_metrics)
 
     def start(self) -> None:
@@ -82,6 +85,18 @@
         """
         self._crash_check.record_cut(endpoint.id, endpoint.address, identity, is_strong)
 
+    def _confirm_crash(self, end: EndpointCrash) -> None:
+        """Record a crash, unless no other endpoint is reached either."""
+        self._isolation.confirm_reach(
+            end.endpoint, lambda is_reached: self._handle_reach(end, is_reached)
+        )
+
+    def _handle_reach(self, end: EndpointCrash, is_reached: bool) -> None:
+        if is_reached:
+            self._record_crash(end)
+        else:
+            log.event("endpoint_end_doubted", endpoint=end.endpoint, cut=end.cut)
+
     def _record_crash(self, end: EndpointCrash) -> None:
         known = self._follower.directory.get(end.endpoint)
         if known is None or known.is_draining:
--- a/standins/installation.py
+++ b/standins/installation.py
@@ -142,6 +142,10 @@
         method = getattr(self._receiver, name)
         return lambda *values: self._pass_on(lambda: method(*values))
 
+    def is_of(self, dialer: "MemoryDialer") -> bool:
+        """Return whether the call is one of an instance."""
+        return self._dialer is dialer
+
     def _pass_on(self, call: Callable[[], None]) -> None:
         if self._is_paused:
             self._unread.append(call)
@@ -282,6 +286,13 @@
                 line.is_interrupted = True
                 self._installation.interrupted[line.call_id] += 1
 
+    def reset_lines(self, dialer: MemoryDialer) -> None:
+        """Reset the connections of one instance; what ran there ends."""
+        for line in self._list_running():
+            if line.receiver.is_of(dialer):
+                self._installation.note_spoiled(line.call_id)
+                line.fail(ConnectionLost("reset"))
+
     def crash(self) -> None:
         """End with all that runs here, and come back after a while."""
         if self._installation.runners.get(self.id) is not self:
@@ -728,6 +739,11 @@
         # Of each call, its runs whose runner ended or was replaced meanwhile.
         self.interrupted: Counter[str] = Counter()
 
+    def reset_lines(self, dialer: MemoryDialer) -> None:
+        """Reset the connections of an instance to all runners."""
+        for runner in self.runners.values():
+            runner.reset_lines(dialer)
+
     def evacuate(self, zone: str) -> None:
         """Write the operator's row that takes a zone out of service."""
         self.store.put("op", f"evacuate/{zone}", {})
--- a/tests/instance/isolation.feature
+++ b/tests/instance/isolation.feature
@@ -18,3 +18,10 @@
       | a, b, c   | are refused |
     Then 95 in 100 of the calls at each instance are served, 3 seconds behind the cut, until it ends
     And no call that may run once ran twice
+
+  Scenario: Calls that a cut has reset are not taken for the cause of crashes
+    Guards against quarantining calls of an instance whose connections to all runners were
+    reset at once: each endpoint refused it, as one that has ended does.
+
+    When all connections of instance a to runners are reset and refused for 4 seconds, with 60 calls a second
+    Then no end of an endpoint was counted, and no call was refused for one
--- a/tests/steps/isolation_steps.py
+++ b/tests/steps/isolation_steps.py
@@ -5,6 +5,8 @@
 
 from behave import then, when
 
+from roadlift.core.errors import EndsEndpoints
+from roadlift.crashes.ledger import CrashLedger
 from standins.hub import HubCaller
 from tests.support.configuration import BASE, ROUTES, SERVICES
 from tests.support.entries import Entries
@@ -57,7 +59,7 @@
 class Case:
     """One cut, and the calls before, during and behind it."""
 
-    def __init__(self, cut, is_refused, seconds, rate) -> None:
+    def __init__(self, cut, is_refused, seconds, rate, is_reset=False) -> None:
         self.entries = _start()
         self._cut = cut
         self._rate = rate
@@ -67,7 +69,11 @@
         self._run(_LEAD, -_LEAD)
         chosen = installation.refused_by_runners
         chosen = chosen if is_refused else installation.cut_from_runners
-        chosen.update(self.entries.entries[name].dialer for name in cut)
+        dialers = {self.entries.entries[name].dialer for name in cut}
+        chosen.update(dialers)
+        if is_reset:
+            for dialer in dialers:
+                installation.reset_lines(dialer)
         self._run(seconds, 0.0)
         chosen.clear()
         self._run(_TAIL, seconds)
@@ -100,6 +106,26 @@
         context.cases[f"{row['instances']}, {row['connections']}"] = case
 
 
+@when(
+    "all connections of instance a to runners are reset and refused for {seconds:g}"
+    " seconds, with {rate:d} calls a second"
+)
+def step_reset(context, seconds, rate):
+    """Cut it off while its calls run."""
+    context.case = Case(["a"], True, seconds, rate, is_reset=True)
+    context.add_cleanup(context.case.entries.close)
+
+
+@then("no end of an endpoint was counted, and no call was refused for one")
+def step_no_crash(context):
+    """Look at the ledgers of all instances, and at the callers' errors."""
+    for entry in context.case.entries.entries.values():
+        ledger = entry.kernel.get(CrashLedger)
+        assert ledger.crashes.is_empty, entry.name
+    codes = [one.caller.error.code for one in context.case.sent if one.caller.error]
+    assert EndsEndpoints.code not in codes
+
+
 def _is_served(caller):
     return caller.is_whole and caller.status == 200
 
