Refuse at once what neither this instance nor another one can serve

A call at an instance that reaches no endpoint hung until its time limit where all others were cut off as well, and one that had been forwarded to such an instance too.

Change: while nothing was heard of any endpoint for a second and no other instance takes calls, a call is refused with a time to come back. Where old connections live on, calls are still tried.

A stand-in runner whose pause ended within a rounding error held the test up for good.

--- a/roadlift/decisions/isolation.py
+++ b/roadlift/decisions/isolation.py
@@ -19,6 +19,7 @@
 # checked whether one can be reached: engines may pause for longer, but seldom
 # all of them, and a check costs some connections.
 SILENCE_TIMEOUT = 0.5
+SILENCE_LIMIT = 1.0  # Seconds without an answer after which none is expected.
 FAILURE_WINDOW = 1.0  # Seconds for which a failed connection counts.
 MIN_FAILED_ENDPOINTS = 2  # One alone is at fault itself.
 # Endpoints that are checked on a suspicion, and those that confirm it. All of
@@ -31,6 +32,7 @@
     """What calls tell of whether endpoints are reached; times in seconds."""
 
     def __init__(self) -> None:
+        self._heard_at = float("-inf")
         self._waiting_since: float | None = None
         self._failed_at: dict[str, float] = {}
 
@@ -39,8 +41,9 @@
         if self._waiting_since is None:
             self._waiting_since = now
 
-    def record_heard(self) -> None:
+    def record_heard(self, now: float) -> None:
         """Record that an endpoint answered something."""
+        self._heard_at = now
         self._waiting_since = None
 
     def record_failed(self, endpoint: str, now: float) -> None:
@@ -58,6 +61,13 @@
         }
         return len(self._failed_at) >= MIN_FAILED_ENDPOINTS
 
+    def is_silent(self, now: float) -> bool:
+        """Return whether no endpoint has answered anything lately.
+
+        Connections from before a cut may live on; then calls are still served.
+        """
+        return now - self._heard_at >= SILENCE_LIMIT
+
     def reset(self) -> None:
         """Forget all signs."""
         self._waiting_since = None
--- a/roadlift/instance/ingress.py
+++ b/roadlift/instance/ingress.py
@@ -49,8 +49,8 @@
 # One of this many calls that were served in time is logged; of all other
 # calls, each one.
 SERVED_LOG_SAMPLE = 20
-# Seconds after which a call may come back that another instance forwarded to
-# one that reaches no endpoint either: the time in which that is found out.
+# Seconds after which a call may come back to an instance that reaches no
+# endpoint: the time in which it finds another one, or that it reaches some.
 ISOLATED_RETRY_DELAY = 0.5
 
 log = ComponentLog("ingress")
@@ -249,14 +249,15 @@
             exchange.abort(error)
 
     def _forward(self, call: Call, route: Route, caller: Connection) -> bool:
-        """Forward a call that arrives now; return False if it has to stay.
+        """Forward a call that arrives now; return False if it stays here.
 
-        One that another instance forwarded is refused: it reaches nothing here
-        either.
+        One that can't be served here, and that no other instance takes or
+        that came from one, is refused at once.
         """
-        if call.is_forwarded:
-            raise NoEndpoint("no endpoint is reached", ISOLATED_RETRY_DELAY)
-        if self._isolation.choose_gateway() is None:
+        has_gateway = self._isolation.choose_gateway() is not None
+        if call.is_forwarded or not has_gateway:
+            if self._isolation.is_cut_off:
+                raise NoEndpoint("no endpoint is reached", ISOLATED_RETRY_DELAY)
             return False
         limit = route.timeout
         if call.time_limit is not None:
--- a/roadlift/instance/isolation.py
+++ b/roadlift/instance/isolation.py
@@ -72,7 +72,7 @@
 
     def record_heard(self) -> None:
         """Record that an endpoint answered."""
-        self._signs.record_heard()
+        self._signs.record_heard(self._kernel.clock.now())
 
     def record_error(self, endpoint: str, error: RoadliftError) -> None:
         """Record that a send failed; failed connections are a sign."""
@@ -83,6 +83,11 @@
         """Check whether other endpoints are reached than the one given."""
         check_reach(self._kernel, self._rng, CHECKED_ENDPOINTS, {endpoint}, on_result)
 
+    @property
+    def is_cut_off(self) -> bool:
+        """Return whether a call that stays here can't be served now."""
+        return self.is_isolated and self._signs.is_silent(self._kernel.clock.now())
+
     # Instances that stand in
 
     def choose_gateway(self, excluded: Collection[Address] = ()) -> Address | None:
--- a/standins/installation.py
+++ b/standins/installation.py
@@ -30,6 +30,7 @@
 from standins.statements import StatementWatch
 from standins.store import Store
 
+SHORTEST_WAIT = 1e-6  # Seconds; less is what the sum of times leaves.
 EVENT_GAP = 0.02  # Seconds between the events of a stream.
 SLOW = "/slow"  # The end of the paths whose streams have a longer gap.
 SLOW_GAP = 0.2  # Seconds between their events.
@@ -585,9 +586,10 @@
         if line.is_hung:
             return True
         left = self._paused_until - self._timeline.now()
-        if left > 0.0:
+        is_paused = left > SHORTEST_WAIT
+        if is_paused:
             self._timeline.call_later(left, again)
-        return left > 0.0
+        return is_paused
 
     def _send_event(
         self, line: MemoryLine, number: int, fault: object, gap: float
--- a/tests/instance/isolation.feature
+++ b/tests/instance/isolation.feature
@@ -39,3 +39,36 @@
 
     When all connections of instance a to runners are reset and refused for 4 seconds, with 60 calls a second
     Then no end of an endpoint was counted, and no call was refused for one
+
+  Scenario: An instance that reaches some endpoints is not isolated
+    When there is trouble for 5 seconds, with 60 calls a second
+      | trouble                                       |
+      | the runners of a service have ended           |
+      | the runners of a zone have ended              |
+      | all runners of a zone hang                    |
+      | the store does not answer                     |
+      | all engines pause for a second, again and again |
+      | an instance is suspended for a second         |
+      | nobody calls, but for one call that hangs     |
+    Then no instance is isolated
+
+  Scenario: An isolated instance lets go of the leases that others need
+    When instance a, which owns z1, is cut off from all runners for 6 seconds
+    Then another instance owns z1 within 3 seconds, and a owns nothing until the cut ends
+    And some instance owns each zone at the end
+
+  Scenario: A caller that leaves ends its call at the instance that has it
+    Given an instance whose calls are forwarded to another one
+    When a caller sends a long stream and leaves after its first event
+    Then the run of its call is cancelled within 0.2 seconds
+
+  Scenario: An answer that breaks off at the instance that has it is cut
+    Given an instance whose calls are forwarded to another one
+    When a caller sends a long stream, and the other instance ends after its first event
+    Then its caller's answer is cut
+
+  Scenario: A call is forwarded once
+    Given an instance whose calls are forwarded to another one
+    When the other instance is cut off as well
+    Then each call at either is refused within 0.6 seconds, with a time to come back
+    And no call was forwarded twice
--- a/tests/steps/isolation_steps.py
+++ b/tests/steps/isolation_steps.py
@@ -3,10 +3,12 @@
 from collections import Counter, defaultdict
 from typing import NamedTuple
 
-from behave import then, when
+from behave import given, then, when
 
 from roadlift.core.errors import EndsEndpoints
 from roadlift.crashes.ledger import CrashLedger
+from roadlift.instance.leases import Leases
+from roadlift.instance.metrics import InstanceMetrics
 from standins.hub import HubCaller
 from tests.support.configuration import BASE, ROUTES, SERVICES
 from tests.support.entries import Entries
@@ -35,13 +37,18 @@
     entries.configure(ROUTES, SERVICES, _SLOTS)
     for name, zone in _ZONES.items():
         entries.start(name, zone)
+    _add_runners(entries)
+    entries.advance(3.0)
+    return entries
+
+
+def _add_runners(entries):
+    """Start runners of both services in both zones."""
     for index in range(4):
         zone = "z1" if index % 2 else "z2"
         runner = entries.installation.add_runner("llm", f"e{index}", zone, BASE)
         runner.slots = _SLOTS
         entries.installation.add_runner("plain", f"p{index}", zone, "")
-    entries.advance(3.0)
-    return entries
 
 
 def _send(entries, number):
@@ -177,3 +184,249 @@
         )
         found = {call: count for call, count in runs.items() if count > 1}
         assert not found, found
+
+
+_TROUBLE = "trouble"
+
+
+def _end_runners(entries, is_ended):
+    for runner in list(entries.installation.runners.values()):
+        if is_ended(runner):
+            del entries.installation.runners[runner.id]
+
+
+def _hang_zone(entries, seconds):
+    for runner in entries.installation.runners.values():
+        if runner.zone == "z1":
+            runner.faults = ["mute"] * 1000
+
+
+def _pause_engines(entries, seconds):
+    engines = [one for one in entries.installation.runners.values() if one.bases]
+    for start in range(0, int(seconds), 2):
+        for engine in engines:
+            pause = lambda one=engine: one.pause(1.0)
+            entries.installation.timeline.call_later(start, pause)
+
+
+def _stop_store(entries, seconds):
+    entries.installation.store.is_down = True
+
+
+def _hang_one(entries, seconds):
+    for runner in entries.installation.runners.values():
+        runner.faults = ["mute"]
+    entries.call("a", "/idem/1", {"deadline-ms": _LIMIT})
+
+
+_TROUBLES = {
+    "the runners of a service have ended": lambda entries, seconds: _end_runners(
+        entries, lambda one: one.service == "plain"
+    ),
+    "the runners of a zone have ended": lambda entries, seconds: _end_runners(
+        entries, lambda one: one.zone == "z1"
+    ),
+    "all runners of a zone hang": _hang_zone,
+    "the store does not answer": _stop_store,
+    "all engines pause for a second, again and again": _pause_engines,
+    "an instance is suspended for a second": lambda entries, seconds: entries.suspend(
+        "a", 1.0
+    ),
+    "nobody calls, but for one call that hangs": _hang_one,
+}
+
+
+@when("there is trouble for {seconds:g} seconds, with {rate:d} calls a second")
+def step_trouble(context, seconds, rate):
+    """Play each trouble on a deployment of its own."""
+    context.isolated = {}
+    for row in context.table:
+        entries = _start()
+        context.add_cleanup(entries.close)
+        logs = _record_isolation(entries)
+        trouble = row[_TROUBLE]
+        _run_calls(entries, 2.0, rate)
+        _TROUBLES[trouble](entries, seconds)
+        if not trouble.startswith("nobody calls"):
+            _run_calls(entries, seconds, rate)
+        entries.advance(3.0)
+        context.isolated[trouble] = logs
+
+
+def _record_isolation(entries):
+    """Return a list that gets the name of each instance that is isolated."""
+    found = []
+    for name, entry in entries.entries.items():
+        metrics = entry.kernel.get(InstanceMetrics)
+        set_metric = metrics.set
+
+        def note(metric, value, name=name, set_metric=set_metric):
+            """Note the instance, and set the metric."""
+            if metric == "roadlift_isolated" and value:
+                found.append(name)
+            set_metric(metric, value)
+
+        metrics.set = note
+    return found
+
+
+def _run_calls(entries, seconds, rate):
+    for number in range(round(seconds * rate)):
+        _send(entries, number)
+        entries.advance(1.0 / rate)
+
+
+@then("no instance is isolated")
+def step_not_isolated(context):
+    """Check that no metric said so."""
+    found = {trouble: names for trouble, names in context.isolated.items() if names}
+    assert not found, found
+
+
+def _find_owners(entries, zone):
+    return [
+        name
+        for name, entry in entries.entries.items()
+        if zone in entry.kernel.get(Leases).list_held()
+    ]
+
+
+@when("instance a, which owns z1, is cut off from all runners for {seconds:g} seconds")
+def step_cut_owner(context, seconds):
+    """Let calls find out, and note who owns z1."""
+    context.entries = entries = Entries()
+    context.add_cleanup(entries.close)
+    entries.configure(ROUTES, SERVICES, _SLOTS)
+    entries.start("a", "z1")
+    _add_runners(entries)
+    entries.advance(3.0)
+    assert _find_owners(entries, "z1") == ["a"]
+    for name in ("b", "c", "d"):
+        entries.start(name, _ZONES[name])
+    entries.advance(3.0)
+    dialer = entries.entries["a"].dialer
+    entries.installation.cut_from_runners.add(dialer)
+    context.owners = []
+    for number in range(round(seconds * 20)):
+        _send(entries, number)
+        entries.advance(0.05)
+        context.owners.append((number / 20, _find_owners(entries, "z1")))
+    entries.installation.cut_from_runners.discard(dialer)
+    entries.advance(6.0)
+
+
+@then(
+    "another instance owns z1 within {seconds:g} seconds, and a owns nothing until the"
+    " cut ends"
+)
+def step_other_owner(context, seconds):
+    """Check who owned the zone since."""
+    late = [owners for at, owners in context.owners if at >= seconds]
+    assert all(owners and "a" not in owners for owners in late), context.owners
+
+
+@then("some instance owns each zone at the end")
+def step_all_owned(context):
+    """Check the leases."""
+    owned = {zone: _find_owners(context.entries, zone) for zone in ("z1", "z2")}
+    assert all(len(owners) == 1 for owners in owned.values()), owned
+
+
+@given("an instance whose calls are forwarded to another one")
+def step_forwarding(context):
+    """Cut instance a off, beside instance b, and wait until it knows."""
+    context.entries = entries = Entries()
+    context.add_cleanup(entries.close)
+    entries.configure(ROUTES, SERVICES, _SLOTS)
+    entries.start("a", "z1")
+    entries.start("b", "z1")
+    _add_runners(entries)
+    entries.advance(3.0)
+    _run_calls(entries, 1.0, 20)
+    entries.installation.cut_from_runners.add(entries.entries["a"].dialer)
+    _run_calls(entries, 2.0, 20)
+    entries.advance(2.0)
+    context.ran_before = _count_runs(entries)
+
+
+def _count_runs(entries):
+    return sum(len(one.ran) for one in entries.installation.runners.values())
+
+
+def _send_long(entries, name):
+    headers = {
+        "deadline-ms": "10000",
+        "model": f"{BASE}/x0",
+        "token-count": "10,20",
+        "prompt-prefix": "ab:10",
+    }
+    for runner in entries.installation.runners.values():
+        runner.events = 100
+    caller = entries.call(name, "/long/1", headers)
+    for _ in range(200):
+        if caller.body:
+            return caller
+        entries.advance(0.01)
+    raise AssertionError(caller.error)
+
+
+@when("a caller sends a long stream and leaves after its first event")
+def step_leave(context):
+    """Leave once the stream has begun."""
+    caller = _send_long(context.entries, "a")
+    runners = context.entries.installation.runners.values()
+    context.cancelled = sum(one.cancelled for one in runners)
+    caller.on_gone()
+
+
+@then("the run of its call is cancelled within {seconds:g} seconds")
+def step_cancelled(context, seconds):
+    """Count the runs that their senders ended."""
+    context.entries.advance(seconds)
+    runners = context.entries.installation.runners.values()
+    assert sum(one.cancelled for one in runners) == context.cancelled + 1
+
+
+@when("a caller sends a long stream, and the other instance ends after its first event")
+def step_other_ends(context):
+    """Kill the other instance."""
+    context.caller = _send_long(context.entries, "a")
+    context.entries.end("b")
+    context.entries.advance(0.5)
+
+
+@then("its caller's answer is cut")
+def step_is_cut(context):
+    """Check that it is not complete."""
+    assert context.caller.is_cut and not context.caller.is_whole
+
+
+@when("the other instance is cut off as well")
+def step_both(context):
+    """Cut it off, and let calls find out."""
+    entries = context.entries
+    entries.installation.cut_from_runners.add(entries.entries["b"].dialer)
+    _run_calls(entries, 3.0, 20)
+    entries.advance(2.5)
+
+
+@then(
+    "each call at either is refused within {seconds:g} seconds, with a time to come"
+    " back"
+)
+def step_refused(context, seconds):
+    """Send a call to each."""
+    for name in ("a", "b"):
+        caller = context.entries.call(name, "/idem/1", {"deadline-ms": _LIMIT})
+        context.entries.advance(seconds)
+        assert caller.error is not None, (name, caller.status)
+        assert caller.error.status == 503, (name, caller.error)
+        assert "Retry-After" in caller.error_headers, caller.error_headers
+
+
+@then("no call was forwarded twice")
+def step_once_forwarded(context):
+    """Check the counts of the instance that got calls from the other."""
+    metrics = context.entries.entries["b"].kernel.get(InstanceMetrics)
+    text = metrics.render().decode()
+    assert "roadlift_forwarded_calls_total{" not in text, text
