Let the soak's engines end answers with their connections

Engines of the soak's site answer with neither length nor chunks, ended in order inside an event, before the first one or whole; what was dropped before is reset now, as by a process that has ended.

--- a/benchmarks/routes.py
+++ b/benchmarks/routes.py
@@ -62,6 +62,14 @@
 MOST_PASSED = 500  # Versions that are given out again at once behind that.
 MOST_CUT = 5.0  # Seconds for which an instance is cut from the store.
 MOST_FROZEN = 10.0  # Seconds that an instance stands still: beyond its lease.
+_ENGINE_FAULTS = (
+    "cut",
+    "mute",
+    "refuse",
+    "unframed",
+    "break off",
+    "break off early",
+)
 FAULT_GAP = (0.2, 1.5)  # Seconds between two faults, at least and at most.
 VIOLATIONS = (
     "wrong_answer",
@@ -402,7 +410,7 @@
 
     async def _spoil_runner(self) -> None:
         kind = self._draw.choice("ep")
-        faults = ("cut", "mute", "refuse") if kind == "e" else ("lose", "refuse")
+        faults = _ENGINE_FAULTS if kind == "e" else ("lose", "refuse")
         runner = f"{kind}{self._draw.randrange(3)}0"
         for _ in range(self._draw.randrange(1, 4)):
             await self._command(runner=runner, fault=self._draw.choice(faults))
--- a/standins/loopback.py
+++ b/standins/loopback.py
@@ -16,6 +16,7 @@
 from roadlift.http.messages import HttpLimits, ReceivedRequest
 from roadlift.http.server import Server
 from roadlift.relay.upstream import Address, Request
+from standins.framings import Unframed
 from standins.installation import (
     REFUSAL,
     Installation,
@@ -30,7 +31,13 @@
 # Seconds behind the store's return until what it lost is written again.
 WRITTEN_AGAIN = 1.0
 _OWN = ("content-length", "transfer-encoding", "connection")
-_FAULTS = {"refuse": REFUSAL}
+# An event of a stream has 16 bytes: one ends inside the second, one is whole.
+_FAULTS = {
+    "refuse": REFUSAL,
+    "break off": Unframed(20),
+    "break off early": Unframed(0),
+    "unframed": Unframed(),
+}
 
 
 class LoopTimeline:
@@ -55,7 +62,10 @@
         self._caller = caller
 
     def receive_head(self, status: int, headers: dict[str, str]) -> None:
-        """Begin an answer without a length."""
+        """Begin an answer in chunks, or one that ends with its connection."""
+        if "transfer-encoding" not in headers:
+            # An answer to HTTP/1.0 has no chunks.
+            self._caller._version = "1.0"
         self._caller.write_head(status, _drop_own(headers), None)
 
     def receive_body(self, data: bytes) -> None:
@@ -67,8 +77,8 @@
         self._caller.finish()
 
     def receive_error(self, error: RoadliftError) -> None:
-        """Drop the connection."""
-        self._caller.close()
+        """Reset the connection."""
+        self._caller.reset()
 
 
 class SocketLine(MemoryLine):
