--- a/roadlift/instance/exchange.py
+++ b/roadlift/instance/exchange.py
@@ -1,7 +1,5 @@
 """Forward one call of a route to an endpoint, and its answer to the caller."""
 
-from math import isfinite
-
 from roadlift.core.errors import (
     ConnectionLost,
     EndpointFailed,
@@ -33,9 +31,9 @@
 )
 from roadlift.instance.answer import NOT_RUN_STATUSES, Answer
 from roadlift.instance.attempts import Attempts, CallState
+from roadlift.instance.callreport import CallEnd, CallReport
 from roadlift.instance.candidates import Candidates
 from roadlift.instance.crashes import CrashMonitor
-from roadlift.instance.enginechoice import EngineChoice
 from roadlift.instance.follower import Follower
 from roadlift.instance.forwarding import Forwarded
 from roadlift.instance.gate import Gate, GateCallbacks
@@ -47,12 +45,12 @@
 from roadlift.instance.platform import Platform
 from roadlift.instance.progress import Progress
 from roadlift.instance.send import Send
+from roadlift.instance.sendrequest import RequestBuilder
 from roadlift.relay.caller import Caller
-from roadlift.relay.upstream import Request
 from roadlift.serving.calls import Call, Model
 from roadlift.serving.directory import Endpoint
 from roadlift.serving.identity import identify, identify_load
-from roadlift.serving.interfaces import Guard, Verdict
+from roadlift.serving.interfaces import Verdict
 from roadlift.serving.routes import Route
 
 # Seconds after which a caller may retry if no owner may send orders: a large
@@ -70,9 +68,6 @@
 HANDOVER_TIMEOUT = 0.2
 # Seconds until a begun answer that can't be continued now is tried again.
 RESUMPTION_INTERVAL = 0.1
-# Added to the priority number of a late call, so that engines first read the
-# prompts of calls that can still meet their objective.
-LATE_PRIORITY_PENALTY = 4
 # Errors of a search for an endpoint that may succeed later.
 _TEMPORARY = (EndpointsResting, LimitReached, NoEndpoint, StaleConfiguration)
 
@@ -104,7 +99,6 @@
         self._caller = caller
         self._placement = kernel.get(Placement)
         self._candidates = kernel.get(Candidates)
-        self._choice = kernel.get(EngineChoice)
         self._load_requests = kernel.get(LoadRequests)
         self._knowledge = kernel.get(Knowledge)
         self._follower = kernel.get(Follower)
@@ -114,7 +108,6 @@
         self._format = kernel.get(Platform).adapter.calls
         self._service = route.choose_service(call.id)
         self._scope = authorization.choose_scope(self._service, route)
-        self._configuration = self._follower.configuration.version
         self._began_at = kernel.clock.now()
         limit = route.timeout
         if call.time_limit is not None:
@@ -151,6 +144,21 @@
         self._is_over = False
         self._progress = Progress(self._began_at)
         self._answer = Answer(kernel.clock, call, route, caller, self._progress)
+        self._requests = RequestBuilder(
+            kernel, call, route, authorization, self._progress, self._deadline
+        )
+        self._report = CallReport(
+            ingress,
+            self._follower,
+            call,
+            route,
+            self._service,
+            authorization,
+            self._adapter_wait,
+            self._attempts,
+            self._progress,
+            self._answer,
+        )
         self._sent_at = 0.0
         caller.on_gone = self._on_caller_gone
         caller.on_drained = self._on_caller_drained
@@ -406,54 +414,16 @@
             zone=endpoint.zone,
             running=self._placement.count_running(endpoint.id),
             ahead=send.tokens_ahead,
-            **self._describe_state_age(endpoint),
+            **self._requests.describe_state_age(endpoint),
         )
         self._endpoint = endpoint
         self._send = send
-        send.open(self._build_request(send))
+        request = self._requests.build(send, self._answer.find_position())
+        may_send = lambda: self._gate.may_send(endpoint)
+        send.open(request._replace(may_send=may_send))
         if self._kept:
             self._schedule_handover(send)
 
-    def _build_request(self, send: Send) -> Request:
-        """Return the request of a send, with what guards its run."""
-        call, endpoint = self.call, send.endpoint
-        version = None
-        if call.model is not None and call.model.adapter:
-            version = self._follower.find_version(call.model) or None
-        guard = Guard(
-            self._deadline - send.sent_at,
-            self._choose_priority(send),
-            version,
-            self._answer.find_position(),
-            self._authorization.name,
-        )
-        request = self._format.build_request(call, self.route, endpoint, guard)
-        return request._replace(may_send=lambda: self._gate.may_send(endpoint))
-
-    def _describe_state_age(self, endpoint: Endpoint) -> dict[str, float]:
-        """Return the age in seconds of the state of a chosen engine.
-
-        This is the time since the last liveness signal from the owner of its
-        zone was received here; later changes of the engine's load are not
-        known yet.
-        """
-        if self.call.model is None:
-            return {}
-        owner_inactivity = self._knowledge.compute_inactivity(endpoint.zone)
-        return (
-            {"sign": round(owner_inactivity, 3)} if isfinite(owner_inactivity) else {}
-        )
-
-    def _choose_priority(self, send: Send) -> int:
-        """Return the priority of a send; late calls come after others."""
-        priority = self.route.priority
-        if self.call.model is None or self._progress.writes:
-            return priority
-        tokens = send.tokens_ahead + self.call.tokens_in
-        expected = self._choice.estimate_reading_time(send.endpoint.id, tokens)
-        is_late = send.sent_at + expected - self._began_at > self.route.objective
-        return priority + LATE_PRIORITY_PENALTY if is_late else priority
-
     def _cancel_all(self) -> None:
         """Cancel all sends, and the search for an endpoint."""
         self._cancel_search()
@@ -861,50 +831,9 @@
     def _end(self, outcome: str, error: RoadliftError | None) -> None:
         self._is_over = True
         self._timer.close()
-        self._attempts.refund(self._kernel.clock.now())
         now = self._kernel.clock.now()
-        time_to_first_byte = self._progress.time_to_first_byte
-        is_late = self._progress.is_late(self.route)
+        self._attempts.refund(now)
         self._ingress.finish(self)
         self._authorization.end(outcome)
-        self._update_metrics(outcome, is_late, now)
-        self._ingress.log_end(
-            outcome,
-            is_late,
-            self.call.model,
-            request=self.call.id,
-            route=self.route.name,
-            organisation=self._authorization.name,
-            service=self._service,
-            endpoint=self._endpoint.id if self._endpoint else None,
-            sends=self._attempts.sends,
-            status=self._answer.status,
-            framing=self._answer.framing,
-            partial=self._answer.count_partial(),
-            tokens_in=self.call.tokens_in,
-            tokens_out=self.call.tokens_out,
-            sent=round(self._sent_at - self._began_at, 4)
-            if self._attempts.sends
-            else None,
-            waited=round(self._adapter_wait.seconds, 4),
-            first=None if time_to_first_byte is None else round(time_to_first_byte, 4),
-            pause=round(self._progress.longest_pause, 4),
-            seconds=round(now - self._began_at, 4),
-            error=str(error) if error else None,
-            configuration=self._configuration,
-            list_age=round(self._follower.compute_list_age(), 2),
-            steps=self._progress.steps,
-        )
-
-    def _update_metrics(self, outcome: str, is_late: bool, now: float) -> None:
-        measures, service = self._ingress.measures, self._service
-        late = "yes" if is_late else "no"
-        measures.count("roadlift_calls", service, outcome, late)
-        measures.observe("roadlift_call_seconds", now - self._began_at, service)
-        time_to_first_byte = self._progress.time_to_first_byte
-        if time_to_first_byte is not None:
-            measures.observe("roadlift_first_seconds", time_to_first_byte, service)
-        if self._adapter_wait.seconds:
-            measures.observe(
-                "roadlift_wait_seconds", self._adapter_wait.seconds, service
-            )
+        endpoint = self._endpoint.id if self._endpoint else None
+        self._report.write(CallEnd(outcome, error, endpoint, self._sent_at, now))
