Search for gateways only once a check has failed, and count the checks

An instance whose calls wait long for their first event checks what it reaches; it need not ask its neighbours as long as the first check succeeds. roadlift_reach_checks counts both results.

--- a/roadlift/instance/isolation.py
+++ b/roadlift/instance/isolation.py
@@ -118,18 +118,31 @@
         if self.is_isolated:
             self._check(CHECKED_ENDPOINTS, self._handle_recheck)
         elif self._signs.is_suspicious(now):
-            self._gateways.start()
             self._check(CHECKED_ENDPOINTS, self._handle_suspicion)
 
     def _check(self, count: int, on_result: Callable[[bool], None]) -> None:
         self._is_checking = True
         self._checked_at = self._kernel.clock.now()
-        check_reach(self._kernel, self._rng, count, (), on_result)
+        check_reach(
+            self._kernel,
+            self._rng,
+            count,
+            (),
+            lambda is_reached: self._handle_check(is_reached, on_result),
+        )
+
+    def _handle_check(
+        self, is_reached: bool, on_result: Callable[[bool], None]
+    ) -> None:
+        result = "reached" if is_reached else "failed"
+        self._metrics.count("roadlift_reach_checks", result)
+        on_result(is_reached)
 
     def _handle_suspicion(self, is_reached: bool) -> None:
         if is_reached:
             self._clear()
         else:
+            self._gateways.start()
             self._check(CONFIRMING_ENDPOINTS, self._handle_confirmation)
 
     def _handle_confirmation(self, is_reached: bool) -> None:
--- a/roadlift/instance/metrics.py
+++ b/roadlift/instance/metrics.py
@@ -110,6 +110,14 @@
         "Whether this instance reaches no endpoint.",
         "Check its network path to the endpoints.",
     ),
+    InstanceMetric(
+        "roadlift_reach_checks",
+        "counter",
+        "checks",
+        ("result",),
+        "Checks whether endpoints are reached: nothing was heard for a while.",
+        "Many `reached`: calls wait long for their first event.",
+    ),
     InstanceMetric(
         "roadlift_forwarded_calls",
         "counter",
