Refuse a load report that ended within a line

An engine of the interface openai whose report had neither a length nor chunks and ended within the number that tells its starts apart was taken for one that had restarted: its book was dropped. The text format ends each line by a line feed, so a report without the last one is none; the stand-ins now end theirs.

--- a/roadlift/daemon/owners.py
+++ b/roadlift/daemon/owners.py
@@ -377,7 +377,11 @@
             """Look for a restart of the endpoint."""
             if owned.book is None or answer is None:
                 return
-            load = self._api.read_load_report(answer)
+            try:
+                load = self._api.read_load_report(answer)
+            except (RoadliftError, ValueError) as error:
+                log.warning("No load report of %s: %s.", owned.name, error)
+                return
             restarted = owned.load.incarnation != load.incarnation
             owned.note_load(load)
             if restarted:
--- a/roadlift/endpoints/openai.py
+++ b/roadlift/endpoints/openai.py
@@ -82,7 +82,13 @@
         return Request("GET", "/metrics")
 
     def read_load_report(self, answer: Answer) -> EngineLoad:
-        """Parse the gauges from the Prometheus text format."""
+        """Parse the gauges from the Prometheus text format.
+
+        Each of its lines ends with a line feed; a report without the last one
+        was broken off, and a shortened number would be another one.
+        """
+        if not answer.body.endswith(b"\n"):
+            raise EndpointFailed("the load report was broken off")
         found = {"incarnation": "", "running": 0.0, "waiting": 0.0}
         for line in answer.body.decode("utf-8", "replace").splitlines():
             name, _, value = line.partition(" ")
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -81,7 +81,7 @@
             f"vllm:num_requests_running {self._active}",
             f"vllm:num_requests_waiting {len(self._queue)}",
         )
-        return "\n".join(lines).encode()
+        return "".join(f"{line}\n" for line in lines).encode()
 
     # Orders.
 
--- a/standins/hub.py
+++ b/standins/hub.py
@@ -230,7 +230,7 @@
             self._reply(line, 200, json.dumps({"data": data}).encode())
         elif request.path == "/metrics":
             text = f"process_start_time_seconds {self.state.started_at!r}\n"
-            text += f"vllm:num_requests_running {len(self.state.runs)}"
+            text += f"vllm:num_requests_running {len(self.state.runs)}\n"
             self._reply(line, 200, text.encode())
         elif request.path.startswith(STREAM_PATH):
             self._resume(request.path, headers, line)
