--- a/roadlift/instance/exchange.py
+++ b/roadlift/instance/exchange.py
@@ -35,7 +35,7 @@
 from roadlift.instance.candidates import Candidates
 from roadlift.instance.crashes import CrashMonitor
 from roadlift.instance.follower import Follower
-from roadlift.instance.forwarding import Forwarded
+from roadlift.instance.forwarding import PendingCall
 from roadlift.instance.gate import Gate, GateCallbacks
 from roadlift.instance.isolation import Isolation
 from roadlift.instance.keptsends import KeptSends
@@ -208,19 +208,23 @@
         It stays if its answer has begun, or if it may have run and must not
         run again.
         """
-        may_run = self._unconfirmed_error is None and self._find_written() is None
-        is_free = not self._answer.has_begun and not self._attempts.runs
-        is_free = is_free and (may_run or self.route.is_repeatable)
-        if self._is_over or self.call.is_forwarded or not is_free:
-            return False
-        if self._isolation.choose_gateway() is None:
+        if self._is_over or not self._may_pass_on():
             return False
         self._cancel_all()
         self._end("forwarded", None)
-        forwarded = Forwarded(self.call, self.route, self._deadline)
-        self._ingress.forward(forwarded, self._caller)
+        pending = PendingCall(self.call, self.route, self._deadline)
+        self._ingress.forward(pending, self._caller)
         return True
 
+    def _may_pass_on(self) -> bool:
+        """Return whether another instance may take the call, and one does."""
+        if self.call.is_forwarded or self._answer.has_begun or self._attempts.runs:
+            return False
+        is_unsent = self._unconfirmed_error is None and self._find_written() is None
+        if not is_unsent and not self.route.is_repeatable:
+            return False
+        return self._isolation.choose_gateway() is not None
+
     def _find_written(self) -> Send | None:
         """Return an open send of which a byte was written, or None."""
         return next((send for send in self._list_open() if send.is_written), None)
--- a/roadlift/instance/forwarding.py
+++ b/roadlift/instance/forwarding.py
@@ -34,8 +34,8 @@
 log = ComponentLog("forwarding")
 
 
-class Forwarded(NamedTuple):
-    """A call that is forwarded; ``deadline`` is a time of this process."""
+class PendingCall(NamedTuple):
+    """A call for another instance; ``deadline`` is a time of this process."""
 
     call: Call
     route: Route
@@ -48,13 +48,13 @@
     def __init__(
         self,
         kernel: Kernel,
-        forwarded: Forwarded,
+        pending: PendingCall,
         caller: Caller,
         on_end: Callable[["ForwardedCall"], None],
     ) -> None:
-        self.call = forwarded.call
-        self._route = forwarded.route
-        self._deadline = forwarded.deadline
+        self.call = pending.call
+        self._route = pending.route
+        self._deadline = pending.deadline
         self._clock = kernel.clock
         self._loop = kernel.loop
         self._dialer = kernel.dialer
--- a/roadlift/instance/gateways.py
+++ b/roadlift/instance/gateways.py
@@ -10,7 +10,6 @@
 from random import Random
 from typing import NamedTuple
 
-from roadlift.core.errors import MalformedMessage
 from roadlift.core.kernel import Kernel
 from roadlift.core.logs import ComponentLog
 from roadlift.daemon.transport import Transport
@@ -126,8 +125,7 @@
         try:
             address = Address.parse(message.front)
         except (OSError, ValueError) as error:
-            bad = MalformedMessage(f"{message.front!r}: {error}")
-            log.warning("A reply of another instance was ignored: %s.", bad)
+            log.warning("%s at %s was ignored: %s.", message.front, sender, error)
             return
         expires_at = self._clock.now() + REPLY_TTL
         self._known[message.address] = Gateway(address, message.zone, expires_at)
--- a/roadlift/instance/ingress.py
+++ b/roadlift/instance/ingress.py
@@ -24,7 +24,7 @@
 from roadlift.instance.crashes import CrashMonitor
 from roadlift.instance.exchange import Exchange
 from roadlift.instance.follower import Follower
-from roadlift.instance.forwarding import Forwarded, ForwardedCall
+from roadlift.instance.forwarding import ForwardedCall, PendingCall
 from roadlift.instance.isolation import Isolation
 from roadlift.instance.knowledge import Knowledge
 from roadlift.instance.leases import Leases
@@ -187,9 +187,9 @@
             log.error("Unhandled error in the ingress: %r.", error)
             self._refuse(received, caller, RoadliftError(type(error).__name__), call)
 
-    def forward(self, forwarded: Forwarded, caller: Connection) -> None:
+    def forward(self, pending: PendingCall, caller: Connection) -> None:
         """Let another instance take a call."""
-        call = ForwardedCall(self._kernel, forwarded, caller, self.finish)
+        call = ForwardedCall(self._kernel, pending, caller, self.finish)
         self._exchanges.add(call)
         call.start()
 
@@ -263,7 +263,7 @@
         if call.time_limit is not None:
             limit = min(limit, call.time_limit)
         deadline = self._kernel.clock.now() + limit
-        self.forward(Forwarded(call, route, deadline), caller)
+        self.forward(PendingCall(call, route, deadline), caller)
         return True
 
     def _pass_on(self) -> None:
