Explain a forwarded call by its end at the instance that ended it

A call that had waited at an instance which reached no endpoint has a line call_ended with the outcome forwarded there, and its real one at the other instance; explain took the first. The new row of explanation.feature failed before and passes.

--- a/roadlift/explanation/story.py
+++ b/roadlift/explanation/story.py
@@ -61,7 +61,7 @@
     own = [line for line in log.lines if line.fields.get("request") == request]
     if not own:
         raise RequestUnknown(request)
-    end = next((line for line in own if line.name in _ENDS), own[-1])
+    end = _find_end(own)
     began = end.time - end.fields.get("seconds", 0.0)
     around = [
         line
@@ -79,6 +79,16 @@
     return Story(request, outcome, error, events, _find_causes(end, around, met))
 
 
+def _find_end(own: list[Line]) -> Line:
+    """Return the line of the request's end, at the instance that ended it.
+
+    One that forwarded the request has a line of its own.
+    """
+    ends = [line for line in own if line.name in _ENDS]
+    last = [line for line in ends if line.fields.get("outcome") != "forwarded"]
+    return [*last, *ends, own[-1]][0]
+
+
 def _find_met(own: Iterable[Line], end: Line) -> set[str]:
     """Return the endpoints that the request was sent to or waited for."""
     met = {line.fields.get("endpoint") for line in own}
--- a/tests/explanation/explanation.feature
+++ b/tests/explanation/explanation.feature
@@ -29,6 +29,7 @@
     Examples: Calls that were sent
       | lines | outcome | cause |
       | 10 b send_failed request=r2 endpoint=e1 error=connection_lost:_reset ; 10.5 a call_ended request=r1 outcome=failed error=connection_lost seconds=1 \| send@0 endpoint=e1, failed@0.9 error=connection_lost:_reset | failed | other sends to e1 failed as well: 1 connection_lost |
+      | 10 a call_ended request=r1 outcome=forwarded seconds=1 ; 10.5 b call_ended request=r1 outcome=failed error=endpoint_failed seconds=1 \| send@0 endpoint=e1, failed@0.9 error=endpoint_failed:_500 | failed | the call failed: endpoint_failed:_500 |
       | 10.5 a call_ended request=r1 outcome=failed error=endpoint_failed seconds=1 \| send@0 endpoint=e1, failed@0.9 error=endpoint_failed:_500 | failed | the call failed: endpoint_failed:_500 |
       | 10.5 a call_ended request=r1 outcome=cancelled error=connection_lost seconds=1 \| send@0 endpoint=e1 | cancelled | e1 did not answer in time |
       | 9.9 a send_silent request=r1 endpoint=e1 ; 10.5 a call_ended request=r1 outcome=cancelled error=connection_lost seconds=1 \| send@0 endpoint=e1, silent@0.4 endpoint=e1, kept@0.7 endpoint=e1 error=no_endpoint:_full | cancelled | the call failed: no_endpoint:_full |
