Log the software version of endpoints, and the stream that a call takes up

The cause: logs could not tell a stream that was continued at another version in one answer from a caller's retry that was placed as a new call, nor either from an entry that names another version than its runner's: no line told an endpoint's version, and calls that are served in time are sampled.

The change: the version of a runner's software is read from its entry and passed on between instances; each send step logs it; call_ended names the call that a retry resumes, and is written for each of these. An entry whose version is no version is invalid. Nothing decides by it yet.

Measured: tests of the adapter, the messages, the list and the logs pass.

--- a/roadlift/core/events.py
+++ b/roadlift/core/events.py
@@ -153,6 +153,7 @@
         (
             "outcome",
             "request",
+            "resumes",
             "route",
             "organisation",
             "service",
@@ -176,9 +177,11 @@
             "one_in",
         ),
         "A call ended; steps are its decisions, with the age of the liveness signal "
-        "of the engine's owner at each send; framing is that of the endpoint's "
-        "answer, and partial the bytes of an event that it left incomplete. Of calls "
-        "in time, one in one_in is logged.",
+        "of the engine's owner and the version of the endpoint's software at each "
+        "send; resumes is the call that brought the first event of a stream that this "
+        "one takes up; framing is that of the endpoint's answer, and partial the bytes "
+        "of an event that it left incomplete. Of calls in time that take up no stream, "
+        "one in one_in is logged.",
     ),
     Event(
         "ingress",
--- a/roadlift/instance/callreport.py
+++ b/roadlift/instance/callreport.py
@@ -72,6 +72,7 @@
             is_late,
             self._call.model,
             request=self._call.id,
+            resumes=self._call.resumes or None,
             route=self._route.name,
             organisation=self._authorization.name,
             service=self._service,
--- a/roadlift/instance/exchange.py
+++ b/roadlift/instance/exchange.py
@@ -416,6 +416,7 @@
             "send",
             endpoint=endpoint.id,
             zone=endpoint.zone,
+            software=endpoint.software,
             running=self._placement.count_running(endpoint.id),
             ahead=send.tokens_ahead,
             **self._requests.describe_state_age(endpoint),
--- a/roadlift/instance/ingress.py
+++ b/roadlift/instance/ingress.py
@@ -47,7 +47,7 @@
 # that it takes to close, and the delay of a timer on a slow instance.
 DRAIN_LIMIT_MARGIN = 0.5
 # One of this many calls that were served in time is logged; of all other
-# calls, each one.
+# calls, and of those that take up a stream, each one.
 SERVED_LOG_SAMPLE = 20
 # Seconds after which a call may come back to an instance that reaches no
 # endpoint: the time in which it finds another one, or that it reaches some.
@@ -201,10 +201,14 @@
     def log_end(
         self, outcome: str, is_late: bool, model: Model | None, **fields: object
     ) -> None:
-        """Log how a call ended; calls that were served in time are sampled."""
+        """Log how a call ended; calls that were served in time are sampled.
+
+        One that takes up a stream is always logged.
+        """
         if outcome == "served" and model is not None:
             self._served_adapters.record(str(model))
-        if outcome == "served" and not is_late:
+        is_sampled = outcome == "served" and not is_late
+        if is_sampled and not fields.get("resumes"):
             self._served_count += 1
             if self._served_count % SERVED_LOG_SAMPLE:
                 return
--- a/roadlift/serving/calls.py
+++ b/roadlift/serving/calls.py
@@ -39,9 +39,10 @@
     ``id`` is unique to each call, also among the same caller's retries;
     ``headers`` are those to forward; ``time_limit`` is how long the caller
     waits, in seconds from the call's arrival, or None; ``resume_after`` is
-    the last event that the caller received of an interrupted stream; ``key``
-    is the digest of the caller's key, or empty. One that ``is_forwarded``
-    comes from another instance.
+    the last event that the caller received of an interrupted stream, and
+    ``resumes`` the id of the call that brought its first event, or empty;
+    ``key`` is the digest of the caller's key, or empty. One that
+    ``is_forwarded`` comes from another instance.
     """
 
     id: str
@@ -58,6 +59,7 @@
     resume_after: str = ""
     key: str = ""
     is_forwarded: bool = False
+    resumes: str = ""
 
     @property
     def path(self) -> str:
--- a/roadlift/serving/directory.py
+++ b/roadlift/serving/directory.py
@@ -33,7 +33,9 @@
     milliseconds, or 0 if unknown. ``is_draining`` is what the list says. One
     that ``is_leaving`` announced in an answer that it is draining, and
     counts as draining whatever its entry says. ``cold_time`` is the seconds
-    that it remains cold, as of its last heartbeat.
+    that it remains cold, as of its last heartbeat. ``software`` is the version
+    of its software, empty if its entry names none, or None if the entry came
+    from an instance that passes no such versions on.
     """
 
     id: str
@@ -48,6 +50,7 @@
     started_at: int = 0
     is_leaving: bool = False
     cold_time: float = 0.0
+    software: str | None = None
 
     @property
     def name(self) -> str:
--- a/standins/installation.py
+++ b/standins/installation.py
@@ -219,6 +219,7 @@
     text, it turns ``turned_away`` of the calls away and asks for that.
     ``more`` are further headers of its answers to calls. While it pauses, no
     stream makes an event; the streams of one that hangs never make another.
+    ``software`` is the version of its software, which its entry names.
     """
 
     def __init__(
@@ -255,6 +256,7 @@
         self._turned = 0.0
         self.cold_until = 0.0
         self.born = 0
+        self.software = "v1"
         self.on_end: Callable[[], None] = lambda: None
         self.on_return: Callable[[], None] = lambda: None
         self._lines: list[MemoryLine] = []
@@ -402,7 +404,7 @@
             "backend": self.service,
             "addr": str(self.address),
             "zone": self.zone,
-            "version": "v1",
+            "version": self.software,
             "slots": 8,
             "state": state,
             "models": models,
@@ -602,7 +604,8 @@
             self._installation.ends.note_whole(line.call_id)
             line.receiver.receive_end()
             return
-        event = f"id: {number}\ndata: t{number}\n\n".encode()
+        mark = f" {self.software}" if self._installation.marks_events else ""
+        event = f"id: {number}\ndata: t{number}{mark}\n\n".encode()
         if line.framing is not None and self._break_off(line, event):
             return
         if fault == "cut" and number == 1:
@@ -712,6 +715,8 @@
         self.timeline = timeline or Timeline(self.clock)
         self.store = Store(self.timeline)
         self.runners: dict[str, Runner] = {}
+        # Whether each event names the version of the software that made it.
+        self.marks_events = False
         self.ports = itertools.count(1000)
         self.versions: dict[str, int] = {}
         self.cut_from_store: set[MemoryDialer] = set()
@@ -778,13 +783,17 @@
         runner.slots = ended.slots
         runner.events = ended.events
         runner.queue_time = ended.queue_time
+        runner.software = ended.software
         self.runners[runner.id] = runner
         self.store.put("servers", runner.id, runner.describe())
         return runner
 
-    def add_runner(self, service: str, name: str, zone: str, base: str) -> Runner:
+    def add_runner(
+        self, service: str, name: str, zone: str, base: str, software: str = "v1"
+    ) -> Runner:
         """Start a runner that registers itself."""
         runner = Runner(self, service, name, zone)
+        runner.software = software
         runner.bases = [base] if base else []
         self.runners[name] = runner
         self.store.put("servers", name, runner.describe())
--- a/tests/adapter/adapter.feature
+++ b/tests/adapter/adapter.feature
@@ -19,6 +19,8 @@
       | Prompt-Prefix: 5c:800,91:410      | prompt       | 5c 800, 91 410                |
       | Prompt-Prefix: 5c                 | error        | invalid_request               |
       | Last-Event-Id: 7                  | resume_after | 7                             |
+      | Resumes: 9c41                     | resumes      | 9c41                          |
+      | Resumes: 9c41                     | headers      | request-id, resumes           |
       | X-Other: 1                        | headers      | request-id, x-other           |
       | Kv-From: a                        | headers      | request-id                    |
       | Hold: a                           | headers      | request-id                    |
@@ -163,6 +165,20 @@
       | true as its coldLeftMs   | 0       |
       | null as its coldLeftMs   | 0       |
 
+  Scenario Outline: The version of a runner's software is read
+    When an entry with <change> is read
+    Then its software is <software>
+
+    Examples: An entry without one is good, one with anything but a version is not
+      | change              | software              |
+      | nothing special     | none                  |
+      | v1.2 as its version | v1.2                  |
+      | 7 as its version    | 7                     |
+      | null as its version | none                  |
+      | empty text as its version | none            |
+      | true as its version | invalid_configuration |
+      | a fraction as its version | invalid_configuration |
+
   Scenario Outline: A configuration is read
     When a configuration with <change> is read
     Then the route has <result>
--- a/tests/steps/adapter_steps.py
+++ b/tests/steps/adapter_steps.py
@@ -190,6 +190,15 @@
     assert context.read.cold_time == seconds, context.read
 
 
+@then("its software is {version}")
+def step_software(context, version):
+    """Check the version of a runner's software, or the error."""
+    if isinstance(context.read, RoadliftError):
+        assert context.read.code == version, context.read
+        return
+    assert (context.read.software or "none") == version, context.read
+
+
 @when("the operator's row {key} with {value} is read")
 def step_evacuation_row(context, key, value):
     """Read a row of the operator's table as an evacuation."""
@@ -271,13 +280,18 @@
 }
 
 
+def _read_value(text):
+    """Return a whole number, or the text itself."""
+    return int(text) if text.removeprefix("-").isdigit() else text
+
+
 def _read_faulty(content, fault):
     """Read an entry with a fault in words."""
     value, _, field = fault.partition(" as its ")
     if fault.startswith("no "):
         del content[fault[3:]]
     elif field:
-        content[field] = _VALUES[value] if value in _VALUES else int(value)
+        content[field] = _VALUES[value] if value in _VALUES else _read_value(value)
     elif fault == "an unnamed state":
         content["state"] = "warming"
     elif fault == "a port too large":
