Reproduce answers that go on at another software version

Two instances, two engines each of v1 and v1.2; half of the streams are broken off by their engine. 14 of 60 hold events of both versions.

--- /dev/null
+++ b/tests/instance/versions.feature
@@ -0,0 +1,15 @@
+Feature: A stream goes on only at the software version that began it
+
+  Guards against events of two software versions in one stream: what two versions write does
+  not fit together, and endpoints don't check it. A stream goes on all the same wherever an
+  endpoint of its version serves.
+
+  Scenario Outline: In one answer where <trouble>, and <ready>
+    Given 2 instances, and engines of the versions v1, v1, v1.2, v1.2
+    When 60 streams begin where <trouble>, and <ready>
+    Then no stream holds events of two versions, none twice, and none is missing
+    And 95 in 100 of the streams went on to their end
+
+    Examples:
+      | trouble                       | ready                                 |
+      | engines break streams off     | every engine holds the adapter        |
