Let a begun stream continue at its own software version only

What callers saw: an answer whose events came from engines of two software versions, joined behind Last-Event-Id, where its first engine broke off, ended or fell silent.

The cause: the search for an endpoint that continues an answer was the search for a new call, less the endpoints that had failed. Nothing in it knew what began the stream.

The change: the endpoints that a call may use (Scope) are narrowed to one software version as its first event goes to the caller, for resumption at once and later, for kept sends, loads of adapters, permits and plain services alike. Where none of that version is listed any more the answer ends at once (software_unavailable); while one is, the call waits as before. Before the first event every endpoint is free.

--- a/roadlift/core/errors.py
+++ b/roadlift/core/errors.py
@@ -20,12 +20,15 @@
     """The base class of all errors.
 
     ``code`` is stable and documented in docs/ref/errors.md; ``status`` is
-    the HTTP status sent to callers; ``retry_after`` is in seconds.
+    the HTTP status sent to callers; ``retry_after`` is in seconds. After one
+    that ``is_final`` the same request can't succeed later, unless a time is
+    given.
     """
 
     code: ClassVar[str] = "internal_error"
     status: ClassVar[int] = 500
     outcome: ClassVar[Outcome] = Outcome.UNKNOWN
+    is_final: ClassVar[bool] = False
 
     def __init__(self, detail: str = "", retry_after: float | None = None) -> None:
         super().__init__(f"{self.code}: {detail}" if detail else self.code)
@@ -216,6 +219,15 @@
     outcome = Outcome.NOT_RUN
 
 
+class SoftwareUnavailable(RoadliftError):
+    """No endpoint runs the software version that began the stream."""
+
+    code = "software_unavailable"
+    status = 503
+    outcome = Outcome.NOT_RUN
+    is_final = True
+
+
 class RefusedByEndpoint(RoadliftError):
     """The endpoint refused the request before it ran."""
 
--- a/roadlift/decisions/homes.py
+++ b/roadlift/decisions/homes.py
@@ -1,10 +1,14 @@
-"""Decide in which availability zones a call may run.
+"""Decide in which availability zones, and on what software, a call may run.
 
 Load pattern: customers whose data must stay in some regions, on instances and
 endpoints that many customers share. A route and an organisation may each name
 home regions, and both bind. The prompt and the answer of such a call are
 neither sent to an endpoint of another region nor loaded or resumed there,
 whatever capacity is free.
+
+Several versions of an endpoint's software may serve side by side. What two of
+them write does not fit together, so that a stream that has begun continues at
+its own version only.
 """
 
 from collections.abc import Mapping
@@ -17,15 +21,18 @@
     """The endpoints that a call may use.
 
     ``service`` is the one that it is sent to; ``zones`` are those where it may
-    run, or None for all.
+    run, and ``software`` the versions of endpoints' software that may run it,
+    each None for all.
     """
 
     service: str
     zones: frozenset[str] | None = None
+    software: frozenset[str] | None = None
 
-    def includes(self, zone: str) -> bool:
-        """Return whether the call may run in a zone."""
-        return self.zones is None or zone in self.zones
+    def includes(self, zone: str, software: str | None) -> bool:
+        """Return whether an endpoint of a zone and a version may run it."""
+        is_zone_allowed = self.zones is None or zone in self.zones
+        return is_zone_allowed and (self.software is None or software in self.software)
 
 
 class Regions:
--- a/roadlift/instance/adapterwait.py
+++ b/roadlift/instance/adapterwait.py
@@ -5,8 +5,8 @@
 
 from roadlift.core.errors import NoEndpoint, RoadliftError
 from roadlift.core.kernel import Kernel
-from roadlift.decisions.homes import Scope
 from roadlift.decisions.placement import Option
+from roadlift.instance.callscope import CallScope
 from roadlift.instance.enginechoice import EngineChoice
 from roadlift.instance.loadrequests import LoadRequests
 from roadlift.instance.metrics import InstanceMetrics
@@ -45,7 +45,7 @@
         kernel: Kernel,
         call: Call,
         route: Route,
-        scope: Scope,
+        scope: CallScope,
         began_at: float,
         callbacks: WaitCallbacks,
     ) -> None:
@@ -82,7 +82,7 @@
         )
         time_to_first_event = self._choice.estimate_load_time(option) + reading_time
         self._waiter = Waiter(
-            self._scope,
+            self._scope.current,
             self._call.model,
             self._route.priority,
             self._call_began_at + self._route.objective - time_to_first_event,
@@ -158,5 +158,5 @@
         self._callbacks.on_loaded()
 
     def _count(self, outcome: str) -> None:
-        service = self._scope.service
+        service = self._scope.current.service
         self._measures.count("roadlift_predicted_waits", service, outcome)
--- a/roadlift/instance/candidates.py
+++ b/roadlift/instance/candidates.py
@@ -2,7 +2,12 @@
 
 from typing import NamedTuple
 
-from roadlift.core.errors import HomeUnavailable, RoadliftError, ZonesEvacuated
+from roadlift.core.errors import (
+    HomeUnavailable,
+    RoadliftError,
+    SoftwareUnavailable,
+    ZonesEvacuated,
+)
 from roadlift.core.kernel import Kernel, components
 from roadlift.decisions.homes import Scope
 from roadlift.instance.availabilities import Availabilities
@@ -56,9 +61,9 @@
     def list_ready(self, scope: Scope) -> list[Endpoint]:
         """Return the endpoints that accept new calls."""
         ready = self._follower.directory.list_ready(scope.service)
-        if scope.zones is None:
+        if scope.zones is None and scope.software is None:
             return ready
-        return [endpoint for endpoint in ready if scope.includes(endpoint.zone)]
+        return [one for one in ready if scope.includes(one.zone, one.software)]
 
     def list_usable(self, scope: Scope, excluded: set[str]) -> list[Endpoint]:
         """Return the ready endpoints that are healthy and not backed off."""
@@ -79,7 +84,7 @@
             endpoint
             for endpoint in self._follower.directory.list_service(scope.service)
             if endpoint.id not in excluded
-            and scope.includes(endpoint.zone)
+            and scope.includes(endpoint.zone, endpoint.software)
             and self._standings.is_last_resort(endpoint.id)
             and not self._standings.measure_backoff(endpoint.id)
         ]
@@ -99,15 +104,18 @@
         return bool(self.list_ready(scope) or self.list_last_resort(scope, set()))
 
     def find_restriction(self, scope: Scope) -> RoadliftError | None:
-        """Return which decision of others leaves no endpoint, or None."""
+        """Return why no endpoint accepts a call, or None if one may yet."""
         if self.list_ready(scope):
             return None
         if self._evacuations.are_all_evacuated(scope.service):
             return ZonesEvacuated(f"service {scope.service}", UNAVAILABLE_RETRY_DELAY)
-        if scope.zones is not None and self.list_ready(Scope(scope.service)):
+        if scope.zones is not None and self.list_ready(scope._replace(zones=None)):
             zones = ", ".join(sorted(scope.zones)) or "no zone"
             detail = f"service {scope.service} in {zones}"
             return HomeUnavailable(detail, UNAVAILABLE_RETRY_DELAY)
+        if scope.software is not None and not self.has_endpoints(scope):
+            versions = ", ".join(sorted(scope.software)) or "unknown version"
+            return SoftwareUnavailable(f"service {scope.service}, {versions}")
         return None
 
     def accepts(self, endpoint: Endpoint, model: Model | None) -> bool:
--- a/roadlift/instance/exchange.py
+++ b/roadlift/instance/exchange.py
@@ -32,6 +32,7 @@
 from roadlift.instance.answer import NOT_RUN_STATUSES, Answer
 from roadlift.instance.attempts import Attempts, CallState
 from roadlift.instance.callreport import CallEnd, CallReport
+from roadlift.instance.callscope import CallScope
 from roadlift.instance.candidates import Candidates
 from roadlift.instance.crashes import CrashMonitor
 from roadlift.instance.follower import Follower
@@ -107,7 +108,8 @@
         self._ledger = kernel.get(CrashLedger)
         self._format = kernel.get(Platform).adapter.calls
         self._service = route.choose_service(call.id)
-        self._scope = authorization.choose_scope(self._service, route)
+        scope = authorization.choose_scope(self._service, route)
+        self._scope = CallScope(scope)
         self._began_at = kernel.clock.now()
         limit = route.timeout
         if call.time_limit is not None:
@@ -269,7 +271,7 @@
         if self._refuse_if_full():
             return True
         endpoint = self._placement.choose_endpoint(
-            self._scope, self._excluded | self._gate.denied
+            self._scope.current, self._excluded | self._gate.denied
         )
         if endpoint is not None:
             self._request_send(endpoint)
@@ -282,7 +284,7 @@
         """
         excluded = self._excluded | self._gate.denied
         option = self._placement.choose_engine(
-            self._scope, self.call, self.route, excluded
+            self._scope.current, self.call, self.route, excluded
         )
         if option is None:
             return False
@@ -306,7 +308,7 @@
             return
         now = self._kernel.clock.now()
         model = self.call.model
-        is_servable = self._candidates.has_endpoints(self._scope)
+        is_servable = self._candidates.has_endpoints(self._scope.current)
         if is_servable and self._excluded and not self._is_second_round:
             # Each endpoint has rejected the call once; all are tried once
             # more.
@@ -318,7 +320,9 @@
             return
         if model is None or not model.adapter or not is_servable:
             unknown = NoEndpoint(f"service {self._service}", DEFAULT_RETRY_AFTER)
-            self._fail(self._candidates.find_restriction(self._scope) or unknown)
+            self._fail(
+                self._candidates.find_restriction(self._scope.current) or unknown
+            )
             return
         if (
             self._knowledge.is_owner_expected()
@@ -381,7 +385,9 @@
         if self._is_admitted:
             return False
         self._is_admitted = True
-        retry_delay = self._placement.check_admission(self._scope, self.route.objective)
+        retry_delay = self._placement.check_admission(
+            self._scope.current, self.route.objective
+        )
         if retry_delay is not None:
             self._fail(NoEndpoint(f"service {self._service} is full", retry_delay))
         return retry_delay is not None
@@ -567,8 +573,15 @@
         """Forward the body of a success, or the next events of a stream."""
         if self._answer.can_use(send):
             self._choose_answer(send)
+            self._bind(send)
             self._answer.write(send, data)
 
+    def _bind(self, send: Send) -> None:
+        """Let the version that brings a stream's first event continue it."""
+        if self._answer.is_stream and not self._scope.is_bound:
+            self._scope.bind(send.endpoint.software)
+            self._record_step("begun", software=send.endpoint.software)
+
     def _choose_answer(self, send: Send) -> None:
         """Let a send that succeeds answer the caller, and no other one."""
         if self._kept:
@@ -753,7 +766,7 @@
     def _has_spare_slot(self) -> bool:
         """Return whether a retry takes no slot from a call's first send."""
         is_plain = self.call.model is None
-        return not is_plain or self._placement.has_spare_slots(self._scope)
+        return not is_plain or self._placement.has_spare_slots(self._scope.current)
 
     def _fail(self, error: RoadliftError) -> None:
         """Stay with a send that is kept, or end the call with an error."""
@@ -806,7 +819,11 @@
         self._cancel_all()
         headers = dict(self._format.describe(self.call.id))
         if error.status in NOT_RUN_STATUSES:
-            headers["Retry-After"] = f"{error.retry_after or DEFAULT_RETRY_AFTER:g}"
+            delay = error.retry_after or (
+                0.0 if error.is_final else DEFAULT_RETRY_AFTER
+            )
+            if delay:
+                headers["Retry-After"] = f"{delay:g}"
         self._answer.fail(error, headers)
         self._end("refused" if error.outcome is Outcome.NOT_RUN else "failed", error)
 
--- a/roadlift/instance/gate.py
+++ b/roadlift/instance/gate.py
@@ -12,10 +12,10 @@
 from roadlift.core.errors import EndpointsResting, LimitReached
 from roadlift.core.kernel import Kernel
 from roadlift.core.loop import Timer
-from roadlift.decisions.homes import Scope
 from roadlift.decisions.limits import NO_BASIS, Basis
 from roadlift.instance.adapterwait import DEFAULT_RETRY_AFTER
 from roadlift.instance.availabilities import Availabilities
+from roadlift.instance.callscope import CallScope
 from roadlift.instance.candidates import Backoff, Candidates
 from roadlift.instance.limits import EndpointLimits, SendAnswer
 from roadlift.instance.permits import PendingPermit, PermitCallbacks, Permits
@@ -59,7 +59,7 @@
     """The permits of one call; ``denied`` holds endpoints that denied one."""
 
     def __init__(
-        self, kernel: Kernel, call: Call, scope: Scope, callbacks: GateCallbacks
+        self, kernel: Kernel, call: Call, scope: CallScope, callbacks: GateCallbacks
     ) -> None:
         self._clock = kernel.clock
         self._loop = kernel.loop
@@ -138,18 +138,18 @@
         The caller is told to retry when a send may be available, with jitter
         by its ``draw`` from 0 to 1.
         """
-        wait = self._candidates.compute_limit_wait(self._scope, self.denied)
+        wait = self._candidates.compute_limit_wait(self._scope.current, self.denied)
         if wait is None:
             return None
         delay = max(DEFAULT_RETRY_AFTER, wait) * (1.0 + draw)
-        return LimitReached(f"service {self._scope.service}", delay)
+        return LimitReached(f"service {self._scope.current.service}", delay)
 
     def find_backoff(self, model: Model | None) -> Backoff | None:
         """Return the backoff that ends first if all back off, or None.
 
         With a ``model``, only the endpoints that hold it count.
         """
-        backoff = self._candidates.find_backoff(self._scope, model)
+        backoff = self._candidates.find_backoff(self._scope.current, model)
         if backoff is not None:
             wait = round(backoff.seconds, 3)
             self._callbacks.on_step("rest", endpoint=backoff.endpoint.id, wait=wait)
@@ -165,7 +165,7 @@
         if backoff.seconds <= time_left * MAX_WAIT_FRACTION:
             return None
         delay = max(DEFAULT_RETRY_AFTER, backoff.seconds) + draw * RETRY_JITTER
-        return EndpointsResting(f"service {self._scope.service}", delay)
+        return EndpointsResting(f"service {self._scope.current.service}", delay)
 
     def await_backoff(self, backoff: Backoff) -> None:
         """Let the call choose again when a backoff has ended."""
--- a/tests/instance/versions.feature
+++ b/tests/instance/versions.feature
@@ -13,3 +13,7 @@
     Examples:
       | trouble                       | ready                                 |
       | engines break streams off     | every engine holds the adapter        |
+      | engines break streams off     | engines of v1.2 alone hold it at first |
+      | engines pause within streams  | every engine holds the adapter        |
+      | engines end                   | every engine holds the adapter        |
+      | engines break streams off     | the service runs no models            |
--- a/tests/steps/version_steps.py
+++ b/tests/steps/version_steps.py
@@ -11,11 +11,22 @@
 from tests.support.streams import Stream
 
 _EVENTS = 8
+_STREAM = {
+    "timeoutMs": 10000,
+    "goalMs": 1000,
+    "resumable": True,
+    "gapGoalMs": 500,
+    "attempts": 4,
+}
+_ROUTES = [
+    make_route("/again/", "streaming", "llm", **_STREAM),
+    make_route("/plain/", "streaming", "plain", **_STREAM),
+]
+_PLAIN_HEADERS = {"token-count": "10,20", "deadline-ms": "10000"}
 _HEADERS = {
+    **_PLAIN_HEADERS,
     "model": f"{BASE}/x",
-    "token-count": "10,20",
     "prompt-prefix": "ab:10",
-    "deadline-ms": "10000",
 }
 _ZONES = {"a": "z1", "b": "z2", "c": "z1", "d": "z2"}
 _GROUP = 5  # Streams that begin at once.
@@ -25,7 +36,8 @@
 _BREAKS = "engines break streams off"
 _PAUSES = "engines pause within streams"
 _ENDS = "engines end"
-_EVERY = "every engine holds the adapter"
+_LATER = "engines of v1.2 alone hold it at first"
+_NO_MODELS = "the service runs no models"
 
 
 @given("{count:d} instances, and engines of the versions {versions}")
@@ -34,33 +46,26 @@
     context.entries = entries = Entries()
     context.add_cleanup(entries.close)
     entries.installation.marks_events = True
-    route = make_route(
-        "/again/",
-        "streaming",
-        "llm",
-        timeoutMs=10000,
-        goalMs=1000,
-        resumable=True,
-        gapGoalMs=500,
-        attempts=4,
-    )
-    entries.configure([route], SERVICES)
+    entries.configure(_ROUTES, SERVICES)
     for name in list(_ZONES)[:count]:
         entries.start(name, _ZONES[name], {"retry_slack": 1000.0})
     for index, software in enumerate(versions.split(", ")):
         zone = "z1" if index % 2 else "z2"
-        runner = entries.installation.add_runner(
-            "llm", f"e{index}", zone, BASE, software
-        )
-        runner.events = _EVENTS
-        runner.slots = 8
-        runner.held["x"] = 1
+        for service, base in (("llm", BASE), ("plain", "")):
+            name = f"{service}-{index}"
+            runner = entries.installation.add_runner(
+                service, name, zone, base, software
+            )
+            runner.events = _EVENTS
+            runner.slots = 8
+            runner.held["x"] = 1
     entries.advance(5.0)
     context.streams = []
 
 
-def _begin(context, number: int, instance: str) -> Stream:
-    stream = Stream(context.entries, f"s{number}", f"/again/{number}", _HEADERS)
+def _begin(context, number: int, instance: str, is_plain: bool = False) -> Stream:
+    prefix, headers = ("/plain", _PLAIN_HEADERS) if is_plain else ("/again", _HEADERS)
+    stream = Stream(context.entries, f"s{number}", f"{prefix}/{number}", headers)
     stream.send(instance)
     context.streams.append(stream)
     return stream
@@ -73,15 +78,15 @@
 def step_send(context, count, trouble, ready):
     """Send them one after the other, and let half of them meet trouble."""
     entries, draw = context.entries, random.Random(_SEED)
-    if ready != _EVERY:
+    if ready == _LATER:
         for runner in entries.installation.runners.values():
             if runner.software == "v1":
                 runner.held.pop("x", None)
         entries.advance(2.0)
     for number in range(count):
-        for runner in list(entries.installation.runners.values()):
-            runner.faults = _draw_faults(trouble, draw)
-        stream = _begin(context, number, draw.choice(sorted(entries.entries)))
+        _set_faults(entries, trouble, draw)
+        instance = draw.choice(sorted(entries.entries))
+        stream = _begin(context, number, instance, ready == _NO_MODELS)
         if trouble == _ENDS and number % 10 == 0:
             _end_engine(entries, stream)
         entries.advance(draw.uniform(0.02, 0.2))
@@ -90,6 +95,23 @@
     entries.advance(_LIMIT)
 
 
+def _set_faults(entries: Entries, trouble: str, draw: random.Random) -> None:
+    """Let engines, and endpoints without models in the same order, fail."""
+    for service in ("llm", "plain"):
+        found = [
+            one
+            for one in entries.installation.runners.values()
+            if one.service == service
+        ]
+        state = draw.getstate()
+        for runner in found:
+            runner.faults = _draw_faults(trouble, draw)
+        if service == "llm":
+            next_state = draw.getstate()
+            draw.setstate(state)
+    draw.setstate(next_state)
+
+
 def _draw_faults(trouble: str, draw: random.Random) -> list:
     if trouble == _ENDS or draw.random() < 0.5:
         return []
