Let a caller's retry go on at the version that began its stream

What callers saw: a stream taken up with Resumes held events of two software versions, as the retry was sent to whichever engine was best.

The cause: a retry was placed as a new call. What began a stream was known to the process that began it, if at all, and Resumes was read nowhere.

The change: each process remembers, by an 8 byte digest of the call that brought the first event, the service and the software version that began a stream, and tells its aggregator, which tells the owner of another zone chosen by that digest: three processes know it. A new aggregator or owner is told all that is remembered. A retry is looked up here, then at the aggregator, which asks the other owners, or at the owners if the aggregator is silent; it goes on at that service and version alone. Where nobody remembers it, the only version of the service counts if no other was listed for as long as a stream may last, by all who answer. Otherwise the call is refused at once (stream_unknown), with a time to return only if someone did not answer. No store call.

--- a/roadlift/core/errors.py
+++ b/roadlift/core/errors.py
@@ -228,6 +228,15 @@
     is_final = True
 
 
+class StreamUnknown(RoadliftError):
+    """No instance knows which software version began the stream."""
+
+    code = "stream_unknown"
+    status = 503
+    outcome = Outcome.NOT_RUN
+    is_final = True
+
+
 class RefusedByEndpoint(RoadliftError):
     """The endpoint refused the request before it ran."""
 
--- a/roadlift/core/events.py
+++ b/roadlift/core/events.py
@@ -389,6 +389,26 @@
         "A call that came while no endpoint was reached was given to the instance "
         "at address, whose call_ended tells the rest.",
     ),
+    Event(
+        "resumption",
+        "stream_looked_up",
+        (
+            "request",
+            "resumes",
+            "basis",
+            "service",
+            "software",
+            "age",
+            "complete",
+            "error",
+            "seconds",
+        ),
+        "A call takes up a stream that this process did not begin, or can't. The "
+        "stream began at that version of a service's software: told by an instance "
+        "that remembers it, recorded age seconds ago, or as the only version of the "
+        "service; otherwise the call is refused. Unless complete, some of those who "
+        "were asked did not answer.",
+    ),
     Event(
         "crashes",
         "endpoint_end_doubted",
--- /dev/null
+++ b/roadlift/decisions/origins.py
@@ -0,0 +1,185 @@
+"""Remember which software version began a stream, and judge what others know.
+
+Load pattern: several versions of a service's software run side by side.
+Streams break off, hundreds at once, and their callers resume them at any
+instance, by the id of the call that brought the first event. What two versions
+write does not fit together, so that a version that is not known must not be
+guessed.
+
+A stream is remembered for as long as its caller may still resume it, so that
+the memory is bounded by the rate of streams and by that time. It is known by a
+digest of 8 bytes, as an owner of a zone keeps those of all its instances.
+"""
+
+import enum
+import hashlib
+from collections.abc import Iterable, Mapping
+from typing import NamedTuple
+
+from roadlift.serving.calls import Kind
+from roadlift.serving.routes import Route
+
+DIGEST_BYTES = 8
+# Streams that are remembered at most; the oldest half is forgotten first.
+MAX_STREAMS = 200_000
+# A caller resumes a stream within the time of its first call. The stream lasts
+# as long as its route's timeout, and so does a resumption that is broken off
+# in its turn.
+LIFE_FACTOR = 2.0
+MIN_LIFE = 10.0  # Seconds.
+
+
+class Origin(NamedTuple):
+    """What began a stream: a service, and the version of its software."""
+
+    service: str
+    software: str
+
+
+class Basis(enum.StrEnum):
+    """Whence the version of a stream is known.
+
+    OWN is a stream of this process, TOLD one that another instance began.
+    ONLY says that no other version of the service was listed for as long as a
+    stream may last, MIXED that several were; NONE that nothing is known.
+    """
+
+    OWN = "own"
+    TOLD = "told"
+    ONLY = "only"
+    MIXED = "mixed"
+    NONE = "none"
+
+
+class Finding(NamedTuple):
+    """What is known of a stream; ``origin`` is None unless it is known.
+
+    ``age`` is the seconds since it was recorded.
+    """
+
+    basis: Basis
+    origin: Origin | None = None
+    age: float | None = None
+
+
+UNKNOWN = Finding(Basis.NONE)
+
+
+def compute_digest(call_id: str) -> bytes:
+    """Return the digest by which a stream is remembered."""
+    return hashlib.blake2b(call_id.encode(), digest_size=DIGEST_BYTES).digest()
+
+
+def compute_life(routes: Iterable[Route]) -> float:
+    """Return for how many seconds a stream of some routes is remembered."""
+    timeouts = [
+        route.timeout
+        for route in routes
+        if route.kind is Kind.STREAM and route.is_resumable
+    ]
+    return max(MIN_LIFE, LIFE_FACTOR * max(timeouts, default=0.0))
+
+
+class _Record(NamedTuple):
+    origin: Origin
+    at: float
+
+
+class OriginTable:
+    """The origins of streams by digest, in two generations.
+
+    A record lives for one generation to two, each of which lasts a life.
+    """
+
+    def __init__(self) -> None:
+        self._new: dict[bytes, _Record] = {}
+        self._old: dict[bytes, _Record] = {}
+        self._began_at = float("-inf")
+
+    def __len__(self) -> int:
+        return len(self._new) + len(self._old)
+
+    def put(self, digest: bytes, origin: Origin, now: float) -> None:
+        """Record what began a stream."""
+        self._new[digest] = _Record(origin, now)
+
+    def find(self, digest: bytes, basis: Basis, now: float) -> Finding | None:
+        """Return what began a stream, or None if it is not known here."""
+        record = self._new.get(digest) or self._old.get(digest)
+        if record is None:
+            return None
+        return Finding(basis, record.origin, now - record.at)
+
+    def list_all(self) -> list[tuple[bytes, Origin]]:
+        """Return the streams and their origins, the oldest first."""
+        records = {**self._old, **self._new}
+        return [(digest, record.origin) for digest, record in records.items()]
+
+    def expire(self, now: float, life: float) -> None:
+        """Begin a generation if the current one is over or too large."""
+        is_full = len(self._new) >= MAX_STREAMS // 2
+        if is_full or now - self._began_at >= life:
+            self._old, self._new = self._new, {}
+            self._began_at = now
+
+
+class SoftwareHistory:
+    """The versions of each service that were listed of late.
+
+    It covers the time in which the list was current: a version that came and
+    went in a gap was not seen.
+    """
+
+    def __init__(self) -> None:
+        self._listed: dict[str, set[str | None]] = {}
+        self._seen_at: dict[str, dict[str | None, float]] = {}
+        self._covered_since: float | None = None
+
+    def record_list(self, listed: Mapping[str, set[str | None]], now: float) -> None:
+        """Record the versions of each service that are listed from now on."""
+        for service, versions in self._listed.items():
+            seen = self._seen_at.setdefault(service, {})
+            seen.update(dict.fromkeys(versions, now))
+        self._listed = {service: set(versions) for service, versions in listed.items()}
+        if self._covered_since is None:
+            self._covered_since = now
+
+    def record_gap(self) -> None:
+        """Record that the list is not current now."""
+        self._covered_since = None
+
+    def record_current(self, now: float) -> None:
+        """Record that the list is current now."""
+        if self._covered_since is None:
+            self._covered_since = now
+
+    def judge(self, service: str, now: float, life: float) -> Finding:
+        """Return the only version of a service, if there was only one."""
+        seen = self._seen_at.get(service, {})
+        recent = {version for version, at in seen.items() if now - at < life}
+        versions = recent | self._listed.get(service, set())
+        if len(versions) > 1:
+            return Finding(Basis.MIXED)
+        since = self._covered_since
+        if not versions or None in versions or since is None or now - since < life:
+            return UNKNOWN
+        return Finding(Basis.ONLY, Origin(service, versions.pop()))
+
+
+def combine(findings: Iterable[Finding]) -> Finding:
+    """Return what several instances know together.
+
+    A stream that one of them remembers is known. Without one, the only version
+    is that on which all who know the service agree.
+    """
+    found = list(findings)
+    for basis in (Basis.OWN, Basis.TOLD):
+        known = [one for one in found if one.basis is basis]
+        if known:
+            return min(known, key=lambda one: one.age or 0.0)
+    if any(one.basis is Basis.MIXED for one in found):
+        return Finding(Basis.MIXED)
+    origins = {one.origin for one in found if one.basis is Basis.ONLY}
+    if len(origins) > 1:
+        return Finding(Basis.MIXED)
+    return Finding(Basis.ONLY, origins.pop()) if origins else UNKNOWN
--- a/roadlift/instance/exchange.py
+++ b/roadlift/instance/exchange.py
@@ -22,6 +22,7 @@
 from roadlift.crashes.ledger import CrashLedger
 from roadlift.decisions.limits import Basis
 from roadlift.decisions.loading import AdapterSource
+from roadlift.decisions.origins import Finding, Origin
 from roadlift.decisions.resending import BUDGET_SPENT
 from roadlift.instance.access import Authorization
 from roadlift.instance.adapterwait import (
@@ -42,17 +43,17 @@
 from roadlift.instance.keptsends import KeptSends
 from roadlift.instance.knowledge import OWNER_RETURN_TIMEOUT, Knowledge
 from roadlift.instance.loadrequests import LoadRequests
+from roadlift.instance.origins import StreamSources
 from roadlift.instance.placement import Placement
 from roadlift.instance.platform import Platform
 from roadlift.instance.progress import Progress
 from roadlift.instance.send import Send
 from roadlift.instance.sendrequest import RequestBuilder
 from roadlift.relay.caller import Caller
-from roadlift.serving.calls import Call, Model
+from roadlift.serving.calls import Model
 from roadlift.serving.directory import Endpoint
 from roadlift.serving.identity import identify, identify_load
 from roadlift.serving.interfaces import Verdict
-from roadlift.serving.routes import Route
 
 # Seconds after which a caller may retry if no owner may send orders: a large
 # part of the time in which another instance takes over.
@@ -87,13 +88,13 @@
         self,
         kernel: Kernel,
         ingress,
-        call: Call,
-        route: Route,
+        pending: PendingCall,
+        origin: Finding | None,
         authorization: Authorization,
         caller: Caller,
     ) -> None:
-        self.call = call
-        self.route = route = authorization.apply_priority(route)
+        self.call = call = pending.call
+        self.route = route = authorization.apply_priority(pending.route)
         self._authorization = authorization
         self._kernel = kernel
         self._ingress = ingress
@@ -107,14 +108,17 @@
         self._isolation = kernel.get(Isolation)
         self._ledger = kernel.get(CrashLedger)
         self._format = kernel.get(Platform).adapter.calls
-        self._service = route.choose_service(call.id)
+        self._origins = kernel.get(StreamSources)
+        if origin is None:
+            self._service = route.choose_service(call.id)
+        else:
+            self._service = origin.origin.service
         scope = authorization.choose_scope(self._service, route)
         self._scope = CallScope(scope)
+        if origin is not None:
+            self._scope.bind(origin.origin.software)
         self._began_at = kernel.clock.now()
-        limit = route.timeout
-        if call.time_limit is not None:
-            limit = min(limit, call.time_limit)
-        self._deadline = self._began_at + limit
+        self._deadline = pending.deadline
         self._timer = None
         self._adapter_wait = AdapterWait(
             kernel,
@@ -298,10 +302,16 @@
             self._adapter_wait.begin(
                 option,
                 self._compute_caller_wait(self._kernel.clock.now()),
-                bool(self._kept) or self._answer.has_begun,
+                self._is_patient,
             )
         return True
 
+    @property
+    def _is_patient(self) -> bool:
+        """Return whether the call gains nothing by a refusal and a retry."""
+        has_begun = self._answer.has_begun or self._scope.is_bound
+        return bool(self._kept) or has_begun
+
     def _wait_for_endpoint(self) -> None:
         """Wait for an endpoint or an expected owner, or refuse the call."""
         if self._wait_for_backoff(None):
@@ -577,10 +587,15 @@
             self._answer.write(send, data)
 
     def _bind(self, send: Send) -> None:
-        """Let the version that brings a stream's first event continue it."""
-        if self._answer.is_stream and not self._scope.is_bound:
-            self._scope.bind(send.endpoint.software)
-            self._record_step("begun", software=send.endpoint.software)
+        """Let the version that brings the first event continue the stream."""
+        if not self._answer.is_stream or self._progress.writes:
+            return
+        software = send.endpoint.software
+        self._scope.bind(software)
+        self._record_step("begun", software=software)
+        if software is not None and self.route.is_resumable:
+            origin = Origin(self._service, software)
+            self._origins.record(self.call.resumes or self.call.id, origin)
 
     def _choose_answer(self, send: Send) -> None:
         """Let a send that succeeds answer the caller, and no other one."""
--- a/roadlift/instance/ingress.py
+++ b/roadlift/instance/ingress.py
@@ -13,6 +13,7 @@
 from roadlift.core.kernel import Kernel, components
 from roadlift.core.logs import ComponentLog
 from roadlift.crashes.ledger import CrashLedger
+from roadlift.decisions.origins import Finding
 from roadlift.draining.drain import Drain, Phase
 from roadlift.http.connection import Connection
 from roadlift.http.messages import HttpLimits, ReceivedRequest
@@ -30,11 +31,13 @@
 from roadlift.instance.leases import Leases
 from roadlift.instance.limits import EndpointLimits
 from roadlift.instance.metrics import InstanceMetrics
+from roadlift.instance.origins import StreamSources
 from roadlift.instance.owner import Owner
 from roadlift.instance.permits import Permits
 from roadlift.instance.placement import Placement
 from roadlift.instance.platform import Platform
 from roadlift.instance.refusals import RefusalLog
+from roadlift.instance.resumption import Resumption, takes_up_stream
 from roadlift.instance.served import ServedAdapters
 from roadlift.instance.sharing import SharedUse
 from roadlift.relay.upstream import Address
@@ -55,6 +58,8 @@
 
 log = ComponentLog("ingress")
 
+_RunningCall = Exchange | ForwardedCall | Resumption
+
 
 @components.register("ingress")
 class Ingress:
@@ -73,6 +78,7 @@
         "leases",
         EndpointLimits.name,
         "measures",
+        StreamSources.name,
         Owner.name,
         Permits.name,
         "placing",
@@ -93,7 +99,7 @@
         self.measures = kernel.get(InstanceMetrics)
         self._isolation = kernel.get(Isolation)
         self._isolation.on_gateway.append(self._pass_on)
-        self._exchanges: set[Exchange | ForwardedCall] = set()
+        self._exchanges: set[_RunningCall] = set()
         self._budgets: dict[str, WindowBudget] = {}
         self._served_count = 0
         self._served_adapters = ServedAdapters(kernel)
@@ -182,10 +188,11 @@
             call = self._read_call(received)
             self._start_exchange(call, caller)
         except RoadliftError as error:
-            self._refuse(received, caller, error, call)
+            self._refuse(self._format.read_id(received), caller, error, call)
         except Exception as error:
             log.error("Unhandled error in the ingress: %r.", error)
-            self._refuse(received, caller, RoadliftError(type(error).__name__), call)
+            error = RoadliftError(type(error).__name__)
+            self._refuse(self._format.read_id(received), caller, error, call)
 
     def forward(self, pending: PendingCall, caller: Connection) -> None:
         """Let another instance take a call."""
@@ -193,7 +200,7 @@
         self._exchanges.add(call)
         call.start()
 
-    def finish(self, exchange: Exchange | ForwardedCall) -> None:
+    def finish(self, exchange: _RunningCall) -> None:
         """Remove an exchange that has ended."""
         self._exchanges.discard(exchange)
         self.measures.set("roadlift_running_calls", len(self._exchanges))
@@ -241,8 +248,52 @@
             raise Draining(retry_after=0.1)
         if self._isolation.is_isolated and self._forward(call, route, caller):
             return
-        authorization = self._access.admit(call, route)
-        exchange = Exchange(self._kernel, self, call, route, authorization, caller)
+        pending = self._make_pending(call, route)
+        if takes_up_stream(call, route):
+            self._find_origin(pending, caller)
+        else:
+            self._begin(pending, caller, None)
+
+    def _make_pending(self, call: Call, route: Route) -> PendingCall:
+        """Return a call that arrives now, with the time of its limit."""
+        limit = route.timeout
+        if call.time_limit is not None:
+            limit = min(limit, call.time_limit)
+        return PendingCall(call, route, self._kernel.clock.now() + limit)
+
+    def _find_origin(self, pending: PendingCall, caller: Connection) -> None:
+        """Find what began the stream that a call takes up."""
+        resumption = Resumption(
+            self._kernel,
+            pending,
+            caller,
+            self._resume,
+            self._refuse_pending,
+            self.finish,
+        )
+        self._exchanges.add(resumption)
+        resumption.start()
+
+    def _resume(
+        self, pending: PendingCall, caller: Connection, origin: Finding
+    ) -> None:
+        """Start the exchange of a call whose stream's origin is known."""
+        try:
+            self._begin(pending, caller, origin)
+        except RoadliftError as error:
+            self._refuse_pending(pending, caller, error)
+
+    def _refuse_pending(
+        self, pending: PendingCall, caller: Connection, error: RoadliftError
+    ) -> None:
+        self._refuse(pending.call.id, caller, error, pending.call)
+
+    def _begin(
+        self, pending: PendingCall, caller: Connection, origin: Finding | None
+    ) -> None:
+        """Authorize a call, and start its exchange."""
+        authorization = self._access.admit(pending.call, pending.route)
+        exchange = Exchange(self._kernel, self, pending, origin, authorization, caller)
         self._exchanges.add(exchange)
         self.measures.set("roadlift_running_calls", len(self._exchanges))
         try:
@@ -263,11 +314,7 @@
             if self._isolation.is_cut_off:
                 raise NoEndpoint("no endpoint is reached", ISOLATED_RETRY_DELAY)
             return False
-        limit = route.timeout
-        if call.time_limit is not None:
-            limit = min(limit, call.time_limit)
-        deadline = self._kernel.clock.now() + limit
-        self.forward(PendingCall(call, route, deadline), caller)
+        self.forward(self._make_pending(call, route), caller)
         return True
 
     def _pass_on(self) -> None:
@@ -277,12 +324,11 @@
 
     def _refuse(
         self,
-        received: ReceivedRequest,
+        call_id: str,
         caller: Connection,
         error: RoadliftError,
         call: Call | None,
     ) -> None:
-        call_id = self._format.read_id(received)
         self.measures.count("roadlift_refusals", error.code)
         self._refusal_log.log_refusal(
             error.code,
--- a/roadlift/instance/metrics.py
+++ b/roadlift/instance/metrics.py
@@ -126,6 +126,22 @@
         "Calls given to other instances while no endpoint was reached.",
         "`refused` or `failed`: the others reach none either, or are full.",
     ),
+    InstanceMetric(
+        "roadlift_resumptions",
+        "counter",
+        "calls",
+        ("service", "basis"),
+        "Calls that took up a stream, by whence its software version was known.",
+        "`refused`: nobody knew the version, or its service left the route.",
+    ),
+    InstanceMetric(
+        "roadlift_remembered_streams",
+        "gauge",
+        "streams",
+        (),
+        "Streams whose software version this instance remembers.",
+        "Growth beyond the rate of streams times their timeout.",
+    ),
     InstanceMetric(
         "roadlift_requested_copies",
         "counter",
--- /dev/null
+++ b/roadlift/instance/originfeed.py
@@ -0,0 +1,134 @@
+"""Tell other instances which software versions began the streams here.
+
+Each stream is known at three processes: the one that began it, the aggregator
+of that one, and the owner of another zone, which a hash chooses. A stream's
+version thus outlives the process that began it, a zone that is lost, and an
+aggregator that changes: what is still remembered is told to the next one.
+"""
+
+from collections import defaultdict
+from collections.abc import Callable, Iterable
+from typing import NamedTuple
+
+from roadlift.core.kernel import Kernel
+from roadlift.core.loop import Timer
+from roadlift.daemon.transport import Transport
+from roadlift.decisions.origins import DIGEST_BYTES, Origin
+from roadlift.instance.leases import Leases
+from roadlift.instance.subscription import Subscription
+from roadlift.serving.messages import StreamOrigins
+
+# Seconds from a stream's first event until it is told. A process that is
+# killed meanwhile takes what it knows with it.
+TELL_DELAY = 0.05
+CHECK_INTERVAL = 0.1  # Seconds between looks for another aggregator or owner.
+MAX_BATCH = 1000  # Streams in one message, of 8 bytes each.
+MAX_QUEUED = 20_000  # Streams that wait for one instance; the oldest are dropped.
+
+Stream = tuple[bytes, Origin]
+
+
+class Target(NamedTuple):
+    """An instance that is told of streams, of all or of those of a zone."""
+
+    address: str
+    zone: str | None
+
+
+class OriginFeed:
+    """What each other instance has still to be told."""
+
+    def __init__(
+        self, kernel: Kernel, list_streams: Callable[[], Iterable[Stream]]
+    ) -> None:
+        self._loop = kernel.loop
+        self._transport = kernel.get(Transport)
+        self._leases = kernel.get(Leases)
+        self._subscription = kernel.get(Subscription)
+        self._peer = kernel.settings.peer
+        self._list_streams = list_streams
+        self._queues: dict[Target, list[Stream]] = {}
+        self._flush_timer: Timer | None = None
+        self._check_timer: Timer | None = None
+
+    def start(self) -> None:
+        """Begin to look for whom to tell."""
+        self._check_timer = self._loop.call_every(CHECK_INTERVAL, self._check)
+
+    def close(self) -> None:
+        """Stop telling."""
+        self._check_timer.close()
+        if self._flush_timer is not None:
+            self._flush_timer.close()
+
+    def put(self, stream: Stream) -> None:
+        """Tell the others of a stream soon."""
+        for target, queue in self._queues.items():
+            if self._concerns(target, stream):
+                queue.append(stream)
+        if self._flush_timer is None:
+            self._flush_timer = self._loop.call_later(TELL_DELAY, self._flush)
+
+    def _list_targets(self) -> set[Target]:
+        """Return whom to tell: the aggregator, or the owners of all zones."""
+        if not self._leases.list_held():
+            source = self._subscription.source
+            return {Target(source, None)} if source else set()
+        found = {
+            Target(self._leases.find_owner(zone) or "", zone)
+            for zone in self._list_other_zones()
+        }
+        return {target for target in found if target.address not in ("", self._peer)}
+
+    def _list_other_zones(self) -> list[str]:
+        held = set(self._leases.list_held())
+        return [zone for zone in self._leases.list_zones() if zone not in held]
+
+    def _concerns(self, target: Target, stream: Stream) -> bool:
+        """Return whether a target keeps a stream."""
+        if target.zone is None:
+            return True
+        zones = self._list_other_zones()
+        digest, _ = stream
+        return zones[digest[0] % len(zones)] == target.zone
+
+    def _check(self) -> None:
+        """Tell a new aggregator or owner what is remembered here."""
+        targets = self._list_targets()
+        if targets == self._queues.keys():
+            self._flush()
+            return
+        streams = list(self._list_streams()) if targets - self._queues.keys() else []
+        self._queues = {
+            target: self._queues[target]
+            if target in self._queues
+            else [stream for stream in streams if self._concerns(target, stream)]
+            for target in targets
+        }
+        self._flush()
+
+    def _flush(self) -> None:
+        if self._flush_timer is not None:
+            self._flush_timer.close()
+            self._flush_timer = None
+        for target, queue in self._queues.items():
+            if queue and self._send(target, queue[:MAX_BATCH]):
+                del queue[:MAX_BATCH]
+            del queue[:-MAX_QUEUED]
+
+    def _send(self, target: Target, streams: list[Stream]) -> bool:
+        digests: dict[Origin, list[bytes]] = defaultdict(list)
+        for digest, origin in streams:
+            digests[origin].append(digest)
+        origins = [[*origin, b"".join(found)] for origin, found in digests.items()]
+        message = StreamOrigins(self._peer, origins, target.zone is not None)
+        return self._transport.send(target.address, message)
+
+
+def read_streams(message: StreamOrigins) -> list[Stream]:
+    """Return the streams that a message tells of."""
+    return [
+        (digests[start : start + DIGEST_BYTES], Origin(service, software))
+        for service, software, digests in message.origins
+        for start in range(0, len(digests), DIGEST_BYTES)
+    ]
--- /dev/null
+++ b/roadlift/instance/originquery.py
@@ -0,0 +1,86 @@
+"""Ask other instances what began a stream."""
+
+from collections.abc import Callable, Iterable
+from typing import NamedTuple
+
+from roadlift.core.kernel import Kernel
+from roadlift.daemon.transport import Transport
+from roadlift.decisions.origins import Basis, Finding, combine
+from roadlift.serving.messages import FindOrigin
+
+# Seconds after which an instance that has not answered is asked again: the
+# first message to a peer only opens the connection.
+REPEAT_INTERVAL = 0.1
+
+
+class OriginAnswer(NamedTuple):
+    """What is known of a stream; ``is_complete`` if all were heard."""
+
+    finding: Finding
+    is_complete: bool
+
+
+class OriginQuery:
+    """One question to some instances; ``on_answer`` is called once.
+
+    That is as soon as one of them remembers the stream, or when all have
+    answered, or after ``timeout`` seconds.
+    """
+
+    def __init__(
+        self,
+        kernel: Kernel,
+        question: FindOrigin,
+        addresses: Iterable[str],
+        timeout: float,
+        own: Finding,
+        on_answer: Callable[[OriginAnswer], None],
+    ) -> None:
+        self._loop = kernel.loop
+        self._transport = kernel.get(Transport)
+        self._question = question
+        self._unanswered = set(addresses)
+        self._timeout = timeout
+        self._findings = [own]
+        self._is_complete = True
+        self._on_answer = on_answer
+        self._timers = []
+
+    @property
+    def key(self) -> tuple[bytes, str]:
+        """Return what a reply to the question names."""
+        return self._question.digest, self._question.service
+
+    def start(self) -> None:
+        """Ask."""
+        if not self._unanswered:
+            self._timers = [self._loop.call_later(0.0, self._end)]
+            return
+        self._timers = [
+            self._loop.call_every(REPEAT_INTERVAL, self._ask),
+            self._loop.call_later(self._timeout, self._end),
+        ]
+        self._ask()
+
+    def close(self) -> None:
+        """Stop asking."""
+        for timer in self._timers:
+            timer.close()
+
+    def handle(self, address: str, answer: OriginAnswer) -> None:
+        """Take an answer."""
+        if address not in self._unanswered:
+            return
+        self._unanswered.discard(address)
+        self._findings.append(answer.finding)
+        self._is_complete = self._is_complete and answer.is_complete
+        if not self._unanswered or answer.finding.basis in (Basis.OWN, Basis.TOLD):
+            self._end()
+
+    def _ask(self) -> None:
+        self._transport.send_all(self._unanswered, self._question)
+
+    def _end(self) -> None:
+        self.close()
+        is_complete = self._is_complete and not self._unanswered
+        self._on_answer(OriginAnswer(combine(self._findings), is_complete))
--- /dev/null
+++ b/roadlift/instance/origins.py
@@ -0,0 +1,232 @@
+"""Know which software version began a stream, here and at other instances."""
+
+from collections import defaultdict
+from collections.abc import Callable
+
+from roadlift.core.kernel import Kernel, components
+from roadlift.core.logs import ComponentLog
+from roadlift.daemon.transport import Transport
+from roadlift.decisions.origins import (
+    MIN_LIFE,
+    Basis,
+    Finding,
+    Origin,
+    OriginTable,
+    SoftwareHistory,
+    compute_digest,
+    compute_life,
+)
+from roadlift.instance.follower import Follower
+from roadlift.instance.leases import Leases
+from roadlift.instance.metrics import InstanceMetrics
+from roadlift.instance.originfeed import OriginFeed, read_streams
+from roadlift.instance.originquery import OriginAnswer, OriginQuery
+from roadlift.instance.subscription import Subscription
+from roadlift.serving.messages import FindOrigin, OriginReply, StreamOrigins
+from roadlift.serving.routes import Configuration
+
+# Seconds in which the owners of zones answer an aggregator, and an aggregator
+# answers an instance: some times a link's delay between regions.
+OWNER_TIMEOUT = 0.3
+SOURCE_TIMEOUT = 0.4
+CHECK_INTERVAL = 1.0  # Seconds between looks at what is outdated.
+# Seconds that the list of endpoints may be old and still count as current.
+MAX_LIST_AGE = 2.5
+
+log = ComponentLog("origins")
+
+
+@components.register("origins")
+class StreamSources:
+    """The origins of streams that this process began or was told of."""
+
+    name = "origins"
+    needs = ("follower", "leases", "measures", "subscription", "transport")
+
+    def __init__(self, kernel: Kernel) -> None:
+        self._kernel = kernel
+        self._clock = kernel.clock
+        self._peer = kernel.settings.peer
+        self._follower = kernel.get(Follower)
+        self._leases = kernel.get(Leases)
+        self._metrics = kernel.get(InstanceMetrics)
+        self._subscription = kernel.get(Subscription)
+        self._transport = kernel.get(Transport)
+        self._own = OriginTable()
+        self._members = OriginTable()
+        self._others = OriginTable()
+        self._history = SoftwareHistory()
+        self._life = MIN_LIFE
+        self._queries: dict[tuple[bytes, str], list[OriginQuery]] = defaultdict(list)
+        self._feed = OriginFeed(kernel, self._list_streams)
+        self._timer = None
+        self._follower.on_directory.append(self._record_list)
+        self._follower.on_configuration.append(self._apply_configuration)
+        self._transport.subscribe((StreamOrigins,), self._handle_origins)
+        self._transport.subscribe((FindOrigin,), self._handle_question)
+        self._transport.subscribe((OriginReply,), self._handle_reply)
+
+    def start(self) -> None:
+        """Begin to tell others, and to forget what is outdated."""
+        self._feed.start()
+        self._timer = self._kernel.loop.call_every(CHECK_INTERVAL, self._check)
+
+    def close(self) -> None:
+        """Stop."""
+        self._timer.close()
+        self._feed.close()
+        for queries in self._queries.values():
+            for query in queries:
+                query.close()
+
+    # What is known here.
+
+    def record(self, call_id: str, origin: Origin) -> None:
+        """Record what began the stream of a call."""
+        stream = compute_digest(call_id), origin
+        self._own.put(*stream, self._clock.now())
+        self._feed.put(stream)
+
+    def find(self, digest: bytes, service: str) -> Finding:
+        """Return what this process knows of a stream of a service."""
+        now = self._clock.now()
+        found = (
+            self._own.find(digest, Basis.OWN, now)
+            or self._members.find(digest, Basis.TOLD, now)
+            or self._others.find(digest, Basis.TOLD, now)
+        )
+        return found or self._history.judge(service, now, self._life)
+
+    def count(self) -> int:
+        """Return the number of streams that are remembered."""
+        return len(self._own) + len(self._members) + len(self._others)
+
+    def _list_streams(self) -> list[tuple[bytes, Origin]]:
+        return [*self._members.list_all(), *self._own.list_all()]
+
+    def _record_list(self) -> None:
+        listed: dict[str, set[str | None]] = defaultdict(set)
+        for endpoint in self._follower.directory.list_all():
+            listed[endpoint.service].add(endpoint.software)
+        self._history.record_list(listed, self._clock.now())
+
+    def _apply_configuration(self, configuration: Configuration) -> None:
+        self._life = compute_life(configuration.routes)
+
+    def _check(self) -> None:
+        """Forget what is outdated, and note whether the list is current."""
+        now = self._clock.now()
+        if self._follower.compute_list_age() > MAX_LIST_AGE:
+            self._history.record_gap()
+        elif self._follower.directory.is_known:
+            self._history.record_current(now)
+        for table in (self._own, self._members, self._others):
+            table.expire(now, self._life)
+        self._metrics.set("roadlift_remembered_streams", self.count())
+
+    # What others know.
+
+    def ask(
+        self, call_id: str, service: str, on_answer: Callable[[OriginAnswer], None]
+    ) -> OriginQuery:
+        """Find out what began a stream; the id is empty if it is not named."""
+        digest = compute_digest(call_id) if call_id else b""
+        source = self._subscription.source
+        if self._leases.list_held() or not source:
+            return self._ask_owners(digest, service, on_answer)
+        question = FindOrigin(self._peer, digest, service, False)
+        return self._start(question, {source}, SOURCE_TIMEOUT, on_answer)
+
+    def ask_owners(
+        self, call_id: str, service: str, on_answer: Callable[[OriginAnswer], None]
+    ) -> OriginQuery:
+        """Ask the owners of all zones, as the aggregator does not answer."""
+        return self._ask_owners(compute_digest(call_id), service, on_answer)
+
+    def _ask_owners(
+        self, digest: bytes, service: str, on_answer: Callable[[OriginAnswer], None]
+    ) -> OriginQuery:
+        zones = self._leases.list_zones()
+        owners = {self._leases.find_owner(zone) for zone in zones}
+        question = FindOrigin(self._peer, digest, service, True)
+        asked = owners - {None, "", self._peer}
+        return self._start(question, asked, OWNER_TIMEOUT, on_answer)
+
+    def _start(
+        self,
+        question: FindOrigin,
+        addresses: set[str],
+        timeout: float,
+        on_answer: Callable[[OriginAnswer], None],
+    ) -> OriginQuery:
+        key = question.digest, question.service
+        own = self.find(*key)
+
+        def end(answer: OriginAnswer) -> None:
+            """Forget the query, and answer."""
+            queries = self._queries.pop(key, [])
+            queries.remove(query)
+            if queries:
+                self._queries[key] = queries
+            on_answer(answer)
+
+        if own.basis in (Basis.OWN, Basis.TOLD):
+            addresses = set()
+        query = OriginQuery(self._kernel, question, addresses, timeout, own, end)
+        self._queries[key].append(query)
+        query.start()
+        return query
+
+    def abandon(self, query: OriginQuery) -> None:
+        """Stop a query whose call has ended."""
+        query.close()
+        queries = self._queries.pop(query.key, [])
+        if query in queries:
+            queries.remove(query)
+        if queries:
+            self._queries[query.key] = queries
+
+    def _handle_origins(self, sender: str, message: StreamOrigins) -> None:
+        now = self._clock.now()
+        table = self._others if message.is_passed_on else self._members
+        for stream in read_streams(message):
+            table.put(*stream, now)
+            if not message.is_passed_on:
+                self._feed.put(stream)
+
+    def _handle_question(self, sender: str, message: FindOrigin) -> None:
+        """Answer, for an instance after the other owners were asked."""
+        reply = lambda answer: self._reply(message, answer)
+        if message.is_passed_on:
+            reply(OriginAnswer(self.find(message.digest, message.service), True))
+        else:
+            self._ask_owners(message.digest, message.service, reply)
+
+    def _reply(self, message: FindOrigin, answer: OriginAnswer) -> None:
+        finding = answer.finding
+        origin = finding.origin or Origin("", "")
+        is_remembered = finding.basis in (Basis.OWN, Basis.TOLD)
+        reply = OriginReply(
+            self._peer,
+            message.digest,
+            message.service,
+            Basis.TOLD if is_remembered else finding.basis,
+            origin.service,
+            origin.software,
+            round(finding.age or 0.0, 3),
+            answer.is_complete,
+        )
+        self._transport.send(message.address, reply)
+
+    def _handle_reply(self, sender: str, message: OriginReply) -> None:
+        try:
+            basis = Basis(message.basis)
+        except ValueError:
+            log.warning("%s tells of an unknown basis: %r.", sender, message.basis)
+            return
+        is_known = basis in (Basis.TOLD, Basis.ONLY)
+        origin = Origin(message.service, message.software) if is_known else None
+        finding = Finding(basis, origin, message.age if is_known else None)
+        answer = OriginAnswer(finding, message.is_complete)
+        for query in list(self._queries.get((message.digest, message.asked), ())):
+            query.handle(message.address, answer)
--- /dev/null
+++ b/roadlift/instance/resumption.py
@@ -0,0 +1,133 @@
+"""Find what began a stream that a caller takes up, before the call is sent.
+
+Only the software version that began a stream may continue it. Where no
+instance knows that version, the call is refused at once.
+"""
+
+from collections.abc import Callable
+
+from roadlift.core.errors import RoadliftError, SoftwareUnavailable, StreamUnknown
+from roadlift.core.kernel import Kernel
+from roadlift.core.logs import ComponentLog
+from roadlift.decisions.origins import Basis, Finding
+from roadlift.instance.forwarding import PendingCall
+from roadlift.instance.metrics import InstanceMetrics
+from roadlift.instance.originquery import OriginAnswer, OriginQuery
+from roadlift.instance.origins import StreamSources
+from roadlift.relay.caller import Caller
+from roadlift.serving.calls import Call, Kind
+from roadlift.serving.routes import Route
+
+# Seconds after which a caller may return if some of those who may know its
+# stream did not answer: another owner has usually taken over by then.
+UNKNOWN_RETRY_DELAY = 0.5
+
+log = ComponentLog("resumption")
+
+
+def takes_up_stream(call: Call, route: Route) -> bool:
+    """Return whether a call continues a stream that an earlier one began."""
+    is_resumable = route.kind is Kind.STREAM and route.is_resumable
+    return is_resumable and bool(call.resumes or call.resume_after)
+
+
+class Resumption:
+    """A call that takes a stream up, until it is known what began the stream.
+
+    ``on_found`` is called with the call and the origin of its stream, and
+    ``on_refused`` with the call and the reason; ``on_end`` before either.
+    """
+
+    def __init__(
+        self,
+        kernel: Kernel,
+        pending: PendingCall,
+        caller: Caller,
+        on_found: Callable[[PendingCall, Caller, Finding], None],
+        on_refused: Callable[[PendingCall, Caller, RoadliftError], None],
+        on_end: Callable[["Resumption"], None],
+    ) -> None:
+        self.call = pending.call
+        self._clock = kernel.clock
+        self._sources = kernel.get(StreamSources)
+        self._metrics = kernel.get(InstanceMetrics)
+        self._pending = pending
+        self._caller = caller
+        self._on_found = on_found
+        self._on_refused = on_refused
+        self._on_end = on_end
+        self._service = pending.route.choose_service(self.call.resumes or self.call.id)
+        self._began_at = kernel.clock.now()
+        self._query: OriginQuery | None = None
+        caller.on_gone = self._leave
+
+    def start(self) -> None:
+        """Look the stream up, here and then at others."""
+        self._query = self._sources.ask(
+            self.call.resumes, self._service, self._handle_first_answer
+        )
+
+    def _handle_first_answer(self, answer: OriginAnswer) -> None:
+        """Ask the owners where the aggregator has not answered."""
+        is_known = answer.finding.origin is not None
+        if is_known or answer.is_complete or not self.call.resumes:
+            self._handle_answer(answer)
+            return
+        self._query = self._sources.ask_owners(
+            self.call.resumes, self._service, self._handle_answer
+        )
+
+    def close(self) -> None:
+        """Cut the call when the process ends."""
+        self._leave()
+        self._caller.truncate()
+
+    def withdraw(self, identity: bytes) -> None:
+        """Leave it to the exchange, which checks before it sends."""
+
+    def pass_on(self) -> None:
+        """Leave it to the exchange, which forwards before it sends."""
+
+    def _leave(self) -> None:
+        if self._query is not None:
+            self._sources.abandon(self._query)
+        self._on_end(self)
+
+    def _handle_answer(self, answer: OriginAnswer) -> None:
+        error = self._find_obstacle(answer)
+        finding = answer.finding
+        basis = finding.basis if error is None else "refused"
+        self._metrics.count("roadlift_resumptions", self._service, basis)
+        self._log(answer, error)
+        self._on_end(self)
+        if error is None:
+            self._on_found(self._pending, self._caller, finding)
+        else:
+            self._on_refused(self._pending, self._caller, error)
+
+    def _find_obstacle(self, answer: OriginAnswer) -> RoadliftError | None:
+        """Return why the stream can't be taken up, or None."""
+        origin = answer.finding.origin
+        if origin is None:
+            delay = None if answer.is_complete else UNKNOWN_RETRY_DELAY
+            return StreamUnknown(self.call.resumes or "it is not named", delay)
+        if all(one.service != origin.service for one in self._pending.route.targets):
+            return SoftwareUnavailable(f"service {origin.service} left the route")
+        return None
+
+    def _log(self, answer: OriginAnswer, error: RoadliftError | None) -> None:
+        origin, basis = answer.finding.origin, answer.finding.basis
+        if error is None and basis is Basis.OWN:
+            return
+        log.event(
+            "stream_looked_up",
+            request=self.call.id,
+            resumes=self.call.resumes or None,
+            basis=basis.value,
+            service=origin.service if origin else self._service,
+            software=origin.software if origin else None,
+            age=answer.finding.age,
+            complete=answer.is_complete,
+            error=str(error) if error else None,
+            seconds=round(self._clock.now() - self._began_at, 4),
+        )
--- a/roadlift/serving/messages.py
+++ b/roadlift/serving/messages.py
@@ -452,3 +452,47 @@
     zone: str
     front: str
     subscribers: list
+
+
+@message("sos")
+class StreamOrigins(NamedTuple):
+    """Tell which services and software versions began streams.
+
+    ``origins`` are [service, version, digests of the streams, joined]. With
+    ``is_passed_on`` they come from an aggregator, and stay with the recipient.
+    """
+
+    address: str
+    origins: list
+    is_passed_on: bool
+
+
+@message("sfo")
+class FindOrigin(NamedTuple):
+    """Ask what began a stream of a service; the digest may be empty.
+
+    An aggregator asks the other owners as well, unless ``is_passed_on``.
+    """
+
+    address: str
+    digest: bytes
+    service: str
+    is_passed_on: bool
+
+
+@message("sor")
+class OriginReply(NamedTuple):
+    """Tell what is known of the origin of a stream; see ``Finding``.
+
+    ``service`` and ``software`` are empty unless it is known, ``age`` is in
+    seconds; unless ``is_complete`` some owners have not answered.
+    """
+
+    address: str
+    digest: bytes
+    asked: str
+    basis: str
+    service: str
+    software: str
+    age: float
+    is_complete: bool
--- a/tests/instance/versions.feature
+++ b/tests/instance/versions.feature
@@ -27,3 +27,11 @@
     Examples:
       | instance                                       | least |
       | the same instance                              | 95    |
+      | another instance of the zone                   | 95    |
+      | an instance of another zone                    | 95    |
+      | an instance that has just started              | 95    |
+      | another one, as the one that began has ended   | 95    |
+      | another one, as the owner of its zone has ended | 95   |
+      | another one, as all others have ended          | 0     |
+      | an instance that reaches no engine             | 95    |
+      | another one than the one that took it over     | 95    |
