Let the soak release engines in mid-stream and take streams up anywhere

The change: engines end and come back with either of two versions, one is of the other version from the start, events name the version that made them, and six callers leave streams within their events and take them up with Resumes at any instance, killed ones included.

--- a/benchmarks/routes.py
+++ b/benchmarks/routes.py
@@ -26,6 +26,7 @@
 from benchmarks.organisations import REVOKE_LIMIT, SETTINGS, KeyRing
 from benchmarks.silences import Silences
 from benchmarks.streams import CALL_LIMIT, SLOW_MIX, Call, StreamWatch, find_terms
+from benchmarks.takeups import TakeUps
 from demo.installation import (
     COLD_RATE,
     HOME_ZONE,
@@ -35,12 +36,14 @@
     Deployment,
 )
 from roadlift.core.clock import BootClock
+from roadlift.relay.upstream import Address
 from standins.proxies import Way
 from standins.statements import Sent, StatementWatch
 from tests.support.callers import PROMISES, Wanted, find_runner, make_headers
 
 ADAPTERS = 40
 CALLERS = 24
+TAKERS = 6  # Callers that leave streams and take them up elsewhere.
 READERS = 16  # Callers of streams that are long enough to be held up.
 EVENTS = 3  # Events of a whole stream.
 LEASE_TURN = 3.0  # Seconds within which holders may not take turns.
@@ -57,6 +60,7 @@
 RESTS = (0.6, 4.0)  # Seconds of rest that a runner asks for, at least and at most.
 REST_SPAN = (2.0, 9.0)  # Seconds for which it turns calls away.
 EVACUATION_SPAN = (4.0, 8.0)  # Seconds for which a zone is out of service.
+SOFTWARE = ("v1", "v1.2")  # Versions that engines come back with.
 COLD_SPAN = (3.0, 6.0)  # Seconds for which a runner is cold.
 MOST_LOST = 8.0  # Seconds of writes that the store loses as it comes back.
 MOST_PASSED = 500  # Versions that are given out again at once behind that.
@@ -98,6 +102,8 @@
     "cut_by_instance",
     "ran_at_two",
     "over_attempts",
+    "two_versions",
+    "events_out_of_order",
     "own_end",
     "no_recovery",
 )
@@ -147,6 +153,12 @@
         self._store_disturbed = 0.0
         self._evacuated = ""
         self._added: list[float] = []
+        self._takeups = TakeUps(
+            random.Random(f"takeups {seed}"),
+            self._pick_address,
+            self.keys.pick,
+            EVENTS,
+        )
         self._said: dict[str, str] = {}
         self._kinds: dict[str, str] = {}
         self._sent_to: dict[str, tuple[str, float]] = {}
@@ -160,13 +172,21 @@
         """Run callers and faults for some seconds, then look at the rest."""
         self._began = time.monotonic()
         self._end = self._began + seconds
+        await self._command(release="e10", software=SOFTWARE[1])
         mixes = [_MIX] * CALLERS + [SLOW_MIX] * READERS
         callers = [self._run_caller(mix) for mix in mixes]
+        callers += [self._takeups.run(self._is_over) for _ in range(TAKERS)]
         watches = (self._watch_routes(), self._watch_processes())
         silences = self._silences.run(self._end - CALM)
         await asyncio.gather(*callers, self._run_faults(), silences, *watches)
         await self._check_recovery()
 
+    def _is_over(self) -> bool:
+        return time.monotonic() >= self._end
+
+    def _pick_address(self) -> Address:
+        return self._deployment.instances[self._pick_instance()].address
+
     def note(self, violation: str, detail: str, after: float | None = None) -> None:
         """Note a violation, seen so many seconds after the beginning."""
         if after is None:
@@ -251,8 +271,10 @@
         if kind in _STREAMS:
             events = answer.body.decode().split("\n\n")[:-1]
             wanted = [f"id: {n}\ndata: t{n}" for n in range(EVENTS)]
-            if events != wanted:
+            if [event.partition(" v")[0] for event in events] != wanted:
                 self.note("whole_but_cut", f"{call_id} {events}")
+            if len({event.partition(" v")[2] for event in events}) > 1:
+                self.note("two_versions", f"{call_id} {events}")
         elif answer.body.decode() != f"{runner}:{call_id}":
             self.note("wrong_answer", f"{call_id} {answer.body[:60]!r}")
         if answer.headers.get("request-id") != call_id or not runner:
@@ -280,6 +302,7 @@
             (self._reset_store, 2),
             (self._lose_answers, 2),
             (self._restart_engine, 3),
+            (self._release, 8),
             (self._spoil_runner, 8),
             (self._add_route, 3),
             (self._name_version, 3),
@@ -408,6 +431,11 @@
     async def _restart_engine(self) -> None:
         await self._command(restart=f"e{self._draw.randrange(3)}0")
 
+    async def _release(self) -> None:
+        """Let an engine end, and come back with a version of its software."""
+        runner = f"e{self._draw.randrange(3)}0"
+        await self._command(release=runner, software=self._draw.choice(SOFTWARE))
+
     async def _spoil_runner(self) -> None:
         kind = self._draw.choice("ep")
         faults = _ENGINE_FAULTS if kind == "e" else ("lose", "refuse")
@@ -623,6 +651,9 @@
         for breach, after in self._streams.check(found):
             self.note(breach.rule, breach.detail, after)
         self.counts.update(self._silences.counts)
+        self.counts.update(self._takeups.counts)
+        for breach in self._takeups.breaches:
+            self.note(breach.rule, breach.detail)
         self.counts["hung_calls"] = len(found["hung"])
         for runs in found["deadly"]:
             self._check_deadly(runs)
--- a/standins/loopback.py
+++ b/standins/loopback.py
@@ -153,6 +153,7 @@
     def __init__(self, loop: Loop) -> None:
         self._loop = loop
         self.installation = Installation(loop.clock, LoopTimeline(loop))
+        self.installation.marks_events = True
         self._runners: list[Runner] = []
         self._handlers: dict[str, RunnerHandler] = {}
         self._names: dict[str, str] = {}  # Of runners that were replaced.
@@ -225,6 +226,8 @@
             self.installation.deadly.add(command["deadly"].encode())
         if "restart" in command:
             self._restart(command["restart"])
+        if "release" in command:
+            self._release(command["release"], command["software"])
         if "limit" in command:
             self._name_limit(command["runner"], command["limit"])
         if "leaving" in command:
@@ -257,6 +260,13 @@
             runner.restart()
             self._write(runner)
 
+    def _release(self, name: str, software: str) -> None:
+        """Let a runner end, and come back with a version of its software."""
+        runner = self._find_runner(name)
+        if runner is not None:
+            runner.crash()
+            runner.software = software
+
     def _turn_cold(self, name: str, rate: float, seconds: float) -> None:
         """Replace a runner by another one at its address, which is cold.
 
