--- /dev/null
+++ b/tests/instance/takeups.feature
@@ -0,0 +1,34 @@
+Feature: A stream that is taken up goes on at its version, or is refused at once
+
+  Guards against a guess where nobody knows which version began a stream, against callers
+  that are told to return though nothing can change, and against a retry that goes to
+  another service than the stream.
+
+  Scenario Outline: Where <what>, it <result>
+    Given endpoints of the versions <versions>, known for <seconds> seconds
+    When a stream is taken up where <what>
+    Then it <result>
+
+    Examples: Two of the version serve, or one does, or none
+      | what                                         | versions           | seconds | result              |
+      | nothing else happens                         | v1, v1, v1.2, v1.2 | 5       | goes on             |
+      | its engine has left                          | v1, v1, v1.2, v1.2 | 5       | goes on             |
+      | all engines of its version have left         | v1, v1, v1.2, v1.2 | 5       | is refused for good |
+      | all of them leave within one answer          | v1, v1, v1.2, v1.2 | 5       | is cut at once      |
+
+    Examples: Its service is known with the version
+      | what                                         | versions           | seconds | result              |
+      | its route is split over two services         | v1, v1.2           | 5       | goes on             |
+      | its route has moved to another service       | v1, v1.2           | 5       | is refused for good |
+
+    Examples: Nobody remembers it
+      | what                                         | versions           | seconds | result              |
+      | nobody remembers it                          | v1, v1.2           | 30      | is refused for good |
+      | nobody remembers it                          | v1, v1             | 5       | is refused for good |
+      | nobody remembers it                          | v1, v1             | 30      | goes on             |
+      | nobody remembers it                          | none, none         | 30      | goes on             |
+      | nobody remembers it and the list is old      | v1, v1             | 30      | is refused for good |
+      | nobody remembers it at an instance just started | v1, v1          | 30      | goes on             |
+      | a version has left, and nobody remembers it  | v1, v1.2           | 30      | is refused for good |
+      | its caller does not name it                  | v1, v1.2           | 30      | is refused for good |
+      | its caller does not name it                  | v1, v1             | 30      | goes on             |
--- /dev/null
+++ b/tests/steps/takeup_steps.py
@@ -0,0 +1,250 @@
+"""Steps on one stream that is taken up while its deployment changes."""
+
+from collections.abc import Callable
+
+from behave import given, then, when
+
+from standins.installation import Runner
+from tests.support.configuration import BASE, SERVICES, make_route
+from tests.support.entries import Entries
+from tests.support.streams import Stream
+
+_EVENTS = 8
+_STREAM = {
+    "timeoutMs": 10000,
+    "goalMs": 1000,
+    "resumable": True,
+    "gapGoalMs": 500,
+    "attempts": 3,
+}
+_SPLIT = [{"backend": "plain", "weight": 50}, {"backend": "other", "weight": 50}]
+_ROUTES = [
+    make_route("/again/", "streaming", "llm", **_STREAM),
+    make_route("/plain/", "streaming", "plain", **_STREAM),
+    make_route("/split/", "streaming", "plain", split=_SPLIT, **_STREAM),
+]
+_MOVED = [make_route("/plain/", "streaming", "other", **_STREAM)]
+_SERVICES = {**SERVICES, "other": False}
+_ZONES = {"a": "z1", "b": "z2", "c": "z1"}
+_PLAIN = {"token-count": "10,20", "deadline-ms": "10000"}
+_HEADERS = {**_PLAIN, "model": f"{BASE}/x", "prompt-prefix": "ab:10"}
+_LIMIT = 10.0  # Seconds until a call has ended.
+_AT_ONCE = 0.5  # Seconds.
+_LISTED = 1.5  # Seconds in which all know of a change of the list.
+_OUTDATED = 6.0  # Seconds in which the list is outdated.
+
+
+@given("endpoints of the versions {versions}, known for {seconds:g} seconds")
+def step_start(context, versions, seconds):
+    """Start instances, and endpoints of three services."""
+    context.entries = entries = Entries()
+    context.add_cleanup(entries.close)
+    entries.installation.marks_events = True
+    entries.configure(_ROUTES, _SERVICES)
+    for index, version in enumerate(versions.split(", ")):
+        for service in _SERVICES:
+            _add_runner(entries, service, index, version.replace("none", ""))
+    for name, zone in _ZONES.items():
+        entries.start(name, zone)
+    entries.advance(seconds)
+
+
+def _add_runner(entries: Entries, service: str, index: int, software: str) -> None:
+    """Start an endpoint whose version tells its service as well."""
+    base = BASE if service == "llm" else ""
+    zone = "z1" if index % 2 else "z2"
+    software = f"{software}-{service}" if software else ""
+    runner = entries.installation.add_runner(
+        service, f"{service}-{index}", zone, base, software
+    )
+    runner.events = _EVENTS
+    runner.held["x"] = 1
+
+
+def _begin(context, prefix: str = "/again", name: str = "s") -> Stream:
+    """Begin a stream at the first instance, and wait for three events."""
+    headers = _HEADERS if prefix == "/again" else _PLAIN
+    stream = Stream(context.entries, name, f"{prefix}/slow", headers)
+    stream.send("a")
+    stream.advance_until(lambda: len(stream.events) >= 3, 5.0)
+    return stream
+
+
+def _list_alike(entries: Entries, stream: Stream) -> list[Runner]:
+    """Return the endpoints of a stream's version, its own first."""
+    call_id = stream.attempts[-1].id
+    has_run = lambda one: any(call_id == ran["request-id"] for ran in one.ran)
+    found = [
+        one
+        for one in entries.installation.runners.values()
+        if one.software in stream.list_software()
+    ]
+    return sorted(found, key=has_run, reverse=True)
+
+
+def _remove(entries: Entries, runners: list[Runner]) -> None:
+    """Let endpoints leave the list, and end when all know of it."""
+    for runner in runners:
+        entries.installation.store.delete("servers", runner.id)
+    entries.advance(_LISTED)
+    for runner in runners:
+        entries.installation.runners.pop(runner.id, None)
+        for line in runner._list_running():
+            line.break_off()
+
+
+def _take_up(stream: Stream, instance: str = "c") -> None:
+    stream.leave()
+    stream.send(instance)
+
+
+# What happens between the two calls.
+
+
+def _play_calm(context) -> Stream:
+    stream = _begin(context)
+    _take_up(stream)
+    return stream
+
+
+def _play_engine_left(context) -> Stream:
+    stream = _begin(context)
+    stream.leave()
+    _remove(context.entries, _list_alike(context.entries, stream)[:1])
+    _take_up(stream)
+    return stream
+
+
+def _play_all_left(context) -> Stream:
+    stream = _begin(context)
+    stream.leave()
+    _remove(context.entries, _list_alike(context.entries, stream))
+    _take_up(stream)
+    return stream
+
+
+def _play_left_within(context) -> Stream:
+    stream = _begin(context)
+    for runner in context.entries.installation.runners.values():
+        runner.events = 100
+    _remove(context.entries, _list_alike(context.entries, stream))
+    return stream
+
+
+def _play_split(context) -> Stream:
+    for number in range(6):
+        stream = _begin(context, "/split", f"s{number}")
+        _take_up(stream)
+        stream.advance_until(lambda: stream.has_ended, _LIMIT)  # noqa: B023
+        if not stream.is_whole or len(stream.list_software()) > 1:
+            break
+    return stream
+
+
+def _play_moved(context) -> Stream:
+    stream = _begin(context, "/plain")
+    context.entries.configure(_MOVED, _SERVICES)
+    context.entries.advance(_LISTED)
+    _take_up(stream)
+    return stream
+
+
+def _forget(stream: Stream) -> None:
+    """Let the caller name a call that nobody knows."""
+    stream.find_origin = lambda: "unknown"
+
+
+def _play_forgotten(context) -> Stream:
+    stream = _begin(context)
+    _forget(stream)
+    _take_up(stream)
+    return stream
+
+
+def _play_forgotten_old(context) -> Stream:
+    stream = _begin(context)
+    _forget(stream)
+    stream.leave()
+    context.entries.installation.store.is_down = True
+    context.entries.advance(_OUTDATED)
+    _take_up(stream)
+    return stream
+
+
+def _play_forgotten_new(context) -> Stream:
+    stream = _begin(context)
+    _forget(stream)
+    stream.leave()
+    context.entries.end("c")
+    context.entries.start("c", _ZONES["c"])
+    context.entries.advance(1.0)
+    _take_up(stream)
+    return stream
+
+
+def _play_version_left(context) -> Stream:
+    stream = _begin(context)
+    _forget(stream)
+    stream.leave()
+    runners = context.entries.installation.runners.values()
+    others = [one for one in runners if one.software not in stream.list_software()]
+    _remove(context.entries, others)
+    _take_up(stream)
+    return stream
+
+
+def _play_unnamed(context) -> Stream:
+    stream = _begin(context)
+    stream.find_origin = lambda: ""
+    _take_up(stream)
+    return stream
+
+
+_CASES: dict[str, Callable[..., Stream]] = {
+    "nothing else happens": _play_calm,
+    "its engine has left": _play_engine_left,
+    "all engines of its version have left": _play_all_left,
+    "all of them leave within one answer": _play_left_within,
+    "its route is split over two services": _play_split,
+    "its route has moved to another service": _play_moved,
+    "nobody remembers it": _play_forgotten,
+    "nobody remembers it and the list is old": _play_forgotten_old,
+    "nobody remembers it at an instance just started": _play_forgotten_new,
+    "a version has left, and nobody remembers it": _play_version_left,
+    "its caller does not name it": _play_unnamed,
+}
+
+
+@when("a stream is taken up where {what}")
+def step_take_up(context, what):
+    """Play the case."""
+    context.stream = _CASES[what](context)
+
+
+@then("it goes on")
+def step_goes_on(context):
+    """Wait for its end, and look at all of its events."""
+    stream = context.stream
+    stream.advance_until(lambda: stream.has_ended, _LIMIT)
+    assert stream.is_whole, (stream.last.error, stream.last.is_cut)
+    assert [one.number for one in stream.events] == list(range(_EVENTS))
+    assert len(stream.list_software()) == 1, stream.list_software()
+
+
+@then("it is refused for good")
+def step_refused(context):
+    """See that the caller is told at once, and not told to come back."""
+    stream = context.stream
+    stream.advance_until(lambda: stream.has_ended, _AT_ONCE)
+    assert stream.last.error is not None, stream.last.body
+    assert stream.last.error.status == 503, stream.last.error
+    assert "Retry-After" not in stream.last.error_headers, stream.last.error_headers
+
+
+@then("it is cut at once")
+def step_cut(context):
+    """See that the answer ends soon behind its engine."""
+    stream = context.stream
+    stream.advance_until(lambda: stream.has_ended, _AT_ONCE)
+    assert stream.last.is_cut, (stream.last.body, stream.last.error)
+    assert len(stream.list_software()) == 1, stream.list_software()
