Part calls from the ingress that runs them, and the log of silent sends

exchange, ingress and callreport imported each other in a circle: what a call needs of its ingress is a protocol now (callhost). No behaviour changes; tests of versions, continuation and logs pass.

--- a/roadlift/instance/callreport.py
+++ b/roadlift/instance/callreport.py
@@ -1,20 +1,18 @@
 """Log how a call ended, and count it."""
 
-from typing import TYPE_CHECKING, NamedTuple
+from typing import NamedTuple
 
 from roadlift.core.errors import RoadliftError
 from roadlift.instance.access import Authorization
 from roadlift.instance.adapterwait import AdapterWait
 from roadlift.instance.answer import Answer
 from roadlift.instance.attempts import Attempts
+from roadlift.instance.callhost import CallHost
 from roadlift.instance.follower import Follower
 from roadlift.instance.progress import Progress
 from roadlift.serving.calls import Call
 from roadlift.serving.routes import Route
 
-if TYPE_CHECKING:
-    from roadlift.instance.ingress import Ingress
-
 
 class CallEnd(NamedTuple):
     """The end of a call; times are in seconds of this process.
@@ -34,7 +32,7 @@
 
     def __init__(
         self,
-        ingress: "Ingress",
+        host: CallHost,
         follower: Follower,
         call: Call,
         route: Route,
@@ -45,7 +43,7 @@
         progress: Progress,
         answer: Answer,
     ) -> None:
-        self._ingress = ingress
+        self._host = host
         self._follower = follower
         self._call = call
         self._route = route
@@ -67,7 +65,7 @@
         began_at = self._progress.began_at
         first = self._progress.time_to_first_byte
         has_sends = bool(self._attempts.sends)
-        self._ingress.log_end(
+        self._host.log_end(
             end.outcome,
             is_late,
             self._call.model,
@@ -95,7 +93,7 @@
         )
 
     def _count(self, end: CallEnd, is_late: bool) -> None:
-        measures, service = self._ingress.measures, self._service
+        measures, service = self._host.measures, self._service
         late = "yes" if is_late else "no"
         measures.count("roadlift_calls", service, end.outcome, late)
         seconds = end.now - self._progress.began_at
--- a/roadlift/instance/callscope.py
+++ b/roadlift/instance/callscope.py
@@ -1,24 +1,50 @@
-"""Keep which endpoints one call may use."""
+"""Keep which endpoints one call may use, and what began its stream."""
 
 from roadlift.decisions.homes import Scope
+from roadlift.decisions.origins import Origin
+from roadlift.instance.origins import StreamSources
+from roadlift.serving.calls import Call
+from roadlift.serving.routes import Route
 
 
 class CallScope:
     """The endpoints that one call may use now.
 
     Once the caller has an event of a stream, the rest of it may come from
-    endpoints of the same software version only.
+    endpoints of the same software version only. With ``origin`` an earlier
+    call has brought the first event.
     """
 
-    def __init__(self, scope: Scope) -> None:
+    def __init__(
+        self,
+        scope: Scope,
+        call: Call,
+        route: Route,
+        sources: StreamSources,
+        origin: Origin | None,
+    ) -> None:
         self.current = scope
+        self._call = call
+        self._route = route
+        self._sources = sources
+        if origin is not None:
+            self._bind(origin.software)
 
     @property
     def is_bound(self) -> bool:
         """Return whether a stream has begun."""
         return self.current.software is not None
 
-    def bind(self, software: str | None) -> None:
-        """Let one version alone continue; None if it is not known."""
+    def begin_stream(self, software: str | None) -> None:
+        """Record the version that brings the call's first event.
+
+        Nothing may continue a stream whose version is not known (None).
+        """
+        self._bind(software)
+        if software is not None and self._route.is_resumable:
+            origin = Origin(self.current.service, software)
+            self._sources.record(self._call.resumes or self._call.id, origin)
+
+    def _bind(self, software: str | None) -> None:
         versions = frozenset() if software is None else frozenset({software})
         self.current = self.current._replace(software=versions)
--- a/roadlift/instance/exchange.py
+++ b/roadlift/instance/exchange.py
@@ -8,7 +8,6 @@
     LimitReached,
     NoEndpoint,
     Outcome,
-    RefusedByEndpoint,
     RequestTimeout,
     RoadliftError,
     SendingRevoked,
@@ -22,7 +21,7 @@
 from roadlift.crashes.ledger import CrashLedger
 from roadlift.decisions.limits import Basis
 from roadlift.decisions.loading import AdapterSource
-from roadlift.decisions.origins import Finding, Origin
+from roadlift.decisions.origins import Origin
 from roadlift.decisions.resending import BUDGET_SPENT
 from roadlift.instance.access import Authorization
 from roadlift.instance.adapterwait import (
@@ -32,6 +31,7 @@
 )
 from roadlift.instance.answer import NOT_RUN_STATUSES, Answer
 from roadlift.instance.attempts import Attempts, CallState
+from roadlift.instance.callhost import CallHost
 from roadlift.instance.callreport import CallEnd, CallReport
 from roadlift.instance.callscope import CallScope
 from roadlift.instance.candidates import Candidates
@@ -47,8 +47,9 @@
 from roadlift.instance.placement import Placement
 from roadlift.instance.platform import Platform
 from roadlift.instance.progress import Progress
-from roadlift.instance.send import Send
+from roadlift.instance.send import Send, classify_failure
 from roadlift.instance.sendrequest import RequestBuilder
+from roadlift.instance.silences import SilenceReport
 from roadlift.relay.caller import Caller
 from roadlift.serving.calls import Model
 from roadlift.serving.directory import Endpoint
@@ -87,9 +88,9 @@
     def __init__(
         self,
         kernel: Kernel,
-        ingress,
+        host: CallHost,
         pending: PendingCall,
-        origin: Finding | None,
+        origin: Origin | None,
         authorization: Authorization,
         caller: Caller,
     ) -> None:
@@ -97,7 +98,7 @@
         self.route = route = authorization.apply_priority(pending.route)
         self._authorization = authorization
         self._kernel = kernel
-        self._ingress = ingress
+        self._host = host
         self._caller = caller
         self._placement = kernel.get(Placement)
         self._candidates = kernel.get(Candidates)
@@ -108,15 +109,14 @@
         self._isolation = kernel.get(Isolation)
         self._ledger = kernel.get(CrashLedger)
         self._format = kernel.get(Platform).adapter.calls
-        self._origins = kernel.get(StreamSources)
-        if origin is None:
-            self._service = route.choose_service(call.id)
-        else:
-            self._service = origin.origin.service
-        scope = authorization.choose_scope(self._service, route)
-        self._scope = CallScope(scope)
-        if origin is not None:
-            self._scope.bind(origin.origin.software)
+        self._service = origin.service if origin else route.choose_service(call.id)
+        self._scope = CallScope(
+            authorization.choose_scope(self._service, route),
+            call,
+            route,
+            kernel.get(StreamSources),
+            origin,
+        )
         self._began_at = kernel.clock.now()
         self._deadline = pending.deadline
         self._timer = None
@@ -145,7 +145,7 @@
         self._excluded: set[str] = set()
         self._is_second_round = False
         self._is_admitted = False
-        self._attempts = Attempts(ingress, self._service, route)
+        self._attempts = Attempts(host, self._service, route)
         self._unconfirmed_error: RoadliftError | None = None
         self._is_over = False
         self._progress = Progress(self._began_at)
@@ -154,7 +154,7 @@
             kernel, call, route, authorization, self._progress, self._deadline
         )
         self._report = CallReport(
-            ingress,
+            host,
             self._follower,
             call,
             route,
@@ -165,6 +165,9 @@
             self._progress,
             self._answer,
         )
+        self._silences = SilenceReport(
+            kernel.clock, host.measures, self._service, self._record_step
+        )
         self._sent_at = 0.0
         caller.on_gone = self._on_caller_gone
         caller.on_drained = self._on_caller_drained
@@ -172,7 +175,7 @@
     def start(self) -> None:
         """Start with the first send."""
         now = self._began_at
-        self._ingress.get_budget(self._service).count_request(now)
+        self._host.get_budget(self._service).count_request(now)
         self._timer = self._kernel.loop.call_later(
             max(0.0, self._deadline - now), self._on_deadline
         )
@@ -219,7 +222,7 @@
         self._cancel_all()
         self._end("forwarded", None)
         pending = PendingCall(self.call, self.route, self._deadline)
-        self._ingress.forward(pending, self._caller)
+        self._host.forward(pending, self._caller)
         return True
 
     def _may_pass_on(self) -> bool:
@@ -354,7 +357,7 @@
 
     def _refuse_if_limited(self) -> bool:
         """Refuse a call that the endpoints' rate limits leave no room for."""
-        error = self._gate.check_limits(self._ingress.sample_jitter())
+        error = self._gate.check_limits(self._host.sample_jitter())
         if error is not None:
             self._fail(error)
         return error is not None
@@ -364,7 +367,7 @@
         backoff = self._gate.find_backoff(model)
         if backoff is None:
             return False
-        time_left, draw = self._compute_time_left(), self._ingress.sample_jitter()
+        time_left, draw = self._compute_time_left(), self._host.sample_jitter()
         error = self._gate.check_backoff(backoff, time_left, draw)
         if error is not None:
             self._fail(error)
@@ -496,15 +499,7 @@
 
     def _search_beside(self, send: Send) -> None:
         """Search for another engine while the current send is kept."""
-        log.event(
-            "send_silent",
-            request=self.call.id,
-            endpoint=send.endpoint.id,
-            got=send.describe_answer(),
-            sends=self._attempts.sends,
-            age=round(self._kernel.clock.now() - self._began_at, 3),
-        )
-        self._record_step("silent", endpoint=send.endpoint.id)
+        self._silences.record_silence(send, self._attempts.sends)
         self._send = None
         self._kept.add(send)
         self._is_second_round = False
@@ -515,7 +510,7 @@
     def _return_to_kept(self, error: RoadliftError) -> None:
         """Stay with an unresponsive engine, as no other can continue."""
         self._continue_with(self._kept.pop())
-        self._end_silence("kept", self._send, error)
+        self._silences.record_end("kept", self._send, error)
 
     def _continue_with(self, send: Send) -> None:
         """Make a kept send the current one, and cancel the search."""
@@ -527,35 +522,19 @@
         self._sent_at = send.sent_at
         self._excluded.clear()
 
-    def _end_silence(
-        self, outcome: str, send: Send, error: RoadliftError | None = None
-    ) -> None:
-        """Log what became of a send that was kept, and count it."""
-        self._ingress.measures.count("roadlift_silent_sends", self._service, outcome)
-        text = {} if error is None else {"error": str(error)}
-        self._record_step(outcome, endpoint=send.endpoint.id, **text)
-        log.event(
-            "silence_ended",
-            request=self.call.id,
-            endpoint=send.endpoint.id,
-            outcome=outcome,
-            error=text.get("error"),
-            age=round(self._kernel.clock.now() - self._began_at, 3),
-        )
-
     def _decide_between(self, send: Send) -> None:
         """Let the engine that brings the next event continue the call."""
         if send is not self._send:
             self._kept.remove(send)
             self._continue_with(send)
-            self._end_silence("resumed", send)
+            self._silences.record_end("resumed", send)
         self._replace_kept()
 
     def _replace_kept(self) -> None:
         """Close the kept sends, as the current one continues the call."""
         for other in self._kept.clear():
             self._cancel(other)
-            self._end_silence("replaced", other)
+            self._silences.record_end("replaced", other)
 
     def _schedule_handover(self, send: Send) -> None:
         """Close the kept sends soon after the current one was written."""
@@ -590,12 +569,8 @@
         """Let the version that brings the first event continue the stream."""
         if not self._answer.is_stream or self._progress.writes:
             return
-        software = send.endpoint.software
-        self._scope.bind(software)
-        self._record_step("begun", software=software)
-        if software is not None and self.route.is_resumable:
-            origin = Origin(self._service, software)
-            self._origins.record(self.call.resumes or self.call.id, origin)
+        self._scope.begin_stream(send.endpoint.software)
+        self._record_step("begun", software=send.endpoint.software)
 
     def _choose_answer(self, send: Send) -> None:
         """Let a send that succeeds answer the caller, and no other one."""
@@ -613,7 +588,7 @@
             self._answer.finish(send)
             self._end("served", None)
             return
-        error = self._classify_failure(send)
+        error = classify_failure(send)
         if send in self._kept:
             self._on_kept_failed(send, error)
             return
@@ -626,15 +601,6 @@
         is_excluded = send.verdict is not Verdict.WRONG_ENDPOINT
         self._on_failure(send, error, is_excluded)
 
-    def _classify_failure(self, send: Send) -> RoadliftError:
-        """Return the error of a complete answer that is not a success."""
-        endpoint = send.endpoint.id
-        if send.verdict is Verdict.WRONG_ENDPOINT:
-            return RefusedByEndpoint(f"{endpoint}: misdirected")
-        if send.verdict is Verdict.NOT_RUN:
-            return RefusedByEndpoint(f"{endpoint}: {send.status}")
-        return EndpointFailed(f"{endpoint}: {send.status}")
-
     def on_error(self, send: Send, error: RoadliftError) -> None:
         """Send the call again, or end the answer with the error."""
         endpoint = send.endpoint
@@ -665,7 +631,7 @@
             self._unconfirmed_error = error
             now = self._kernel.clock.now()
             self._record_failure(send.endpoint, error, now)
-        self._end_silence("failed", send, error)
+        self._silences.record_end("failed", send, error)
 
     def _record_served(self, send: Send) -> None:
         now = self._kernel.clock.now()
@@ -715,7 +681,7 @@
         else:
             self._authorization.refund()
         reason = self._take_retry(error)
-        self._ingress.measures.count(
+        self._host.measures.count(
             "roadlift_failed_sends", self._service, error.code, reason or "no"
         )
         log.event(
@@ -756,7 +722,7 @@
         if self._gate.is_backing_off(endpoint):
             return
         if self._placement.health.record_failure(endpoint.id, now):
-            self._ingress.measures.count("roadlift_ejections", self._service)
+            self._host.measures.count("roadlift_ejections", self._service)
             log.event("endpoint_ejected", endpoint=endpoint.id, error=str(error))
 
     def _resend(self, error: RoadliftError) -> None:
@@ -870,7 +836,7 @@
         self._timer.close()
         now = self._kernel.clock.now()
         self._attempts.refund(now)
-        self._ingress.finish(self)
+        self._host.finish(self)
         self._authorization.end(outcome)
         endpoint = self._endpoint.id if self._endpoint else None
         self._report.write(CallEnd(outcome, error, endpoint, self._sent_at, now))
--- a/roadlift/instance/ingress.py
+++ b/roadlift/instance/ingress.py
@@ -13,7 +13,7 @@
 from roadlift.core.kernel import Kernel, components
 from roadlift.core.logs import ComponentLog
 from roadlift.crashes.ledger import CrashLedger
-from roadlift.decisions.origins import Finding
+from roadlift.decisions.origins import Origin
 from roadlift.draining.drain import Drain, Phase
 from roadlift.http.connection import Connection
 from roadlift.http.messages import HttpLimits, ReceivedRequest
@@ -21,6 +21,7 @@
 from roadlift.instance.access import Access
 from roadlift.instance.aggregator import Aggregator
 from roadlift.instance.availabilities import Availabilities
+from roadlift.instance.callhost import RunningCall
 from roadlift.instance.control import ControlCosts
 from roadlift.instance.crashes import CrashMonitor
 from roadlift.instance.exchange import Exchange
@@ -58,8 +59,6 @@
 
 log = ComponentLog("ingress")
 
-_RunningCall = Exchange | ForwardedCall | Resumption
-
 
 @components.register("ingress")
 class Ingress:
@@ -99,7 +98,7 @@
         self.measures = kernel.get(InstanceMetrics)
         self._isolation = kernel.get(Isolation)
         self._isolation.on_gateway.append(self._pass_on)
-        self._exchanges: set[_RunningCall] = set()
+        self._exchanges: set[RunningCall] = set()
         self._budgets: dict[str, WindowBudget] = {}
         self._served_count = 0
         self._served_adapters = ServedAdapters(kernel)
@@ -200,9 +199,9 @@
         self._exchanges.add(call)
         call.start()
 
-    def finish(self, exchange: _RunningCall) -> None:
+    def finish(self, call: RunningCall) -> None:
         """Remove an exchange that has ended."""
-        self._exchanges.discard(exchange)
+        self._exchanges.discard(call)
         self.measures.set("roadlift_running_calls", len(self._exchanges))
 
     def log_end(
@@ -274,9 +273,7 @@
         self._exchanges.add(resumption)
         resumption.start()
 
-    def _resume(
-        self, pending: PendingCall, caller: Connection, origin: Finding
-    ) -> None:
+    def _resume(self, pending: PendingCall, caller: Connection, origin: Origin) -> None:
         """Start the exchange of a call whose stream's origin is known."""
         try:
             self._begin(pending, caller, origin)
@@ -289,7 +286,7 @@
         self._refuse(pending.call.id, caller, error, pending.call)
 
     def _begin(
-        self, pending: PendingCall, caller: Connection, origin: Finding | None
+        self, pending: PendingCall, caller: Connection, origin: Origin | None
     ) -> None:
         """Authorize a call, and start its exchange."""
         authorization = self._access.admit(pending.call, pending.route)
--- a/roadlift/instance/resumption.py
+++ b/roadlift/instance/resumption.py
@@ -9,7 +9,7 @@
 from roadlift.core.errors import RoadliftError, SoftwareUnavailable, StreamUnknown
 from roadlift.core.kernel import Kernel
 from roadlift.core.logs import ComponentLog
-from roadlift.decisions.origins import Basis, Finding
+from roadlift.decisions.origins import Basis, Origin
 from roadlift.instance.forwarding import PendingCall
 from roadlift.instance.metrics import InstanceMetrics
 from roadlift.instance.originquery import OriginAnswer, OriginQuery
@@ -43,7 +43,7 @@
         kernel: Kernel,
         pending: PendingCall,
         caller: Caller,
-        on_found: Callable[[PendingCall, Caller, Finding], None],
+        on_found: Callable[[PendingCall, Caller, Origin], None],
         on_refused: Callable[[PendingCall, Caller, RoadliftError], None],
         on_end: Callable[["Resumption"], None],
     ) -> None:
@@ -95,13 +95,12 @@
 
     def _handle_answer(self, answer: OriginAnswer) -> None:
         error = self._find_obstacle(answer)
-        finding = answer.finding
-        basis = finding.basis if error is None else "refused"
+        basis = answer.finding.basis if error is None else "refused"
         self._metrics.count("roadlift_resumptions", self._service, basis)
         self._log(answer, error)
         self._on_end(self)
         if error is None:
-            self._on_found(self._pending, self._caller, finding)
+            self._on_found(self._pending, self._caller, answer.finding.origin)
         else:
             self._on_refused(self._pending, self._caller, error)
 
--- a/roadlift/instance/send.py
+++ b/roadlift/instance/send.py
@@ -2,7 +2,12 @@
 
 from typing import Protocol
 
-from roadlift.core.errors import ConnectionLost, RoadliftError
+from roadlift.core.errors import (
+    ConnectionLost,
+    EndpointFailed,
+    RefusedByEndpoint,
+    RoadliftError,
+)
 from roadlift.core.kernel import Kernel
 from roadlift.endpoints.events import EventFrames
 from roadlift.instance.crashes import CrashMonitor
@@ -118,6 +123,11 @@
             self._placement.inactivity.resume(self.endpoint.id, self, now)
             self._line.resume()
 
+    @property
+    def call_id(self) -> str:
+        """Return the id of the call that is sent."""
+        return self._owner.call.id
+
     @property
     def is_written(self) -> bool:
         """Return whether the send is open and a byte of it was written."""
@@ -227,3 +237,13 @@
         if self.framing is Framing.CLOSE and not self.frames.has_data:
             return ConnectionLost("ended before the first event")
         return None
+
+
+def classify_failure(send: Send) -> RoadliftError:
+    """Return the error of a complete answer that is not a success."""
+    endpoint = send.endpoint.id
+    if send.verdict is Verdict.WRONG_ENDPOINT:
+        return RefusedByEndpoint(f"{endpoint}: misdirected")
+    if send.verdict is Verdict.NOT_RUN:
+        return RefusedByEndpoint(f"{endpoint}: {send.status}")
+    return EndpointFailed(f"{endpoint}: {send.status}")
