--- a/roadlift/instance/exchange.py
+++ b/roadlift/instance/exchange.py
@@ -20,48 +20,37 @@
 from roadlift.crashes.detection import DETECTION_DELAY
 from roadlift.crashes.ledger import CrashLedger
 from roadlift.decisions.limits import Basis
-from roadlift.decisions.loading import AdapterSource
 from roadlift.decisions.origins import Origin
 from roadlift.decisions.resending import BUDGET_SPENT
 from roadlift.instance.access import Authorization
 from roadlift.instance.adapterwait import (
     DEFAULT_RETRY_AFTER,
-    AdapterWait,
-    WaitCallbacks,
 )
 from roadlift.instance.answer import NOT_RUN_STATUSES, Answer
 from roadlift.instance.attempts import Attempts, CallState
 from roadlift.instance.callhost import CallHost
 from roadlift.instance.callreport import CallEnd, CallReport
 from roadlift.instance.callscope import CallScope
-from roadlift.instance.candidates import Candidates
+from roadlift.instance.calltimes import CallTimes
 from roadlift.instance.crashes import CrashMonitor
 from roadlift.instance.follower import Follower
 from roadlift.instance.forwarding import PendingCall
-from roadlift.instance.gate import Gate, GateCallbacks
 from roadlift.instance.isolation import Isolation
 from roadlift.instance.keptsends import KeptSends
-from roadlift.instance.knowledge import OWNER_RETURN_TIMEOUT, Knowledge
 from roadlift.instance.loadrequests import LoadRequests
 from roadlift.instance.origins import StreamSources
 from roadlift.instance.placement import Placement
 from roadlift.instance.platform import Platform
 from roadlift.instance.progress import Progress
+from roadlift.instance.search import EndpointSearch
 from roadlift.instance.send import Send, classify_failure
 from roadlift.instance.sendrequest import RequestBuilder
 from roadlift.instance.silences import SilenceReport
 from roadlift.relay.caller import Caller
-from roadlift.serving.calls import Model
 from roadlift.serving.directory import Endpoint
-from roadlift.serving.identity import identify, identify_load
+from roadlift.serving.identity import identify
 from roadlift.serving.interfaces import Verdict
 
-# Seconds after which a caller may retry if no owner may send orders: a large
-# part of the time in which another instance takes over.
-NO_OWNER_RETRY_DELAY = 1.0
-OWNER_POLL_INTERVAL = 0.05  # Seconds between checks for an owner that is expected.
-# Seconds until endpoints that have all rejected a call are tried once more.
-SECOND_ROUND_DELAY = 0.05
 # Minimum seconds between two searches for an engine that continues a call, as
 # its own engine does not respond.
 SEARCH_INTERVAL = 0.3
@@ -101,9 +90,7 @@
         self._host = host
         self._caller = caller
         self._placement = kernel.get(Placement)
-        self._candidates = kernel.get(Candidates)
         self._load_requests = kernel.get(LoadRequests)
-        self._knowledge = kernel.get(Knowledge)
         self._follower = kernel.get(Follower)
         self._crashes = kernel.get(CrashMonitor)
         self._isolation = kernel.get(Isolation)
@@ -119,36 +106,22 @@
         )
         self._began_at = kernel.clock.now()
         self._deadline = pending.deadline
-        self._timer = None
-        self._adapter_wait = AdapterWait(
-            kernel,
-            call,
-            route,
-            self._scope,
-            self._began_at,
-            WaitCallbacks(self._record_step, self._try_send, self._fail),
-        )
-        self._gate = Gate(
-            kernel,
-            call,
-            self._scope,
-            GateCallbacks(self._record_step, self._on_permitted, self._try_send),
+        self._progress = Progress(self._began_at)
+        self._times = CallTimes(kernel.clock, route, self._deadline, self._progress)
+        self._search = EndpointSearch(
+            kernel, self, authorization, self._scope, self._times, host.sample_jitter
         )
+        self._timer = None
         self._identity: bytes | None = None
         self._send: Send | None = None
         self._kept = KeptSends()
         self._searched_at = float("-inf")
-        self._search_timer: Timer | None = None
         self._handover_timer: Timer | None = None
         self._silence_obstacle: str | None = None
         self._endpoint: Endpoint | None = None
-        self._excluded: set[str] = set()
-        self._is_second_round = False
-        self._is_admitted = False
         self._attempts = Attempts(host, self._service, route)
         self._unconfirmed_error: RoadliftError | None = None
         self._is_over = False
-        self._progress = Progress(self._began_at)
         self._answer = Answer(kernel.clock, call, route, caller, self._progress)
         self._requests = RequestBuilder(
             kernel, call, route, authorization, self._progress, self._deadline
@@ -160,13 +133,13 @@
             route,
             self._service,
             authorization,
-            self._adapter_wait,
+            self._search.adapter_wait,
             self._attempts,
             self._progress,
             self._answer,
         )
         self._silences = SilenceReport(
-            kernel.clock, host.measures, self._service, self._record_step
+            kernel.clock, host.measures, self._service, self.record_step
         )
         self._sent_at = 0.0
         caller.on_gone = self._on_caller_gone
@@ -179,7 +152,7 @@
         self._timer = self._kernel.loop.call_later(
             max(0.0, self._deadline - now), self._on_deadline
         )
-        self._try_send()
+        self._search.try_send()
 
     def close(self) -> None:
         """Cut the exchange when the process ends."""
@@ -247,191 +220,41 @@
         log.error("Unhandled error in the exchange of a call: %r.", error)
         self._end_with_error(RoadliftError(type(error).__name__))
 
-    def _record_step(self, step: str, **fields: object) -> None:
+    def record_step(self, step: str, **fields: object) -> None:
         """Record a step for the log line of the call's end."""
         self._progress.record_step(self._kernel.clock.now(), step, **fields)
 
     # Sending
 
-    def _try_send(self) -> None:
-        """Send the call to an endpoint, or wait for one."""
-        is_waiting = self._adapter_wait.is_open or self._gate.is_open
-        if self._is_over or self._send is not None or is_waiting:
-            return
-        if self.pass_on():
-            return
-        obstacle = self._authorization.check() or self._ledger.judge(self.identify)
-        if obstacle is not None:
-            self._fail(obstacle)
-            return
-        if self._crashes.await_trial_slot(self.identify, self._try_send):
-            self._record_step("turn")
-            return
-        is_handled = (
-            self._try_plain() if self.call.model is None else self._try_engine()
-        )
-        if not is_handled:
-            self._wait_for_endpoint()
-
-    def _try_plain(self) -> bool:
-        """Send a call of a plain service; return False without an endpoint."""
-        if self._refuse_if_full():
-            return True
-        endpoint = self._placement.choose_endpoint(
-            self._scope.current, self._excluded | self._gate.denied
-        )
-        if endpoint is not None:
-            self._request_send(endpoint)
-        return endpoint is not None
-
-    def _try_engine(self) -> bool:
-        """Send a call to an engine, or wait for its adapter there.
-
-        Return False if there is no engine for it.
-        """
-        excluded = self._excluded | self._gate.denied
-        option = self._placement.choose_engine(
-            self._scope.current, self.call, self.route, excluded
-        )
-        if option is None:
-            return False
-        if option.engine.source is AdapterSource.HELD:
-            self._request_send(option.engine.endpoint)
-            return True
-        obstacle = self._ledger.judge(self._identify_load)
-        if obstacle is not None:
-            self._fail(obstacle)
-        else:
-            self._adapter_wait.begin(
-                option,
-                self._compute_caller_wait(self._kernel.clock.now()),
-                self._is_patient,
-            )
-        return True
+    @property
+    def needs_endpoint(self) -> bool:
+        """Return whether the call has not ended, and no current send."""
+        return not self._is_over and self._send is None
 
     @property
-    def _is_patient(self) -> bool:
+    def is_patient(self) -> bool:
         """Return whether the call gains nothing by a refusal and a retry."""
         has_begun = self._answer.has_begun or self._scope.is_bound
         return bool(self._kept) or has_begun
 
-    def _wait_for_endpoint(self) -> None:
-        """Wait for an endpoint or an expected owner, or refuse the call."""
-        if self._wait_for_backoff(None):
-            return
-        now = self._kernel.clock.now()
-        model = self.call.model
-        is_servable = self._candidates.has_endpoints(self._scope.current)
-        if is_servable and self._excluded and not self._is_second_round:
-            # Each endpoint has rejected the call once; all are tried once
-            # more.
-            self._is_second_round = True
-            self._excluded.clear()
-            self._schedule_try(SECOND_ROUND_DELAY)
-            return
-        if self._refuse_if_limited():
-            return
-        if model is None or not model.adapter or not is_servable:
-            unknown = NoEndpoint(f"service {self._service}", DEFAULT_RETRY_AFTER)
-            self._fail(
-                self._candidates.find_restriction(self._scope.current) or unknown
-            )
-            return
-        if (
-            self._knowledge.is_owner_expected()
-            and self._compute_caller_wait(now) > OWNER_RETURN_TIMEOUT
-        ):
-            self._record_step("wait", expected=OWNER_RETURN_TIMEOUT)
-            self._schedule_try(OWNER_POLL_INTERVAL)
-            return
-        if self._wait_for_backoff(model):
-            return
-        # No owner may send orders now; the call is refused at once.
-        self._fail(
-            NoEndpoint(f"no owner available to load {model}", NO_OWNER_RETRY_DELAY)
-        )
-
-    def _schedule_try(self, seconds: float) -> None:
-        """Try to send again after some seconds."""
-        self._search_timer = self._kernel.loop.call_later(seconds, self._try_send)
-
-    def _refuse_if_limited(self) -> bool:
-        """Refuse a call that the endpoints' rate limits leave no room for."""
-        error = self._gate.check_limits(self._host.sample_jitter())
-        if error is not None:
-            self._fail(error)
-        return error is not None
-
-    def _wait_for_backoff(self, model: Model | None) -> bool:
-        """Wait for the end of the endpoints' backoffs, or refuse the call."""
-        backoff = self._gate.find_backoff(model)
-        if backoff is None:
-            return False
-        time_left, draw = self._compute_time_left(), self._host.sample_jitter()
-        error = self._gate.check_backoff(backoff, time_left, draw)
-        if error is not None:
-            self._fail(error)
-        else:
-            self._gate.await_backoff(backoff)
-        return True
-
-    def _compute_time_left(self) -> float:
-        """Return the seconds that are left of the call's objective."""
-        return self._began_at + self.route.objective - self._kernel.clock.now()
-
-    def _request_send(self, endpoint: Endpoint) -> None:
-        """Request a send; an endpoint with a rate limit requires a permit."""
-        if self._gate.has_reached_max_denials and self._refuse_if_limited():
-            return
-        self._gate.request_permit(endpoint, self._compute_time_left())
-
-    def _on_permitted(self, endpoint: Endpoint, basis: Basis) -> None:
-        """Send the call, unless it is not permitted any longer."""
-        obstacle = self._authorization.check() or self._ledger.judge(self.identify)
-        if obstacle is None:
-            self._begin_send(endpoint, basis)
-        else:
-            self._fail(obstacle)
-
-    def _refuse_if_full(self) -> bool:
-        """Refuse a call that its service is too full to run in time."""
-        if self._is_admitted:
-            return False
-        self._is_admitted = True
-        retry_delay = self._placement.check_admission(
-            self._scope.current, self.route.objective
-        )
-        if retry_delay is not None:
-            self._fail(NoEndpoint(f"service {self._service} is full", retry_delay))
-        return retry_delay is not None
-
     def identify(self) -> bytes:
         """Return the identity of the call's work; computed once."""
         if self._identity is None:
             self._identity = identify(self.call)
         return self._identity
 
-    def _identify_load(self) -> bytes:
-        """Return the identity of the load that the call would wait for."""
-        model = self.call.model
-        return identify_load(model, self._follower.find_version(model))
-
-    def _compute_caller_wait(self, now: float) -> float:
-        """Return the seconds until the caller disconnects without events."""
-        disconnects_at = self._deadline
-        if self.route.patience is not None:
-            disconnects_at = min(
-                disconnects_at, self._progress.last_at + self.route.patience
-            )
-        return disconnects_at - now
-
-    def _begin_send(self, endpoint: Endpoint, basis: Basis) -> None:
+    def begin_send(self, endpoint: Endpoint, basis: Basis) -> None:
         """Send the call to an endpoint."""
-        send = Send(self._kernel, self, self._gate, self._gate.begin(endpoint, basis))
+        send = Send(
+            self._kernel,
+            self,
+            self._search.gate,
+            self._search.gate.begin(endpoint, basis),
+        )
         self._attempts.begin()
         self._authorization.begin()
         self._sent_at = send.sent_at
-        self._record_step(
+        self.record_step(
             "send",
             endpoint=endpoint.id,
             zone=endpoint.zone,
@@ -443,7 +266,7 @@
         self._endpoint = endpoint
         self._send = send
         request = self._requests.build(send, self._answer.find_position())
-        may_send = lambda: self._gate.may_send(endpoint)
+        may_send = lambda: self._search.gate.may_send(endpoint)
         send.open(request._replace(may_send=may_send))
         if self._kept:
             self._schedule_handover(send)
@@ -456,11 +279,7 @@
 
     def _cancel_search(self) -> None:
         """Cancel the current send, or the search for an endpoint."""
-        self._adapter_wait.close()
-        self._gate.close()
-        if self._search_timer is not None:
-            self._search_timer.close()
-            self._search_timer = None
+        self._search.close()
         if self._handover_timer is not None:
             self._handover_timer.close()
             self._handover_timer = None
@@ -494,7 +313,7 @@
         if reason is None:
             self._search_beside(send)
         elif reason != self._silence_obstacle:
-            self._record_step("silent", endpoint=send.endpoint.id, given_up=reason)
+            self.record_step("silent", endpoint=send.endpoint.id, given_up=reason)
         self._silence_obstacle = reason
 
     def _search_beside(self, send: Send) -> None:
@@ -502,10 +321,10 @@
         self._silences.record_silence(send, self._attempts.sends)
         self._send = None
         self._kept.add(send)
-        self._is_second_round = False
-        self._excluded |= self._kept.list_endpoints()
-        self._gate.denied.clear()
-        self._schedule_try(DETECTION_DELAY)
+        self._search.begin_round()
+        self._search.exclude(self._kept.list_endpoints())
+        self._search.gate.denied.clear()
+        self._search.schedule(DETECTION_DELAY)
 
     def _return_to_kept(self, error: RoadliftError) -> None:
         """Stay with an unresponsive engine, as no other can continue."""
@@ -516,11 +335,11 @@
         """Make a kept send the current one, and cancel the search."""
         self._cancel_search()
         self._attempts.refund(self._kernel.clock.now())
-        self._is_second_round = False
+        self._search.begin_round()
         self._send = send
         self._endpoint = send.endpoint
         self._sent_at = send.sent_at
-        self._excluded.clear()
+        self._search.forget_excluded()
 
     def _decide_between(self, send: Send) -> None:
         """Let the engine that brings the next event continue the call."""
@@ -570,7 +389,7 @@
         if not self._answer.is_stream or self._progress.writes:
             return
         self._scope.begin_stream(send.endpoint.software)
-        self._record_step("begun", software=send.endpoint.software)
+        self.record_step("begun", software=send.endpoint.software)
 
     def _choose_answer(self, send: Send) -> None:
         """Let a send that succeeds answer the caller, and no other one."""
@@ -623,7 +442,7 @@
     def _on_kept_failed(self, send: Send, error: RoadliftError) -> None:
         """Go on with the search alone: a send that was kept has ended."""
         self._kept.remove(send)
-        self._excluded.add(send.endpoint.id)
+        self._search.exclude({send.endpoint.id})
         if send.verdict is Verdict.WRONG_ENDPOINT:
             self._report_missing(send)
         if error.outcome is not Outcome.NOT_RUN:
@@ -650,9 +469,9 @@
         """Choose again: the endpoint refuses calls by now; none was sent."""
         self._authorization.refund()
         self._attempts.revoke()
-        self._excluded.add(endpoint.id)
-        self._record_step("held", endpoint=endpoint.id)
-        self._try_send()
+        self._search.exclude({endpoint.id})
+        self.record_step("held", endpoint=endpoint.id)
+        self._search.try_send()
 
     # Failures
 
@@ -671,10 +490,10 @@
         now = self._kernel.clock.now()
         endpoint = send.endpoint
         if isinstance(error, EndpointUnreachable):
-            self._excluded.add(endpoint.id)
+            self._search.exclude({endpoint.id})
             self._placement.health.record_connect_failure(endpoint.id, now)
         elif is_excluded:
-            self._excluded.add(endpoint.id)
+            self._search.exclude({endpoint.id})
             self._record_failure(endpoint, error, now)
         if error.outcome is not Outcome.NOT_RUN:
             self._unconfirmed_error = error
@@ -696,7 +515,7 @@
             got=send.describe_answer(),
             framing=send.framing,
         )
-        self._record_step("failed", error=str(error), given_up=reason)
+        self.record_step("failed", error=str(error), given_up=reason)
         if reason is None:
             self._resend(error)
         elif reason == BUDGET_SPENT and self._may_resume_later():
@@ -710,7 +529,7 @@
             self._answer.forward(send)
             self._end("failed", error)
         else:
-            self._fail(error)
+            self.fail(error)
 
     def _record_failure(
         self, endpoint: Endpoint, error: RoadliftError, now: float
@@ -719,7 +538,7 @@
 
         Too many failures eject the endpoint from selection for a while.
         """
-        if self._gate.is_backing_off(endpoint):
+        if self._search.gate.is_backing_off(endpoint):
             return
         if self._placement.health.record_failure(endpoint.id, now):
             self._host.measures.count("roadlift_ejections", self._service)
@@ -728,9 +547,9 @@
     def _resend(self, error: RoadliftError) -> None:
         """Send again; after a cut, wait until a crash would be known."""
         if isinstance(error, ConnectionLost | StreamCut):
-            self._schedule_try(DETECTION_DELAY)
+            self._search.schedule(DETECTION_DELAY)
         else:
-            self._try_send()
+            self._search.try_send()
 
     def _take_retry(self, error: RoadliftError) -> str | None:
         """Return why the call is not sent again, or None."""
@@ -749,7 +568,7 @@
         is_plain = self.call.model is None
         return not is_plain or self._placement.has_spare_slots(self._scope.current)
 
-    def _fail(self, error: RoadliftError) -> None:
+    def fail(self, error: RoadliftError) -> None:
         """Stay with a send that is kept, or end the call with an error."""
         if self._is_over:
             return
@@ -763,25 +582,23 @@
     def _may_resume_later(self) -> bool:
         """Return whether a begun answer can wait until it is continued."""
         is_resumable = self._answer.can_continue and self.route.is_repeatable
-        wait = self._compute_caller_wait(self._kernel.clock.now())
+        wait = self._times.compute_caller_wait()
         return is_resumable and not self._kept and wait > RESUMPTION_INTERVAL
 
     def _schedule_resumption(self, error: RoadliftError) -> None:
         """Search a little later for an engine that continues a stream."""
         self._cancel_search()
-        self._is_second_round = False
-        self._gate.denied.clear()
-        self._record_step("again", error=str(error))
-        self._search_timer = self._kernel.loop.call_later(
-            RESUMPTION_INTERVAL, lambda: self._resume(error)
-        )
+        self._search.begin_round()
+        self._search.gate.denied.clear()
+        self.record_step("again", error=str(error))
+        self._search.call_later(RESUMPTION_INTERVAL, lambda: self._resume(error))
 
     def _resume(self, error: RoadliftError) -> None:
         """Search again, with a retry from the budget."""
         has_retry = self._attempts.has_retry
         reason = None if has_retry else self._take_retry(error)
         if reason is None:
-            self._try_send()
+            self._search.try_send()
         elif reason == BUDGET_SPENT and self._may_resume_later():
             self._schedule_resumption(error)
         else:
