--- a/roadlift/core/events.py
+++ b/roadlift/core/events.py
@@ -179,8 +179,8 @@
         "A call ended; steps are its decisions, with the age of the liveness signal "
         "of the engine's owner and the version of the endpoint's software at each "
         "send; resumes is the call that brought the first event of a stream that this "
-        "one takes up; framing is that of the endpoint's answer, and partial the bytes "
-        "of an event that it left incomplete. Of calls in time that take up no stream, "
+        "one resumes; framing is that of the endpoint's answer, and partial the bytes "
+        "of an event that it left incomplete. Of calls in time that resume no stream, "
         "one in one_in is logged.",
     ),
     Event(
@@ -403,11 +403,10 @@
             "error",
             "seconds",
         ),
-        "A call takes up a stream that this process did not begin, or can't. The "
-        "stream began at that version of a service's software: told by an instance "
-        "that remembers it, recorded age seconds ago, or as the only version of the "
-        "service; otherwise the call is refused. Unless complete, some of those who "
-        "were asked did not answer.",
+        "A call resumes a stream that this process did not begin, or is refused. The "
+        "stream began at that version of a service's software: an instance remembers "
+        "it (remote), recorded age seconds ago, or no other version of the service "
+        "was listed (only_version). Unless complete, an instance did not answer.",
     ),
     Event(
         "crashes",
--- a/roadlift/decisions/origins.py
+++ b/roadlift/decisions/origins.py
@@ -1,4 +1,4 @@
-"""Remember which software version began a stream, and judge what others know.
+"""Remember which software version began a stream, and combine what is known.
 
 Load pattern: several versions of a service's software run side by side.
 Streams break off, hundreds at once, and their callers resume them at any
@@ -25,8 +25,8 @@
 # A caller resumes a stream within the time of its first call. The stream lasts
 # as long as its route's timeout, and so does a resumption that is broken off
 # in its turn.
-LIFE_FACTOR = 2.0
-MIN_LIFE = 10.0  # Seconds.
+TTL_FACTOR = 2.0
+MIN_TTL = 10.0  # Seconds.
 
 
 class Origin(NamedTuple):
@@ -39,16 +39,16 @@
 class Basis(enum.StrEnum):
     """Whence the version of a stream is known.
 
-    OWN is a stream of this process, TOLD one that another instance began.
-    ONLY says that no other version of the service was listed for as long as a
-    stream may last, MIXED that several were; NONE that nothing is known.
+    LOCAL is a stream of this process, REMOTE one that another instance began.
+    With ONLY_VERSION no other version of the service was listed for as long as
+    a stream may be resumed, with MIXED several were; UNKNOWN is neither.
     """
 
-    OWN = "own"
-    TOLD = "told"
-    ONLY = "only"
+    LOCAL = "local"
+    REMOTE = "remote"
+    ONLY_VERSION = "only_version"
     MIXED = "mixed"
-    NONE = "none"
+    UNKNOWN = "unknown"
 
 
 class Finding(NamedTuple):
@@ -62,7 +62,7 @@
     age: float | None = None
 
 
-UNKNOWN = Finding(Basis.NONE)
+UNKNOWN = Finding(Basis.UNKNOWN)
 
 
 def compute_digest(call_id: str) -> bytes:
@@ -70,14 +70,14 @@
     return hashlib.blake2b(call_id.encode(), digest_size=DIGEST_BYTES).digest()
 
 
-def compute_life(routes: Iterable[Route]) -> float:
-    """Return for how many seconds a stream of some routes is remembered."""
+def compute_ttl(routes: Iterable[Route]) -> float:
+    """Return for how many seconds the streams of routes are remembered."""
     timeouts = [
         route.timeout
         for route in routes
         if route.kind is Kind.STREAM and route.is_resumable
     ]
-    return max(MIN_LIFE, LIFE_FACTOR * max(timeouts, default=0.0))
+    return max(MIN_TTL, TTL_FACTOR * max(timeouts, default=0.0))
 
 
 class _Record(NamedTuple):
@@ -88,7 +88,8 @@
 class OriginTable:
     """The origins of streams by digest, in two generations.
 
-    A record lives for one generation to two, each of which lasts a life.
+    A record is kept for one generation to two, each as long as a stream may be
+    resumed.
     """
 
     def __init__(self) -> None:
@@ -115,10 +116,10 @@
         records = {**self._old, **self._new}
         return [(digest, record.origin) for digest, record in records.items()]
 
-    def expire(self, now: float, life: float) -> None:
+    def expire(self, now: float, ttl: float) -> None:
         """Begin a generation if the current one is over or too large."""
         is_full = len(self._new) >= MAX_STREAMS // 2
-        if is_full or now - self._began_at >= life:
+        if is_full or now - self._began_at >= ttl:
             self._old, self._new = self._new, {}
             self._began_at = now
 
@@ -153,33 +154,33 @@
         if self._covered_since is None:
             self._covered_since = now
 
-    def judge(self, service: str, now: float, life: float) -> Finding:
+    def judge(self, service: str, now: float, ttl: float) -> Finding:
         """Return the only version of a service, if there was only one."""
         seen = self._seen_at.get(service, {})
-        recent = {version for version, at in seen.items() if now - at < life}
+        recent = {version for version, at in seen.items() if now - at < ttl}
         versions = recent | self._listed.get(service, set())
         if len(versions) > 1:
             return Finding(Basis.MIXED)
         since = self._covered_since
-        if not versions or None in versions or since is None or now - since < life:
+        if not versions or None in versions or since is None or now - since < ttl:
             return UNKNOWN
-        return Finding(Basis.ONLY, Origin(service, versions.pop()))
+        return Finding(Basis.ONLY_VERSION, Origin(service, versions.pop()))
 
 
 def combine(findings: Iterable[Finding]) -> Finding:
     """Return what several instances know together.
 
-    A stream that one of them remembers is known. Without one, the only version
-    is that on which all who know the service agree.
+    A stream that one of them remembers is known. If none does, the only
+    version of the service counts, unless they disagree on it.
     """
     found = list(findings)
-    for basis in (Basis.OWN, Basis.TOLD):
+    for basis in (Basis.LOCAL, Basis.REMOTE):
         known = [one for one in found if one.basis is basis]
         if known:
             return min(known, key=lambda one: one.age or 0.0)
     if any(one.basis is Basis.MIXED for one in found):
         return Finding(Basis.MIXED)
-    origins = {one.origin for one in found if one.basis is Basis.ONLY}
+    origins = {one.origin for one in found if one.basis is Basis.ONLY_VERSION}
     if len(origins) > 1:
         return Finding(Basis.MIXED)
-    return Finding(Basis.ONLY, origins.pop()) if origins else UNKNOWN
+    return Finding(Basis.ONLY_VERSION, origins.pop()) if origins else UNKNOWN
--- a/roadlift/instance/callscope.py
+++ b/roadlift/instance/callscope.py
@@ -2,7 +2,7 @@
 
 from roadlift.decisions.homes import Scope
 from roadlift.decisions.origins import Origin
-from roadlift.instance.origins import StreamSources
+from roadlift.instance.origins import OriginRegistry
 from roadlift.serving.calls import Call
 from roadlift.serving.routes import Route
 
@@ -20,13 +20,13 @@
         scope: Scope,
         call: Call,
         route: Route,
-        sources: StreamSources,
+        origins: OriginRegistry,
         origin: Origin | None,
     ) -> None:
         self.current = scope
         self._call = call
         self._route = route
-        self._sources = sources
+        self._origins = origins
         if origin is not None:
             self._bind(origin.software)
 
@@ -43,7 +43,7 @@
         self._bind(software)
         if software is not None and self._route.is_resumable:
             origin = Origin(self.current.service, software)
-            self._sources.record(self._call.resumes or self._call.id, origin)
+            self._origins.record(self._call.resumes or self._call.id, origin)
 
     def _bind(self, software: str | None) -> None:
         versions = frozenset() if software is None else frozenset({software})
--- a/roadlift/instance/exchange.py
+++ b/roadlift/instance/exchange.py
@@ -38,7 +38,7 @@
 from roadlift.instance.isolation import Isolation
 from roadlift.instance.keptsends import KeptSends
 from roadlift.instance.loadrequests import LoadRequests
-from roadlift.instance.origins import StreamSources
+from roadlift.instance.origins import OriginRegistry
 from roadlift.instance.placement import Placement
 from roadlift.instance.platform import Platform
 from roadlift.instance.progress import Progress
@@ -101,7 +101,7 @@
             authorization.choose_scope(self._service, route),
             call,
             route,
-            kernel.get(StreamSources),
+            kernel.get(OriginRegistry),
             origin,
         )
         self._began_at = kernel.clock.now()
--- a/roadlift/instance/ingress.py
+++ b/roadlift/instance/ingress.py
@@ -32,13 +32,13 @@
 from roadlift.instance.leases import Leases
 from roadlift.instance.limits import EndpointLimits
 from roadlift.instance.metrics import InstanceMetrics
-from roadlift.instance.origins import StreamSources
+from roadlift.instance.origins import OriginRegistry
 from roadlift.instance.owner import Owner
 from roadlift.instance.permits import Permits
 from roadlift.instance.placement import Placement
 from roadlift.instance.platform import Platform
 from roadlift.instance.refusals import RefusalLog
-from roadlift.instance.resumption import Resumption, takes_up_stream
+from roadlift.instance.resumption import Resumption, resumes_stream
 from roadlift.instance.served import ServedAdapters
 from roadlift.instance.sharing import SharedUse
 from roadlift.relay.upstream import Address
@@ -51,7 +51,7 @@
 # that it takes to close, and the delay of a timer on a slow instance.
 DRAIN_LIMIT_MARGIN = 0.5
 # One of this many calls that were served in time is logged; of all other
-# calls, and of those that take up a stream, each one.
+# calls, and of those that resume a stream, each one.
 SERVED_LOG_SAMPLE = 20
 # Seconds after which a call may come back to an instance that reaches no
 # endpoint: the time in which it finds another one, or that it reaches some.
@@ -77,7 +77,7 @@
         "leases",
         EndpointLimits.name,
         "measures",
-        StreamSources.name,
+        OriginRegistry.name,
         Owner.name,
         Permits.name,
         "placing",
@@ -209,7 +209,7 @@
     ) -> None:
         """Log how a call ended; calls that were served in time are sampled.
 
-        One that takes up a stream is always logged.
+        One that resumes a stream is always logged.
         """
         if outcome == "served" and model is not None:
             self._served_adapters.record(str(model))
@@ -248,7 +248,7 @@
         if self._isolation.is_isolated and self._forward(call, route, caller):
             return
         pending = self._make_pending(call, route)
-        if takes_up_stream(call, route):
+        if resumes_stream(call, route):
             self._find_origin(pending, caller)
         else:
             self._begin(pending, caller, None)
@@ -261,7 +261,7 @@
         return PendingCall(call, route, self._kernel.clock.now() + limit)
 
     def _find_origin(self, pending: PendingCall, caller: Connection) -> None:
-        """Find what began the stream that a call takes up."""
+        """Find what began the stream that a call resumes."""
         resumption = Resumption(
             self._kernel,
             pending,
--- a/roadlift/instance/metrics.py
+++ b/roadlift/instance/metrics.py
@@ -131,7 +131,7 @@
         "counter",
         "calls",
         ("service", "basis"),
-        "Calls that took up a stream, by whence its software version was known.",
+        "Calls that resumed a stream, by how its software version was known.",
         "`refused`: nobody knew the version, or its service left the route.",
     ),
     InstanceMetric(
--- a/roadlift/instance/originfeed.py
+++ b/roadlift/instance/originfeed.py
@@ -1,9 +1,9 @@
-"""Tell other instances which software versions began the streams here.
+"""Replicate which software versions began the streams here.
 
 Each stream is known at three processes: the one that began it, the aggregator
 of that one, and the owner of another zone, which a hash chooses. A stream's
 version thus outlives the process that began it, a zone that is lost, and an
-aggregator that changes: what is still remembered is told to the next one.
+aggregator that changes: the next one is sent all that is still remembered.
 """
 
 from collections import defaultdict
@@ -18,10 +18,10 @@
 from roadlift.instance.subscription import Subscription
 from roadlift.serving.messages import StreamOrigins
 
-# Seconds from a stream's first event until it is told. A process that is
+# Seconds from a stream's first event until it is sent. A process that is
 # killed meanwhile takes what it knows with it.
-TELL_DELAY = 0.05
-CHECK_INTERVAL = 0.1  # Seconds between looks for another aggregator or owner.
+REPLICATION_DELAY = 0.05
+CHECK_INTERVAL = 0.1  # Seconds between checks for another aggregator or owner.
 MAX_BATCH = 1000  # Streams in one message, of 8 bytes each.
 MAX_QUEUED = 20_000  # Streams that wait for one instance; the oldest are dropped.
 
@@ -29,14 +29,14 @@
 
 
 class Target(NamedTuple):
-    """An instance that is told of streams, of all or of those of a zone."""
+    """A replica, of all streams or of those that a zone keeps."""
 
     address: str
     zone: str | None
 
 
 class OriginFeed:
-    """What each other instance has still to be told."""
+    """The streams that have still to be sent to each replica."""
 
     def __init__(
         self, kernel: Kernel, list_streams: Callable[[], Iterable[Stream]]
@@ -52,25 +52,25 @@
         self._check_timer: Timer | None = None
 
     def start(self) -> None:
-        """Begin to look for whom to tell."""
+        """Begin to look for replicas."""
         self._check_timer = self._loop.call_every(CHECK_INTERVAL, self._check)
 
     def close(self) -> None:
-        """Stop telling."""
+        """Stop sending."""
         self._check_timer.close()
         if self._flush_timer is not None:
             self._flush_timer.close()
 
     def put(self, stream: Stream) -> None:
-        """Tell the others of a stream soon."""
+        """Send a stream to its replicas soon."""
         for target, queue in self._queues.items():
             if self._concerns(target, stream):
                 queue.append(stream)
         if self._flush_timer is None:
-            self._flush_timer = self._loop.call_later(TELL_DELAY, self._flush)
+            self._flush_timer = self._loop.call_later(REPLICATION_DELAY, self._flush)
 
     def _list_targets(self) -> set[Target]:
-        """Return whom to tell: the aggregator, or the owners of all zones."""
+        """Return the replicas: the aggregator, or the owners of all zones."""
         if not self._leases.list_held():
             source = self._subscription.source
             return {Target(source, None)} if source else set()
@@ -93,7 +93,7 @@
         return zones[digest[0] % len(zones)] == target.zone
 
     def _check(self) -> None:
-        """Tell a new aggregator or owner what is remembered here."""
+        """Send a new aggregator or owner all that is remembered here."""
         targets = self._list_targets()
         if targets == self._queues.keys():
             self._flush()
@@ -126,7 +126,7 @@
 
 
 def read_streams(message: StreamOrigins) -> list[Stream]:
-    """Return the streams that a message tells of."""
+    """Return the streams of a message."""
     return [
         (digests[start : start + DIGEST_BYTES], Origin(service, software))
         for service, software, digests in message.origins
--- a/roadlift/instance/originquery.py
+++ b/roadlift/instance/originquery.py
@@ -1,4 +1,4 @@
-"""Ask other instances what began a stream."""
+"""Query other instances for what began a stream."""
 
 from collections.abc import Callable, Iterable
 from typing import NamedTuple
@@ -8,20 +8,20 @@
 from roadlift.decisions.origins import Basis, Finding, combine
 from roadlift.serving.messages import FindOrigin
 
-# Seconds after which an instance that has not answered is asked again: the
+# Seconds after which a query is repeated to those that have not answered: the
 # first message to a peer only opens the connection.
 REPEAT_INTERVAL = 0.1
 
 
 class OriginAnswer(NamedTuple):
-    """What is known of a stream; ``is_complete`` if all were heard."""
+    """What is known of a stream; ``is_complete`` if all have answered."""
 
     finding: Finding
     is_complete: bool
 
 
 class OriginQuery:
-    """One question to some instances; ``on_answer`` is called once.
+    """One query to some instances; ``on_answer`` is called once.
 
     That is as soon as one of them remembers the stream, or when all have
     answered, or after ``timeout`` seconds.
@@ -48,22 +48,22 @@
 
     @property
     def key(self) -> tuple[bytes, str]:
-        """Return what a reply to the question names."""
+        """Return what a reply names."""
         return self._question.digest, self._question.service
 
     def start(self) -> None:
-        """Ask."""
+        """Send the query."""
         if not self._unanswered:
             self._timers = [self._loop.call_later(0.0, self._end)]
             return
         self._timers = [
-            self._loop.call_every(REPEAT_INTERVAL, self._ask),
+            self._loop.call_every(REPEAT_INTERVAL, self._send),
             self._loop.call_later(self._timeout, self._end),
         ]
-        self._ask()
+        self._send()
 
     def close(self) -> None:
-        """Stop asking."""
+        """Abandon the query."""
         for timer in self._timers:
             timer.close()
 
@@ -74,10 +74,10 @@
         self._unanswered.discard(address)
         self._findings.append(answer.finding)
         self._is_complete = self._is_complete and answer.is_complete
-        if not self._unanswered or answer.finding.basis in (Basis.OWN, Basis.TOLD):
+        if not self._unanswered or answer.finding.basis in (Basis.LOCAL, Basis.REMOTE):
             self._end()
 
-    def _ask(self) -> None:
+    def _send(self) -> None:
         self._transport.send_all(self._unanswered, self._question)
 
     def _end(self) -> None:
--- a/roadlift/instance/origins.py
+++ b/roadlift/instance/origins.py
@@ -7,14 +7,14 @@
 from roadlift.core.logs import ComponentLog
 from roadlift.daemon.transport import Transport
 from roadlift.decisions.origins import (
-    MIN_LIFE,
+    MIN_TTL,
     Basis,
     Finding,
     Origin,
     OriginTable,
     SoftwareHistory,
     compute_digest,
-    compute_life,
+    compute_ttl,
 )
 from roadlift.instance.follower import Follower
 from roadlift.instance.leases import Leases
@@ -29,7 +29,7 @@
 # answers an instance: some times a link's delay between regions.
 OWNER_TIMEOUT = 0.3
 SOURCE_TIMEOUT = 0.4
-CHECK_INTERVAL = 1.0  # Seconds between looks at what is outdated.
+CHECK_INTERVAL = 1.0  # Seconds between removals of what is outdated.
 # Seconds that the list of endpoints may be old and still count as current.
 MAX_LIST_AGE = 2.5
 
@@ -37,8 +37,8 @@
 
 
 @components.register("origins")
-class StreamSources:
-    """The origins of streams that this process began or was told of."""
+class OriginRegistry:
+    """The origins of streams that this process began, or keeps for others."""
 
     name = "origins"
     needs = ("follower", "leases", "measures", "subscription", "transport")
@@ -56,7 +56,7 @@
         self._members = OriginTable()
         self._others = OriginTable()
         self._history = SoftwareHistory()
-        self._life = MIN_LIFE
+        self._ttl = MIN_TTL
         self._queries: dict[tuple[bytes, str], list[OriginQuery]] = defaultdict(list)
         self._feed = OriginFeed(kernel, self._list_streams)
         self._timer = None
@@ -67,7 +67,7 @@
         self._transport.subscribe((OriginReply,), self._handle_reply)
 
     def start(self) -> None:
-        """Begin to tell others, and to forget what is outdated."""
+        """Begin to replicate, and to forget what is outdated."""
         self._feed.start()
         self._timer = self._kernel.loop.call_every(CHECK_INTERVAL, self._check)
 
@@ -91,11 +91,11 @@
         """Return what this process knows of a stream of a service."""
         now = self._clock.now()
         found = (
-            self._own.find(digest, Basis.OWN, now)
-            or self._members.find(digest, Basis.TOLD, now)
-            or self._others.find(digest, Basis.TOLD, now)
+            self._own.find(digest, Basis.LOCAL, now)
+            or self._members.find(digest, Basis.REMOTE, now)
+            or self._others.find(digest, Basis.REMOTE, now)
         )
-        return found or self._history.judge(service, now, self._life)
+        return found or self._history.judge(service, now, self._ttl)
 
     def count(self) -> int:
         """Return the number of streams that are remembered."""
@@ -111,7 +111,7 @@
         self._history.record_list(listed, self._clock.now())
 
     def _apply_configuration(self, configuration: Configuration) -> None:
-        self._life = compute_life(configuration.routes)
+        self._ttl = compute_ttl(configuration.routes)
 
     def _check(self) -> None:
         """Forget what is outdated, and note whether the list is current."""
@@ -121,36 +121,36 @@
         elif self._follower.directory.is_known:
             self._history.record_current(now)
         for table in (self._own, self._members, self._others):
-            table.expire(now, self._life)
+            table.expire(now, self._ttl)
         self._metrics.set("roadlift_remembered_streams", self.count())
 
-    # What others know.
+    # What other instances know.
 
-    def ask(
+    def query(
         self, call_id: str, service: str, on_answer: Callable[[OriginAnswer], None]
     ) -> OriginQuery:
         """Find out what began a stream; the id is empty if it is not named."""
         digest = compute_digest(call_id) if call_id else b""
         source = self._subscription.source
         if self._leases.list_held() or not source:
-            return self._ask_owners(digest, service, on_answer)
+            return self._query_owners(digest, service, on_answer)
         question = FindOrigin(self._peer, digest, service, False)
         return self._start(question, {source}, SOURCE_TIMEOUT, on_answer)
 
-    def ask_owners(
+    def query_owners(
         self, call_id: str, service: str, on_answer: Callable[[OriginAnswer], None]
     ) -> OriginQuery:
-        """Ask the owners of all zones, as the aggregator does not answer."""
-        return self._ask_owners(compute_digest(call_id), service, on_answer)
+        """Query the owners of all zones, as the aggregator is silent."""
+        return self._query_owners(compute_digest(call_id), service, on_answer)
 
-    def _ask_owners(
+    def _query_owners(
         self, digest: bytes, service: str, on_answer: Callable[[OriginAnswer], None]
     ) -> OriginQuery:
         zones = self._leases.list_zones()
         owners = {self._leases.find_owner(zone) for zone in zones}
         question = FindOrigin(self._peer, digest, service, True)
-        asked = owners - {None, "", self._peer}
-        return self._start(question, asked, OWNER_TIMEOUT, on_answer)
+        addresses = owners - {None, "", self._peer}
+        return self._start(question, addresses, OWNER_TIMEOUT, on_answer)
 
     def _start(
         self,
@@ -170,7 +170,7 @@
                 self._queries[key] = queries
             on_answer(answer)
 
-        if own.basis in (Basis.OWN, Basis.TOLD):
+        if own.basis in (Basis.LOCAL, Basis.REMOTE):
             addresses = set()
         query = OriginQuery(self._kernel, question, addresses, timeout, own, end)
         self._queries[key].append(query)
@@ -195,22 +195,22 @@
                 self._feed.put(stream)
 
     def _handle_question(self, sender: str, message: FindOrigin) -> None:
-        """Answer, for an instance after the other owners were asked."""
+        """Answer; an instance's query goes to the other owners as well."""
         reply = lambda answer: self._reply(message, answer)
         if message.is_passed_on:
             reply(OriginAnswer(self.find(message.digest, message.service), True))
         else:
-            self._ask_owners(message.digest, message.service, reply)
+            self._query_owners(message.digest, message.service, reply)
 
     def _reply(self, message: FindOrigin, answer: OriginAnswer) -> None:
         finding = answer.finding
         origin = finding.origin or Origin("", "")
-        is_remembered = finding.basis in (Basis.OWN, Basis.TOLD)
+        is_remembered = finding.basis in (Basis.LOCAL, Basis.REMOTE)
         reply = OriginReply(
             self._peer,
             message.digest,
             message.service,
-            Basis.TOLD if is_remembered else finding.basis,
+            Basis.REMOTE if is_remembered else finding.basis,
             origin.service,
             origin.software,
             round(finding.age or 0.0, 3),
@@ -222,11 +222,11 @@
         try:
             basis = Basis(message.basis)
         except ValueError:
-            log.warning("%s tells of an unknown basis: %r.", sender, message.basis)
+            log.warning("%s sent an unknown basis: %r.", sender, message.basis)
             return
-        is_known = basis in (Basis.TOLD, Basis.ONLY)
+        is_known = basis in (Basis.REMOTE, Basis.ONLY_VERSION)
         origin = Origin(message.service, message.software) if is_known else None
         finding = Finding(basis, origin, message.age if is_known else None)
         answer = OriginAnswer(finding, message.is_complete)
-        for query in list(self._queries.get((message.digest, message.asked), ())):
+        for query in list(self._queries.get((message.digest, message.queried), ())):
             query.handle(message.address, answer)
--- a/roadlift/instance/resumption.py
+++ b/roadlift/instance/resumption.py
@@ -1,4 +1,4 @@
-"""Find what began a stream that a caller takes up, before the call is sent.
+"""Find what began a stream that a caller resumes, before the call is sent.
 
 Only the software version that began a stream may continue it. Where no
 instance knows that version, the call is refused at once.
@@ -13,26 +13,26 @@
 from roadlift.instance.forwarding import PendingCall
 from roadlift.instance.metrics import InstanceMetrics
 from roadlift.instance.originquery import OriginAnswer, OriginQuery
-from roadlift.instance.origins import StreamSources
+from roadlift.instance.origins import OriginRegistry
 from roadlift.relay.caller import Caller
 from roadlift.serving.calls import Call, Kind
 from roadlift.serving.routes import Route
 
-# Seconds after which a caller may return if some of those who may know its
-# stream did not answer: another owner has usually taken over by then.
+# Seconds after which a caller may return if an owner that may know its stream
+# did not answer: another owner has usually taken over by then.
 UNKNOWN_RETRY_DELAY = 0.5
 
 log = ComponentLog("resumption")
 
 
-def takes_up_stream(call: Call, route: Route) -> bool:
+def resumes_stream(call: Call, route: Route) -> bool:
     """Return whether a call continues a stream that an earlier one began."""
     is_resumable = route.kind is Kind.STREAM and route.is_resumable
     return is_resumable and bool(call.resumes or call.resume_after)
 
 
 class Resumption:
-    """A call that takes a stream up, until it is known what began the stream.
+    """A call that resumes a stream, until it is known what began the stream.
 
     ``on_found`` is called with the call and the origin of its stream, and
     ``on_refused`` with the call and the reason; ``on_end`` before either.
@@ -49,7 +49,7 @@
     ) -> None:
         self.call = pending.call
         self._clock = kernel.clock
-        self._sources = kernel.get(StreamSources)
+        self._origins = kernel.get(OriginRegistry)
         self._metrics = kernel.get(InstanceMetrics)
         self._pending = pending
         self._caller = caller
@@ -63,17 +63,17 @@
 
     def start(self) -> None:
         """Look the stream up, here and then at others."""
-        self._query = self._sources.ask(
+        self._query = self._origins.query(
             self.call.resumes, self._service, self._handle_first_answer
         )
 
     def _handle_first_answer(self, answer: OriginAnswer) -> None:
-        """Ask the owners where the aggregator has not answered."""
+        """Query the owners where the aggregator has not answered."""
         is_known = answer.finding.origin is not None
         if is_known or answer.is_complete or not self.call.resumes:
             self._handle_answer(answer)
             return
-        self._query = self._sources.ask_owners(
+        self._query = self._origins.query_owners(
             self.call.resumes, self._service, self._handle_answer
         )
 
@@ -90,7 +90,7 @@
 
     def _leave(self) -> None:
         if self._query is not None:
-            self._sources.abandon(self._query)
+            self._origins.abandon(self._query)
         self._on_end(self)
 
     def _handle_answer(self, answer: OriginAnswer) -> None:
@@ -105,7 +105,7 @@
             self._on_refused(self._pending, self._caller, error)
 
     def _find_obstacle(self, answer: OriginAnswer) -> RoadliftError | None:
-        """Return why the stream can't be taken up, or None."""
+        """Return why the stream can't be resumed, or None."""
         origin = answer.finding.origin
         if origin is None:
             delay = None if answer.is_complete else UNKNOWN_RETRY_DELAY
@@ -116,7 +116,7 @@
 
     def _log(self, answer: OriginAnswer, error: RoadliftError | None) -> None:
         origin, basis = answer.finding.origin, answer.finding.basis
-        if error is None and basis is Basis.OWN:
+        if error is None and basis is Basis.LOCAL:
             return
         log.event(
             "stream_looked_up",
--- a/roadlift/serving/messages.py
+++ b/roadlift/serving/messages.py
@@ -456,7 +456,7 @@
 
 @message("sos")
 class StreamOrigins(NamedTuple):
-    """Tell which services and software versions began streams.
+    """Replicate which services and software versions began streams.
 
     ``origins`` are [service, version, digests of the streams, joined]. With
     ``is_passed_on`` they come from an aggregator, and stay with the recipient.
@@ -469,9 +469,9 @@
 
 @message("sfo")
 class FindOrigin(NamedTuple):
-    """Ask what began a stream of a service; the digest may be empty.
+    """Query what began a stream of a service; the digest may be empty.
 
-    An aggregator asks the other owners as well, unless ``is_passed_on``.
+    An aggregator queries the other owners as well, unless ``is_passed_on``.
     """
 
     address: str
@@ -482,15 +482,16 @@
 
 @message("sor")
 class OriginReply(NamedTuple):
-    """Tell what is known of the origin of a stream; see ``Finding``.
+    """Return what is known of the origin of a stream; see ``Finding``.
 
-    ``service`` and ``software`` are empty unless it is known, ``age`` is in
-    seconds; unless ``is_complete`` some owners have not answered.
+    ``queried`` is the service of the query; ``service`` and ``software`` are
+    empty unless the origin is known, ``age`` is in seconds. Unless
+    ``is_complete`` some owners have not answered.
     """
 
     address: str
     digest: bytes
-    asked: str
+    queried: str
     basis: str
     service: str
     software: str
