--- a/roadlift/decisions/origins.py
+++ b/roadlift/decisions/origins.py
@@ -13,7 +13,7 @@
 
 import enum
 import hashlib
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable
 from typing import NamedTuple
 
 from roadlift.serving.calls import Kind
@@ -124,6 +124,13 @@
             self._began_at = now
 
 
+class ListedVersion(NamedTuple):
+    """A version of a service's software, None if the list does not tell it."""
+
+    service: str
+    software: str | None
+
+
 class SoftwareHistory:
     """The versions of each service that were listed of late.
 
@@ -132,18 +139,15 @@
     """
 
     def __init__(self) -> None:
-        self._listed: dict[str, set[str | None]] = {}
-        self._seen_at: dict[str, dict[str | None, float]] = {}
+        self._listed: set[ListedVersion] = set()
+        self._seen_at: dict[ListedVersion, float] = {}
         self._covered_since: float | None = None
 
-    def record_list(self, listed: Mapping[str, set[str | None]], now: float) -> None:
-        """Record the versions of each service that are listed from now on."""
-        for service, versions in self._listed.items():
-            seen = self._seen_at.setdefault(service, {})
-            seen.update(dict.fromkeys(versions, now))
-        self._listed = {service: set(versions) for service, versions in listed.items()}
-        if self._covered_since is None:
-            self._covered_since = now
+    def record_list(self, listed: set[ListedVersion], now: float) -> None:
+        """Record the versions that are listed from now on."""
+        self._seen_at.update(dict.fromkeys(self._listed, now))
+        self._listed = listed
+        self.record_current(now)
 
     def record_gap(self) -> None:
         """Record that the list is not current now."""
@@ -156,9 +160,10 @@
 
     def judge(self, service: str, now: float, ttl: float) -> Finding:
         """Return the only version of a service, if there was only one."""
-        seen = self._seen_at.get(service, {})
-        recent = {version for version, at in seen.items() if now - at < ttl}
-        versions = recent | self._listed.get(service, set())
+        recent = {one for one, at in self._seen_at.items() if now - at < ttl}
+        versions = {
+            one.software for one in recent | self._listed if one.service == service
+        }
         if len(versions) > 1:
             return Finding(Basis.MIXED)
         since = self._covered_since
--- a/roadlift/instance/origins.py
+++ b/roadlift/instance/origins.py
@@ -10,6 +10,7 @@
     MIN_TTL,
     Basis,
     Finding,
+    ListedVersion,
     Origin,
     OriginTable,
     SoftwareHistory,
@@ -105,9 +106,8 @@
         return [*self._members.list_all(), *self._own.list_all()]
 
     def _record_list(self) -> None:
-        listed: dict[str, set[str | None]] = defaultdict(set)
-        for endpoint in self._follower.directory.list_all():
-            listed[endpoint.service].add(endpoint.software)
+        endpoints = self._follower.directory.list_all()
+        listed = {ListedVersion(one.service, one.software) for one in endpoints}
         self._history.record_list(listed, self._clock.now())
 
     def _apply_configuration(self, configuration: Configuration) -> None:
