Remember streams in generations, at half of the memory

The cause: a record with a time of its own took 181 bytes a stream, and was kept for up to twice the time in which it may be resumed: at the rates of two years ahead an owner would hold more than its 32 MB.

The change: generations of a quarter of that time expire whole; a table keeps 100,000 streams at most, the newest.

--- a/roadlift/decisions/origins.py
+++ b/roadlift/decisions/origins.py
@@ -20,8 +20,9 @@
 from roadlift.serving.routes import Route
 
 DIGEST_BYTES = 8
-# Streams that are remembered at most; the oldest half is forgotten first.
-MAX_STREAMS = 200_000
+# Streams in one table at most, of some 100 bytes each; the oldest go first.
+MAX_STREAMS = 100_000
+GENERATIONS = 4  # Parts of a table that are forgotten at once.
 # A caller resumes a stream within the time of its first call. The stream lasts
 # as long as its route's timeout, and so does a resumption that is broken off
 # in its turn.
@@ -54,7 +55,7 @@
 class Finding(NamedTuple):
     """What is known of a stream; ``origin`` is None unless it is known.
 
-    ``age`` is the seconds since it was recorded.
+    ``age`` is the seconds within which it was recorded.
     """
 
     basis: Basis
@@ -80,48 +81,54 @@
     return max(MIN_TTL, TTL_FACTOR * max(timeouts, default=0.0))
 
 
-class _Record(NamedTuple):
-    origin: Origin
-    at: float
+class _Generation(NamedTuple):
+    """The origins of the streams that were recorded from a time on."""
+
+    began_at: float
+    origins: dict[bytes, Origin]
 
 
 class OriginTable:
-    """The origins of streams by digest, in two generations.
+    """The origins of streams by digest, in generations that expire whole.
 
-    A record is kept for one generation to two, each as long as a stream may be
-    resumed.
+    A generation holds no time for each stream, which would double its size.
     """
 
     def __init__(self) -> None:
-        self._new: dict[bytes, _Record] = {}
-        self._old: dict[bytes, _Record] = {}
-        self._began_at = float("-inf")
+        self._generations = [_Generation(float("-inf"), {})]
 
     def __len__(self) -> int:
-        return len(self._new) + len(self._old)
+        return sum(len(one.origins) for one in self._generations)
 
-    def put(self, digest: bytes, origin: Origin, now: float) -> None:
+    def put(self, digest: bytes, origin: Origin) -> None:
         """Record what began a stream."""
-        self._new[digest] = _Record(origin, now)
+        self._generations[-1].origins[digest] = origin
 
     def find(self, digest: bytes, basis: Basis, now: float) -> Finding | None:
         """Return what began a stream, or None if it is not known here."""
-        record = self._new.get(digest) or self._old.get(digest)
-        if record is None:
-            return None
-        return Finding(basis, record.origin, now - record.at)
+        for generation in reversed(self._generations):
+            origin = generation.origins.get(digest)
+            if origin is not None:
+                return Finding(basis, origin, now - generation.began_at)
+        return None
 
     def list_all(self) -> list[tuple[bytes, Origin]]:
         """Return the streams and their origins, the oldest first."""
-        records = {**self._old, **self._new}
-        return [(digest, record.origin) for digest, record in records.items()]
+        return [pair for one in self._generations for pair in one.origins.items()]
 
     def expire(self, now: float, ttl: float) -> None:
-        """Begin a generation if the current one is over or too large."""
-        is_full = len(self._new) >= MAX_STREAMS // 2
-        if is_full or now - self._began_at >= ttl:
-            self._old, self._new = self._new, {}
-            self._began_at = now
+        """Forget streams that are too old, or too many to be kept."""
+        span = ttl / GENERATIONS
+        last = self._generations[-1]
+        is_full = len(last.origins) >= MAX_STREAMS // GENERATIONS
+        if is_full or now - last.began_at >= span:
+            self._generations.append(_Generation(now, {}))
+        expired = now - ttl - span
+        self._generations = [
+            one
+            for one in self._generations[-GENERATIONS - 1 :]
+            if one.began_at > expired
+        ]
 
 
 class ListedVersion(NamedTuple):
--- a/roadlift/instance/origins.py
+++ b/roadlift/instance/origins.py
@@ -85,7 +85,7 @@
     def record(self, call_id: str, origin: Origin) -> None:
         """Record what began the stream of a call."""
         stream = compute_digest(call_id), origin
-        self._own.put(*stream, self._clock.now())
+        self._own.put(*stream)
         self._feed.put(stream)
 
     def find(self, digest: bytes, service: str) -> Finding:
@@ -187,10 +187,9 @@
             self._queries[query.key] = queries
 
     def _handle_origins(self, sender: str, message: StreamOrigins) -> None:
-        now = self._clock.now()
         table = self._others if message.is_passed_on else self._members
         for stream in read_streams(message):
-            table.put(*stream, now)
+            table.put(*stream)
             if not message.is_passed_on:
                 self._feed.put(stream)
 
