--- a/tests/instance/takeups.feature
+++ b/tests/instance/takeups.feature
@@ -16,6 +16,10 @@
       | all engines of its version have left         | v1, v1, v1.2, v1.2 | 5       | is refused for good |
       | all of them leave within one answer          | v1, v1, v1.2, v1.2 | 5       | is cut at once      |
 
+    Examples: Without the store
+      | what                                         | versions           | seconds | result              |
+      | the store has been away for long             | v1, v1, v1.2, v1.2 | 5       | goes on             |
+
     Examples: Its service is known with the version
       | what                                         | versions           | seconds | result              |
       | its route is split over two services         | v1, v1.2           | 5       | goes on             |
--- a/tests/steps/takeup_steps.py
+++ b/tests/steps/takeup_steps.py
@@ -4,6 +4,7 @@
 
 from behave import given, then, when
 
+from roadlift.instance.leases import Leases
 from standins.installation import Runner
 from tests.support.configuration import BASE, SERVICES, make_route
 from tests.support.entries import Entries
@@ -31,6 +32,7 @@
 _LIMIT = 10.0  # Seconds until a call has ended.
 _AT_ONCE = 0.5  # Seconds.
 _LISTED = 1.5  # Seconds in which all know of a change of the list.
+_STORE_AWAY = 12.0  # Seconds without the store, more than a lease lasts.
 _OUTDATED = 6.0  # Seconds in which the list is outdated.
 
 
@@ -61,11 +63,13 @@
     runner.held["x"] = 1
 
 
-def _begin(context, prefix: str = "/again", name: str = "s") -> Stream:
-    """Begin a stream at the first instance, and wait for three events."""
+def _begin(
+    context, prefix: str = "/again", name: str = "s", instance: str = "a"
+) -> Stream:
+    """Begin a stream at an instance, and wait for three events."""
     headers = _HEADERS if prefix == "/again" else _PLAIN
     stream = Stream(context.entries, name, f"{prefix}/slow", headers)
-    stream.send("a")
+    stream.send(instance)
     stream.advance_until(lambda: len(stream.events) >= 3, 5.0)
     return stream
 
@@ -149,6 +153,20 @@
     return stream
 
 
+def _play_store_away(context) -> Stream:
+    """Take up at the other zone, of an instance that owns none."""
+    entries = context.entries
+    entries.installation.store.is_down = True
+    entries.advance(_STORE_AWAY)
+    held = {
+        name: entry.kernel.get(Leases).find_owner("z1") == entry.address
+        for name, entry in entries.entries.items()
+    }
+    stream = _begin(context, instance="c" if held["a"] else "a")
+    _take_up(stream, "b")
+    return stream
+
+
 def _forget(stream: Stream) -> None:
     """Let the caller name a call that nobody knows."""
     stream.find_origin = lambda: "unknown"
@@ -207,6 +225,7 @@
     "all of them leave within one answer": _play_left_within,
     "its route is split over two services": _play_split,
     "its route has moved to another service": _play_moved,
+    "the store has been away for long": _play_store_away,
     "nobody remembers it": _play_forgotten,
     "nobody remembers it and the list is old": _play_forgotten_old,
     "nobody remembers it at an instance just started": _play_forgotten_new,
