--- a/roadlift/decisions/origins.py
+++ b/roadlift/decisions/origins.py
@@ -62,6 +62,11 @@
     origin: Origin | None = None
     age: float | None = None
 
+    @property
+    def is_remembered(self) -> bool:
+        """Return whether an instance remembers the stream."""
+        return self.basis in (Basis.LOCAL, Basis.REMOTE)
+
 
 UNKNOWN = Finding(Basis.UNKNOWN)
 
@@ -71,6 +76,16 @@
     return hashlib.blake2b(call_id.encode(), digest_size=DIGEST_BYTES).digest()
 
 
+def rank_zones(digest: bytes, zones: list[str]) -> list[str]:
+    """Return the zones in the order in which they keep a stream.
+
+    The owner of the first one has it, whichever instance began it: that owner
+    is sent the stream, unless it is the aggregator of the stream's instance.
+    """
+    start = digest[0] % len(zones)
+    return zones[start:] + zones[:start]
+
+
 def compute_ttl(routes: Iterable[Route]) -> float:
     """Return for how many seconds the streams of routes are remembered."""
     timeouts = [
--- a/roadlift/instance/originfeed.py
+++ b/roadlift/instance/originfeed.py
@@ -13,7 +13,7 @@
 from roadlift.core.kernel import Kernel
 from roadlift.core.loop import Timer
 from roadlift.daemon.transport import Transport
-from roadlift.decisions.origins import DIGEST_BYTES, Origin
+from roadlift.decisions.origins import DIGEST_BYTES, Origin, rank_zones
 from roadlift.instance.leases import Leases
 from roadlift.instance.subscription import Subscription
 from roadlift.serving.messages import StreamOrigins
@@ -88,9 +88,10 @@
         """Return whether a target keeps a stream."""
         if target.zone is None:
             return True
-        zones = self._list_other_zones()
+        held = set(self._leases.list_held())
         digest, _ = stream
-        return zones[digest[0] % len(zones)] == target.zone
+        ranked = rank_zones(digest, self._leases.list_zones())
+        return next(zone for zone in ranked if zone not in held) == target.zone
 
     def _check(self) -> None:
         """Send a new aggregator or owner all that is remembered here."""
--- a/roadlift/instance/originquery.py
+++ b/roadlift/instance/originquery.py
@@ -46,11 +46,6 @@
         self._on_answer = on_answer
         self._timers = []
 
-    @property
-    def key(self) -> tuple[bytes, str]:
-        """Return what a reply names."""
-        return self._question.digest, self._question.service
-
     def start(self) -> None:
         """Send the query."""
         if not self._unanswered:
--- a/roadlift/instance/origins.py
+++ b/roadlift/instance/origins.py
@@ -16,6 +16,7 @@
     SoftwareHistory,
     compute_digest,
     compute_ttl,
+    rank_zones,
 )
 from roadlift.instance.follower import Follower
 from roadlift.instance.leases import Leases
@@ -26,14 +27,17 @@
 from roadlift.serving.messages import FindOrigin, OriginReply, StreamOrigins
 from roadlift.serving.routes import Configuration
 
-# Seconds in which the owners of zones answer an aggregator, and an aggregator
-# answers an instance: some times a link's delay between regions.
-OWNER_TIMEOUT = 0.3
-SOURCE_TIMEOUT = 0.4
+# Seconds in which the first owner that is queried answers, all others do, and
+# an aggregator does for them: some times a link's delay between regions.
+FIRST_TIMEOUT = 0.15
+OWNER_TIMEOUT = 0.25
+SOURCE_TIMEOUT = 0.45
 CHECK_INTERVAL = 1.0  # Seconds between removals of what is outdated.
 # Seconds that the list of endpoints may be old and still count as current.
 MAX_LIST_AGE = 2.5
 
+OnAnswer = Callable[[OriginAnswer], None]
+
 log = ComponentLog("origins")
 
 
@@ -59,6 +63,7 @@
         self._history = SoftwareHistory()
         self._ttl = MIN_TTL
         self._queries: dict[tuple[bytes, str], list[OriginQuery]] = defaultdict(list)
+        self._unanswered: set[FindOrigin] = set()
         self._feed = OriginFeed(kernel, self._list_streams)
         self._timer = None
         self._follower.on_directory.append(self._record_list)
@@ -126,65 +131,68 @@
 
     # What other instances know.
 
-    def query(
-        self, call_id: str, service: str, on_answer: Callable[[OriginAnswer], None]
-    ) -> OriginQuery:
+    def query(self, call_id: str, service: str, on_answer: OnAnswer) -> None:
         """Find out what began a stream; the id is empty if it is not named."""
         digest = compute_digest(call_id) if call_id else b""
         source = self._subscription.source
         if self._leases.list_held() or not source:
-            return self._query_owners(digest, service, on_answer)
+            self._query_owners(digest, service, on_answer)
+            return
         question = FindOrigin(self._peer, digest, service, False)
-        return self._start(question, {source}, SOURCE_TIMEOUT, on_answer)
+        self._start(question, {source}, SOURCE_TIMEOUT, on_answer)
 
-    def query_owners(
-        self, call_id: str, service: str, on_answer: Callable[[OriginAnswer], None]
-    ) -> OriginQuery:
-        """Query the owners of all zones, as the aggregator is silent."""
-        return self._query_owners(compute_digest(call_id), service, on_answer)
+    def query_owners(self, call_id: str, service: str, on_answer: OnAnswer) -> None:
+        """Query the owners of zones, as the aggregator is silent."""
+        self._query_owners(compute_digest(call_id), service, on_answer)
 
-    def _query_owners(
-        self, digest: bytes, service: str, on_answer: Callable[[OriginAnswer], None]
-    ) -> OriginQuery:
+    def _query_owners(self, digest: bytes, service: str, on_answer: OnAnswer) -> None:
+        """Query the owner that has a stream, then all if it does not know."""
+        question = FindOrigin(self._peer, digest, service, True)
         zones = self._leases.list_zones()
+        query_all = lambda: self._start(
+            question, self._find_owners(zones), OWNER_TIMEOUT, on_answer
+        )
+        first = self._find_owners(rank_zones(digest, zones)[:1]) if digest else set()
+        if not first:
+            query_all()
+            return
+
+        def handle_first(answer: OriginAnswer) -> None:
+            """Answer, or query the others."""
+            if answer.finding.is_remembered:
+                on_answer(answer)
+            else:
+                query_all()
+
+        self._start(question, first, FIRST_TIMEOUT, handle_first)
+
+    def _find_owners(self, zones: list[str]) -> set[str]:
+        """Return the addresses of other instances that own some zones."""
         owners = {self._leases.find_owner(zone) for zone in zones}
-        question = FindOrigin(self._peer, digest, service, True)
-        addresses = owners - {None, "", self._peer}
-        return self._start(question, addresses, OWNER_TIMEOUT, on_answer)
+        return owners - {None, "", self._peer}
 
     def _start(
         self,
         question: FindOrigin,
         addresses: set[str],
         timeout: float,
-        on_answer: Callable[[OriginAnswer], None],
-    ) -> OriginQuery:
+        on_answer: OnAnswer,
+    ) -> None:
         key = question.digest, question.service
-        own = self.find(*key)
+        known = self.find(*key)
 
         def end(answer: OriginAnswer) -> None:
             """Forget the query, and answer."""
-            queries = self._queries.pop(key, [])
+            queries = self._queries.pop(key)
             queries.remove(query)
             if queries:
                 self._queries[key] = queries
             on_answer(answer)
 
-        if own.basis in (Basis.LOCAL, Basis.REMOTE):
-            addresses = set()
-        query = OriginQuery(self._kernel, question, addresses, timeout, own, end)
+        recipients = set() if known.is_remembered else addresses
+        query = OriginQuery(self._kernel, question, recipients, timeout, known, end)
         self._queries[key].append(query)
         query.start()
-        return query
-
-    def abandon(self, query: OriginQuery) -> None:
-        """Stop a query whose call has ended."""
-        query.close()
-        queries = self._queries.pop(query.key, [])
-        if query in queries:
-            queries.remove(query)
-        if queries:
-            self._queries[query.key] = queries
 
     def _handle_origins(self, sender: str, message: StreamOrigins) -> None:
         table = self._others if message.is_passed_on else self._members
@@ -195,21 +203,23 @@
 
     def _handle_question(self, sender: str, message: FindOrigin) -> None:
         """Answer; an instance's query goes to the other owners as well."""
-        reply = lambda answer: self._reply(message, answer)
         if message.is_passed_on:
-            reply(OriginAnswer(self.find(message.digest, message.service), True))
-        else:
+            finding = self.find(message.digest, message.service)
+            self._reply(message, OriginAnswer(finding, True))
+        elif message not in self._unanswered:
+            self._unanswered.add(message)
+            reply = lambda answer: self._reply(message, answer)
             self._query_owners(message.digest, message.service, reply)
 
     def _reply(self, message: FindOrigin, answer: OriginAnswer) -> None:
+        self._unanswered.discard(message)
         finding = answer.finding
         origin = finding.origin or Origin("", "")
-        is_remembered = finding.basis in (Basis.LOCAL, Basis.REMOTE)
         reply = OriginReply(
             self._peer,
             message.digest,
             message.service,
-            Basis.REMOTE if is_remembered else finding.basis,
+            Basis.REMOTE if finding.is_remembered else finding.basis,
             origin.service,
             origin.software,
             round(finding.age or 0.0, 3),
--- a/roadlift/instance/resumption.py
+++ b/roadlift/instance/resumption.py
@@ -12,7 +12,7 @@
 from roadlift.decisions.origins import Basis, Origin
 from roadlift.instance.forwarding import PendingCall
 from roadlift.instance.metrics import InstanceMetrics
-from roadlift.instance.originquery import OriginAnswer, OriginQuery
+from roadlift.instance.originquery import OriginAnswer
 from roadlift.instance.origins import OriginRegistry
 from roadlift.relay.caller import Caller
 from roadlift.serving.calls import Call, Kind
@@ -58,22 +58,22 @@
         self._on_end = on_end
         self._service = pending.route.choose_service(self.call.resumes or self.call.id)
         self._began_at = kernel.clock.now()
-        self._query: OriginQuery | None = None
+        self._is_over = False
         caller.on_gone = self._leave
 
     def start(self) -> None:
         """Look the stream up, here and then at others."""
-        self._query = self._origins.query(
-            self.call.resumes, self._service, self._handle_first_answer
-        )
+        self._origins.query(self.call.resumes, self._service, self._handle_first_answer)
 
     def _handle_first_answer(self, answer: OriginAnswer) -> None:
         """Query the owners where the aggregator has not answered."""
+        if self._is_over:
+            return
         is_known = answer.finding.origin is not None
         if is_known or answer.is_complete or not self.call.resumes:
             self._handle_answer(answer)
             return
-        self._query = self._origins.query_owners(
+        self._origins.query_owners(
             self.call.resumes, self._service, self._handle_answer
         )
 
@@ -89,11 +89,13 @@
         """Leave it to the exchange, which forwards before it sends."""
 
     def _leave(self) -> None:
-        if self._query is not None:
-            self._origins.abandon(self._query)
+        self._is_over = True
         self._on_end(self)
 
     def _handle_answer(self, answer: OriginAnswer) -> None:
+        if self._is_over:
+            return
+        self._is_over = True
         error = self._find_obstacle(answer)
         basis = answer.finding.basis if error is None else "refused"
         self._metrics.count("roadlift_resumptions", self._service, basis)
