Let one version suffice where nothing can have begun before

The change: where no zone has had an owner yet as the process starts, nothing can have begun before, and the history counts as whole. Behind a restart of all instances it does not.

--- a/roadlift/decisions/origins.py
+++ b/roadlift/decisions/origins.py
@@ -171,6 +171,10 @@
         self._listed = listed
         self.record_current(now)
 
+    def record_first_start(self) -> None:
+        """Record that no stream can have begun before this process."""
+        self._covered_since = float("-inf")
+
     def record_gap(self) -> None:
         """Record that the list is not current now."""
         self._covered_since = None
--- a/roadlift/instance/leases.py
+++ b/roadlift/instance/leases.py
@@ -59,8 +59,9 @@
 class Leases:
     """The leases of all zones, as far as this process knows them.
 
-    ``on_change`` is called with a zone whose holder changed, or whose lease
-    this process gained or lost.
+    ``is_first_start`` tells that no zone had ever had an owner as this process
+    started. ``on_change`` is called with a zone whose holder changed, or whose
+    lease this process gained or lost.
     """
 
     name = "leases"
@@ -94,7 +95,9 @@
         self._read_at = float("-inf")
         self._is_shutting_down = False
         self._is_suspended = False
+        self._has_read = False
         self._timer = None
+        self.is_first_start = False
         self.on_change: list[Callable[[str], None]] = []
         self.on_release: list[Callable[[str], None]] = []
         self._store.eras.on_restore.append(self._handle_store_return)
@@ -330,6 +333,8 @@
     def _handle_rows(self, rows: Rows) -> None:
         self._is_reading = False
         now = self._read_at = self._kernel.clock.now()
+        self.is_first_start = self.is_first_start or not (self._has_read or rows.rows)
+        self._has_read = True
         found = {row.key: row for row in rows.rows}
         for zone, lease in self._leases.items():
             row = found.get(zone)
--- a/roadlift/instance/origins.py
+++ b/roadlift/instance/origins.py
@@ -65,6 +65,7 @@
         self._queries: dict[tuple[bytes, str], list[OriginQuery]] = defaultdict(list)
         self._unanswered: set[FindOrigin] = set()
         self._feed = OriginFeed(kernel, self._list_streams)
+        self._is_first_start = False
         self._timer = None
         self._follower.on_directory.append(self._record_list)
         self._follower.on_configuration.append(self._apply_configuration)
@@ -121,6 +122,9 @@
     def _check(self) -> None:
         """Forget what is outdated, and note whether the list is current."""
         now = self._clock.now()
+        if self._leases.is_first_start and not self._is_first_start:
+            self._is_first_start = True
+            self._history.record_first_start()
         if self._follower.compute_list_age() > MAX_LIST_AGE:
             self._history.record_gap()
         elif self._follower.directory.is_known:
--- a/tests/steps/takeup_steps.py
+++ b/tests/steps/takeup_steps.py
@@ -200,6 +200,19 @@
     return stream
 
 
+def _restart_all(context, seconds: float) -> Stream:
+    """End all instances, so that nobody remembers the stream."""
+    stream = _begin(context)
+    stream.leave()
+    for name in _ZONES:
+        context.entries.end(name)
+    for name, zone in _ZONES.items():
+        context.entries.start(name, zone)
+    context.entries.advance(seconds)
+    _take_up(stream)
+    return stream
+
+
 def _play_version_left(context) -> Stream:
     stream = _begin(context)
     _forget(stream)
@@ -229,6 +242,8 @@
     "nobody remembers it": _play_forgotten,
     "nobody remembers it and the list is old": _play_forgotten_old,
     "nobody remembers it at an instance just started": _play_forgotten_new,
+    "all instances have just started again": lambda context: _restart_all(context, 5.0),
+    "all instances started again long ago": lambda context: _restart_all(context, 30.0),
     "a version has left, and nobody remembers it": _play_version_left,
     "its caller does not name it": _play_unnamed,
 }
