Keep a stream whose instance comes to own all zones, and refuse malformed news

The cause: as an instance gained its last lease, a stream that began within the next 0.1 s was still queued for the owner before it, and no zone was left to keep it: the exchange failed with StopIteration. Found by reading, then by a test. Messages on streams of another form than ours raised in the loop. The age of a stream that was recorded in the first second was infinite in the log.

The change: no zone is none; such messages are logged and ignored; an unknown age is none.

--- a/roadlift/decisions/origins.py
+++ b/roadlift/decisions/origins.py
@@ -14,6 +14,7 @@
 import enum
 import hashlib
 from collections.abc import Iterable
+from math import isfinite
 from typing import NamedTuple
 
 from roadlift.serving.calls import Kind
@@ -55,7 +56,7 @@
 class Finding(NamedTuple):
     """What is known of a stream; ``origin`` is None unless it is known.
 
-    ``age`` is the seconds within which it was recorded.
+    ``age`` is the seconds within which it was recorded, or None.
     """
 
     basis: Basis
@@ -124,7 +125,8 @@
         for generation in reversed(self._generations):
             origin = generation.origins.get(digest)
             if origin is not None:
-                return Finding(basis, origin, now - generation.began_at)
+                age = now - generation.began_at
+                return Finding(basis, origin, age if isfinite(age) else None)
         return None
 
     def list_all(self) -> list[tuple[bytes, Origin]]:
--- a/roadlift/instance/ingress.py
+++ b/roadlift/instance/ingress.py
@@ -279,6 +279,10 @@
             self._begin(pending, caller, origin)
         except RoadliftError as error:
             self._refuse_pending(pending, caller, error)
+        except Exception as error:
+            log.error("Unhandled error as a stream is resumed: %r.", error)
+            error = RoadliftError(type(error).__name__)
+            self._refuse_pending(pending, caller, error)
 
     def _refuse_pending(
         self, pending: PendingCall, caller: Connection, error: RoadliftError
--- a/roadlift/instance/originfeed.py
+++ b/roadlift/instance/originfeed.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
+from roadlift.core.errors import MalformedMessage
 from roadlift.core.kernel import Kernel
 from roadlift.core.loop import Timer
 from roadlift.daemon.transport import Transport
@@ -91,7 +92,7 @@
         held = set(self._leases.list_held())
         digest, _ = stream
         ranked = rank_zones(digest, self._leases.list_zones())
-        return next(zone for zone in ranked if zone not in held) == target.zone
+        return target.zone == next((zone for zone in ranked if zone not in held), "")
 
     def _check(self) -> None:
         """Send a new aggregator or owner all that is remembered here."""
@@ -127,9 +128,15 @@
 
 
 def read_streams(message: StreamOrigins) -> list[Stream]:
-    """Return the streams of a message."""
-    return [
-        (digests[start : start + DIGEST_BYTES], Origin(service, software))
-        for service, software, digests in message.origins
-        for start in range(0, len(digests), DIGEST_BYTES)
-    ]
+    """Return the streams of a message, or raise MalformedMessage."""
+    found: list[Stream] = []
+    try:
+        for service, software, digests in message.origins:
+            if not isinstance(digests, bytes):
+                raise TypeError(f"digests: {type(digests).__name__}")
+            origin = Origin(str(service), str(software))
+            starts = range(0, len(digests), DIGEST_BYTES)
+            found += [(digests[one : one + DIGEST_BYTES], origin) for one in starts]
+    except (TypeError, ValueError) as error:
+        raise MalformedMessage(repr(error)) from error
+    return found
--- a/roadlift/instance/origins.py
+++ b/roadlift/instance/origins.py
@@ -3,6 +3,7 @@
 from collections import defaultdict
 from collections.abc import Callable
 
+from roadlift.core.errors import MalformedMessage
 from roadlift.core.kernel import Kernel, components
 from roadlift.core.logs import ComponentLog
 from roadlift.daemon.transport import Transport
@@ -200,13 +201,21 @@
 
     def _handle_origins(self, sender: str, message: StreamOrigins) -> None:
         table = self._others if message.is_passed_on else self._members
-        for stream in read_streams(message):
+        try:
+            streams = read_streams(message)
+        except MalformedMessage as error:
+            log.warning("The streams of %s were ignored: %s.", sender, error)
+            return
+        for stream in streams:
             table.put(*stream)
             if not message.is_passed_on:
                 self._feed.put(stream)
 
     def _handle_question(self, sender: str, message: FindOrigin) -> None:
         """Answer; an instance's query goes to the other owners as well."""
+        if not isinstance(message.digest, bytes):
+            log.warning("A query of %s was ignored: %r.", sender, message.digest)
+            return
         if message.is_passed_on:
             finding = self.find(message.digest, message.service)
             self._reply(message, OriginAnswer(finding, True))
--- a/tests/instance/takeups.feature
+++ b/tests/instance/takeups.feature
@@ -38,3 +38,16 @@
       | a version has left, and nobody remembers it  | v1, v1.2           | 30      | is refused for good |
       | its caller does not name it                  | v1, v1.2           | 30      | is refused for good |
       | its caller does not name it                  | v1, v1             | 30      | goes on             |
+
+  Scenario: Streams begin while an instance comes to own all zones
+    Guards against a stream that failed within 0.1 seconds of its instance's last lease.
+
+    Given endpoints of the versions v1, v1, known for 5 seconds
+    When the only other owner ends, and streams begin at the last instance all the while
+    Then all of them are whole
+
+  Scenario: Malformed messages on streams are ignored
+    Given endpoints of the versions v1, v1.2, known for 5 seconds
+    When malformed messages on streams arrive
+    And a stream is taken up where nothing else happens
+    Then it goes on
--- a/tests/steps/takeup_steps.py
+++ b/tests/steps/takeup_steps.py
@@ -5,6 +5,7 @@
 from behave import given, then, when
 
 from roadlift.instance.leases import Leases
+from roadlift.serving.messages import FindOrigin, OriginReply, StreamOrigins
 from standins.installation import Runner
 from tests.support.configuration import BASE, SERVICES, make_route
 from tests.support.entries import Entries
@@ -29,6 +30,7 @@
 _ZONES = {"a": "z1", "b": "z2", "c": "z1"}
 _PLAIN = {"token-count": "10,20", "deadline-ms": "10000"}
 _HEADERS = {**_PLAIN, "model": f"{BASE}/x", "prompt-prefix": "ab:10"}
+_MOST_STREAMS = 600  # Streams until a lease has changed its owner.
 _LIMIT = 10.0  # Seconds until a call has ended.
 _AT_ONCE = 0.5  # Seconds.
 _LISTED = 1.5  # Seconds in which all know of a change of the list.
@@ -282,3 +284,48 @@
     stream.advance_until(lambda: stream.has_ended, _AT_ONCE)
     assert stream.last.is_cut, (stream.last.body, stream.last.error)
     assert len(stream.list_software()) == 1, stream.list_software()
+
+
+@when("the only other owner ends, and streams begin at the last instance all the while")
+def step_own_all(context):
+    """End all but one instance, and begin a stream each 0.05 seconds."""
+    entries = context.entries
+    entries.end("b")
+    entries.end("c")
+    context.streams = []
+    while len(entries.entries["a"].kernel.get(Leases).list_held()) < 2:
+        entries.advance(0.05)
+        assert len(context.streams) < _MOST_STREAMS
+        name = f"s{len(context.streams)}"
+        stream = Stream(entries, name, "/plain/1", _PLAIN)
+        stream.send("a")
+        context.streams.append(stream)
+    entries.advance(2.0)
+
+
+@then("all of them are whole")
+def step_all_whole(context):
+    """Look at each stream's end."""
+    found = [str(one.last.error) for one in context.streams if not one.is_whole]
+    assert not found, (len(found), found[:3])
+
+
+@when("malformed messages on streams arrive")
+def step_malformed(context):
+    """Send what another writer might send."""
+    entries = context.entries
+    transport = entries.entries["b"].transport
+    for message in _MALFORMED:
+        transport.send(entries.entries["a"].address, message)
+    entries.advance(0.2)
+
+
+_MALFORMED = (
+    StreamOrigins("x", [["llm", "v1"]], False),
+    StreamOrigins("x", [7], False),
+    StreamOrigins("x", [["llm", "v1", "text"]], True),
+    StreamOrigins("x", [["llm", [], b"12345678"]], False),
+    StreamOrigins("x", 7, False),
+    FindOrigin("127.0.0.1:9001", "text", "llm", False),
+    OriginReply("127.0.0.1:9001", b"12345678", "llm", "rumour", "", "", 0.0, True),
+)
