Judge whether a service is full by the slots of all its versions

What callers saw: streams of a busy service without models, taken up at the few endpoints of their version, were refused as if these were full.

The cause: a service's load is known for all its endpoints together, and was compared with the slots of those that may continue the stream.

The change: admission and spare slots count the endpoints of all versions.

Found by reading, then by the test.

--- a/roadlift/decisions/homes.py
+++ b/roadlift/decisions/homes.py
@@ -34,6 +34,14 @@
         is_zone_allowed = self.zones is None or zone in self.zones
         return is_zone_allowed and (self.software is None or software in self.software)
 
+    def widen(self) -> "Scope":
+        """Return the scope with all versions.
+
+        The load of a service is known for all of them together, and says
+        nothing of the slots of one.
+        """
+        return self._replace(software=None)
+
 
 class Regions:
     """The region of each availability zone."""
--- a/roadlift/instance/placement.py
+++ b/roadlift/instance/placement.py
@@ -114,7 +114,7 @@
         now = self._clock.now()
         service = scope.service
         self._service_loads.get_local(service).count_request(now)
-        usable = self._candidates.list_below_limit(scope, set())
+        usable = self._candidates.list_below_limit(scope.widen(), set())
         if not usable:
             return None
         return self._service_loads.balancer.refuse(service, usable, objective, now)
@@ -122,7 +122,7 @@
     def has_spare_slots(self, scope: Scope) -> bool:
         """Return whether a plain service has spare slots for retries."""
         now = self._clock.now()
-        usable = self._candidates.list_below_limit(scope, set())
+        usable = self._candidates.list_below_limit(scope.widen(), set())
         fill = self._service_loads.balancer.compute_fill(scope.service, usable, now)
         return fill < MAX_RETRY_FILL
 
--- a/tests/instance/takeups.feature
+++ b/tests/instance/takeups.feature
@@ -51,3 +51,15 @@
     When malformed messages on streams arrive
     And a stream is taken up where nothing else happens
     Then it goes on
+
+  Scenario: Streams of a busy service without models go on at the few endpoints of their version
+    Guards against a version's endpoints that count as full by the calls of all versions.
+
+    Given endpoints of the versions v1, v1, v1.2, v1.2, v1.2, v1.2, known for 5 seconds
+    When 32 of its 48 slots are taken by streams, and those of v1 are taken up elsewhere
+    Then all of them are whole
+
+  Scenario: Answers of a busy service without models continue at the last endpoint of their version
+    Given endpoints of the versions v1, v1, v1.2, v1.2, v1.2, v1.2, known for 5 seconds
+    When 32 of its 48 slots are taken by streams, and an endpoint of v1 ends
+    Then all of them are whole
--- a/tests/steps/takeup_steps.py
+++ b/tests/steps/takeup_steps.py
@@ -12,6 +12,7 @@
 from tests.support.streams import Stream
 
 _EVENTS = 8
+_LONG = 30  # Events of a stream of six seconds.
 _STREAM = {
     "timeoutMs": 10000,
     "goalMs": 1000,
@@ -303,6 +304,43 @@
     entries.advance(2.0)
 
 
+@when(
+    "{taken:d} of its 48 slots are taken by streams, and those of v1 are taken up"
+    " elsewhere"
+)
+def step_busy(context, taken):
+    """Take up the streams of one version."""
+    context.streams = _begin_long(context.entries, taken)
+    for stream in context.streams:
+        _take_up(stream)
+        context.entries.advance(0.05)
+    context.entries.advance(_LIMIT)
+
+
+@when("{taken:d} of its 48 slots are taken by streams, and an endpoint of v1 ends")
+def step_busy_end(context, taken):
+    """End one of the two endpoints of a version."""
+    context.streams = _begin_long(context.entries, taken)
+    context.entries.installation.runners["plain-0"].crash()
+    context.entries.advance(_LIMIT)
+
+
+def _begin_long(entries: Entries, taken: int) -> list[Stream]:
+    """Begin long streams at all endpoints; return those of one version."""
+    for runner in entries.installation.runners.values():
+        runner.events = _LONG
+    streams = [
+        Stream(entries, f"s{number}", "/plain/slow", _PLAIN) for number in range(taken)
+    ]
+    for stream in streams:
+        stream.send("a")
+        entries.advance(0.05)
+    entries.advance(1.5)
+    found = [one for one in streams if one.list_software() == {"v1-plain"}]
+    assert len(found) >= 4, len(found)
+    return found
+
+
 @then("all of them are whole")
 def step_all_whole(context):
     """Look at each stream's end."""
