Keep the rings of an adapter's engines for several sets of them

The cause: one ring was kept a service, for the engines of the last call. A stream that is resumed ranks the engines of its version, and the next call all of them, so that each resumption built two rings of 64 points an engine.

The change: three are kept a service.

Measured: tests/serving/rings.feature: 30 calls over three sets build three rings, 30 before.

--- a/roadlift/serving/selection.py
+++ b/roadlift/serving/selection.py
@@ -37,6 +37,11 @@
     return min(endpoints, key=measure, default=None)
 
 
+# Rings of one service that are kept: of all its engines, and of those that may
+# continue streams of two versions. A ring holds 64 points an engine.
+MAX_RINGS = 3
+
+
 class PreferredEndpoints:
     """Ranks the engines of a service for an adapter, by consistent hashing.
 
@@ -45,7 +50,7 @@
     """
 
     def __init__(self) -> None:
-        self._rings: dict[str, tuple[tuple[str, ...], RingPlacer]] = {}
+        self._rings: dict[str, dict[tuple[str, ...], RingPlacer]] = {}
 
     def rank(
         self, service: str, endpoints: Sequence[Endpoint], model: Model, count: int
@@ -53,7 +58,13 @@
         """Return up to ``count`` engines, the most preferred first."""
         by_id = {endpoint.id: endpoint for endpoint in endpoints}
         names = tuple(sorted(by_id))
-        known = self._rings.get(service)
-        if known is None or known[0] != names:
-            known = self._rings[service] = (names, RingPlacer(names))
-        return [by_id[name] for name in known[1].rank(str(model), count)]
+        ring = self._find_ring(service, names)
+        return [by_id[name] for name in ring.rank(str(model), count)]
+
+    def _find_ring(self, service: str, names: tuple[str, ...]) -> RingPlacer:
+        """Return the ring of some engines, one that was kept if any."""
+        rings = self._rings.setdefault(service, {})
+        ring = rings[names] = rings.pop(names, None) or RingPlacer(names)
+        if len(rings) > MAX_RINGS:
+            del rings[next(iter(rings))]
+        return ring
