Infer no version from a list whose age was not looked at

A stream that nobody remembers goes on at the only version of its service if the list has been current all along; its age was looked at once a second, so that an instance that was suspended, or had just lost its source, inferred from a list of before.

The change: the age is looked at when the question comes.

Measured: tests/instance/takeups.feature, an instance that was suspended for 20 seconds: only_version before, unknown now. Found by reading the change again.

--- a/roadlift/instance/origins.py
+++ b/roadlift/instance/origins.py
@@ -103,7 +103,10 @@
             or self._members.find(digest, Basis.REMOTE, now)
             or self._others.find(digest, Basis.REMOTE, now)
         )
-        return found or self._history.judge(service, now, self._ttl)
+        if found is not None:
+            return found
+        self._check_list_age(now)
+        return self._history.judge(service, now, self._ttl)
 
     def count(self) -> int:
         """Return the number of streams that are remembered."""
@@ -126,13 +129,17 @@
         if self._leases.is_first_start and not self._is_first_start:
             self._is_first_start = True
             self._history.record_first_start()
+        self._check_list_age(now)
+        for table in (self._own, self._members, self._others):
+            table.expire(now, self._ttl)
+        self._metrics.set("roadlift_remembered_streams", self.count())
+
+    def _check_list_age(self, now: float) -> None:
+        """Note a gap in the history if the list is not current."""
         if self._follower.compute_list_age() > MAX_LIST_AGE:
             self._history.record_gap()
         elif self._follower.directory.is_known:
             self._history.record_current(now)
-        for table in (self._own, self._members, self._others):
-            table.expire(now, self._ttl)
-        self._metrics.set("roadlift_remembered_streams", self.count())
 
     # What other instances know.
 
--- a/tests/instance/takeups.feature
+++ b/tests/instance/takeups.feature
@@ -63,3 +63,10 @@
     Given endpoints of the versions v1, v1, v1.2, v1.2, v1.2, v1.2, known for 5 seconds
     When 32 of its 48 slots are taken by streams, and an endpoint of v1 ends
     Then all of them are whole
+
+  Scenario: An instance that was suspended infers nothing from its list of before
+    Guards against a version that is guessed until the age of the list is next checked.
+
+    Given endpoints of the versions v1, v1, known for 30 seconds
+    When instance c is suspended for 20 seconds
+    Then c does not know the only version of a service
--- a/tests/steps/takeup_steps.py
+++ b/tests/steps/takeup_steps.py
@@ -5,6 +5,7 @@
 from behave import given, then, when
 
 from roadlift.instance.leases import Leases
+from roadlift.instance.origins import OriginRegistry
 from roadlift.serving.messages import FindOrigin, OriginReply, StreamOrigins
 from standins.installation import Runner
 from tests.support.configuration import BASE, SERVICES, make_route
@@ -367,3 +368,17 @@
     FindOrigin("127.0.0.1:9001", "text", "llm", False),
     OriginReply("127.0.0.1:9001", b"12345678", "llm", "rumour", "", "", 0.0, True),
 )
+
+
+@when("instance {name} is suspended for {seconds:g} seconds")
+def step_suspend(context, name, seconds):
+    """Suspend it, and let the others go on."""
+    context.entries.suspend(name, seconds)
+
+
+@then("{name} does not know the only version of a service")
+def step_no_inference(context, name):
+    """Look up a stream that nobody has begun."""
+    registry = context.entries.entries[name].kernel.get(OriginRegistry)
+    finding = registry.find(b"12345678", "llm")
+    assert finding.origin is None, finding
