Query owners once, and only where the aggregator is silent

The cause: an aggregator whose own queries were incomplete, as one zone was cut off, made each instance query all owners again by itself; the owner that had answered first was asked a second time; and who keeps a stream was computed for each replica, with the sets of zones, at the first event of each stream.

The change: the registry falls back to the owners if nobody has answered, and skips those that have; the keeper is found once a stream. A resumption has one question and one answer.

--- a/roadlift/instance/originfeed.py
+++ b/roadlift/instance/originfeed.py
@@ -64,8 +64,9 @@
 
     def put(self, stream: Stream) -> None:
         """Send a stream to its replicas soon."""
+        zone = self._find_keeper(stream)
         for target, queue in self._queues.items():
-            if self._concerns(target, stream):
+            if target.zone in (None, zone):
                 queue.append(stream)
         if self._flush_timer is None:
             self._flush_timer = self._loop.call_later(REPLICATION_DELAY, self._flush)
@@ -85,14 +86,16 @@
         held = set(self._leases.list_held())
         return [zone for zone in self._leases.list_zones() if zone not in held]
 
-    def _concerns(self, target: Target, stream: Stream) -> bool:
-        """Return whether a target keeps a stream."""
-        if target.zone is None:
-            return True
+    def _find_keeper(self, stream: Stream) -> str:
+        """Return the other zone that keeps a stream, empty without one."""
         held = set(self._leases.list_held())
         digest, _ = stream
         ranked = rank_zones(digest, self._leases.list_zones())
-        return target.zone == next((zone for zone in ranked if zone not in held), "")
+        return next((zone for zone in ranked if zone not in held), "")
+
+    def _concerns(self, target: Target, stream: Stream) -> bool:
+        """Return whether a target keeps a stream."""
+        return target.zone in (None, self._find_keeper(stream))
 
     def _check(self) -> None:
         """Send a new aggregator or owner all that is remembered here."""
@@ -104,7 +107,9 @@
         self._queues = {
             target: self._queues[target]
             if target in self._queues
-            else [stream for stream in streams if self._concerns(target, stream)]
+            else [
+                one for one in streams if target.zone in (None, self._find_keeper(one))
+            ]
             for target in targets
         }
         self._flush()
--- a/roadlift/instance/originquery.py
+++ b/roadlift/instance/originquery.py
@@ -5,7 +5,7 @@
 
 from roadlift.core.kernel import Kernel
 from roadlift.daemon.transport import Transport
-from roadlift.decisions.origins import Basis, Finding, combine
+from roadlift.decisions.origins import Finding, combine
 from roadlift.serving.messages import FindOrigin
 
 # Seconds after which a query is repeated to those that have not answered: the
@@ -14,10 +14,15 @@
 
 
 class OriginAnswer(NamedTuple):
-    """What is known of a stream; ``is_complete`` if all have answered."""
+    """What is known of a stream.
+
+    ``is_complete`` tells that all who were queried have answered, and
+    ``is_silent`` that none of them has.
+    """
 
     finding: Finding
     is_complete: bool
+    is_silent: bool = False
 
 
 class OriginQuery:
@@ -43,6 +48,7 @@
         self._timeout = timeout
         self._findings = [own]
         self._is_complete = True
+        self._is_silent = bool(self._unanswered)
         self._on_answer = on_answer
         self._timers = []
 
@@ -68,8 +74,9 @@
             return
         self._unanswered.discard(address)
         self._findings.append(answer.finding)
+        self._is_silent = False
         self._is_complete = self._is_complete and answer.is_complete
-        if not self._unanswered or answer.finding.basis in (Basis.LOCAL, Basis.REMOTE):
+        if not self._unanswered or answer.finding.is_remembered:
             self._end()
 
     def _send(self) -> None:
@@ -78,4 +85,5 @@
     def _end(self) -> None:
         self.close()
         is_complete = self._is_complete and not self._unanswered
-        self._on_answer(OriginAnswer(combine(self._findings), is_complete))
+        finding = combine(self._findings)
+        self._on_answer(OriginAnswer(finding, is_complete, self._is_silent))
--- a/roadlift/instance/origins.py
+++ b/roadlift/instance/origins.py
@@ -9,12 +9,14 @@
 from roadlift.daemon.transport import Transport
 from roadlift.decisions.origins import (
     MIN_TTL,
+    UNKNOWN,
     Basis,
     Finding,
     ListedVersion,
     Origin,
     OriginTable,
     SoftwareHistory,
+    combine,
     compute_digest,
     compute_ttl,
     rank_zones,
@@ -150,31 +152,31 @@
         if self._leases.list_held() or not source:
             self._query_owners(digest, service, on_answer)
             return
-        question = FindOrigin(self._peer, digest, service, False)
-        self._start(question, {source}, SOURCE_TIMEOUT, on_answer)
 
-    def query_owners(self, call_id: str, service: str, on_answer: OnAnswer) -> None:
-        """Query the owners of zones, as the aggregator is silent."""
-        self._query_owners(compute_digest(call_id), service, on_answer)
+        def handle_source(answer: OriginAnswer) -> None:
+            """Answer, or query the owners if the aggregator is silent."""
+            if answer.is_silent:
+                self._query_owners(digest, service, on_answer)
+            else:
+                on_answer(answer)
+
+        question = FindOrigin(self._peer, digest, service, False)
+        self._start(question, {source}, SOURCE_TIMEOUT, handle_source)
 
     def _query_owners(self, digest: bytes, service: str, on_answer: OnAnswer) -> None:
-        """Query the owner that has a stream, then all if it does not know."""
+        """Query the owner that has a stream, then the others."""
         question = FindOrigin(self._peer, digest, service, True)
         zones = self._leases.list_zones()
-        query_all = lambda: self._start(
-            question, self._find_owners(zones), OWNER_TIMEOUT, on_answer
-        )
         first = self._find_owners(rank_zones(digest, zones)[:1]) if digest else set()
-        if not first:
-            query_all()
-            return
 
         def handle_first(answer: OriginAnswer) -> None:
-            """Answer, or query the others."""
+            """Answer, or query the owners that have not answered."""
             if answer.finding.is_remembered:
                 on_answer(answer)
-            else:
-                query_all()
+                return
+            answered = set() if answer.is_silent else first
+            others = self._find_owners(zones) - answered
+            self._start(question, others, OWNER_TIMEOUT, on_answer, answer.finding)
 
         self._start(question, first, FIRST_TIMEOUT, handle_first)
 
@@ -189,9 +191,11 @@
         addresses: set[str],
         timeout: float,
         on_answer: OnAnswer,
+        found: Finding = UNKNOWN,
     ) -> None:
+        """Query some instances; ``found`` is what others have answered."""
         key = question.digest, question.service
-        known = self.find(*key)
+        known = combine((self.find(*key), found))
 
         def end(answer: OriginAnswer) -> None:
             """Forget the query, and answer."""
--- a/roadlift/instance/resumption.py
+++ b/roadlift/instance/resumption.py
@@ -63,19 +63,7 @@
 
     def start(self) -> None:
         """Look the stream up, here and then at others."""
-        self._origins.query(self.call.resumes, self._service, self._handle_first_answer)
-
-    def _handle_first_answer(self, answer: OriginAnswer) -> None:
-        """Query the owners where the aggregator has not answered."""
-        if self._is_over:
-            return
-        is_known = answer.finding.origin is not None
-        if is_known or answer.is_complete or not self.call.resumes:
-            self._handle_answer(answer)
-            return
-        self._origins.query_owners(
-            self.call.resumes, self._service, self._handle_answer
-        )
+        self._origins.query(self.call.resumes, self._service, self._handle_answer)
 
     def close(self) -> None:
         """Cut the call when the process ends."""
