--- a/demo/installation.py
+++ b/demo/installation.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import sys
+from collections.abc import Callable
 from pathlib import Path
 from typing import NamedTuple
 
@@ -45,16 +46,25 @@
             self._writer = None
 
     async def call(
-        self, method: str, path: str, headers: dict[str, str], body: bytes = b""
+        self,
+        method: str,
+        path: str,
+        headers: dict[str, str],
+        body: bytes = b"",
+        is_enough: Callable[[bytes], bool] = lambda body: False,
     ) -> Answer:
-        """Send a request; status 0 is an answer that did not come."""
+        """Send a request; status 0 is an answer that did not come.
+
+        An answer in chunks is left once what came of it is enough.
+        """
+        called = self._call(method, path, headers, body, is_enough)
         try:
-            return await asyncio.wait_for(self._call(method, path, headers, body), 8.0)
+            return await asyncio.wait_for(called, 8.0)
         except (OSError, asyncio.IncompleteReadError, TimeoutError, ValueError):
             self.close()
             return Answer(0, {}, b"", False)
 
-    async def _call(self, method, path, headers, content) -> Answer:
+    async def _call(self, method, path, headers, content, is_enough) -> Answer:
         if self._writer is None:
             opened = await asyncio.open_connection(*self._address, limit=1 << 22)
             self._reader, self._writer = opened
@@ -66,12 +76,12 @@
         first, *rest = head.rstrip().split("\r\n")
         pairs = [line.split(":", 1) for line in rest]
         found = {name.lower(): value.strip() for name, value in pairs}
-        body, is_whole = await self._read_body(found)
+        body, is_whole = await self._read_body(found, is_enough)
         if found.get("connection") == "close" or not is_whole:
             self.close()
         return Answer(int(first.split()[1]), found, body, is_whole)
 
-    async def _read_body(self, headers) -> tuple[bytes, bool]:
+    async def _read_body(self, headers, is_enough) -> tuple[bytes, bool]:
         body = bytearray()
         try:
             if headers.get("transfer-encoding") != "chunked":
@@ -83,6 +93,8 @@
                 if len(data) == 2:
                     return bytes(body), True
                 body += data[:-2]
+                if is_enough(bytes(body)):
+                    return bytes(body), False
         except (asyncio.IncompleteReadError, ConnectionError):
             return bytes(body), False
 
--- a/tests/support/callers.py
+++ b/tests/support/callers.py
@@ -9,13 +9,17 @@
 class Wanted(NamedTuple):
     """A call of a caller: ``model`` is empty for a plain one.
 
-    ``limit`` is in seconds, 0 for none; ``key`` is the organisation's.
+    ``limit`` is in seconds, 0 for none; ``key`` is the organisation's. One
+    that takes a stream up names in ``resumes`` the call that brought its first
+    event, and in ``last_event`` the last one that came.
     """
 
     id: str
     model: str = ""
     limit: float = 0.0
     key: str = ""
+    resumes: str = ""
+    last_event: str = ""
 
 
 def make_headers(wanted: Wanted) -> dict[str, str]:
@@ -25,6 +29,9 @@
         headers["Deadline-Ms"] = str(int(wanted.limit * 1000))
     if wanted.key:
         headers["Authorization"] = f"Token {wanted.key}"
+    if wanted.resumes:
+        headers["Resumes"] = wanted.resumes
+        headers["Last-Event-Id"] = wanted.last_event
     if wanted.model:
         headers["Model"] = wanted.model
         headers["Token-Count"] = "10,20"
