Keep the limits of a call in one place

The exchange held its beginning and its deadline beside CallTimes, which has both. No behaviour changes; tests of take-ups, resumption and instances pass.

--- a/roadlift/instance/exchange.py
+++ b/roadlift/instance/exchange.py
@@ -104,10 +104,8 @@
             kernel.get(OriginRegistry),
             origin,
         )
-        self._began_at = kernel.clock.now()
-        self._deadline = pending.deadline
-        self._progress = Progress(self._began_at)
-        self._times = CallTimes(kernel.clock, route, self._deadline, self._progress)
+        self._progress = Progress(kernel.clock.now())
+        self._times = CallTimes(kernel.clock, route, pending.deadline, self._progress)
         self._search = EndpointSearch(
             kernel, self, authorization, self._scope, self._times, host.sample_jitter
         )
@@ -124,7 +122,7 @@
         self._is_over = False
         self._answer = Answer(kernel.clock, call, route, caller, self._progress)
         self._requests = RequestBuilder(
-            kernel, call, route, authorization, self._progress, self._deadline
+            kernel, call, route, authorization, self._progress, self._times.deadline
         )
         self._report = CallReport(
             host,
@@ -147,10 +145,10 @@
 
     def start(self) -> None:
         """Start with the first send."""
-        now = self._began_at
+        now = self._times.began_at
         self._host.get_budget(self._service).count_request(now)
         self._timer = self._kernel.loop.call_later(
-            max(0.0, self._deadline - now), self._on_deadline
+            max(0.0, self._times.deadline - now), self._on_deadline
         )
         self._search.try_send()
 
@@ -194,7 +192,7 @@
             return False
         self._cancel_all()
         self._end("forwarded", None)
-        pending = PendingCall(self.call, self.route, self._deadline)
+        pending = PendingCall(self.call, self.route, self._times.deadline)
         self._host.forward(pending, self._caller)
         return True
 
@@ -509,7 +507,7 @@
             endpoint=endpoint.id,
             error=str(error),
             sends=self._attempts.sends,
-            age=round(now - self._began_at, 3),
+            age=round(now - self._times.began_at, 3),
             given_up=reason,
             identity=self.identify().hex(),
             got=send.describe_answer(),
@@ -555,7 +553,7 @@
         """Return why the call is not sent again, or None."""
         now = self._kernel.clock.now()
         state = CallState(
-            self._deadline - now,
+            self._times.deadline - now,
             len(self._list_open()),
             self._answer.has_begun,
             self._answer.can_continue,
