Read and log how many rejections an endpoint bears

Cause: Server-Brittle was in no table of the adapter, so logs could not tell an endpoint that fell over under its rejections from one that a call crashed. Nothing is decided by it yet. Result: seven rows of the adapter's table; no change of behaviour.

--- a/roadlift/core/errors.py
+++ b/roadlift/core/errors.py
@@ -310,6 +310,13 @@
     status = 502
 
 
+class InvalidRejectionLimit(RoadliftError):
+    """The number of rejections that an endpoint bears can't be parsed."""
+
+    code = "invalid_rejection_limit"
+    status = 502
+
+
 class InvalidColdTime(RoadliftError):
     """The time for which an endpoint stays cold can't be parsed."""
 
--- a/roadlift/core/events.py
+++ b/roadlift/core/events.py
@@ -54,9 +54,11 @@
     Event(
         "crashes",
         "endpoint_ended",
-        ("endpoint", "cut", "suspects"),
+        ("endpoint", "cut", "suspects", "bears", "rejected"),
         "An endpoint crashed, which cut that many calls of this instance; suspects "
-        "are [identity, weight] of those that may be the cause.",
+        "are [identity, weight] of those that may be the cause. It announced that it "
+        "bears so many rejections a second, and rejected that many of this "
+        "instance's calls in its last second.",
     ),
     Event(
         "exchange",
@@ -336,6 +338,13 @@
         "asked seconds; seconds are applied. At most one line per second and "
         "endpoint.",
     ),
+    Event(
+        "brittleness",
+        "endpoint_brittle",
+        ("endpoint", "service", "bears", "before"),
+        "An endpoint announced in an answer how many calls it may have to reject in "
+        "a second before it crashes, or with null that it bears any number.",
+    ),
     Event(
         "standings",
         "endpoint_rested",
--- a/roadlift/instance/availabilities.py
+++ b/roadlift/instance/availabilities.py
@@ -13,6 +13,7 @@
 from roadlift.core.logs import ComponentLog
 from roadlift.daemon.transport import Transport
 from roadlift.decisions.availability import EndpointAvailability
+from roadlift.instance.brittleness import BrittleEndpoints
 from roadlift.instance.evacuations import ZoneEvacuations
 from roadlift.instance.follower import Follower
 from roadlift.instance.leases import Leases
@@ -38,6 +39,7 @@
 
     name = "standings"
     needs = (
+        BrittleEndpoints.name,
         ZoneEvacuations.name,
         "follower",
         "leases",
@@ -60,6 +62,7 @@
         self._transport = kernel.get(Transport)
         self._metrics = kernel.get(InstanceMetrics)
         self._evacuations = kernel.get(ZoneEvacuations)
+        self._brittle = kernel.get(BrittleEndpoints)
         self._known: dict[str, EndpointAvailability] = {}
         self._notified_at: dict[str, float] = {}
         self._logged_at: dict[str, float] = {}
@@ -145,6 +148,7 @@
             self._log_fault(endpoint, fault)
         for name in statement.unknown:
             self._count_unknown_header(endpoint, name)
+        self._brittle.record_answer(endpoint, statement, age is not None)
         if statement.is_leaving:
             self._record_drain_notice(endpoint, status, age)
         if statement.rest:
--- a/roadlift/instance/crashes.py
+++ b/roadlift/instance/crashes.py
@@ -9,6 +9,7 @@
 from roadlift.crashes.trials import TrialSlots
 from roadlift.decisions.crashes import CrashEvidence
 from roadlift.instance.aggregator import Aggregator
+from roadlift.instance.brittleness import BrittleEndpoints
 from roadlift.instance.crashnews import CrashSync
 from roadlift.instance.crashrows import CrashRows
 from roadlift.instance.follower import Follower
@@ -26,6 +27,7 @@
     name = "crashes"
     needs = (
         Aggregator.name,
+        BrittleEndpoints.name,
         CrashLedger.name,
         "follower",
         Isolation.name,
@@ -40,6 +42,7 @@
         self._metrics = kernel.get(InstanceMetrics)
         self._isolation = kernel.get(Isolation)
         self._ledger = kernel.get(CrashLedger)
+        self._brittle = kernel.get(BrittleEndpoints)
         self._sync = CrashSync(kernel)
         self._rows = CrashRows(kernel)
         self._trial_slots = TrialSlots(kernel.loop)
@@ -103,7 +106,12 @@
             return
         suspects = [[work.hex(), weight] for work, weight in end.suspects.items()]
         log.event(
-            "endpoint_ended", endpoint=end.endpoint, cut=end.cut, suspects=suspects
+            "endpoint_ended",
+            endpoint=end.endpoint,
+            cut=end.cut,
+            suspects=suspects,
+            bears=self._brittle.find(end.endpoint),
+            rejected=self._brittle.count_rejected(end.endpoint),
         )
         self._metrics.count("roadlift_endpoint_ends", known.service)
         self._ledger.record_evidence(
--- a/roadlift/instance/metrics.py
+++ b/roadlift/instance/metrics.py
@@ -182,6 +182,14 @@
         "The sum of the limits that endpoints name.",
         "Below the demand: calls are refused as `limit_reached`.",
     ),
+    InstanceMetric(
+        "roadlift_brittle_endpoints",
+        "gauge",
+        "endpoints",
+        ("service",),
+        "Endpoints that crash if they have to reject many calls in a second.",
+        "Calls are sent to them only where they have a free slot.",
+    ),
     InstanceMetric(
         "roadlift_limited_sends",
         "counter",
--- a/roadlift/serving/statements.py
+++ b/roadlift/serving/statements.py
@@ -15,7 +15,8 @@
     names of headers that no table of the platform's adapter lists. With
     ``is_rejected`` the call was rejected for lack of capacity, with a back-off
     or without. ``cold_time`` is the seconds for which the endpoint stays cold,
-    or None.
+    or None; ``rejection_limit`` is how many calls a second it may have to
+    reject without a crash, or None if that is not limited.
     """
 
     limit: float | None = None
@@ -25,6 +26,7 @@
     unknown: tuple[str, ...] = ()
     is_rejected: bool = False
     cold_time: float | None = None
+    rejection_limit: float | None = None
 
     def has_fault(self, kind: type[RoadliftError]) -> bool:
         """Return whether a value failed to parse with a kind of error."""
--- a/tests/adapter/adapter.feature
+++ b/tests/adapter/adapter.feature
@@ -98,6 +98,16 @@
       | 503    | Retry-After: 3, soon       | rest  | invalid_rest |
       | 503    | Retry-After: Thu, 03 Dec 2026 08:00:00 GMT | rest | invalid_rest |
 
+    Examples: Rejections that it bears, of which the least number counts
+      | status | headers                | field           | value                       |
+      | 200    | nothing                | rejection_limit | None                        |
+      | 200    | Server-Brittle: 3      | rejection_limit | 3.0                         |
+      | 503    | Server-Brittle: 0      | rejection_limit | 0.0                         |
+      | 421    | Server-Brittle: 8, 2   | rejection_limit | 2.0                         |
+      | 200    | Server-Brittle: inf    | rejection_limit | None                        |
+      | 200    | Server-Brittle: -1     | rejection_limit | invalid_rejection_limit     |
+      | 200    | Server-Brittle: few    | rejection_limit | invalid_rejection_limit     |
+
   Scenario Outline: A header that no table lists is told apart
     When it is read what an answer 200 with <header> says of its runner
     Then the headers unknown are <names>
