--- /dev/null
+++ b/standins/batches.py
@@ -0,0 +1,114 @@
+"""Stand in for the batch of a runner: calls that run, and calls that wait."""
+
+from collections import deque
+from collections.abc import Callable
+from typing import NamedTuple, Protocol
+
+CHECK_INTERVAL = 0.01  # Seconds between checks for slots that are free again.
+WINDOW = 1.0  # Seconds in which a brittle runner counts what it rejects.
+# Seconds behind the first answer that says so, from which on it may let fewer
+# calls wait, and falls over.
+CONTACT = 2.0
+
+
+class Timeline(Protocol):
+    """Calls in the future."""
+
+    def now(self) -> float:
+        """Return the time."""
+
+    def call_later(self, seconds: float, call: Callable[[], None]) -> None:
+        """Call later."""
+
+
+class Line(Protocol):
+    """A call at the runner."""
+
+    is_closed: bool
+
+
+class _Waiting(NamedTuple):
+    """A call that waits for a slot, and what begins its run."""
+
+    line: Line
+    begin: Callable[[], None]
+
+
+class Batch:
+    """The slots of one runner, and its queue.
+
+    While ``brittleness`` is a number, the runner says so; from CONTACT later
+    on, ``brittle_room`` calls may wait in place of ``room``, and it falls over
+    once it rejects more than that number in a second.
+    """
+
+    def __init__(self, timeline: Timeline, slots: int, room: int) -> None:
+        self._timeline = timeline
+        self.slots = slots
+        self.room = room
+        self.brittle_room = 1
+        self.brittleness: int | None = None
+        self._brittle_at = 0.0
+        self._running: list[Line] = []
+        self._waiting: deque[_Waiting] = deque()
+        self._is_checking = False
+        self._rejected: deque[float] = deque()
+
+    def renew(self) -> "Batch":
+        """Return the batch of the runner's next start."""
+        batch = Batch(self._timeline, self.slots, self.room)
+        batch.brittle_room = self.brittle_room
+        batch.brittleness = self.brittleness
+        batch._brittle_at = self._brittle_at
+        return batch
+
+    def turn_brittle(self, number: int | None) -> None:
+        """Bear that many rejections a second from now on, or any number."""
+        self.brittleness = number
+        self._brittle_at = self._timeline.now()
+
+    @property
+    def is_bound(self) -> bool:
+        """Return whether the runner is brittle for long enough to fall."""
+        since = self._timeline.now() - self._brittle_at
+        return self.brittleness is not None and since >= CONTACT
+
+    def admit(self, line: Line, begin: Callable[[], None]) -> bool:
+        """Run a call, or let it wait; return whether there was room."""
+        self._advance()
+        room = self.brittle_room if self.is_bound else self.room
+        if len(self._running) >= self.slots and len(self._waiting) >= room:
+            return False
+        self._waiting.append(_Waiting(line, begin))
+        self._advance()
+        return True
+
+    def take_waiting(self) -> list[Line]:
+        """Return the calls that wait, and let none of them begin."""
+        lines = [one.line for one in self._waiting if not one.line.is_closed]
+        self._waiting.clear()
+        return lines
+
+    def note_rejected(self) -> bool:
+        """Count a rejection; return whether the runner falls over of it."""
+        now = self._timeline.now()
+        self._rejected.append(now)
+        while self._rejected[0] <= now - WINDOW:
+            self._rejected.popleft()
+        return self.is_bound and len(self._rejected) > self.brittleness
+
+    def _advance(self) -> None:
+        """Let calls that wait begin where slots are free."""
+        self._running = [line for line in self._running if not line.is_closed]
+        while self._waiting and len(self._running) < self.slots:
+            waiting = self._waiting.popleft()
+            if not waiting.line.is_closed:
+                self._running.append(waiting.line)
+                waiting.begin()
+        if self._waiting and not self._is_checking:
+            self._is_checking = True
+            self._timeline.call_later(CHECK_INTERVAL, self._check)
+
+    def _check(self) -> None:
+        self._is_checking = False
+        self._advance()
--- a/standins/installation.py
+++ b/standins/installation.py
@@ -21,6 +21,7 @@
     SendingRevoked,
 )
 from roadlift.relay.upstream import Address, Receiver, Request
+from standins.batches import Batch
 from standins.framings import CHUNKED, Unframed
 from standins.hub import HubLine
 from standins.limits import LimitWatch
@@ -39,6 +40,7 @@
 REFUSAL = Reply(503, {"not-run": "1"})
 LIMIT = "server-limit"
 LEAVING = "server-leaving"
+BRITTLE = "server-brittle"
 REST = "retry-after"
 
 
@@ -219,7 +221,9 @@
     text, it turns ``turned_away`` of the calls away and asks for that.
     ``more`` are further headers of its answers to calls. While it pauses, no
     stream makes an event; the streams of one that hangs never make another.
-    ``software`` is the version of its software, which its entry names.
+    ``software`` is the version of its software, which its entry names. With a
+    ``batch`` it runs as many calls as that has slots, and rejects what its
+    queue has no room for.
     """
 
     def __init__(
@@ -257,6 +261,7 @@
         self.cold_until = 0.0
         self.born = 0
         self.software = "v1"
+        self.batch: Batch | None = None
         self.on_end: Callable[[], None] = lambda: None
         self.on_return: Callable[[], None] = lambda: None
         self._lines: list[MemoryLine] = []
@@ -305,6 +310,8 @@
         self.on_end()
         self.interrupt()
         lines, self._lines = self._list_running(), []
+        if self.batch is not None:
+            lines += self.batch.take_waiting()
         for line in lines:
             self._installation.note_spoiled(line.call_id)
             if line.framing is None:
@@ -378,6 +385,8 @@
         said = {**headers, **self.more}
         if self.named is not None:
             said[LIMIT] = self.named
+        if self.batch is not None and self.batch.brittleness is not None:
+            said[BRITTLE] = str(self.batch.brittleness)
         if self.is_leaving:
             said[LEAVING] = "1"
             now = self._timeline.now()
@@ -396,6 +405,8 @@
         self.held.clear()
         self.arriving.clear()
         self.sequence = 0
+        if self.batch is not None:
+            self.batch = self.batch.renew()
 
     def describe(self, state: str = "ready") -> dict:
         """Return the entry in the platform's list."""
@@ -405,7 +416,7 @@
             "addr": str(self.address),
             "zone": self.zone,
             "version": self.software,
-            "slots": 8,
+            "slots": self.batch.slots if self.batch else 8,
             "state": state,
             "models": models,
             "coldLeftMs": round(
@@ -519,6 +530,22 @@
         if adapter and version not in (None, str(self.held[adapter])):
             self._refuse(line, Reply(421, {"instance-id": self.id}), call_id)
             return
+        begin = lambda: self._begin_run(request, headers, line)
+        if self.batch is None:
+            begin()
+        elif not self.batch.admit(line, begin):
+            self._reject(line, call_id)
+
+    def _reject(self, line: MemoryLine, call_id: str) -> None:
+        """Refuse a call for want of room; a brittle runner may fall of it."""
+        self._installation.rejected.append(call_id)
+        self._refuse(line, REFUSAL, call_id)
+        if self.batch.note_rejected():
+            self._installation.fallen.append(self.id)
+            self.crash()
+
+    def _begin_run(self, request: Request, headers: dict, line: MemoryLine) -> None:
+        call_id = headers["request-id"]
         fault = self.faults.pop(0) if self.faults else None
         if isinstance(fault, Reply):
             self._refuse(line, fault, call_id)
@@ -733,6 +760,10 @@
         # Bodies of calls under which a runner ends, and the runs of each.
         self.deadly: set[bytes] = set()
         self.ended: list[str] = []  # Runners that ended, in order.
+        # Brittle runners that fell over, and the calls that were rejected for
+        # want of room.
+        self.fallen: list[str] = []
+        self.rejected: list[str] = []
         self.deadly_runs: dict[bytes, list[DeadlyRun]] = {}
         # Adapters whose weights end a runner that loads them, and the runners
         # that began to.
@@ -784,6 +815,7 @@
         runner.events = ended.events
         runner.queue_time = ended.queue_time
         runner.software = ended.software
+        runner.batch = ended.batch.renew() if ended.batch else None
         self.runners[runner.id] = runner
         self.store.put("servers", runner.id, runner.describe())
         return runner
