Reproduce a part of prompts that crashes engine after engine

Six instances, nine engines, 40 sound calls a second that share parts, and 5 with a deadly one in the middle, no two alike. The stand-in learns deadly parts: its engines send events before they crash, as in the record.

--- a/standins/installation.py
+++ b/standins/installation.py
@@ -199,6 +199,7 @@
 
 
 LATE_ORDER = 3.0  # Seconds until an unanswered order is carried out late.
+DEADLY_PART = b"part"  # Stands for all calls with a deadly part.
 CRASH_DELAY = 0.08  # Seconds from a deadly call's beginning to a runner's end.
 HEARTBEAT = 1.2  # Seconds between the entries that a cold runner writes.
 RETURN_DELAY = 2.0  # Seconds until a runner that ended is back.
@@ -213,8 +214,9 @@
     ends a stream in its middle, "stall" leaves it there, a Pause holds it up
     there and "lose" runs the call and loses its answer. One that is Unframed
     has neither a length nor chunks; with ``is_unframed``, all streams are. A
-    call whose body is deadly ends the runner soon after it began to run. Of
-    the next ``lost_orders``, none is answered; every second is carried out
+    call whose body is deadly ends the runner soon after it began to run,
+    before its first event; one with a deadly part of its prompt also behind
+    some. Of the next ``lost_orders``, none is answered; every second is carried out
     late. While ``is_mute``, no report is given. ``named`` is the limit that
     it names in the answers to calls, as text, or None; one that
     ``is_leaving`` says so in all its answers. While there is a ``rest``, as
@@ -307,6 +309,7 @@
             return
         del self._installation.runners[self.id]
         self._installation.ended.append(self.id)
+        self._installation.crash_times.append(self._timeline.now())
         self.on_end()
         self.interrupt()
         lines, self._lines = self._list_running(), []
@@ -565,6 +568,10 @@
             end = lambda: None if line.is_closed else self.crash()
             self._timeline.call_later(self.queue_time + CRASH_DELAY, end)
             fault = "deadly" if "token-count" in headers else "mute"
+        if self._installation.has_deadly_part(headers):
+            self._installation.note_deadly(self.id, DEADLY_PART, call_id)
+            end = lambda: None if line.is_closed else self.crash()
+            self._timeline.call_later(self.queue_time + CRASH_DELAY, end)
         self._installation.overlaps.note_run(call_id, lambda: line.is_closed)
         if fault == "mute":
             line.is_hung = True
@@ -759,7 +766,10 @@
         self.store_calls: Counter[MemoryDialer] = Counter()
         # Bodies of calls under which a runner ends, and the runs of each.
         self.deadly: set[bytes] = set()
-        self.ended: list[str] = []  # Runners that ended, in order.
+        # Parts of prompts under which a runner ends, other than the last.
+        self.deadly_parts: set[str] = set()
+        self.ended: list[str] = []  # Runners that ended, in order, and when.
+        self.crash_times: list[float] = []
         # Brittle runners that fell over, and the calls that were rejected for
         # want of room.
         self.fallen: list[str] = []
@@ -801,6 +811,14 @@
         self.spoiled.add(call_id)
         self.ends.note_unsound(call_id)
 
+    def has_deadly_part(self, headers: dict[str, str]) -> bool:
+        """Return whether a part of a prompt, not its last, is deadly."""
+        if not self.deadly_parts:
+            return False
+        parts = headers.get("prompt-prefix", "").split(",")
+        ids = {part.partition(":")[0] for part in parts[:-1]}
+        return bool(ids & self.deadly_parts)
+
     def note_deadly(self, runner: str, body: bytes, call_id: str) -> None:
         """Count a run of a deadly call."""
         runs = self.deadly_runs.setdefault(body, [])
--- /dev/null
+++ b/tests/instance/deadly_parts.feature
@@ -0,0 +1,18 @@
+Feature: A part of prompts that crashes engines is found, and refused everywhere
+
+  Guards against telling calls apart by their whole: no two calls with the part are alike,
+  so that no evidence added up. 20 and 13 engines crashed on one day, 11 and 7 of the calls
+  sent after the fifth crash, and none was refused. Engines that were quick had sent an
+  event before they crashed, and no call was named at all.
+
+  Scenario Outline: The part crashes few engines where <trouble>, seed <seed>
+    Given instances a, b and d in zone z1 and c, f and g in zone z2, and 9 engines
+    And sound callers at random with seed <seed>, <rate> calls a second, that share parts
+    When <deadly> calls a second with a deadly part are sent for 12 seconds while <trouble>
+    Then at most 3 of them ran later than 3 seconds after the fifth crash
+    And <ends> engines crashed under them at most
+    And 90 in 100 of the sound calls were served, as many as at other times
+
+    Examples:
+      | trouble         | rate | deadly | seed | ends |
+      | nothing happens | 40   | 5      | 1    | 6    |
--- a/tests/steps/crash_steps.py
+++ b/tests/steps/crash_steps.py
@@ -133,7 +133,8 @@
         _repeat(context, _INTERVAL, send)
 
 
-def _find_owner(context):
+def find_owner(context):
+    """Return the instance that owns zone z1."""
     return next(
         name
         for name, entry in context.entries.entries.items()
@@ -141,7 +142,8 @@
     )
 
 
-def _restart(context, names):
+def restart(context, names):
+    """Kill instances, and start them a second later."""
     entries = context.entries
     for name in names:
         entries.end(name)
@@ -160,9 +162,9 @@
     _schedule_deadly(context, calls)
     entries.advance(_FAULT_DELAY)
     if trouble == "the owner of z1 is killed":
-        _restart(context, [_find_owner(context)])
+        restart(context, [find_owner(context)])
     elif trouble == "all instances are killed and restart":
-        _restart(context, list(entries.entries))
+        restart(context, list(entries.entries))
     elif trouble == "the store does not answer":
         entries.installation.store.is_down = True
     entries.advance(_DURATION)
