Find the part of prompts that crashes engines, and refuse it everywhere

Callers saw engine after engine end under calls no two of which were alike, with all that ran there. Cause: evidence of a crash was against a call as a whole, so that calls which share one part of their prompts are each the first; and it named calls with a head and no event, while quick engines write an event before they crash. The class: what is shared by calls has no identity of its own.

Change: each part of a prompt but the last has an identity. A crash is evidence against the parts of the calls whose engine had not survived their beginning for 0.5 s. A run that its engine survives for so long clears its parts, and tells all. A part is refused behind three crashes, 0.1 s apart at least, once the evidence has stood for 0.6 s: sound calls have refuted theirs by then. Where another refused part explains all crashes under one, a call without that other part is tried, alone, which tells which one it is. Crashes that a part explains are no evidence against calls or loads. News, checksums and rows carry parts; an older release ignores them. Nothing is computed while nothing is known.

--- a/roadlift/core/events.py
+++ b/roadlift/core/events.py
@@ -54,11 +54,12 @@
     Event(
         "crashes",
         "endpoint_ended",
-        ("endpoint", "cut", "suspects", "bears", "rejected"),
+        ("endpoint", "cut", "suspects", "bears", "rejected", "parts"),
         "An endpoint crashed, which cut that many calls of this instance; suspects "
         "are [identity, weight] of those that may be the cause. It announced that it "
         "bears so many rejections a second, and rejected that many of this "
-        "instance's calls in its last second.",
+        "instance's calls in its last second. parts are the identities of parts of "
+        "prompts that may be the cause.",
     ),
     Event(
         "exchange",
--- a/roadlift/crashes/ledger.py
+++ b/roadlift/crashes/ledger.py
@@ -6,7 +6,8 @@
 """
 
 import zlib
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
+from typing import Protocol
 
 from roadlift.core.errors import EndsEndpoints
 from roadlift.core.kernel import Kernel, components
@@ -16,6 +17,16 @@
 log = ComponentLog("crashes")
 
 
+class Work(Protocol):
+    """A call, as what an endpoint may crash under."""
+
+    def identify(self) -> bytes:
+        """Return the identity of the call's work."""
+
+    def identify_parts(self) -> tuple[bytes, ...]:
+        """Return the identities of the parts that its prompt may share."""
+
+
 @components.register("crashledger")
 class CrashLedger:
     """The crash evidence that this process has.
@@ -56,9 +67,37 @@
             f"{count} endpoints crashed while running it", round(seconds, 1)
         )
 
-    def is_suspect(self, identify: Callable[[], bytes]) -> bool:
-        """Return whether an endpoint crashed under work not yet cleared."""
-        return not self.crashes.is_empty and self.crashes.is_suspect(identify())
+    def judge_call(self, work: Work) -> EndsEndpoints | None:
+        """Return why a call must not be sent now, or None.
+
+        A part of its prompt may be the reason, unless other parts explain the
+        crashes under it.
+        """
+        obstacle = self.judge(work.identify)
+        if obstacle is not None or self.crashes.is_empty:
+            return obstacle
+        parts = work.identify_parts()
+        for part in parts:
+            obstacle = self.judge(lambda part=part: part)
+            if obstacle is not None and not self._is_excused(part, parts):
+                return obstacle
+        return None
+
+    def _is_excused(self, part: bytes, others: Iterable[bytes]) -> bool:
+        return self.crashes.is_excused(part, others, self._clock.now())
+
+    def find_suspect(self, work: Work) -> bytes | None:
+        """Return what a call has to be tried alone for, or None.
+
+        It is the call's own identity if an endpoint crashed under it, or that
+        of a refused part under which other parts explain the crashes.
+        """
+        if self.crashes.is_empty:
+            return None
+        if self.crashes.is_suspect(work.identify()):
+            return work.identify()
+        refused = filter(self.crashes.is_refused, work.identify_parts())
+        return next(refused, None)
 
     def record_evidence(self, evidence: list[CrashEvidence]) -> None:
         """Add evidence that no other instance has reported."""
@@ -67,10 +106,12 @@
             for listener in self.on_evidence:
                 listener(found)
 
-    def merge(self, evidence: list[CrashEvidence]) -> list[CrashEvidence]:
-        """Add evidence; return what is new."""
+    def merge(
+        self, evidence: list[CrashEvidence], of_parts: bool = False
+    ) -> list[CrashEvidence]:
+        """Add evidence, of calls or of parts; return what is new."""
         refused = self.crashes.list_refused()
-        found = self.crashes.merge(evidence, self._clock.now())
+        found = self.crashes.merge(evidence, self._clock.now(), of_parts)
         changed = {item.identity for item in found}
         # A newly confirmed cause may explain crashes for which other work was
         # refused.
@@ -78,6 +119,18 @@
             self._notify_change(identity)
         return found
 
+    def clear_parts(self, identities: Iterable[bytes]) -> None:
+        """Clear parts of prompts that an endpoint has survived."""
+        for identity in identities:
+            self.clear(lambda identity=identity: identity)
+
+    def promote_parts(self) -> None:
+        """Refuse the parts of prompts whose evidence nobody has cleared."""
+        if self.crashes.is_empty:
+            return
+        for identity in self.crashes.promote(self._clock.now()):
+            self._notify_change(identity)
+
     def clear(self, identify: Callable[[], bytes]) -> None:
         """Clear work that succeeded, or that is to be tried again."""
         if self.crashes.is_empty:
--- a/roadlift/daemon/exchange.py
+++ b/roadlift/daemon/exchange.py
@@ -21,7 +21,7 @@
 )
 from roadlift.core.kernel import Kernel
 from roadlift.core.logs import ComponentLog
-from roadlift.crashes.detection import DETECTION_DELAY
+from roadlift.crashes.detection import DETECTION_DELAY, CutCall
 from roadlift.daemon.bundles import Bundles
 from roadlift.daemon.calls import Calls
 from roadlift.daemon.members import Members
@@ -266,7 +266,7 @@
         if isinstance(error, ConnectionLost) and endpoint:
             has_begun = self._head is not None and not self._has_body
             ends, identity = self._calls.ends, self._identify()
-            ends.record_cut(endpoint, self._address, identity, has_begun)
+            ends.record_cut(endpoint, self._address, CutCall(identity, has_begun))
         self._on_failure(error)
 
     def _pass(self, data: bytes) -> None:
--- a/roadlift/decisions/crashes.py
+++ b/roadlift/decisions/crashes.py
@@ -15,6 +15,13 @@
 that were only present at some of these crashes are told apart: weak evidence
 counts for less if there is strong evidence for the same crash, and for nothing
 once the work with the strong evidence is confirmed to crash endpoints.
+
+A part of prompts may also be the cause, in calls that are all different. It
+has evidence from each crash under a call with it that had begun shortly
+before, and is refused after three crashes. Sound calls share the other parts
+of such calls: they clear these by every run that outlives its beginning. A
+part is refused only if nobody has cleared it for longer than that takes, and
+crashes at the same moment, as of a rack without power, count as one.
 """
 
 import zlib
@@ -28,6 +35,17 @@
 STRONG = 3
 WEAK = 2
 REDUCED = 1  # Weight of weak evidence if the same crash has strong evidence.
+# Marks evidence against a part of prompts, and its weight: a third crash
+# reaches the threshold.
+SHARED = 1
+SHARED_WEIGHT = 2
+PART_CRASHES = 3
+# Seconds from the first event of a call until its engine has survived it.
+# Engines were seen to crash 0.05 to 0.12 seconds after a call began to run.
+SURVIVAL_TIME = 0.5
+# Seconds that evidence against a part has to stand until the part is refused:
+# calls that share it have survived, or have been refuted, by then.
+STANDING_TIME = 0.6
 # Total weight from which a call is refused: two strong pieces of evidence, or
 # three of any kind, each from another endpoint. A call that is not the cause
 # would have to be repeated twice and start on a crashing endpoint each time.
@@ -44,7 +62,19 @@
 REFUSAL_JITTER = 0.1
 # Seconds that evidence is kept after the last crash or the end of the refusal.
 RETENTION = 600.0
+# Seconds between two crashes under a part that count both: a call crashes one
+# endpoint, and the next such call comes later.
+MIN_SPACING = 0.1
+# Seconds of the refusal of a part after the third crash, ten times as long
+# after each further one.
+FIRST_PART_REFUSAL = 10.0
+# Seconds after the last crash from which several parts together explain the
+# crashes under another one.
+JOINT_EXCUSE_DELAY = 5.0
+# Seconds that evidence against a part is kept unless the part is refused.
+PART_RETENTION = 30.0
 MAX_CALLS = 256  # Calls with evidence that are kept.
+MAX_PARTS = 1024  # Parts of prompts with evidence that are kept.
 
 
 class CrashEvidence(NamedTuple):
@@ -61,38 +91,57 @@
 
 
 class _Causes(NamedTuple):
-    """Endpoints whose crash has strong evidence, or a confirmed cause."""
+    """Endpoints whose crash has strong evidence, or a confirmed cause.
+
+    Those that are ``explained`` crashed under a part of prompts.
+    """
 
     suspected: set[str]
     confirmed: set[str]
+    explained: set[str]
 
     def compute_weight(self, endpoint: str, weight: int) -> int:
         """Return the weight with which a piece of evidence counts."""
+        if endpoint in self.explained:
+            return 0
         if weight != WEAK or endpoint not in self.suspected:
             return weight
         return 0 if endpoint in self.confirmed else REDUCED
 
 
 class _Record:
-    """The evidence against one call: weights and times, by endpoint.
+    """The evidence against one call or part: weights and times, by endpoint.
 
-    ``causes`` is shared by all records.
+    ``causes`` is shared by all records. One of a part that ``has_stood`` has
+    not been cleared in the time that this takes.
     """
 
-    __slots__ = ("causes", "evidence")
+    __slots__ = ("causes", "evidence", "has_stood", "is_part")
 
     def __init__(self, causes: _Causes) -> None:
         self.evidence: dict[str, tuple[int, float]] = {}
         self.causes = causes
+        self.is_part = False
+        self.has_stood = False
 
     def _list_weights(self) -> list[int]:
         """Return the weights above 0 that count, one for each crash."""
+        if self.is_part:
+            return [SHARED_WEIGHT] * self._count_spaced()
         found = [
             self.causes.compute_weight(endpoint, weight)
             for endpoint, (weight, _) in self.evidence.items()
         ]
         return [weight for weight in found if weight]
 
+    def _count_spaced(self) -> int:
+        """Return the number of crashes that are not at the same moment."""
+        count, last = 0, float("-inf")
+        for at in sorted(at for weight, at in self.evidence.values() if weight):
+            if at - last >= MIN_SPACING:
+                count, last = count + 1, at
+        return count
+
     @property
     def is_confirmed(self) -> bool:
         """Return whether the unreduced weights reach the threshold."""
@@ -106,13 +155,32 @@
     @property
     def is_refused(self) -> bool:
         """Return whether the evidence that counts reaches the threshold."""
-        return self.weight >= REFUSAL_THRESHOLD
+        is_open = self.is_part and not self.has_stood
+        return not is_open and self.weight >= REFUSAL_THRESHOLD
 
     @property
     def crash_count(self) -> int:
         """Return the number of crashes that count."""
         return len(self._list_weights())
 
+    def list_crashes(self) -> set[str]:
+        """Return the endpoints with evidence that has not been cleared."""
+        return {name for name, (weight, _) in self.evidence.items() if weight}
+
+    def stand(self, now: float) -> bool:
+        """Return whether a part is refused from now on."""
+        if not self.is_part or self.has_stood or self.weight < REFUSAL_THRESHOLD:
+            return False
+        first = min(at for weight, at in self.evidence.values() if weight)
+        self.has_stood = now - first >= STANDING_TIME
+        return self.has_stood
+
+    def compute_retention(self) -> float:
+        """Return the seconds that the record is kept after the last crash."""
+        if self.is_part and not self.is_refused:
+            return PART_RETENTION
+        return self.compute_refusal() + RETENTION
+
     def list_strong(self) -> list[str]:
         """Return the endpoints with strong evidence."""
         return [name for name, (weight, _) in self.evidence.items() if weight >= STRONG]
@@ -121,6 +189,9 @@
         """Return the seconds of the refusal after the last crash."""
         if not self.is_refused:
             return 0.0
+        if self.is_part:
+            further = self.crash_count - PART_CRASHES
+            return min(MAX_REFUSAL, FIRST_PART_REFUSAL * REFUSAL_GROWTH**further)
         return min(
             MAX_REFUSAL, FIRST_REFUSAL * REFUSAL_GROWTH ** (self.crash_count - 2)
         )
@@ -140,7 +211,8 @@
         self._stretch = 1.0 + REFUSAL_JITTER * rank
         self._records: OrderedDict[bytes, _Record] = OrderedDict()
         self._checksum: int | None = None
-        self._causes = _Causes(set(), set())
+        self._causes = _Causes(set(), set(), set())
+        self._crashed: set[str] = set()
 
     @property
     def is_empty(self) -> bool:
@@ -157,6 +229,44 @@
         record = self._records.get(identity)
         return record is not None and record.is_refused
 
+    def has_crashed(self, endpoint: str) -> bool:
+        """Return whether there is evidence of an endpoint's crash."""
+        return endpoint in self._crashed
+
+    def is_excused(self, part: bytes, others: Iterable[bytes], now: float) -> bool:
+        """Return whether another refused part explains all crashes under one.
+
+        ``others`` are the parts of a call, which that part is not among: a run
+        of the call tells which of them is the cause. Where several parts
+        together explain the crashes, each of them may be sound and cleared
+        soon; that counts only after a while.
+        """
+        record = self._records[part]
+        crashes = record.list_crashes()
+        known = {part, *others}
+        explained = [
+            other.list_crashes()
+            for name, other in self._records.items()
+            if other.is_part and other.is_refused and name not in known
+        ]
+        if any(crashes <= found for found in explained):
+            return True
+        has_waited = now - record.find_last_crash() >= JOINT_EXCUSE_DELAY
+        return has_waited and crashes <= set().union(*explained)
+
+    def promote(self, now: float) -> list[bytes]:
+        """Refuse the parts whose evidence has stood; return what is new."""
+        found = [name for name, record in self._records.items() if record.stand(now)]
+        if found:
+            self._checksum = None
+            self._update_causes()
+        return found
+
+    def is_part(self, identity: bytes) -> bool:
+        """Return whether evidence is against a part of prompts."""
+        record = self._records.get(identity)
+        return record is not None and record.is_part
+
     def is_settled(self, identity: bytes) -> bool:
         """Return whether no evidence against a call remains."""
         record = self._records.get(identity)
@@ -182,10 +292,10 @@
         return max(0.0, until - now)
 
     def merge(
-        self, evidence: Iterable[CrashEvidence], now: float
+        self, evidence: Iterable[CrashEvidence], now: float, of_parts: bool = False
     ) -> list[CrashEvidence]:
-        """Add evidence; return the pieces that changed the state."""
-        found = [item for item in evidence if self._merge(item, now)]
+        """Add evidence, of calls or of parts; return what is new."""
+        found = [item for item in evidence if self._merge(item, now, of_parts)]
         if found:
             self._update_causes()
         return found
@@ -200,6 +310,7 @@
         if record is None or not record.weight:
             return False
         record.evidence = {name: (0, at) for name, (_, at) in record.evidence.items()}
+        record.has_stood = False
         self._checksum = None
         self._update_causes()
         return True
@@ -219,32 +330,39 @@
     def expire(self, now: float) -> None:
         """Drop expired evidence."""
         for identity, record in list(self._records.items()):
-            until = record.find_last_crash() + record.compute_refusal() + RETENTION
-            if now > until:
+            if now > record.find_last_crash() + record.compute_retention():
                 del self._records[identity]
                 self._checksum = None
         self._update_causes()
 
     def compute_checksum(self) -> int:
-        """Return a checksum, equal on instances with the same evidence."""
+        """Return a checksum, equal on instances with the same evidence.
+
+        Evidence against parts that are not refused is left out: most of it is
+        cleared within a second.
+        """
         if self._checksum is None:
             self._checksum = 0
             for identity, record in self._records.items():
+                if record.is_part and not record.has_stood:
+                    continue
                 for endpoint, (weight, _) in record.evidence.items():
                     data = identity + bytes([weight]) + endpoint.encode()
                     self._checksum ^= zlib.crc32(data)
         return self._checksum
 
-    def _merge(self, item: CrashEvidence, now: float) -> bool:
+    def _merge(self, item: CrashEvidence, now: float, of_part: bool) -> bool:
         record = self._records.get(item.identity)
         known = record.evidence.get(item.endpoint) if record is not None else None
         if known is not None and not _supersedes(item.weight, known[0]):
             return False
         if record is None:
             record = self._records[item.identity] = _Record(self._causes)
+            record.is_part = of_part or item.weight == SHARED
             self._evict_oldest()
         at = now - item.age if known is None else known[1]
         record.evidence[item.endpoint] = (item.weight, at)
+        record.is_part = record.is_part or item.weight == SHARED
         self._checksum = None
         return True
 
@@ -255,21 +373,38 @@
         """
         suspected: set[str] = set()
         confirmed: set[str] = set()
+        explained: set[str] = set()
+        self._crashed.clear()
         for record in self._records.values():
+            self._crashed.update(record.evidence)
+            if record.is_part:
+                explained.update(record.list_crashes() if record.is_refused else ())
+                continue
             strong = record.list_strong()
             suspected.update(strong)
             confirmed.update(strong if record.is_confirmed else ())
-        self._causes = _Causes(suspected, confirmed)
+        self._causes = _Causes(suspected, confirmed, explained)
         for record in self._records.values():
             record.causes = self._causes
 
     def _evict_oldest(self) -> None:
-        """Drop the oldest call, one that is not refused if there is one."""
-        if len(self._records) <= MAX_CALLS:
+        """Drop the oldest of too many parts, or of too many calls.
+
+        It is one that is not refused, and of parts one with a single crash, if
+        there is one.
+        """
+        newest = next(reversed(self._records.values()))
+        older = [
+            name
+            for name, record in self._records.items()
+            if record.is_part == newest.is_part and record is not newest
+        ]
+        if len(older) < (MAX_PARTS if newest.is_part else MAX_CALLS):
             return
-        older = list(self._records)[:-1]
-        free = (name for name in older if not self._records[name].is_refused)
-        del self._records[next(free, older[0])]
+        free = [name for name in older if not self._records[name].is_refused]
+        single = (name for name in free if self._records[name].crash_count <= 1)
+        victim = next(single, None) if newest.is_part else None
+        del self._records[victim or next(iter(free), older[0])]
 
 
 def _supersedes(weight: int, known: int) -> bool:
--- a/roadlift/explanation/barred.py
+++ b/roadlift/explanation/barred.py
@@ -36,13 +36,19 @@
     return sorted(found, key=lambda one: -one.ends)
 
 
+def _is_suspected(line: Line, identity: str) -> bool:
+    """Return whether a call or a part was a suspect as an endpoint ended."""
+    suspects = [name for name, _ in line.fields["suspects"]]
+    return identity in suspects or identity in line.fields.get("parts", ())
+
+
 def _describe(identity: str, told: list[Line], log: Log) -> Barred:
     barred = [line for line in told if line.name == "work_barred"]
     endpoints = {
         line.fields["endpoint"]: None
         for line in log.lines
         if line.name == "endpoint_ended"
-        if any(name == identity for name, _ in line.fields["suspects"])
+        if _is_suspected(line, identity)
     }
     requests = {
         line.fields["request"]: None
--- a/roadlift/instance/crashnews.py
+++ b/roadlift/instance/crashnews.py
@@ -7,6 +7,8 @@
 any evidence nothing is sent.
 """
 
+from collections.abc import Sequence
+
 from roadlift.core.errors import MalformedMessage
 from roadlift.core.kernel import Kernel
 from roadlift.core.logs import ComponentLog
@@ -63,8 +65,8 @@
     def _publish(self, evidence: list[CrashEvidence], excluded: str = "") -> None:
         """Send new evidence to the other instances."""
         for start in range(0, len(evidence), MAX_EVIDENCE):
-            batch = [list(item) for item in evidence[start : start + MAX_EVIDENCE]]
-            update = CrashNews(self._kernel.settings.peer, batch, False)
+            batch = evidence[start : start + MAX_EVIDENCE]
+            update = self._make_update(batch, False)
             self._transport.send_all(self._list_recipients() - {excluded}, update)
 
     def _list_recipients(self) -> set[str]:
@@ -100,7 +102,10 @@
             self._send_all(message.address, True, now)
 
     def _send_all(self, address: str, wants_all: bool, now: float) -> None:
-        """Send all evidence to one instance, the newest first."""
+        """Send all evidence to one instance.
+
+        That against refused work comes first, then the newest.
+        """
         if (
             wants_all
             and now - self._sent_at.get(address, float("-inf")) < FULL_REPORT_INTERVAL
@@ -112,19 +117,35 @@
             if now - at < FULL_REPORT_INTERVAL
         }
         self._sent_at = {**recent, address: now}
-        evidence = sorted(self._crashes.list_evidence(now), key=lambda item: item.age)
-        batch = [list(item) for item in evidence[:MAX_EVIDENCE]]
-        update = CrashNews(self._kernel.settings.peer, batch, wants_all)
+        by_urgency = lambda item: (
+            not self._crashes.is_refused(item.identity),
+            item.age,
+        )
+        evidence = sorted(self._crashes.list_evidence(now), key=by_urgency)
+        update = self._make_update(evidence[:MAX_EVIDENCE], wants_all)
         self._transport.send(address, update)
 
+    def _make_update(
+        self, evidence: Sequence[CrashEvidence], wants_all: bool
+    ) -> CrashNews:
+        """Return a message; an older release ignores the parts in it."""
+        is_part = self._crashes.is_part
+        return CrashNews(
+            self._kernel.settings.peer,
+            [list(item) for item in evidence if not is_part(item.identity)],
+            wants_all,
+            [list(item) for item in evidence if is_part(item.identity)],
+        )
+
     def _handle_update(self, sender: str, update: CrashNews) -> None:
         now = self._kernel.clock.now()
         try:
             evidence = read_evidence(update.signs)
+            of_parts = read_evidence(update.parts)
         except MalformedMessage as error:
             log.warning("Crash evidence from another instance was ignored: %s.", error)
             return
-        found = self._ledger.merge(evidence)
+        found = self._ledger.merge(evidence) + self._ledger.merge(of_parts, True)
         if found and self._leases.list_held():
             self._publish(found, update.address)
         if update.wants_all:
--- a/roadlift/instance/crashrows.py
+++ b/roadlift/instance/crashrows.py
@@ -136,7 +136,7 @@
         row = RowWrite(
             TABLE,
             identity.hex(),
-            self._encode(identity, weights) if weights else None,
+            self._encode(identity) if weights else None,
             known.position if known else ZERO_POSITION,
         )
         self._store.write(
@@ -145,11 +145,12 @@
             lambda error: self._handle_failure(identity, error),
         )
 
-    def _encode(self, identity: bytes, weights: dict[str, int]) -> bytes:
+    def _encode(self, identity: bytes) -> bytes:
         now = self._kernel.clock.now()
-        age = min(item.age for item in self._crashes.list_evidence(now, identity))
-        store_now = self._time.estimate_latest(now) if self._time else age
-        return encode_row(store_now - age, weights)
+        evidence = self._crashes.list_evidence(now, identity)
+        last = min(item.age for item in evidence)
+        store_now = self._time.estimate_latest(now) if self._time else last
+        return encode_row(store_now, evidence)
 
     def _record_written(
         self,
--- a/roadlift/instance/exchange.py
+++ b/roadlift/instance/exchange.py
@@ -48,7 +48,7 @@
 from roadlift.instance.silences import SilenceReport
 from roadlift.relay.caller import Caller
 from roadlift.serving.directory import Endpoint
-from roadlift.serving.identity import identify
+from roadlift.serving.identity import identify, identify_parts
 from roadlift.serving.interfaces import Verdict
 
 # Minimum seconds between two searches for an engine that continues a call, as
@@ -111,6 +111,7 @@
         )
         self._timer = None
         self._identity: bytes | None = None
+        self._parts: tuple[bytes, ...] | None = None
         self._send: Send | None = None
         self._kept = KeptSends()
         self._searched_at = float("-inf")
@@ -167,9 +168,10 @@
         has brought events is not the cause, or it is too late to end it.
         """
         has_events = self._send is not None and self._send.chunks_received
-        if self._is_over or has_events or self.identify() != identity:
+        is_concerned = identity in (self.identify(), *self.identify_parts())
+        if self._is_over or has_events or not is_concerned:
             return
-        obstacle = self._ledger.judge(self.identify)
+        obstacle = self._ledger.judge_call(self)
         if obstacle is None:
             return
         if any(send.chunks_received for send in self._kept):
@@ -241,6 +243,12 @@
             self._identity = identify(self.call)
         return self._identity
 
+    def identify_parts(self) -> tuple[bytes, ...]:
+        """Return the identities of the parts that the prompt may share."""
+        if self._parts is None:
+            self._parts = identify_parts(self.call)
+        return self._parts
+
     def begin_send(self, endpoint: Endpoint, basis: Basis) -> None:
         """Send the call to an endpoint."""
         send = Send(
@@ -422,8 +430,7 @@
         """Send the call again, or end the answer with the error."""
         endpoint = send.endpoint
         if isinstance(error, ConnectionLost):
-            has_begun = send.describe_answer() == "head"
-            self._crashes.record_cut(endpoint, self.identify(), has_begun)
+            self._crashes.record_cut(endpoint, send.describe_cut())
         if send in self._kept:
             self._on_kept_failed(send, error)
             return
--- a/roadlift/instance/search.py
+++ b/roadlift/instance/search.py
@@ -56,6 +56,9 @@
     def identify(self) -> bytes:
         """Return the identity of the call's work."""
 
+    def identify_parts(self) -> tuple[bytes, ...]:
+        """Return the identities of the parts that its prompt may share."""
+
     def begin_send(self, endpoint: Endpoint, basis: Basis) -> None:
         """Send the call to an endpoint, on the basis of a permit."""
 
@@ -151,13 +154,11 @@
             return
         if self._owner.pass_on():
             return
-        obstacle = self._authorization.check() or self._ledger.judge(
-            self._owner.identify
-        )
+        obstacle = self._authorization.check() or self._ledger.judge_call(self._owner)
         if obstacle is not None:
             self._owner.fail(obstacle)
             return
-        if self._crashes.await_trial_slot(self._owner.identify, self.try_send):
+        if self._crashes.await_trial_slot(self._owner, self.try_send):
             self._owner.record_step("turn")
             return
         is_handled = (
@@ -267,9 +268,7 @@
 
     def _on_permitted(self, endpoint: Endpoint, basis: Basis) -> None:
         """Send the call, unless it is not permitted any longer."""
-        obstacle = self._authorization.check() or self._ledger.judge(
-            self._owner.identify
-        )
+        obstacle = self._authorization.check() or self._ledger.judge_call(self._owner)
         if obstacle is None:
             self._owner.begin_send(endpoint, basis)
         else:
--- a/roadlift/instance/send.py
+++ b/roadlift/instance/send.py
@@ -9,6 +9,7 @@
     RoadliftError,
 )
 from roadlift.core.kernel import Kernel
+from roadlift.crashes.detection import CutCall
 from roadlift.endpoints.events import EventFrames
 from roadlift.instance.crashes import CrashMonitor
 from roadlift.instance.gate import Gate, SentCall
@@ -37,6 +38,9 @@
     def identify(self) -> bytes:
         """Return the identity of the call's work."""
 
+    def identify_parts(self) -> tuple[bytes, ...]:
+        """Return the identities of the parts that its prompt may share."""
+
     def on_head(self, send: "Send") -> None:
         """Handle the head of an answer."""
 
@@ -59,7 +63,8 @@
     ``tokens_ahead`` are the unread prompt tokens at the engine when the call
     was sent. ``status``, ``headers`` and ``verdict`` are those of the answer,
     ``chunks_received`` its parts so far, and ``buffer`` what is kept of it.
-    ``frames`` are the events of a success that is a stream of them.
+    ``first_at`` is when its first part came, or None. ``frames`` are the
+    events of a success that is a stream of them.
     """
 
     def __init__(
@@ -74,7 +79,7 @@
         self._crashes = kernel.get(CrashMonitor)
         self._isolation = kernel.get(Isolation)
         self._line: CallHandle | None = None
-        self._holds_trial_slot = False
+        self._suspect: bytes | None = None
         self._is_prompt_unread = False
         self.endpoint = sent.endpoint
         self.sent_at = sent.at
@@ -83,6 +88,7 @@
         self.headers: dict[str, str] = {}
         self.verdict: Verdict | None = None
         self.chunks_received = 0
+        self.first_at: float | None = None
         self.buffer = bytearray()
         self.frames: EventFrames | None = None
 
@@ -90,7 +96,7 @@
         """Send the request."""
         call = self._owner.call
         self._placement.begin(self.endpoint, call)
-        self._holds_trial_slot = self._crashes.begin(self._owner.identify)
+        self._suspect = self._crashes.begin(self._owner)
         self._is_prompt_unread = True
         self._isolation.record_sent()
         if call.model is not None:
@@ -138,6 +144,16 @@
         """Return what ends the answer, or None as long as it has no head."""
         return find_framing(self.headers) if self.status else None
 
+    def describe_cut(self) -> CutCall:
+        """Return what is known of the call as its endpoint cuts it off."""
+        now = self._kernel.clock.now()
+        return CutCall(
+            self._owner.identify(),
+            self.describe_answer() == "head",
+            self._owner.identify_parts(),
+            None if self.first_at is None else now - self.first_at,
+        )
+
     def describe_answer(self) -> str:
         """Return how much of the answer was received."""
         if self.verdict is None:
@@ -158,9 +174,9 @@
 
         Another copy of the same call may wait for it.
         """
-        if self._holds_trial_slot:
-            self._holds_trial_slot = False
-            self._crashes.end(self._owner.identify())
+        if self._suspect is not None:
+            suspect, self._suspect = self._suspect, None
+            self._crashes.end(suspect)
 
     def _end(self) -> None:
         self._line = None
@@ -197,6 +213,9 @@
         self.chunks_received += 1
         self.release_trial_slot()
         now = self._kernel.clock.now()
+        if self.first_at is None:
+            self.first_at = now
+            self._record_run()
         self._placement.inactivity.record_event(self.endpoint.id, self, now)
         if self.verdict is Verdict.SUCCEEDED:
             data = data if self.frames is None else self.frames.extract_complete(data)
@@ -211,6 +230,7 @@
             self.receive_error(error)
             return
         self._end()
+        self._record_run()
         if self.frames is not None:
             self._pass_on(self.frames.take_rest())
         self._owner.on_end(self)
@@ -221,6 +241,11 @@
         self._end()
         self._owner.on_error(self, error)
 
+    def _record_run(self) -> None:
+        """Let the parts of the prompt be cleared if the endpoint survives."""
+        if self.verdict is Verdict.SUCCEEDED and self.first_at is not None:
+            self._crashes.record_run(self.endpoint, self.first_at, self._owner)
+
     def _pass_on(self, data: bytes) -> None:
         if data:
             self._owner.on_body(self, data)
--- a/roadlift/serving/crashevidence.py
+++ b/roadlift/serving/crashevidence.py
@@ -1,17 +1,17 @@
 """Read and write crash evidence, in messages and in rows of the store."""
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable
 
 import msgpack
 
 from roadlift.core.errors import MalformedMessage
-from roadlift.decisions.crashes import STRONG, WEAK, CrashEvidence
+from roadlift.decisions.crashes import SHARED, STRONG, WEAK, CrashEvidence
 from roadlift.serving.identity import IDENTITY_SIZE
 
 MAX_NAME_LENGTH = 512  # Characters of an endpoint's id.
 # Seconds after which evidence has no weight; an upper bound for input.
 MAX_AGE = 100_000.0
-_WEIGHTS = (0, WEAK, STRONG)
+_WEIGHTS = (0, SHARED, WEAK, STRONG)
 _UNREADABLE = (
     AttributeError,
     TypeError,
@@ -28,13 +28,24 @@
         raise MalformedMessage(repr(error)) from error
 
 
-def encode_row(ended_at: float, weights: Mapping[str, int]) -> bytes:
+def encode_row(store_now: float, evidence: Iterable[CrashEvidence]) -> bytes:
     """Return the value of a row; its key is the identity in hex digits.
 
-    ``ended_at`` is the store's time of the last crash, in seconds;
-    ``weights`` are those of the evidence, by endpoint.
+    It holds the store's time of the last crash, in seconds, and by endpoint
+    the weights. Where a part of prompts is the cause, each weight comes with
+    the seconds from its crash to the last one: crashes at the same moment
+    count as one.
     """
-    return msgpack.packb([ended_at, dict(weights)])
+    pieces = list(evidence)
+    last = min(item.age for item in pieces)
+    is_part = any(item.weight == SHARED for item in pieces)
+    weights = {
+        item.endpoint: [item.weight, round(item.age - last, 3)]
+        if is_part
+        else item.weight
+        for item in pieces
+    }
+    return msgpack.packb([store_now - last, weights])
 
 
 def read_key(key: str) -> bytes:
@@ -54,14 +65,22 @@
         ended_at, weights = msgpack.unpackb(value)
         age = max(0.0, store_now - ended_at)
         evidence = [
-            CrashEvidence(identity, name, weight, age)
-            for name, weight in weights.items()
+            CrashEvidence(identity, name, *_read_weight(value, age))
+            for name, value in weights.items()
         ]
         return [_check(entry) for entry in evidence]
     except _UNREADABLE as error:
         raise MalformedMessage(repr(error)) from error
 
 
+def _read_weight(value: int | list, age: float) -> tuple[int, float]:
+    """Return the weight and the age of one piece of a row's evidence."""
+    if not isinstance(value, list):
+        return value, age
+    weight, earlier = value
+    return weight, age + earlier
+
+
 def _check(evidence: CrashEvidence) -> CrashEvidence:
     if (
         not isinstance(evidence.identity, bytes)
--- a/roadlift/serving/identity.py
+++ b/roadlift/serving/identity.py
@@ -4,7 +4,8 @@
 model and body determine what an endpoint computes, so calls with equal values
 are the same work, whichever caller, connection or instance they come through.
 Ids, time limits and the other headers are not included. Loads of the same
-version of an adapter are the same work at any engine.
+version of an adapter are the same work at any engine. Calls that are different
+work may share parts of their prompts, and each part has an identity, too.
 """
 
 import hashlib
@@ -25,6 +26,15 @@
     return compute_identity(texts, call.body)
 
 
+def identify_parts(call: Call) -> tuple[bytes, ...]:
+    """Return the identities of the parts that a prompt may share with others.
+
+    The last part is the call's own, or its session's.
+    """
+    names = dict.fromkeys(part.id for part in call.prompt[:-1])
+    return tuple(compute_identity(("part", name)) for name in names)
+
+
 def identify_load(model: Model, version: int) -> bytes:
     """Return the identity of the load of an adapter, IDENTITY_SIZE bytes."""
     return compute_identity(("load", *model, str(version)))
--- a/roadlift/serving/messages.py
+++ b/roadlift/serving/messages.py
@@ -292,14 +292,15 @@
 class CrashNews(NamedTuple):
     """Share crash evidence: under which calls endpoints crashed.
 
-    ``signs`` are the fields of each ``CrashEvidence``. The sender listens at
-    ``address``; with ``wants_all`` it sends all that it has, and requests the
-    same in return.
+    ``signs`` are the fields of each ``CrashEvidence``, and ``parts`` of those
+    against parts of prompts. The sender listens at ``address``; with
+    ``wants_all`` it sends all that it has, and requests the same in return.
     """
 
     address: str
     signs: list
     wants_all: bool
+    parts: Sequence = ()
 
 
 @message("sk")
--- a/standins/installation.py
+++ b/standins/installation.py
@@ -216,9 +216,9 @@
     has neither a length nor chunks; with ``is_unframed``, all streams are. A
     call whose body is deadly ends the runner soon after it began to run,
     before its first event; one with a deadly part of its prompt also behind
-    some. Of the next ``lost_orders``, none is answered; every second is carried out
-    late. While ``is_mute``, no report is given. ``named`` is the limit that
-    it names in the answers to calls, as text, or None; one that
+    some. Of the next ``lost_orders``, none is answered; every second is
+    carried out late. While ``is_mute``, no report is given. ``named`` is the
+    limit that it names in the answers to calls, as text, or None; one that
     ``is_leaving`` says so in all its answers. While there is a ``rest``, as
     text, it turns ``turned_away`` of the calls away and asks for that.
     ``more`` are further headers of its answers to calls. While it pauses, no
--- a/tests/core/messages.feature
+++ b/tests/core/messages.feature
@@ -10,8 +10,8 @@
 
     Examples:
       | release | added                                                     |
-      | 0.8     | sh: samples, su: samples, sv: age                         |
-      | 0.9     | il: lasts, in: brittle, sh: samples, su: samples, sv: age |
+      | 0.8     | sc: parts, sh: samples, su: samples, sv: age              |
+      | 0.9     | il: lasts, in: brittle, sc: parts, sh: samples, su: samples, sv: age |
 
   Scenario: Fields that a later release adds are ignored
     Then each message with two further fields is decoded as without them
--- a/tests/decisions/crashes.feature
+++ b/tests/decisions/crashes.feature
@@ -38,6 +38,47 @@
       | 1 b strong e1, 2 b strong e2, 3 a weak e1, 3 a weak e2, 4 a weak e3 | 5  | 0       |
       | 1 a strong e1, 2 a strong e2, 3 b strong e1, 4 b strong e2          | 5  | 57      |
 
+    Examples: A part of prompts is refused behind three crashes that nobody refutes
+      | history                                                                                    | at  | seconds |
+      | 1 a shared e1, 2 a shared e2                                                               | 3   | 0       |
+      | 1 a shared e1, 2 a shared e2, 3 a shared e3                                                | 5   | 8       |
+      | 1 a shared e1, 1.2 a shared e2, 1.4 a shared e3                                            | 1.5 | 0       |
+      | 1 a shared e1, 1.2 a shared e2, 1.4 a shared e3                                            | 1.7 | 9.7     |
+      | 1 a shared e1, 1.01 a shared e2, 1.02 a shared e3, 1.03 a shared e4                        | 5   | 0       |
+      | 1 a shared e1, 2 a shared e2, 2.5 a cleared, 3 a shared e3                                 | 5   | 0       |
+      | 1 a shared e1, 2 a shared e2, 3 a shared e3, 4 a cleared                                   | 5   | 0       |
+      | 1 a shared e1, 2 a shared e2, 3 a shared e3, 14 a shared e4                                | 15  | 99      |
+      | 1 a shared e1, 2 a shared e2, 40 time passes, 41 a shared e3                               | 42  | 0       |
+      | 1 a shared e1, 2 a shared e2, 2 2000 parts, 3 a shared e3                                  | 5   | 8       |
+      | 1 b shared e1, 1 a weak e1, 2 b shared e2, 2 a weak e2, 3 b shared e3, 3 a weak e3         | 5   | 0       |
+      | 1 b shared e1, 1 a strong e1, 2 b shared e2, 2 a strong e2, 3 b shared e3                  | 5   | 0       |
+
+  Scenario: A row keeps when a part crashed endpoints
+    When the evidence has the history "1 a shared e1, 2 a shared e2, 3 a shared e3"
+    Then at 5 the call a is refused for 8 seconds by a row, too
+
+  Scenario Outline: Sound calls that share a part tell which one is the cause: <history>
+    When the evidence has the history "<history>"
+    Then at <at> a call with the parts <parts> is <result>
+
+    Examples: a part that another one explains is tried, by calls without that one
+      | history                                                                                  | at | parts | result  |
+      | 1 a shared e1, 1 b shared e1, 2 a shared e2, 2 b shared e2, 3 a shared e3, 3 b shared e3 | 5  | ab    | refused |
+      | 1 a shared e1, 1 b shared e1, 2 a shared e2, 2 b shared e2, 3 a shared e3, 3 b shared e3 | 5  | ac    | tried   |
+      | 1 a shared e1, 1 b shared e1, 2 a shared e2, 2 b shared e2, 3 a shared e3, 3 b shared e3 | 5  | cd    | run     |
+      | 1 a shared e1, 2 a shared e2, 3 a shared e3, 4 a shared e4, 1 b shared e1, 2 b shared e2, 3 b shared e3 | 5  | ac | refused |
+      | 1 a shared e1, 2 a shared e2, 3 a shared e3, 4 a shared e4, 1 b shared e1, 2 b shared e2, 3 b shared e3 | 5  | bc | tried   |
+
+  Scenario Outline: The last part of a prompt is the call's own
+    Then a prompt of the parts <parts> shares <count> of them
+
+    Examples:
+      | parts   | count |
+      | a       | 0     |
+      | a,b     | 1     |
+      | a,b,c   | 2     |
+      | a,b,a,c | 2     |
+
   Scenario: Sets of evidence that are merged in any order agree
     Given 200 random sets of evidence at 4 instances
     When each instance reports all its evidence to each other, in a random order
--- a/tests/steps/barred_steps.py
+++ b/tests/steps/barred_steps.py
@@ -11,6 +11,7 @@
 from behave import given, then, when
 
 from demo.fleet import ROOT, Process
+from roadlift.decisions.crashes import STRONG, CrashEvidence
 from roadlift.explanation.barred import find_barred
 from roadlift.explanation.lines import read_lines
 from roadlift.instance.crashrows import TABLE
@@ -88,7 +89,9 @@
     site.wait_until("/control")
     context.site = site
     rows = BlockingRows(str(site.address))
-    value = encode_row(1.0, {"e1": 3, "e2": 3})
+    identity = bytes.fromhex(_IDENTITY)
+    evidence = [CrashEvidence(identity, name, STRONG, 0.0) for name in ("e1", "e2")]
+    value = encode_row(1.0, evidence)
     rows.write(RowWrite(TABLE, _IDENTITY, value, ZERO_POSITION))
     rows.close()
 
--- a/tests/steps/deadly_part_steps.py
+++ b/tests/steps/deadly_part_steps.py
@@ -101,6 +101,18 @@
         runners[name].crash()
 
 
+@when("{engines} of the engines end at once, three times")
+def step_end(context, engines):
+    """End engines for reasons of their own, and wait until they are back."""
+    share = 1 if engines == "all" else 3
+    for _ in range(3):
+        runners = context.entries.installation.runners
+        names = sorted(name for name in runners if name.startswith("e"))
+        for name in names[::share]:
+            runners[name].crash()
+        context.entries.advance(4.0)
+
+
 def _queue(context):
     """Let engines begin to run calls later."""
     for runner in context.entries.installation.runners.values():
--- a/tests/steps/sign_steps.py
+++ b/tests/steps/sign_steps.py
@@ -6,12 +6,18 @@
 from behave import given, then, when
 
 from roadlift.core.errors import MalformedMessage
-from roadlift.decisions.crashes import STRONG, WEAK, Crashes, CrashEvidence
-from roadlift.serving.calls import Call, Model
-from roadlift.serving.crashevidence import read_evidence
-from roadlift.serving.identity import IDENTITY_SIZE, identify
+from roadlift.decisions.crashes import (
+    SHARED,
+    STRONG,
+    WEAK,
+    Crashes,
+    CrashEvidence,
+)
+from roadlift.serving.calls import Call, Model, PromptPart
+from roadlift.serving.crashevidence import encode_row, read_evidence, read_row
+from roadlift.serving.identity import IDENTITY_SIZE, identify, identify_parts
 
-_WEIGHTS = {"strong": STRONG, "weak": WEAK}
+_WEIGHTS = {"strong": STRONG, "weak": WEAK, "shared": SHARED}
 
 
 def _name(text):
@@ -34,6 +40,10 @@
             for index in range(int(words[1])):
                 other = CrashEvidence(_name(f"o{index}"), "e9", STRONG, 0.0)
                 context.crashes.merge([other], now)
+        elif words[-1] == "parts":
+            for index in range(int(words[1])):
+                other = CrashEvidence(_name(f"o{index}"), "e9", SHARED, 0.0)
+                context.crashes.merge([other], now)
         elif words[-1] != "passes":
             item = CrashEvidence(_name(words[1]), words[3], _WEIGHTS[words[2]], 0.0)
             context.crashes.merge([item], now)
@@ -42,10 +52,38 @@
 @then("at {now:g} the call a is refused for {seconds:g} seconds")
 def step_refused(context, now, seconds):
     """Check the remaining refusal."""
+    context.crashes.promote(now)
     found = context.crashes.compute_refusal(_name("a"), now)
     assert abs(found - seconds) < 0.01, found
 
 
+@then("at {now:g} a call with the parts {parts} is {result}")
+def step_parts(context, now, parts, result):
+    """Check whether it is refused, tried alone or run."""
+    context.crashes.promote(now)
+    names = [_name(text) for text in parts]
+    refused = [name for name in names if context.crashes.is_refused(name)]
+    excused = [name for name in refused if context.crashes.is_excused(name, names, now)]
+    found = "refused" if len(excused) < len(refused) else "tried" if refused else "run"
+    assert found == result, found
+
+
+@then("at {now:g} the call a is refused for {seconds:g} seconds by a row, too")
+def step_row(context, now, seconds):
+    """Write its evidence to a row, and read it in another process."""
+    value = encode_row(now, context.crashes.list_evidence(now, _name("a")))
+    context.crashes = Crashes()
+    context.crashes.merge(read_row(_name("a"), value, now), now)
+    step_refused(context, now, seconds)
+
+
+@then("a prompt of the parts {parts} shares {count:d} of them")
+def step_identified(context, parts, count):
+    """Count the parts of a prompt that have an identity."""
+    prompt = tuple(PromptPart(text, 1) for text in parts.split(","))
+    assert len(identify_parts(_CALL._replace(prompt=prompt))) == count
+
+
 @given("{count:d} random sets of evidence at {instances:d} instances")
 def step_random_sets(context, count, instances):
     """Add evidence at several instances, and clear some calls."""
