Let the soak turn runners brittle, send deadly parts, and herd connections

The runners of a service have little room for a while and fall over under what they reject; a fall counts where most of what was rejected came from calm instances. New connections of three seconds come to one instance.

--- a/benchmarks/routes.py
+++ b/benchmarks/routes.py
@@ -4,9 +4,11 @@
 while, as instances are killed, stopped, frozen, told to leave and cut from the
 store, the store falls silent, loses answers or comes back older, engines start
 again under their names, play faults, name limits, leave, ask for rest and end
-under calls, and the operator adds routes, names versions and revokes keys;
-faults overlap. What callers were told is compared with what the runners noted.
-Prints JSON, and fails where a count of violations is above zero.
+under calls or under a part of prompts, or have little room and fall over under
+what they reject; many connections come to one instance; and the operator adds
+routes, names versions and revokes keys; faults overlap. What callers were told
+is compared with what the runners noted. Prints JSON, and fails where a count
+of violations is above zero.
 """
 
 import argparse
@@ -37,6 +39,7 @@
 )
 from roadlift.core.clock import BootClock
 from roadlift.relay.upstream import Address
+from standins.batches import Fall
 from standins.proxies import Way
 from standins.statements import Sent, StatementWatch
 from tests.support.callers import PROMISES, Wanted, find_runner, make_headers
@@ -54,6 +57,12 @@
 MOST_DEADLY = 3  # Runs of it behind that at most, as of engines under it.
 DEADLY_SPAN = 12.0  # Seconds for which such a call comes again.
 DEADLY_GAP = (0.2, 0.8)  # Seconds until it does, at least and at most.
+MOST_PART_CRASHES = 5  # Crashes under a part behind which runs of it count.
+BRITTLE_SPAN = (5.0, 9.0)  # Seconds for which a service's runners are brittle.
+BEARS = (2, 3, 5)  # Rejections a second that they bear.
+MOST_FALLS = 2  # Of them, in one such time.
+HERD = 90  # New connections that come to one instance.
+HERD_GAP = 0.03  # Seconds between them.
 LIMITS = (1.0, 12.0)  # Calls a second that a runner names, at least and at most.
 LIMIT_SPAN = (4.0, 12.0)  # Seconds for which it does.
 LEAVE_SPAN = (3.0, 8.0)  # Seconds for which a runner says that it leaves.
@@ -89,6 +98,8 @@
     "late_route",
     "route_reverted",
     "deadly_again",
+    "deadly_part_again",
+    "fell_over",
     "over_limit",
     "late_to_leaving",
     "broken_rest",
@@ -314,6 +325,9 @@
             (self._want_rest, 4),
             (self._evacuate, 3),
             (self._turn_cold, 3),
+            (self._turn_brittle, 3),
+            (self._send_deadly_part, 2),
+            (self._send_herd, 2),
         )
         tasks = []
         calls, weights = zip(*faults, strict=True)
@@ -552,7 +566,48 @@
             await asyncio.sleep(self._draw.uniform(*DEADLY_GAP))
         await asyncio.gather(*tasks)
 
-    async def _call_deadly(self, number: int) -> None:
+    async def _turn_brittle(self) -> None:
+        """Let the runners of a service bear few rejections for a while."""
+        service = self._draw.choice(("llm", "plain"))
+        await self._command(shrink=service, bears=self._draw.choice(BEARS))
+        await asyncio.sleep(self._draw.uniform(*BRITTLE_SPAN))
+        await self._command(shrink=service, bears=None)
+
+    async def _send_deadly_part(self) -> None:
+        """Send calls, no two alike, with a part that ends engines."""
+        part = f"d{self.counts['send_deadly_part']}"
+        await self._command(deadly_part=part)
+        until = min(self._end, time.monotonic() + DEADLY_SPAN)
+        tasks = []
+        while time.monotonic() < until:
+            tasks.append(asyncio.create_task(self._call_deadly(0, part)))
+            await asyncio.sleep(self._draw.uniform(*DEADLY_GAP))
+        await asyncio.gather(*tasks)
+
+    async def _send_herd(self) -> None:
+        """Open many connections to one instance, each for one call."""
+        name = self._pick_instance()
+        address = self._deployment.instances[name].address
+
+        async def call(call_id: str) -> None:
+            """Send one call, and count how it ended."""
+            self._note_sent(call_id, name, time.monotonic())
+            headers = make_headers(
+                Wanted(call_id, "", 2.0, self.keys.get_safe(call_id))
+            )
+            channel = Channel(address)
+            answer = await channel.call("POST", "/idem/1", headers, b"")
+            channel.close()
+            self.counts[f"herd_{answer.status}"] += 1
+
+        tasks = []
+        for _ in range(HERD):
+            self._serial += 1
+            tasks.append(asyncio.create_task(call(f"h{self._serial}")))
+            await asyncio.sleep(HERD_GAP)
+        await asyncio.gather(*tasks)
+
+    async def _call_deadly(self, number: int, part: str = "") -> None:
         name = self._pick_instance()
         self._serial += 1
         call_id = f"d{self._serial}"
@@ -561,9 +616,9 @@
         is_disturbed = self._disturbed.get(name, 0.0) > began - CALM
         self._excused[call_id] = is_disturbed or name in self._leaving_at
         model, key = f"base/x{number % ADAPTERS}", self.keys.get_safe(call_id)
-        headers = make_headers(Wanted(call_id, model, 4.0, key))
+        headers = make_headers(Wanted(call_id, model, 4.0, key, part=part))
         channel = Channel(self._deployment.instances[name].address)
-        body = f"deadly {number}".encode()
+        body = (call_id if part else f"deadly {number}").encode()
         answer = await channel.call("POST", "/long/deadly", headers, body)
         channel.close()
         self.counts[f"deadly_{answer.status}"] += 1
@@ -656,7 +711,11 @@
             self.note(breach.rule, breach.detail)
         self.counts["hung_calls"] = len(found["hung"])
         for runs in found["deadly"]:
-            self._check_deadly(runs)
+            self._check_deadly(runs, MOST_DEADLY, "deadly_again")
+        for runs in found["deadly_parts"]:
+            self._check_deadly(runs, MOST_PART_CRASHES, "deadly_part_again")
+        self._check_falls([Fall(*fall) for fall in found["fallen"]])
+        self.counts["rejected"] = found["rejected"]
         for run in found["runs"]:
             self._check_version(run["id"], run["old_for"])
         self._check_limits(found["excess"])
@@ -723,16 +782,40 @@
                 continue
             self.note("cut_by_drain", f"{cut.call_id} at {cut.instance}", cut.after)
 
-    def _check_deadly(self, runs: list[str]) -> None:
-        """Count the runs of a deadly call that all should have known of."""
+    def _check_deadly(self, runs: list[str], most: int, rule: str) -> None:
+        """Count the runs of deadly calls that all should have known of.
+
+        All know of them behind as many runs as ``most``.
+        """
         sent = [(self._sent_to[call_id][1], call_id) for call_id in runs]
         self.counts["deadly_runs"] += len(sent)
-        if len(sent) < MOST_DEADLY:
+        if len(sent) < most:
             return
-        known_at = sent[MOST_DEADLY - 1][0] + CONTACT
+        known_at = sent[most - 1][0] + CONTACT
         late = [one for at, one in sent if at > known_at and not self._excused[one]]
         if len(late) > MOST_DEADLY:
-            self.note("deadly_again", f"{len(sent)} runs, {late}")
+            self.note(rule, f"{len(sent)} runs, {late}")
+
+    def _check_falls(self, falls: list[Fall]) -> None:
+        """Count the runners that fell over in each time of brittleness.
+
+        A fall counts if most of what was rejected came from instances that
+        were not disturbed.
+        """
+        self.counts["falls"] = len(falls)
+        counted = Counter(fall.time for fall in falls if self._is_counted(fall))
+        for number, count in counted.items():
+            if count > MOST_FALLS:
+                self.note("fell_over", f"{count} in time {number}")
+
+    def _is_counted(self, fall: Fall) -> bool:
+        senders = [self._sent_to.get(call_id) for call_id in fall.rejected]
+        calm = [
+            sender
+            for sender in senders
+            if sender and self._disturbed.get(sender[0], 0.0) < sender[1] - CALM
+        ]
+        return 2 * len(calm) > len(senders)
 
     def _check_version(self, call_id: str, old_for: float) -> None:
         """A run on an old version is excused where its news were held up."""
--- a/standins/batches.py
+++ b/standins/batches.py
@@ -27,6 +27,24 @@
     is_closed: bool
 
 
+class Fall(NamedTuple):
+    """A runner that fell over, and the calls that it had rejected lately.
+
+    ``time`` numbers the times in which runners were brittle.
+    """
+
+    runner: str
+    time: int
+    rejected: list[str]
+
+
+class _Rejection(NamedTuple):
+    """A call that was rejected for want of room."""
+
+    at: float
+    call_id: str
+
+
 class _Waiting(NamedTuple):
     """A call that waits for a slot, and what begins its run."""
 
@@ -52,7 +70,7 @@
         self._running: list[Line] = []
         self._waiting: deque[_Waiting] = deque()
         self._is_checking = False
-        self._rejected: deque[float] = deque()
+        self._rejected: deque[_Rejection] = deque()
 
     def renew(self) -> "Batch":
         """Return the batch of the runner's next start."""
@@ -93,11 +111,15 @@
         self._waiting.clear()
         return lines
 
-    def note_rejected(self) -> bool:
+    def list_rejected(self) -> list[str]:
+        """Return the calls that were rejected in the last second."""
+        return [one.call_id for one in self._rejected]
+
+    def note_rejected(self, call_id: str) -> bool:
         """Count a rejection; return whether the runner falls over of it."""
         now = self._timeline.now()
-        self._rejected.append(now)
-        while self._rejected[0] <= now - WINDOW:
+        self._rejected.append(_Rejection(now, call_id))
+        while self._rejected[0].at <= now - WINDOW:
             self._rejected.popleft()
         if self.brittleness is None or not self.is_small:
             return False
--- a/standins/installation.py
+++ b/standins/installation.py
@@ -21,7 +21,7 @@
     SendingRevoked,
 )
 from roadlift.relay.upstream import Address, Receiver, Request
-from standins.batches import Batch
+from standins.batches import Batch, Fall
 from standins.framings import CHUNKED, Unframed
 from standins.hub import HubLine
 from standins.limits import LimitWatch
@@ -199,7 +199,6 @@
 
 
 LATE_ORDER = 3.0  # Seconds until an unanswered order is carried out late.
-DEADLY_PART = b"part"  # Stands for all calls with a deadly part.
 CRASH_DELAY = 0.08  # Seconds from a deadly call's beginning to a runner's end.
 HEARTBEAT = 1.2  # Seconds between the entries that a cold runner writes.
 RETURN_DELAY = 2.0  # Seconds until a runner that ended is back.
@@ -264,6 +263,7 @@
         self.born = 0
         self.software = "v1"
         self.batch: Batch | None = None
+        self.on_run: Callable[[dict[str, str]], None] = lambda headers: None
         self.on_end: Callable[[], None] = lambda: None
         self.on_return: Callable[[], None] = lambda: None
         self._lines: list[MemoryLine] = []
@@ -543,8 +543,12 @@
         """Refuse a call for want of room; a brittle runner may fall of it."""
         self._installation.rejected.append(call_id)
         self._refuse(line, REFUSAL, call_id)
-        if self.batch.note_rejected():
-            self._installation.fallen.append(self.id)
+        if self.batch.note_rejected(call_id):
+            time, rejected = (
+                self._installation.brittle_times,
+                self.batch.list_rejected(),
+            )
+            self._installation.fallen.append(Fall(self.id, time, rejected))
             self.crash()
 
     def _begin_run(self, request: Request, headers: dict, line: MemoryLine) -> None:
@@ -554,6 +558,7 @@
             self._refuse(line, fault, call_id)
             return
         self.ran.append({**headers, ":path": request.path, ":body": repr(request.body)})
+        self.on_run(headers)
         line.call_id = call_id
         line.progress_at = self._timeline.now()
         line.on_close = lambda: self._note_left(line)
@@ -568,8 +573,9 @@
             end = lambda: None if line.is_closed else self.crash()
             self._timeline.call_later(self.queue_time + CRASH_DELAY, end)
             fault = "deadly" if "token-count" in headers else "mute"
-        if self._installation.has_deadly_part(headers):
-            self._installation.note_deadly(self.id, DEADLY_PART, call_id)
+        part = self._installation.find_deadly_part(headers)
+        if part:
+            self._installation.note_deadly_part(self.id, part, call_id)
             end = lambda: None if line.is_closed else self.crash()
             self._timeline.call_later(self.queue_time + CRASH_DELAY, end)
         self._installation.overlaps.note_run(call_id, lambda: line.is_closed)
@@ -768,11 +774,13 @@
         self.deadly: set[bytes] = set()
         # Parts of prompts under which a runner ends, other than the last.
         self.deadly_parts: set[str] = set()
+        self.deadly_part_runs: dict[str, list[DeadlyRun]] = {}
         self.ended: list[str] = []  # Runners that ended, in order, and when.
         self.crash_times: list[float] = []
         # Brittle runners that fell over, and the calls that were rejected for
         # want of room.
-        self.fallen: list[str] = []
+        self.fallen: list[Fall] = []
+        self.brittle_times = 0
         self.rejected: list[str] = []
         self.deadly_runs: dict[bytes, list[DeadlyRun]] = {}
         # Adapters whose weights end a runner that loads them, and the runners
@@ -811,13 +819,18 @@
         self.spoiled.add(call_id)
         self.ends.note_unsound(call_id)
 
-    def has_deadly_part(self, headers: dict[str, str]) -> bool:
-        """Return whether a part of a prompt, not its last, is deadly."""
+    def find_deadly_part(self, headers: dict[str, str]) -> str:
+        """Return a deadly part of a prompt, not its last, or empty."""
         if not self.deadly_parts:
-            return False
+            return ""
         parts = headers.get("prompt-prefix", "").split(",")
         ids = {part.partition(":")[0] for part in parts[:-1]}
-        return bool(ids & self.deadly_parts)
+        return min(ids & self.deadly_parts, default="")
+
+    def note_deadly_part(self, runner: str, part: str, call_id: str) -> None:
+        """Count a run of a call with a deadly part."""
+        runs = self.deadly_part_runs.setdefault(part, [])
+        runs.append(DeadlyRun(self.clock.now(), runner, call_id))
 
     def note_deadly(self, runner: str, body: bytes, call_id: str) -> None:
         """Count a run of a deadly call."""
--- a/standins/loopback.py
+++ b/standins/loopback.py
@@ -16,6 +16,7 @@
 from roadlift.http.messages import HttpLimits, ReceivedRequest
 from roadlift.http.server import Server
 from roadlift.relay.upstream import Address, Request
+from standins.batches import Batch
 from standins.framings import Unframed
 from standins.installation import (
     REFUSAL,
@@ -30,6 +31,8 @@
 BEAT = 1.2  # Seconds between a runner's entries in the list.
 # Seconds behind the store's return until what it lost is written again.
 WRITTEN_AGAIN = 1.0
+BATCH_SLOTS = 3  # Calls that a runner runs at once that was brittle.
+BATCH_ROOM = 100  # Calls that wait there as long as it is not.
 _OWN = ("content-length", "transfer-encoding", "connection")
 # An event of a stream has 16 bytes: one ends inside the second, one is whole.
 _FAULTS = {
@@ -106,20 +109,14 @@
 
 
 class RunnerHandler:
-    """Hands requests to a runner, and checks what it runs."""
+    """Hands requests to a runner."""
 
-    def __init__(self, site: "Site", runner: Runner) -> None:
-        self._site = site
+    def __init__(self, runner: Runner) -> None:
         self.runner = runner
 
     def handle(self, received: ReceivedRequest, caller: Connection) -> None:
         """Take a request."""
-        runner = self.runner
-        before = len(runner.ran)
-        request = _make_request(received)
-        runner.handle(request, SocketLine(caller))
-        if len(runner.ran) > before:
-            self._site.note_run(runner, runner.ran[-1])
+        self.runner.handle(_make_request(received), SocketLine(caller))
 
 
 class StoreHandler:
@@ -174,10 +171,11 @@
         runner.restart()
         self.installation.runners[name] = runner
         self._runners.append(runner)
-        handler = self._handlers[name] = RunnerHandler(self, runner)
+        handler = self._handlers[name] = RunnerHandler(runner)
         server = Server(self._loop, runner.address, handler, HttpLimits())
         runner.on_end = server.close
         runner.on_return = server.start
+        runner.on_run = lambda headers: self._note_run(runner, headers)
         server.start()
         self._beat(runner)
 
@@ -193,7 +191,7 @@
     def _write(self, runner: Runner) -> None:
         self.installation.store.put("servers", runner.id, runner.describe())
 
-    def note_run(self, runner: Runner, headers: dict[str, str]) -> None:
+    def _note_run(self, runner: Runner, headers: dict[str, str]) -> None:
         """Keep a run, and for how long a newer version had been named."""
         _, _, adapter = headers.get("model", "").partition("/")
         version, named_at = self._named.get(adapter, (0, 0.0))
@@ -238,6 +236,10 @@
             self.installation.evacuate(command["evacuate"])
         if "take_back" in command:
             self.installation.take_back(command["take_back"])
+        if "shrink" in command:
+            self._shrink(command["shrink"], command["bears"])
+        if "deadly_part" in command:
+            self.installation.deadly_parts.add(command["deadly_part"])
         if "cold" in command:
             self._turn_cold(command["cold"], command["rate"], command["seconds"])
         if "fault" in command:
@@ -281,12 +283,30 @@
         runner = self.installation.replace(ended)
         runner.restart()
         runner.on_end, runner.on_return = ended.on_end, ended.on_return
+        runner.on_run = lambda headers: self._note_run(runner, headers)
         self._handlers[name].runner = runner
         self._names[name] = runner.id
         self._runners.append(runner)
         runner.turn_cold(rate, seconds)
         self._beat(runner)
 
+    def _shrink(self, service: str, bears: int | None) -> None:
+        """Let a service's runners have little room, and bear few rejections.
+
+        With None they have as much as before, and bear any number.
+        """
+        self.installation.brittle_times += bears is not None
+        for runner in self.installation.runners.values():
+            if runner.service != service:
+                continue
+            if runner.batch is None:
+                timeline = self.installation.timeline
+                runner.batch = Batch(timeline, BATCH_SLOTS, BATCH_ROOM)
+            if bears is None:
+                runner.batch.recover()
+            else:
+                runner.batch.shrink(bears)
+
     def _spoil(self, name: str, fault: str) -> None:
         runner = self._find_runner(name)
         if runner is not None:
@@ -329,6 +349,7 @@
         """Return what was run and ordered, and what was found wrong."""
         runners = self._runners
         deadly = self.installation.deadly_runs.values()
+        of_parts = self.installation.deadly_part_runs.values()
         return {
             "runs": self._runs,
             "spoiled": sorted(self.installation.spoiled),
@@ -337,6 +358,9 @@
             "interrupted": dict(self.installation.interrupted),
             "overlaps": self.installation.overlaps.found,
             "deadly": [[run.call_id for run in runs] for runs in deadly],
+            "deadly_parts": [[run.call_id for run in runs] for runs in of_parts],
+            "fallen": [list(fall) for fall in self.installation.fallen],
+            "rejected": len(self.installation.rejected),
             "orders": {
                 one.id: [
                     [at, order["holder"], order["fence"]] for at, order in one.orders
--- a/tests/steps/deadly_part_steps.py
+++ b/tests/steps/deadly_part_steps.py
@@ -4,7 +4,6 @@
 
 from behave import given, then, when
 
-from standins.installation import DEADLY_PART
 from tests.steps.crash_steps import find_owner, restart
 from tests.support.configuration import BASE
 
@@ -164,7 +163,7 @@
 )
 def step_late(context, most, seconds):
     """Count the runs that began too late."""
-    runs = context.entries.installation.deadly_runs.get(DEADLY_PART, [])
+    runs = context.entries.installation.deadly_part_runs.get(_DEADLY, [])
     crashes = context.entries.installation.crash_times
     late = [run for run in runs if len(crashes) > 4 and run.at > crashes[4] + seconds]
     assert len(late) <= most, (len(late), len(runs), len(crashes))
--- a/tests/support/callers.py
+++ b/tests/support/callers.py
@@ -1,5 +1,6 @@
 """Write the requests of a platform's callers, and read its answers."""
 
+import zlib
 from collections.abc import Mapping
 from typing import NamedTuple
 
@@ -11,7 +12,8 @@
 
     ``limit`` is in seconds, 0 for none; ``key`` is the organisation's. One
     that takes a stream up names in ``resumes`` the call that brought its first
-    event, and in ``last_event`` the last one that came.
+    event, and in ``last_event`` the last one that came. ``part`` is a
+    further part of its prompt.
     """
 
     id: str
@@ -20,6 +22,7 @@
     key: str = ""
     resumes: str = ""
     last_event: str = ""
+    part: str = ""
 
 
 def make_headers(wanted: Wanted) -> dict[str, str]:
@@ -35,7 +38,9 @@
     if wanted.model:
         headers["Model"] = wanted.model
         headers["Token-Count"] = "10,20"
-        headers["Prompt-Prefix"] = "ab:10"
+        own = f"{zlib.crc32(wanted.id.encode()):x}:5"
+        parts = ["ab:10", *([f"{wanted.part}:5"] if wanted.part else []), own]
+        headers["Prompt-Prefix"] = ",".join(parts)
     return headers
 
 
