--- a/benchmarks/routes.py
+++ b/benchmarks/routes.py
@@ -38,7 +38,7 @@
     Deployment,
 )
 from roadlift.core.clock import BootClock
-from roadlift.relay.upstream import Address
+from roadlift.relay.address import Address
 from standins.batches import Fall
 from standins.proxies import Way
 from standins.statements import Sent, StatementWatch
--- a/benchmarks/services.py
+++ b/benchmarks/services.py
@@ -21,7 +21,7 @@
     ServiceLoad,
 )
 from roadlift.instance.sharing import USAGE_REPORT_INTERVAL
-from roadlift.relay.upstream import Address
+from roadlift.relay.address import Address
 from roadlift.serving.directory import Endpoint
 from roadlift.serving.selection import choose_least_loaded
 
--- a/benchmarks/takeups.py
+++ b/benchmarks/takeups.py
@@ -13,7 +13,7 @@
 
 from benchmarks.organisations import Breach
 from demo.installation import Answer, Channel
-from roadlift.relay.upstream import Address
+from roadlift.relay.address import Address
 from tests.support.callers import PROMISES, Wanted, make_headers
 from tests.support.streams import Event, read_events
 
--- a/demo/client.py
+++ b/demo/client.py
@@ -4,7 +4,7 @@
 import json
 from typing import NamedTuple
 
-from roadlift.relay.upstream import Address
+from roadlift.relay.address import Address
 from standins.state import make_word
 
 
--- a/demo/fleet.py
+++ b/demo/fleet.py
@@ -13,7 +13,8 @@
 
 from demo.ports import PortBlock
 from roadlift.core.errors import RoadliftError
-from roadlift.relay.upstream import Address, Request
+from roadlift.relay.address import Address
+from roadlift.relay.upstream import Request
 from roadlift.store.client import call_directly
 
 ROOT = Path(__file__).resolve().parent.parent
--- a/demo/installation.py
+++ b/demo/installation.py
@@ -11,7 +11,7 @@
 
 from demo.fleet import Process
 from demo.ports import PortBlock
-from roadlift.relay.upstream import Address
+from roadlift.relay.address import Address
 from standins.proxies import Proxy
 from tests.support.configuration import SERVICES, describe_configuration, make_route
 
--- a/roadlift/bundles/content.py
+++ b/roadlift/bundles/content.py
@@ -13,7 +13,7 @@
 import msgpack
 
 from roadlift.core.errors import InvalidBundle
-from roadlift.relay.upstream import Address
+from roadlift.relay.address import Address
 
 SECTIONS = ("adapters", "services", "endpoints")
 CLASSES = ("interactive", "standard", "batch")
--- a/roadlift/bundles/directory.py
+++ b/roadlift/bundles/directory.py
@@ -8,7 +8,7 @@
 from typing import NamedTuple
 
 from roadlift.bundles.content import Bundle
-from roadlift.relay.upstream import Address
+from roadlift.relay.address import Address
 
 
 class Endpoint(NamedTuple):
--- a/roadlift/conf/checks.py
+++ b/roadlift/conf/checks.py
@@ -7,7 +7,7 @@
 from roadlift.endpoints.api import engine_apis
 from roadlift.policy.eviction import evictors
 from roadlift.policy.routing import routers
-from roadlift.relay.upstream import Address
+from roadlift.relay.address import Address
 from roadlift.serving.interfaces import adapters
 
 _ADDRESSES = ("http", "peer", "platform", "ready")
--- a/roadlift/crashes/detection.py
+++ b/roadlift/crashes/detection.py
@@ -6,7 +6,8 @@
 from roadlift.core.errors import ConnectionRefused, RoadliftError
 from roadlift.core.kernel import Kernel
 from roadlift.decisions.crashes import STRONG, SURVIVAL_TIME, WEAK
-from roadlift.relay.upstream import Address, AnswerCollector, Request
+from roadlift.relay.address import Address
+from roadlift.relay.upstream import AnswerCollector, Request
 
 # Seconds from a cut answer until a connection to its endpoint is tried: by
 # then all calls that ran there are cut, and a process that exited no longer
--- a/roadlift/daemon/bundles.py
+++ b/roadlift/daemon/bundles.py
@@ -14,7 +14,7 @@
 from roadlift.core.logs import ComponentLog
 from roadlift.daemon.members import Members
 from roadlift.daemon.transport import Transport
-from roadlift.relay.upstream import Address
+from roadlift.relay.address import Address
 from roadlift.store.client import ABSENT, LoopStore, Row
 
 HEAR_PERIOD = 0.5  # Seconds between looks at what the heartbeats told.
--- a/roadlift/daemon/exchange.py
+++ b/roadlift/daemon/exchange.py
@@ -40,8 +40,9 @@
 )
 from roadlift.pins.requester import Waiter
 from roadlift.pins.table import HeldPin
+from roadlift.relay.address import Address
 from roadlift.relay.caller import Caller
-from roadlift.relay.upstream import Address, CallHandle, Request
+from roadlift.relay.upstream import CallHandle, Request
 from roadlift.retries.rules import may_retry
 from roadlift.serving.identity import compute_identity
 
--- a/roadlift/daemon/front.py
+++ b/roadlift/daemon/front.py
@@ -5,7 +5,7 @@
 from roadlift.daemon.leaving import Leaving
 from roadlift.http.messages import HttpLimits
 from roadlift.http.server import Server
-from roadlift.relay.upstream import Address
+from roadlift.relay.address import Address
 
 
 @components.register("front")
--- a/roadlift/daemon/members.py
+++ b/roadlift/daemon/members.py
@@ -10,7 +10,8 @@
 from roadlift.membership.detector import Detector, OutgoingMessage, Timing
 from roadlift.membership.members import Member, State
 from roadlift.membership.messages import Ack, Join, Ping, Probe, Roster
-from roadlift.relay.upstream import Address, Answer, Request, fetch
+from roadlift.relay.address import Address
+from roadlift.relay.upstream import Answer, Request, fetch
 
 TICK = 0.1  # Seconds.
 PROOF_PERIOD = 1.0  # Seconds between tries to prove a suspect dead.
--- a/roadlift/daemon/metrics.py
+++ b/roadlift/daemon/metrics.py
@@ -9,7 +9,7 @@
 
 from roadlift.core.errors import ImproperlyConfigured
 from roadlift.core.kernel import Kernel, components
-from roadlift.relay.upstream import Address
+from roadlift.relay.address import Address
 
 FLUSH_PERIOD = 1.0  # Seconds.
 
--- a/roadlift/daemon/owners.py
+++ b/roadlift/daemon/owners.py
@@ -35,7 +35,8 @@
 )
 from roadlift.policy.eviction import evictors
 from roadlift.policy.loads import LoadGate, QueuedRequest
-from roadlift.relay.upstream import Address, Answer, Request, fetch
+from roadlift.relay.address import Address
+from roadlift.relay.upstream import Answer, Request, fetch
 
 TICK = 0.05  # Seconds between looks at what to order next.
 ELECT_PERIOD = 0.5  # Seconds between looks at who owns what.
--- a/roadlift/decisions/crashes.py
+++ b/roadlift/decisions/crashes.py
@@ -237,7 +237,7 @@
         """Return whether another refused part explains all crashes under one.
 
         ``others`` are the parts of a call, which that part is not among: a run
-        of the call tells which of them is the cause. Where several parts
+        of the call shows which of them is the cause. Where several parts
         together explain the crashes, each of them may be sound and cleared
         soon; that counts only after a while.
         """
--- a/roadlift/http/server.py
+++ b/roadlift/http/server.py
@@ -6,7 +6,7 @@
 from roadlift.core.loop import Loop
 from roadlift.http.connection import Connection, Handler
 from roadlift.http.messages import HttpLimits
-from roadlift.relay.upstream import Address
+from roadlift.relay.address import Address
 
 BACKLOG = 1024  # Connections waiting to be accepted.
 MAX_ACCEPTED_AT_ONCE = 64  # Connections accepted per event-loop iteration.
--- a/roadlift/instance/forwarding.py
+++ b/roadlift/instance/forwarding.py
@@ -23,9 +23,10 @@
 from roadlift.instance.metrics import InstanceMetrics
 from roadlift.instance.platform import Platform
 from roadlift.instance.send import ENDPOINT_INACTIVITY_TIMEOUT, MAX_BUFFERED_BYTES
+from roadlift.relay.address import Address
 from roadlift.relay.caller import Caller
 from roadlift.relay.framing import Framing, find_framing
-from roadlift.relay.upstream import Address, CallHandle
+from roadlift.relay.upstream import CallHandle
 from roadlift.serving.calls import Call
 from roadlift.serving.routes import Route
 
--- a/roadlift/instance/gateways.py
+++ b/roadlift/instance/gateways.py
@@ -16,7 +16,7 @@
 from roadlift.instance.aggregator import Aggregator
 from roadlift.instance.leases import Leases
 from roadlift.instance.subscription import Subscription
-from roadlift.relay.upstream import Address
+from roadlift.relay.address import Address
 from roadlift.serving.messages import FindGateways, GatewayReply
 
 SEARCH_INTERVAL = 0.2  # Seconds between two rounds of questions.
--- a/roadlift/instance/ingress.py
+++ b/roadlift/instance/ingress.py
@@ -42,7 +42,7 @@
 from roadlift.instance.served import ServedAdapters
 from roadlift.instance.sharing import SharedUse
 from roadlift.instance.slots import EndpointSlots
-from roadlift.relay.upstream import Address
+from roadlift.relay.address import Address
 from roadlift.retries.window import WindowBudget
 from roadlift.serving.calls import Call, Model
 from roadlift.serving.routes import Configuration, Route
--- a/roadlift/instance/isolation.py
+++ b/roadlift/instance/isolation.py
@@ -17,7 +17,7 @@
 from roadlift.instance.leases import Leases
 from roadlift.instance.metrics import InstanceMetrics
 from roadlift.instance.reach import check_reach
-from roadlift.relay.upstream import Address
+from roadlift.relay.address import Address
 
 TICK = 0.1  # Seconds between looks at the signs.
 CHECK_INTERVAL = 0.5  # Seconds between two checks.
--- a/roadlift/instance/slotowner.py
+++ b/roadlift/instance/slotowner.py
@@ -64,7 +64,7 @@
         """Do nothing: there is nothing to close."""
 
     def handle_request(self, message: SlotRequest) -> None:
-        """Answer a claim, and tell others which slots it has freed."""
+        """Answer a claim, and lease the slots that it frees to others."""
         endpoint = self._follower.directory.get(message.endpoint)
         route = _Route(message.address, message.via)
         if endpoint is not None:
--- a/roadlift/instance/slots.py
+++ b/roadlift/instance/slots.py
@@ -7,9 +7,6 @@
 """
 
 import zlib
-from collections import deque
-from collections.abc import Callable
-from typing import NamedTuple
 
 from roadlift.core.codec import read_fields
 from roadlift.core.kernel import Kernel, components
@@ -27,6 +24,12 @@
 from roadlift.instance.metrics import InstanceMetrics
 from roadlift.instance.ownerpath import OwnerPath
 from roadlift.instance.slotowner import SlotOwner
+from roadlift.instance.slotuse import (
+    LEASE_VALIDITY,
+    PendingSlot,
+    SlotCallbacks,
+    SlotUse,
+)
 from roadlift.serving.directory import Endpoint
 from roadlift.serving.messages import SlotReply, SlotRequest
 
@@ -34,91 +37,12 @@
 MAX_ATTEMPTS = 3  # How often a claim is sent.
 # Seconds in which calls don't wait for an owner that did not answer.
 UNANSWERED_BACKOFF = 0.6
-# Seconds for which a lease holds after the owner's last reply: less than the
-# owner keeps it without a claim.
-LEASE_VALIDITY = 1.5
 # Seconds for which an unused slot is kept for the next call.
 IDLE_TIME = 0.1
 USE_RETENTION = 10.0  # Seconds for which the state of an unused endpoint is kept.
 SMOOTHING = 0.2  # Weight of the last call in the mean duration of calls.
 
 
-class SlotCallbacks(NamedTuple):
-    """Callbacks with the result of a request for a slot.
-
-    ``on_granted`` is called where the call may be sent at once, ``on_denied``
-    with the seconds until a slot may be free.
-    """
-
-    on_granted: Callable[[], None]
-    on_denied: Callable[[float], None]
-
-
-class PendingSlot:
-    """A call that waits for a slot, at most until ``until``."""
-
-    def __init__(self, until: float, callbacks: SlotCallbacks) -> None:
-        self.until = until
-        self.timer: Timer | None = None
-        self._callbacks: SlotCallbacks | None = callbacks
-
-    @property
-    def is_open(self) -> bool:
-        """Return whether the call still waits."""
-        return self._callbacks is not None
-
-    def close(self) -> None:
-        """Stop waiting."""
-        self._callbacks = None
-        if self.timer is not None:
-            self.timer.close()
-
-    def grant(self) -> None:
-        """Let the call be sent, if it still waits."""
-        callbacks = self._callbacks
-        self.close()
-        if callbacks is not None:
-            callbacks.on_granted()
-
-    def deny(self, delay: float) -> None:
-        """Let the call choose another endpoint, if it still waits."""
-        callbacks = self._callbacks
-        self.close()
-        if callbacks is not None:
-            callbacks.on_denied(delay)
-
-
-class _Use:
-    """The slots of one endpoint at this process, and who waits for one."""
-
-    def __init__(self, endpoint: Endpoint, running: int, now: float) -> None:
-        self.endpoint = endpoint
-        # Calls that were sent before the endpoint was known to be brittle.
-        self.lease = SlotLease(0, running, False, 0.0, 0.0)
-        self.expires_at = now + LEASE_VALIDITY
-        self.used_at = now
-        self.free_at = now
-        self.unanswered_until = float("-inf")
-        self.duration = 0.0
-        self.rejections = 0
-        self.waiting: deque[PendingSlot] = deque()
-        self.attempts = 0
-        self.timer: Timer | None = None
-        self.idle_timer: Timer | None = None
-
-    def close(self) -> None:
-        """Stop the timers."""
-        for timer in (self.timer, self.idle_timer):
-            if timer is not None:
-                timer.close()
-        self.timer = self.idle_timer = None
-
-    def drop_closed(self) -> None:
-        """Drop the calls that don't wait any longer."""
-        if any(not one.is_open for one in self.waiting):
-            self.waiting = deque(one for one in self.waiting if one.is_open)
-
-
 @components.register("slots")
 class EndpointSlots:
     """The slots of brittle endpoints that this process leases."""
@@ -144,7 +68,7 @@
         self._follower = kernel.get(Follower)
         self._knowledge = kernel.get(Knowledge)
         self._metrics = kernel.get(InstanceMetrics)
-        self._uses: dict[str, _Use] = {}
+        self._uses: dict[str, SlotUse] = {}
         self._timer: Timer | None = None
         owner = kernel.get(SlotOwner)
         self._path = OwnerPath(kernel, owner.handle_request, self._handle_reply)
@@ -203,7 +127,7 @@
             return None
         pending = PendingSlot(now + max_wait, callbacks)
         pending.timer = self._loop.call_later(
-            max_wait, lambda: self._give_up(use, pending)
+            max_wait, lambda: self._on_expired(use, pending)
         )
         use.waiting.append(pending)
         self._claim(use)
@@ -229,20 +153,22 @@
                 IDLE_TIME, lambda: self._return_idle(use)
             )
 
-    def _find_use(self, endpoint: Endpoint) -> _Use:
+    def _find_use(self, endpoint: Endpoint) -> SlotUse:
         use = self._uses.get(endpoint.id)
         if use is None:
             running = self._count_running(endpoint.id)
-            use = self._uses[endpoint.id] = _Use(endpoint, running, self._clock.now())
+            use = self._uses[endpoint.id] = SlotUse(
+                endpoint, running, self._clock.now()
+            )
         return use
 
     def _count_running(self, endpoint: str) -> int:
         return self._knowledge.health.count_running(endpoint)
 
-    def _is_unheard(self, use: _Use) -> bool:
+    def _is_unheard(self, use: SlotUse) -> bool:
         return self._clock.now() < use.unanswered_until
 
-    def _has_free(self, use: _Use) -> bool:
+    def _has_free(self, use: SlotUse) -> bool:
         """Return whether this process has a slot that no call uses."""
         if self._is_unheard(use):
             usable = self._compute_share(use.endpoint)
@@ -257,14 +183,14 @@
         instances = self._knowledge.count_instances()
         return compute_unowned_share(endpoint.slots, instances, rank)
 
-    def _serve(self, use: _Use) -> None:
+    def _serve(self, use: SlotUse) -> None:
         """Let the calls that wait use the free slots."""
         use.drop_closed()
         while use.waiting and self._has_free(use):
             self._count(use, "granted")
             use.waiting.popleft().grant()
 
-    def _give_up(self, use: _Use, pending: PendingSlot) -> None:
+    def _on_expired(self, use: SlotUse, pending: PendingSlot) -> None:
         """Deny a call that has waited for too long."""
         if pending.is_open:
             self._count(use, "denied")
@@ -274,12 +200,12 @@
 
     # Claims
 
-    def _claim(self, use: _Use) -> None:
-        """Tell the owner which slots are held and wanted."""
+    def _claim(self, use: SlotUse) -> None:
+        """Report the slots that are held and wanted to the owner."""
         use.attempts = 0
         self._send_claim(use)
 
-    def _send_claim(self, use: _Use) -> None:
+    def _send_claim(self, use: SlotUse) -> None:
         endpoint = use.endpoint
         limit = self._brittle.find_limit(endpoint)
         if limit is None:
@@ -307,7 +233,7 @@
             )
         )
 
-    def _on_timeout(self, use: _Use) -> None:
+    def _on_timeout(self, use: SlotUse) -> None:
         """Send the claim again, or go on without an owner."""
         use.timer = None
         if use.attempts < MAX_ATTEMPTS:
@@ -320,14 +246,14 @@
             self._count(use, "unheard")
             use.waiting.popleft().deny(UNANSWERED_BACKOFF)
 
-    def _return_slots(self, use: _Use) -> None:
+    def _return_slots(self, use: SlotUse) -> None:
         """Keep only the slots that calls use now."""
         running = self._count_running(use.endpoint.id)
         granted = min(use.lease.granted, running)
         use.lease = use.lease._replace(granted=granted)
         self._claim(use)
 
-    def _return_idle(self, use: _Use) -> None:
+    def _return_idle(self, use: SlotUse) -> None:
         use.idle_timer = None
         if self._has_free(use):
             self._return_slots(use)
@@ -370,7 +296,7 @@
         self._serve(use)
         self._deny_late(use)
 
-    def _deny_late(self, use: _Use) -> None:
+    def _deny_late(self, use: SlotUse) -> None:
         """Deny the calls that no slot is expected for in time."""
         lease, now = use.lease, self._clock.now()
         late = [
@@ -385,7 +311,7 @@
             use.drop_closed()
             self._claim(use)
 
-    def _end(self, use: _Use) -> None:
+    def _end(self, use: SlotUse) -> None:
         """Let all calls go: the endpoint bears any number of rejections."""
         use.close()
         self._uses.pop(use.endpoint.id, None)
@@ -402,5 +328,5 @@
                 for pending in list(use.waiting):
                     pending.deny(0.0)
 
-    def _count(self, use: _Use, outcome: str) -> None:
+    def _count(self, use: SlotUse, outcome: str) -> None:
         self._metrics.count("roadlift_leased_sends", use.endpoint.service, outcome)
--- a/roadlift/management/sources.py
+++ b/roadlift/management/sources.py
@@ -8,7 +8,8 @@
 
 from roadlift.bundles.content import read_document
 from roadlift.core.errors import ImproperlyConfigured, InvalidBundle, RoadliftError
-from roadlift.relay.upstream import Address, Request
+from roadlift.relay.address import Address
+from roadlift.relay.upstream import Request
 from roadlift.store.client import DirectStore, call_directly
 
 TIMEOUT = 5.0  # Seconds.
--- a/roadlift/relay/pool.py
+++ b/roadlift/relay/pool.py
@@ -9,12 +9,9 @@
 
 import socket
 from collections import deque
-from typing import TYPE_CHECKING
 
 from roadlift.core.loop import Loop
-
-if TYPE_CHECKING:
-    from roadlift.relay.upstream import Address
+from roadlift.relay.address import Address
 
 # Seconds that an idle connection is kept at most, also where the server
 # announces no limit or a longer one.
@@ -30,7 +27,7 @@
 
     __slots__ = ("address", "idle_since", "is_new", "reusable_until", "socket")
 
-    def __init__(self, address: "Address", sock: socket.socket) -> None:
+    def __init__(self, address: Address, sock: socket.socket) -> None:
         self.address = address
         self.socket = sock
         self.is_new = True
@@ -56,7 +53,7 @@
         self._idle: dict[Address, deque[Channel]] = {}
         self._is_sweep_scheduled = False
 
-    def acquire(self, address: "Address", max_idle: float) -> Channel | None:
+    def acquire(self, address: Address, max_idle: float) -> Channel | None:
         """Return a connection idle for at most ``max_idle`` seconds, if any.
 
         A newer connection is tried first; those that expired or received input
@@ -99,7 +96,7 @@
             self._is_sweep_scheduled = True
             self._loop.call_later(SWEEP_INTERVAL, self._sweep)
 
-    def close_idle(self, address: "Address") -> None:
+    def close_idle(self, address: Address) -> None:
         """Close the idle connections to an address."""
         for channel in self._idle.pop(address, ()):
             self._close(channel)
--- a/roadlift/relay/upstream.py
+++ b/roadlift/relay/upstream.py
@@ -23,6 +23,7 @@
 )
 from roadlift.core.loop import Loop
 from roadlift.http.messages import add_header, has_token
+from roadlift.relay.address import Address
 from roadlift.relay.framing import Framing, find_framing
 from roadlift.relay.pool import Channel, ConnectionPool
 
@@ -41,27 +42,6 @@
 _BODILESS_STATUSES = (204, 304)
 
 
-class Address(NamedTuple):
-    """An IPv4 address and a port."""
-
-    host: str
-    port: int
-
-    @classmethod
-    def parse(cls, text: str) -> "Address":
-        """Parse ``host:port``; raise ValueError if it is malformed."""
-        host, _, port = text.rpartition(":")
-        socket.inet_aton(host) if host.count(".") == 3 else _reject(text)
-        return cls(host, int(port))
-
-    def __str__(self) -> str:
-        return f"{self.host}:{self.port}"
-
-
-def _reject(text: str) -> None:
-    raise ValueError(f"{text!r} is not an IPv4 address with a port")
-
-
 class Request(NamedTuple):
     """An HTTP request to an endpoint or store, and how it is sent.
 
--- a/roadlift/serving/directory.py
+++ b/roadlift/serving/directory.py
@@ -4,7 +4,7 @@
 from typing import NamedTuple
 
 from roadlift.core.codec import read_fields
-from roadlift.relay.upstream import Address
+from roadlift.relay.address import Address
 from roadlift.serving.messages import ListNews
 
 # Seconds after the list is readable again in which a missing entry may
--- a/roadlift/serving/messages.py
+++ b/roadlift/serving/messages.py
@@ -398,7 +398,7 @@
 
 @message("ir")
 class SlotReply(NamedTuple):
-    """Tell a process which slots of an endpoint it may use.
+    """Report which slots of an endpoint a process may use.
 
     ``lease`` are the fields of a ``SlotLease``; it is empty where the endpoint
     bears any number of rejections.
--- a/roadlift/store/client.py
+++ b/roadlift/store/client.py
@@ -13,7 +13,8 @@
 from urllib.parse import quote
 
 from roadlift.core.errors import PlatformUnavailable, RoadliftError, VersionConflict
-from roadlift.relay.upstream import Address, Answer, Dialer, Request, fetch
+from roadlift.relay.address import Address
+from roadlift.relay.upstream import Answer, Dialer, Request, fetch
 
 ABSENT = ""  # The version of a row that does not exist.
 
--- a/standins/hub.py
+++ b/standins/hub.py
@@ -26,7 +26,8 @@
 )
 from roadlift.core.kernel import Kernel
 from roadlift.core.traffic import RECEIVED, SENT, Traffic
-from roadlift.relay.upstream import Address, Receiver, Request
+from roadlift.relay.address import Address
+from roadlift.relay.upstream import Receiver, Request
 from standins.http import Received
 from standins.platform import Platform
 from standins.state import (
--- a/standins/installation.py
+++ b/standins/installation.py
@@ -20,7 +20,8 @@
     RoadliftError,
     SendingRevoked,
 )
-from roadlift.relay.upstream import Address, Receiver, Request
+from roadlift.relay.address import Address
+from roadlift.relay.upstream import Receiver, Request
 from standins.batches import Batch, Fall
 from standins.framings import CHUNKED, Unframed
 from standins.hub import HubLine
--- a/standins/loopback.py
+++ b/standins/loopback.py
@@ -15,7 +15,8 @@
 from roadlift.http.connection import Connection
 from roadlift.http.messages import HttpLimits, ReceivedRequest
 from roadlift.http.server import Server
-from roadlift.relay.upstream import Address, Request
+from roadlift.relay.address import Address
+from roadlift.relay.upstream import Request
 from standins.batches import Batch
 from standins.framings import Unframed
 from standins.installation import (
--- a/tests/steps/adapter_steps.py
+++ b/tests/steps/adapter_steps.py
@@ -14,7 +14,8 @@
 from roadlift.core.checks import run_checks
 from roadlift.core.errors import RoadliftError
 from roadlift.http.messages import ReceivedRequest
-from roadlift.relay.upstream import Address, Answer
+from roadlift.relay.address import Address
+from roadlift.relay.upstream import Answer
 from roadlift.serving.calls import Model
 from roadlift.serving.directory import Endpoint
 from roadlift.serving.interfaces import StoredRow, adapters
--- a/tests/steps/decision_steps.py
+++ b/tests/steps/decision_steps.py
@@ -11,7 +11,7 @@
 from roadlift.decisions.reading import ReadingTimes
 from roadlift.decisions.urgency import Urgency, merge_load_request
 from roadlift.decisions.workload import EngineLoad, Workload
-from roadlift.relay.upstream import Address
+from roadlift.relay.address import Address
 from roadlift.serving.calls import Model
 from roadlift.serving.directory import Endpoint
 from roadlift.serving.engine import EngineRecord
--- a/tests/steps/isolation_decision_steps.py
+++ b/tests/steps/isolation_decision_steps.py
@@ -5,7 +5,7 @@
 from behave import then, when
 
 from roadlift.decisions.isolation import ReachSigns, choose_checked
-from roadlift.relay.upstream import Address
+from roadlift.relay.address import Address
 from roadlift.serving.directory import Endpoint
 
 _SEEDS = 20
--- a/tests/steps/prompt_steps.py
+++ b/tests/steps/prompt_steps.py
@@ -10,7 +10,7 @@
 from roadlift.decisions.rates import Rate
 from roadlift.decisions.reading import ReadingTimes
 from roadlift.decisions.replication import EngineFill, choose_copy
-from roadlift.relay.upstream import Address
+from roadlift.relay.address import Address
 from roadlift.serving.calls import Model
 from roadlift.serving.directory import Endpoint
 
--- a/tests/steps/ring_steps.py
+++ b/tests/steps/ring_steps.py
@@ -5,7 +5,7 @@
 from behave import then, when
 
 from roadlift.policy.placement import RingPlacer
-from roadlift.relay.upstream import Address
+from roadlift.relay.address import Address
 from roadlift.serving import selection
 from roadlift.serving.calls import Model
 from roadlift.serving.directory import Endpoint
--- a/tests/steps/service_steps.py
+++ b/tests/steps/service_steps.py
@@ -12,7 +12,7 @@
     compute_admitted_fraction,
     compute_zone_fractions,
 )
-from roadlift.relay.upstream import Address
+from roadlift.relay.address import Address
 from roadlift.serving.directory import Endpoint
 
 SEEDS = range(1, 3)
--- a/tests/steps/serving_steps.py
+++ b/tests/steps/serving_steps.py
@@ -5,7 +5,7 @@
 
 from behave import given, then, when
 
-from roadlift.relay.upstream import Address
+from roadlift.relay.address import Address
 from roadlift.retries.window import WindowBudget
 from roadlift.serving.calls import Kind, Model
 from roadlift.serving.directory import Directory, Endpoint
--- a/tests/steps/soak_steps.py
+++ b/tests/steps/soak_steps.py
@@ -5,7 +5,7 @@
 
 from behave import given, then, when
 
-from benchmarks.routes import Cut, Soak
+from benchmarks.routes import MOST_DEADLY, Cut, Soak
 from benchmarks.streams import Call, StreamWatch, find_terms
 from demo.installation import Answer
 from roadlift.relay.upstream import Request
@@ -63,7 +63,7 @@
     for index, at in enumerate(times):
         soak._sent_to[f"d{index}"] = ("entry-0", at)
         soak._excused[f"d{index}"] = is_frozen and index == len(times) - 1
-    soak._check_deadly(list(soak._sent_to))
+    soak._check_deadly(list(soak._sent_to), MOST_DEADLY, "deadly_again")
 
 
 @then("{violations:d} deadly calls ran again")
--- a/tests/support/entries.py
+++ b/tests/support/entries.py
@@ -9,7 +9,8 @@
 from roadlift.http.messages import ReceivedRequest
 from roadlift.instance.ingress import Ingress
 from roadlift.instance.platform import import_plugins
-from roadlift.relay.upstream import Address, Request
+from roadlift.relay.address import Address
+from roadlift.relay.upstream import Request
 from standins.framings import CHUNKED
 from standins.hub import HubCaller, HubTransport
 from standins.installation import DELAY, Installation, MemoryDialer, MemoryLine
--- a/tests/support/sockets.py
+++ b/tests/support/sockets.py
@@ -8,7 +8,8 @@
 from roadlift.http.connection import Connection
 from roadlift.http.messages import HttpLimits, ReceivedRequest
 from roadlift.http.server import Server
-from roadlift.relay.upstream import Address, Call, Request, SocketDialer
+from roadlift.relay.address import Address
+from roadlift.relay.upstream import Call, Request, SocketDialer
 
 LIMITS = HttpLimits(
     header_bytes=4096, body_bytes=1000, header_timeout=3.0, idle_timeout=15.0
