--- a/roadlift/explanation/story.py
+++ b/roadlift/explanation/story.py
@@ -196,6 +196,13 @@
         for one in steps
         if one["step"] == "full" and one["endpoint"] in limits
     ]
+    leased = {one["endpoint"] for one in steps if one["step"] == "slot"}
+    causes += [
+        f"{one['endpoint']} bears few rejections, and had no slot free for "
+        f"{one['wait']} s"
+        for one in steps
+        if one["step"] == "full" and one["endpoint"] in leased - set(limits)
+    ]
     return causes or ["its endpoints name limits, and had none free when it came"]
 
 
--- a/tests/explanation/explanation.feature
+++ b/tests/explanation/explanation.feature
@@ -49,6 +49,7 @@
     Examples: Calls that the limits of endpoints left no room for
       | lines | outcome | cause |
       | 10.5 a call_ended request=r1 outcome=refused error=limit_reached:_service_llm seconds=1 \| limit@0 endpoint=e1 limit=4.3 named=0.2, full@0.1 endpoint=e1 wait=0.9 | refused | e1 takes 4.3 calls a second, named 0.2 s before, and had none free for 0.9 s |
+      | 10.5 a call_ended request=r1 outcome=refused error=limit_reached:_service_llm seconds=1 \| slot@0 endpoint=e1, full@0.1 endpoint=e1 wait=0.3 | refused | e1 bears few rejections, and had no slot free for 0.3 s |
       | 10.5 a call_ended request=r1 outcome=refused error=limit_reached:_service_llm seconds=1 | refused | its endpoints name limits, and had none free when it came |
 
     Examples: Calls that endpoints wanted no more of
