review: stand-ins keep the platform's names in one data file

Ports are free ones, and a script that is ended early ends its processes. Case 2 has an instance for each client.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -14,6 +14,7 @@
     make_configuration,
     make_route,
 )
+from review.kit.platform import NAMES
 from review.kit.runner import Runner
 from review.kit.wire import Message, read_message, write_message
 
@@ -88,7 +89,7 @@
     head = {
         "Host": "h.example",
         "Request-Id": request_id,
-        "Deadline-Ms": str(DEADLINE_MS),
+        NAMES["deadline"]: str(DEADLINE_MS),
     }
     data = write_message("POST /reels/label HTTP/1.1", head, bytes(BODY_BYTES))
     pause = random.uniform(*UPLOAD_S) / PIECES
@@ -176,9 +177,7 @@
     async def work(request: Message) -> None:
         await asyncio.sleep(random.uniform(*WORK_S))
 
-    route = make_route(
-        "/reels/", "non_idempotent", "reels", timeoutMs=DEADLINE_MS, goalMs=2000
-    )
+    route = make_route("/reels/", "once", "reels", DEADLINE_MS)
     try:
         for number, runner in enumerate(runners):
             runner.pause = work
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -12,14 +12,15 @@
     make_configuration,
     make_route,
 )
+from review.kit.platform import NAMES
 from review.kit.runner import Runner
 from review.kit.wire import Message, read_message, write_message
 
-INSTANCES = 6
-CLIENTS = 2  # Clients of each instance, with one kept channel each.
-REQUESTS = 170  # Requests of each client.
-MEAN_PAUSE_S = 0.4  # Between two requests of a client.
-WORK_S = (0.03, 0.06)
+INSTANCES = 7
+CLIENTS = 1  # Clients of each instance, with one kept channel each.
+REQUESTS = 560  # Requests of each client.
+MEAN_PAUSE_S = 0.12  # Between two requests of a client.
+WORK_S = (0.015, 0.035)
 SLOTS = 1
 DEADLINE_MS = 1_000
 # The site's garble "extra late" has share = 0.6, x = 0.03 and for_s = 5.0. It
@@ -61,7 +62,7 @@
         head = {
             "Host": "h.example",
             "Request-Id": request_id,
-            "Deadline-Ms": str(DEADLINE_MS),
+            NAMES["deadline"]: str(DEADLINE_MS),
         }
         writer.write(write_message("POST /labels/print HTTP/1.1", head, b"one reel"))
         return await asyncio.wait_for(read_message(reader), 2 * DEADLINE_MS / 1000.0)
@@ -98,9 +99,7 @@
         await asyncio.sleep(random.uniform(*WORK_S))
 
     runner.pause = work
-    route = make_route(
-        "/labels/", "non_idempotent", "labels", timeoutMs=DEADLINE_MS, goalMs=200
-    )
+    route = make_route("/labels/", "once", "labels", DEADLINE_MS)
     try:
         await runner.start(deployment.find_runner_host(0))
         await deployment.start(make_configuration([route], ["labels"]))
--- a/review/kit/case.py
+++ b/review/kit/case.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import os
+import signal
 import sys
 import traceback
 from collections.abc import Awaitable, Callable
@@ -36,6 +37,8 @@
 
 def run_case(script: str, play: Callable[[Record], Awaitable[list[str]]]) -> None:
     """Play a case and exit; it returns the breaches of the rule."""
+    # A script that is ended early ends its processes as well.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     record = Record(Path(script).resolve().parent / "record.txt")
     record.add(f"trouble: {'yes' if has_trouble() else 'no'}")
     try:
--- a/review/kit/deployment.py
+++ b/review/kit/deployment.py
@@ -18,6 +18,7 @@
 import tomllib
 from pathlib import Path
 
+from review.kit.platform import LIMITS, NAMES, SERVICE, SETTINGS
 from review.kit.store import Store
 
 ROOT = Path(__file__).resolve().parents[2]
@@ -27,26 +28,18 @@
 STORE_HOST = 1  # The last part of the store's address.
 FIRST_INSTANCE_HOST = 11
 FIRST_RUNNER_HOST = 101
-# The figures of the site file that claim.txt names.
-BOUNDS = {"retry": (0.2, 52, 10), "lease_ms": 3000, "grace_s": 8, "drain_ms": 2000}
-LIMITS = {
-    "maxHeaderBytes": 16384,
-    "maxBodyBytes": 4194304,
-    "headerTimeoutMs": 3000,
-    "idleTimeoutMs": 15000,
-}
 
 
 def _choose_network() -> str:
-    """Return three parts of loopback addresses that no other run uses."""
-    while True:
-        network = f"127.{random.randint(10, 250)}.{random.randint(1, 250)}"
-        with socket.socket() as probe:
-            try:
-                probe.bind((f"{network}.{STORE_HOST}", 8142))
-            except OSError:
-                continue
-            return network
+    """Return the first three parts of loopback addresses for this run."""
+    return f"127.{random.randint(10, 250)}.{random.randint(1, 250)}"
+
+
+def _find_port(host: str) -> int:
+    """Return a port that is free at an address."""
+    with socket.socket() as probe:
+        probe.bind((host, 0))
+        return probe.getsockname()[1]
 
 
 class Instance:
@@ -56,8 +49,9 @@
         self.name = name
         self.zone = zone
         self.host = host
-        self.front = (host, 8149)
-        self.ready = (host, 8141)
+        self.front = (host, _find_port(host))
+        self.ready = (host, _find_port(host))
+        self.peer_port = _find_port(host)
         self._settings = folder / f"{name}.json"
         self._log = folder / f"{name}.log"
         self._store = ""
@@ -106,22 +100,15 @@
 
 def _fill_template(instance: Instance, store: str) -> str:
     """Return the settings file, as the platform fills the template in."""
-    share, slack, window = BOUNDS["retry"]
     values = {
         "node|json": json.dumps(instance.name),
         "zone|json": json.dumps(instance.zone),
         "listen.front|json": json.dumps("{}:{}".format(*instance.front)),
         "listen.ready|json": json.dumps("{}:{}".format(*instance.ready)),
         "ip": instance.host,
-        "portRange.0": "7380",
+        NAMES["peer_port"]: str(instance.peer_port),
         "provider.addr|json": json.dumps(store),
-        "limits.linkMbps": "1000.0",
-        "bounds.leaseMs": str(BOUNDS["lease_ms"]),
-        "bounds.retryRatio": str(share),
-        "bounds.retrySlack": str(slack),
-        "bounds.retryWindowS": str(window),
-        "bounds.graceS": str(BOUNDS["grace_s"]),
-        "bounds.drainMs": str(BOUNDS["drain_ms"]),
+        **SETTINGS,
     }
     text = (ROOT / "deploy/node.json").read_text()
     regions = ",".join(f"{zone}={REGION}" for zone in ZONES)
@@ -159,10 +146,11 @@
     async def start(self, configuration: dict) -> None:
         """Start everything, and wait until all instances are ready."""
         host = f"{self.network}.{STORE_HOST}"
-        await self.store.start(host, 8142)
+        port = _find_port(host)
+        await self.store.start(host, port)
         self.store.put("op", "config", configuration)
         for instance in self.instances:
-            instance.start(f"{host}:8142")
+            instance.start(f"{host}:{port}")
         for instance in self.instances:
             await self._wait_until_ready(instance)
 
@@ -202,32 +190,22 @@
         writer.close()
 
 
-def make_route(prefix: str, kind: str, service: str, **more: object) -> dict:
-    """Return a route as the operator writes it."""
+def make_route(prefix: str, kind: str, service: str, timeout_ms: int) -> dict:
+    """Return a route as the operator writes it; ``kind`` is of ``NAMES``."""
     return {
         "name": f"r-{prefix.strip('/')}",
         "host": "h.example",
-        "pathPrefix": prefix,
-        "kind": kind,
-        "timeoutMs": 20000,
-        "goalMs": 2000,
+        NAMES["prefix"]: prefix,
+        "kind": NAMES[kind],
+        NAMES["timeout"]: timeout_ms,
+        NAMES["goal"]: timeout_ms // 5,
         "priority": 1,
         "backend": service,
         "attempts": 1,
-        **more,
     }
 
 
 def make_configuration(routes: list[dict], services: list[str]) -> dict:
     """Return the first version of a configuration of plain services."""
-    backends = [
-        {
-            "name": name,
-            "healthPath": "/healthz",
-            "maxConns": 230,
-            "protocol": "h1",
-            "tls": False,
-        }
-        for name in services
-    ]
+    backends = [{"name": name, **SERVICE} for name in services]
     return {"version": 1, "routes": routes, "backends": backends, "limits": LIMITS}
--- a/review/kit/runner.py
+++ b/review/kit/runner.py
@@ -8,6 +8,7 @@
 from collections.abc import Awaitable, Callable
 from typing import NamedTuple
 
+from review.kit.platform import NAMES
 from review.kit.store import Store
 from review.kit.wire import Message, read_message, write_message
 
@@ -111,7 +112,7 @@
         return answer
 
     async def _answer(self, request: Message) -> bytes:
-        if request.headers.get("expect-instance") not in (None, self._name):
+        if request.headers.get(NAMES["expect"].lower()) not in (None, self._name):
             return write_message("HTTP/1.1 421 Misdirected Request", {}, b"")
         target = request.first.split()[1]
         if target == "/healthz":
@@ -120,7 +121,7 @@
         request_id = request.headers["request-id"]
         if self.running >= self.slots:
             self.rejected.append(request_id)
-            head = {"Request-Id": request_id, "Not-Run": "1"}
+            head = {"Request-Id": request_id, NAMES["not_run"]: "1"}
             return write_message("HTTP/1.1 503 Service Unavailable", head, b"")
         digest = hashlib.sha256(request.body).hexdigest()
         run = Run(request_id, target, digest, len(request.body), time.monotonic())
@@ -132,7 +133,7 @@
             self.running -= 1
         body = self.make_body(request)
         stamp = hashlib.sha256(body).hexdigest()[:16]
-        head = {"Request-Id": request_id, "Server-Stamp": stamp}
+        head = {"Request-Id": request_id, NAMES["stamp"]: stamp}
         return write_message("HTTP/1.1 200 OK", head, body)
 
 
--- a/review/kit/store.py
+++ b/review/kit/store.py
@@ -7,6 +7,7 @@
 import time
 from urllib.parse import parse_qs, urlsplit
 
+from review.kit.platform import NAMES
 from review.kit.wire import Message, read_message, write_message
 
 HISTORY_POLL_S = 0.01  # Seconds between checks of a waiting feed.
@@ -62,11 +63,11 @@
     async def _answer(self, request: Message) -> tuple[int, dict]:
         target = urlsplit(request.first.split()[1])
         query = {name: texts[0] for name, texts in parse_qs(target.query).items()}
-        if target.path == "/rows-tx":
+        if target.path == NAMES["transaction"]:
             return self._apply(json.loads(request.body))
-        if target.path == "/rows-get":
+        if target.path == NAMES["rows"]:
             return 200, {"rows": self._list_rows(query["table"]), "hasMore": False}
-        if target.path == "/rows-feed":
+        if target.path == NAMES["feed"]:
             return 200, {"rows": await self._wait_for_changes(query)}
         return 404, {}
 
@@ -80,7 +81,7 @@
 
     async def _wait_for_changes(self, query: dict[str, str]) -> list[dict]:
         table, after = query["table"], int(query["after"])
-        end = time.monotonic() + int(query.get("waitMs", 0)) / 1000.0
+        end = time.monotonic() + int(query.get(NAMES["wait"], 0)) / 1000.0
         while True:
             changed = [
                 _describe(table, key, value, version)
@@ -109,5 +110,5 @@
 def _describe(table: str, key: str, value: bytes | None, version: int) -> dict:
     row = {"table": table, "part": "", "key": key, "ver": version}
     if value is None:
-        return {**row, "tombstone": True}
+        return {**row, NAMES["deleted"]: True}
     return {**row, "value": base64.b64encode(value).decode()}
