Log what callers' connections do as a drain and a process end

The events drained and stopped counted running calls alone.

Change: both give the numbers of connections that are idle, reading, answering, writing a complete answer or lingering. connection.state tells it.

--- a/roadlift/core/events.py
+++ b/roadlift/core/events.py
@@ -20,6 +20,9 @@
     meaning: str
 
 
+# What connections of callers may do (see roadlift/http/connection.py).
+_CONNECTION_STATES = ("idle", "reading", "answering", "writing", "lingering")
+
 EVENTS = (
     Event(
         "control",
@@ -218,12 +221,18 @@
     Event(
         "ingress",
         "drained",
-        ("cut",),
-        "Draining ended; cut is the number of calls that remain.",
+        ("cut", *_CONNECTION_STATES),
+        "Draining ended; cut is the number of calls that remain, the others are "
+        "the numbers of connections by what they do.",
     ),
     Event("ingress", "leaving", ("running",), "SIGTERM was received."),
     Event("ingress", "started", ("version",), "The process serves."),
-    Event("ingress", "stopped", ("cut",), "The process ends."),
+    Event(
+        "ingress",
+        "stopped",
+        ("cut", *_CONNECTION_STATES),
+        "The process ends, with these calls and connections.",
+    ),
     Event("leases", "lease_gained", ("zone", "fence", "quiet"), "It was acquired."),
     Event("leases", "lease_lost", ("zone", "reason"), "It is no longer held."),
     Event(
--- a/roadlift/http/connection.py
+++ b/roadlift/http/connection.py
@@ -1,5 +1,6 @@
 """Serve a caller's connection, answering one request at a time."""
 
+import enum
 import json
 import socket
 import struct
@@ -23,6 +24,20 @@
 _BODILESS = (204, 304)
 
 
+class ConnectionState(enum.Enum):
+    """What a connection is doing.
+
+    WRITING is one whose answer is complete and waits for a slow caller;
+    LINGERING one that was closed by this side and not yet by the caller.
+    """
+
+    IDLE = "idle"
+    READING = "reading"
+    ANSWERING = "answering"
+    WRITING = "writing"
+    LINGERING = "lingering"
+
+
 class Handler(Protocol):
     """Handles the requests of a connection."""
 
@@ -75,10 +90,24 @@
         """Return whether the sender should pause."""
         return self._buffered_bytes >= HIGH_WATER
 
+    @property
+    def state(self) -> ConnectionState:
+        """Return what the connection is doing."""
+        if self._is_lingering:
+            return ConnectionState.LINGERING
+        if self._is_finishing:
+            return ConnectionState.WRITING
+        if self._is_answering:
+            return ConnectionState.ANSWERING
+        has_input = bool(self._pipelined or self._parser.requests)
+        if has_input or self._parser.error or not self._parser.is_idle:
+            return ConnectionState.READING
+        return ConnectionState.IDLE
+
     @property
     def is_idle(self) -> bool:
         """Return whether no request is being read or answered."""
-        return not self._is_answering and self._parser.is_idle and not self._buffer
+        return self.state is ConnectionState.IDLE and not self._buffer
 
     # Writing an answer.
 
--- a/roadlift/http/server.py
+++ b/roadlift/http/server.py
@@ -1,10 +1,11 @@
 """Accept callers' connections on one address."""
 
 import socket
+from collections import Counter
 
 from roadlift.core.logs import ComponentLog
 from roadlift.core.loop import Loop
-from roadlift.http.connection import Connection, Handler
+from roadlift.http.connection import Connection, ConnectionState, Handler
 from roadlift.http.messages import HttpLimits
 from roadlift.relay.address import Address
 
@@ -71,6 +72,10 @@
             if connection.is_idle:
                 connection.close()
 
+    def count_states(self) -> Counter[ConnectionState]:
+        """Return how many connections are in each state."""
+        return Counter(connection.state for connection in self.connections)
+
     def _stop_listening(self) -> None:
         if self._socket is not None:
             self._loop.unwatch(self._socket.fileno())
--- a/roadlift/instance/ingress.py
+++ b/roadlift/instance/ingress.py
@@ -15,7 +15,7 @@
 from roadlift.crashes.ledger import CrashLedger
 from roadlift.decisions.origins import Origin
 from roadlift.draining.drain import Drain, Phase
-from roadlift.http.connection import Connection
+from roadlift.http.connection import Connection, ConnectionState
 from roadlift.http.messages import HttpLimits, ReceivedRequest
 from roadlift.http.server import Server
 from roadlift.instance.access import Access
@@ -138,12 +138,12 @@
         """Cut the remaining exchanges and close the servers."""
         if self._timer is not None:
             self._timer.close()
+        log.event("stopped", cut=len(self._exchanges), **self._describe_connections())
         for exchange in list(self._exchanges):
             exchange.close()
         self._served_adapters.close()
         self._server.close()
         self._ready_server.close()
-        log.event("stopped", cut=len(self._exchanges))
 
     def leave(self) -> None:
         """Start to drain; further calls have no effect."""
@@ -370,9 +370,15 @@
         if phase is Phase.ENDED:
             self._timer.close()
             self.is_drained = True
-            log.event("drained", cut=len(self._exchanges))
+            cut = len(self._exchanges)
+            log.event("drained", cut=cut, **self._describe_connections())
             self._kernel.loop.call_later(DRAIN_CHECK_INTERVAL, self._kernel.stop)
 
+    def _describe_connections(self) -> dict[str, int]:
+        """Return the log fields of how many connections do what."""
+        states = self._server.count_states()
+        return {state.value: states[state] for state in ConnectionState}
+
 
 class _ReadinessHandler:
     """Answers the platform's readiness checks of this instance."""
