End a drain only when no connection of a caller is left (LOST)

What callers saw: around a SIGTERM, requests that aren't idempotent were passed on and run, and their channels ended without an answer some ms after their last byte; answers that were read slowly were cut 3 to 4 s after the SIGTERM, of 8 s.

Cause: a process judged by its running calls alone whether it was done. The moment none ran it counted as drained, whatever its connections were doing, and for the 0.1 s until its end it admitted what they finished reading. So it cut what it had itself just passed on, and what complete answers still waited for.

Change: once the grace is over a process stops accepting (what is connected already is taken first), closes idle connections on which nothing has arrived, and is done when no connection and no call is left: ConnectionDrain decides. The answer to a request ends its connection, so that nothing is admitted between done and the end. An upload that at its pace is not complete in time to be served, or that has stalled for a second, is refused at once with 503, which is true as it was not passed on; so one byte a second keeps no process. A call that is complete later than its objective before the limit is refused as well.

Why it works: what may still become a call, or an answer, is a connection; with none left, and no listening socket, there is nothing that could be cut.

--- a/roadlift/draining/drain.py
+++ b/roadlift/draining/drain.py
@@ -3,12 +3,13 @@
 SIGTERM starts LEAVING: readiness fails and the peers are notified at once, so
 that the load balancer and the election of owners exclude this process, while
 calls that still arrive in the grace period are served. CLOSED refuses new
-calls as not run. The process ends when its last stream has ended and its
-endpoints have been taken over, or at the limit, which cuts the remaining
-streams and is logged.
+calls as not run. The process ends when its last call has ended, no connection
+of a caller is left and its endpoints have been taken over, or at the limit,
+which cuts what remains and is logged.
 """
 
 import enum
+import math
 
 from roadlift.core.clock import Clock
 
@@ -45,6 +46,12 @@
         if self._started_at is None:
             self._started_at = self._clock.now()
 
+    def compute_time_left(self) -> float:
+        """Return the seconds until the limit, infinite before draining."""
+        if self._started_at is None:
+            return math.inf
+        return max(0.0, self._started_at + self._limit - self._clock.now())
+
     def compute_phase(self, running: int, owned: int) -> Phase:
         """Return the phase, given the running requests and owned endpoints."""
         if self._started_at is None:
--- a/roadlift/http/connection.py
+++ b/roadlift/http/connection.py
@@ -1,7 +1,6 @@
 """Serve a caller's connection, answering one request at a time."""
 
 import enum
-import json
 import socket
 import struct
 from collections import deque
@@ -10,8 +9,10 @@
 
 from roadlift.core.errors import RequestIncomplete, RoadliftError
 from roadlift.core.loop import Loop
+from roadlift.http.errors import encode_error, format_seconds
 from roadlift.http.messages import HttpLimits, ReceivedRequest, get_reason_phrase
-from roadlift.http.parser import RequestParser
+from roadlift.http.parser import ParsedRequest, RequestParser
+from roadlift.http.uploads import Upload, can_complete
 
 READ_SIZE = 65536  # Bytes read from a caller at once.
 HIGH_WATER = 131072  # Bytes buffered for a slow caller before its stream pauses.
@@ -70,6 +71,7 @@
         self._buffer: deque[memoryview] = deque()
         self._buffered_bytes = 0
         self._pipelined = b""
+        self._upload: Upload | None = None
         self._deadline = loop.clock.now() + limits.idle_timeout
         self._is_answering = False
         self._is_finishing = False
@@ -131,8 +133,7 @@
             lines.append("Transfer-Encoding: chunked")
         else:
             self._keep_alive = False
-        if self.is_draining:
-            self._keep_alive = False
+        self._keep_alive = self._keep_alive and not self._is_last_answer()
         if not self._keep_alive:
             lines.append("Connection: close")
         self._send("\r\n".join([*lines, "", ""]).encode("latin-1"))
@@ -149,12 +150,15 @@
         """Complete the answer, and continue with the next request."""
         if self._is_chunked and not self._is_bodiless:
             self._send(b"0\r\n\r\n")
-        if self.is_draining:
-            # The head may have been written before draining began.
-            self._keep_alive = False
+        # The head may have been written before draining began.
+        self._keep_alive = self._keep_alive and not self._is_last_answer()
         self._is_finishing = True
         self._complete_answer()
 
+    def _is_last_answer(self) -> bool:
+        """Return whether the connection ends with the current answer."""
+        return self.is_draining
+
     def answer(self, status: int, headers: Mapping[str, str], body: bytes) -> None:
         """Write a complete answer at once."""
         self.write_head(status, headers, len(body))
@@ -208,6 +212,30 @@
         self._buffered_bytes = 0
         self._on_close(self)
 
+    # Draining.
+
+    def close_if_idle(self) -> None:
+        """Close the connection unless a request was begun or is arriving."""
+        if self.is_idle and not self._has_input():
+            self.close()
+
+    def _has_input(self) -> bool:
+        """Return whether the socket holds bytes that were not read yet."""
+        try:
+            return bool(self._socket.recv(1, socket.MSG_PEEK))
+        except OSError:
+            # Nothing has arrived, or the connection was reset.
+            return False
+
+    def refuse_upload(
+        self, seconds: float, error: RoadliftError, headers: Mapping[str, str]
+    ) -> None:
+        """Refuse a request unless it should be complete in ``seconds``."""
+        if self._is_answering or self._upload is None:
+            return
+        if not can_complete(self._upload, self._loop.clock.now(), seconds):
+            self._refuse(error, headers)
+
     # Timeouts.
 
     def expire(self, now: float) -> None:
@@ -254,11 +282,21 @@
             self._deadline = now + self._limits.header_timeout
         elif self._parser.in_body:
             self._deadline = now + self._limits.idle_timeout
+        self._record_upload(now, len(data))
         if self._parser.wants_continue:
             self._parser.wants_continue = False
             self.write_interim(100)
         self._handle_next()
 
+    def _record_upload(self, now: float, size: int) -> None:
+        """Record how much of an incomplete request was received."""
+        if self._parser.is_idle:
+            self._upload = None
+            return
+        if self._upload is None or self._parser.requests:
+            self._upload = Upload(now, now, 0, None)
+        self._upload = self._upload.add(now, size, self._parser.missing_bytes)
+
     def _handle_next(self) -> None:
         """Handle the next complete request, or answer the parse error."""
         if self._parser.requests:
@@ -266,7 +304,7 @@
         elif self._parser.error is not None:
             self._refuse(self._parser.error)
 
-    def _begin(self, parsed) -> None:
+    def _begin(self, parsed: ParsedRequest) -> None:
         self._is_answering = True
         self.started = False
         self._keep_alive = parsed.keep_alive
@@ -274,15 +312,17 @@
         self._method = parsed.received.method
         self._handler.handle(parsed.received, self)
 
-    def _refuse(self, error: RoadliftError) -> None:
-        """Answer a request that could not be read with an error, and close."""
+    def _refuse(
+        self, error: RoadliftError, headers: Mapping[str, str] | None = None
+    ) -> None:
+        """Answer an incomplete request with an error, and close."""
         self._is_answering = True
         self.started = False
         self._keep_alive = False
         self._method = ""
         self._version = "1.1"
         self.on_gone = self.on_drained = None
-        self.answer_error(error, {})
+        self.answer_error(error, headers or {})
 
     def _handle_disconnect(self) -> None:
         was_answering = self._is_answering and not self._is_finishing
@@ -386,20 +426,3 @@
             self.close()
             return
         self._loop.watch(self._socket.fileno(), self._on_readable, None)
-
-
-def encode_error(error: RoadliftError) -> bytes:
-    """Return the JSON body of an error, in the format of OpenAI's API."""
-    content = {
-        "message": str(error),
-        "type": f"roadlift_{error.outcome}",
-        "code": error.code,
-        "outcome": str(error.outcome),
-        "param": None,
-    }
-    return json.dumps({"error": content}).encode()
-
-
-def format_seconds(seconds: float) -> str:
-    """Return seconds for a Retry-After field, an integer of at least 1."""
-    return str(max(1, round(seconds)))
--- a/roadlift/http/parser.py
+++ b/roadlift/http/parser.py
@@ -68,6 +68,14 @@
         """Return whether no request has been started."""
         return not self.in_head and not self.in_body
 
+    @property
+    def missing_bytes(self) -> int | None:
+        """Return the bytes that the request lacks, or None if unknown."""
+        length = self._headers.get("content-length", "")
+        if not self.in_body or not length.isdigit():
+            return None
+        return int(length) - self._body_bytes
+
     def feed(self, data: bytes) -> None:
         """Parse bytes; results are in ``requests`` and ``error``."""
         if self.error is not None:
--- a/roadlift/http/server.py
+++ b/roadlift/http/server.py
@@ -2,7 +2,9 @@
 
 import socket
 from collections import Counter
+from collections.abc import Mapping
 
+from roadlift.core.errors import RoadliftError
 from roadlift.core.logs import ComponentLog
 from roadlift.core.loop import Loop
 from roadlift.http.connection import Connection, ConnectionState, Handler
@@ -47,6 +49,15 @@
         self._timer = self._loop.call_every(SWEEP_INTERVAL, self._sweep)
         log.info("Listening for callers on %s.", self._address)
 
+    def add_socket(self, sock: socket.socket) -> None:
+        """Serve a caller on a connected socket."""
+        sock.setblocking(False)
+        connection = Connection(
+            self._loop, sock, self._handler, self.limits, self.connections.discard
+        )
+        connection.is_draining = self.is_draining
+        self.connections.add(connection)
+
     def close(self) -> None:
         """Close the listening socket and every connection."""
         if self._timer is not None:
@@ -60,7 +71,12 @@
 
         New callers are refused at once and can connect to another instance;
         if they were admitted late, the end of the process would cut them off.
+        Further calls have no effect.
         """
+        if self.is_draining:
+            return
+        # Callers that are connected already may have sent a request.
+        self._accept(BACKLOG)
         self.is_draining = True
         self._stop_listening()
         for connection in self.connections:
@@ -69,8 +85,14 @@
     def close_idle(self) -> None:
         """Close the connections without a request in progress."""
         for connection in list(self.connections):
-            if connection.is_idle:
-                connection.close()
+            connection.close_if_idle()
+
+    def refuse_uploads(
+        self, seconds: float, error: RoadliftError, headers: Mapping[str, str]
+    ) -> None:
+        """Refuse the requests that are not read completely in ``seconds``."""
+        for connection in list(self.connections):
+            connection.refuse_upload(seconds, error, headers)
 
     def count_states(self) -> Counter[ConnectionState]:
         """Return how many connections are in each state."""
@@ -82,8 +104,8 @@
             self._socket.close()
             self._socket = None
 
-    def _accept(self) -> None:
-        for _ in range(MAX_ACCEPTED_AT_ONCE):
+    def _accept(self, most: int = MAX_ACCEPTED_AT_ONCE) -> None:
+        for _ in range(most):
             try:
                 sock, _ = self._socket.accept()
             except BlockingIOError:
@@ -91,13 +113,8 @@
             except OSError as error:
                 log.warning("Could not accept a connection: %s.", error)
                 return
-            sock.setblocking(False)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            connection = Connection(
-                self._loop, sock, self._handler, self.limits, self.connections.discard
-            )
-            connection.is_draining = self.is_draining
-            self.connections.add(connection)
+            self.add_socket(sock)
 
     def _sweep(self) -> None:
         now = self._loop.clock.now()
--- a/roadlift/instance/ingress.py
+++ b/roadlift/instance/ingress.py
@@ -14,6 +14,7 @@
 from roadlift.core.logs import ComponentLog
 from roadlift.crashes.ledger import CrashLedger
 from roadlift.decisions.origins import Origin
+from roadlift.draining.connections import RETRY_DELAY, ConnectionDrain
 from roadlift.draining.drain import Drain, Phase
 from roadlift.http.connection import Connection, ConnectionState
 from roadlift.http.messages import HttpLimits, ReceivedRequest
@@ -118,6 +119,7 @@
             _ReadinessHandler(self),
             HttpLimits(),
         )
+        self._connection_drain = ConnectionDrain(self._drain, self._server)
         self._follower.on_configuration.append(self._apply_limits)
         self._ledger = kernel.get(CrashLedger)
         self._ledger.on_change.append(self._end_quarantined)
@@ -243,10 +245,8 @@
         route = self._find_route(call)
         if not self._follower.directory.is_known:
             raise NoConfiguration("no endpoint is known yet", 1.0)
-        phase = self._drain.compute_phase(1, 0)
-        if phase >= Phase.ENDED or (phase is Phase.CLOSED and route.is_long):
-            # A stream that starts now might be cut at the end of the drain.
-            raise Draining(retry_after=0.1)
+        if not self._can_finish(route):
+            raise Draining(retry_after=RETRY_DELAY)
         if self._isolation.is_isolated and self._forward(call, route, caller):
             return
         pending = self._make_pending(call, route)
@@ -255,6 +255,17 @@
         else:
             self._begin(pending, caller, None)
 
+    def _can_finish(self, route: Route) -> bool:
+        """Return whether a call that starts now can end before the process.
+
+        A stream that starts late might be cut at the end of the drain.
+        """
+        phase = self._drain.compute_phase(1, 0)
+        if phase < Phase.CLOSED:
+            return True
+        is_in_time = self._drain.compute_time_left() >= route.objective
+        return phase is Phase.CLOSED and is_in_time and not route.is_long
+
     def _make_pending(self, call: Call, route: Route) -> PendingCall:
         """Return a call that arrives now, with the time of its limit."""
         limit = route.timeout
@@ -360,19 +371,16 @@
         self._server.limits = configuration.limits
 
     def _check_drain(self) -> None:
-        phase = self._drain.compute_phase(len(self._exchanges), 0)
-        if phase is Phase.SERVING:
+        phase = self._connection_drain.advance(len(self._exchanges), 0)
+        if phase is not Phase.ENDED:
             return
-        if phase >= Phase.CLOSED and not self._server.is_draining:
-            self._server.drain()
-        if phase >= Phase.CLOSED:
-            self._server.close_idle()
-        if phase is Phase.ENDED:
-            self._timer.close()
-            self.is_drained = True
-            cut = len(self._exchanges)
-            log.event("drained", cut=cut, **self._describe_connections())
-            self._kernel.loop.call_later(DRAIN_CHECK_INTERVAL, self._kernel.stop)
+        self._timer.close()
+        self.is_drained = True
+        cut = len(self._exchanges)
+        log.event("drained", cut=cut, **self._describe_connections())
+        for exchange in list(self._exchanges):
+            exchange.close()
+        self._kernel.loop.call_later(DRAIN_CHECK_INTERVAL, self._kernel.stop)
 
     def _describe_connections(self) -> dict[str, int]:
         """Return the log fields of how many connections do what."""
--- a/standins/installation.py
+++ b/standins/installation.py
@@ -225,7 +225,8 @@
     stream makes an event; the streams of one that hangs never make another.
     ``software`` is the version of its software, which its entry names. With a
     ``batch`` it runs as many calls as that has slots, and rejects what its
-    queue has no room for.
+    queue has no room for. The answers of plain ones have ``padding`` bytes at
+    least.
     """
 
     def __init__(
@@ -246,6 +247,7 @@
         self.run_time = 0.02
         self.queue_time = 0.0  # Seconds until a call begins to run.
         self.events = 3
+        self.padding = 0
         self.orders: list[tuple[float, dict]] = []
         self.ran: list[dict[str, str]] = []
         self.cancelled = 0
@@ -612,7 +614,7 @@
         call_id = headers["request-id"]
         head = {"request-id": call_id, "server-stamp": stamp}
         if "token-count" not in headers:
-            body = f"{self.id}:{call_id}".encode()
+            body = f"{self.id}:{call_id}".encode().ljust(self.padding, b".")
             head["content-length"] = str(len(body))
             send = lambda: self._send_whole(line, Reply(200, head, body), call_id)
             self._timeline.call_later(self.run_time, send)
