--- a/roadlift/http/connection.py
+++ b/roadlift/http/connection.py
@@ -156,8 +156,15 @@
         self._complete_answer()
 
     def _is_last_answer(self) -> bool:
-        """Return whether the connection ends with the current answer."""
-        return self.is_draining
+        """Return whether a draining connection ends with the current answer.
+
+        Requests that were already received behind it are still answered.
+        """
+        if not self.is_draining:
+            return False
+        pipelined, self._pipelined = self._pipelined, b""
+        self._parser.feed(pipelined)
+        return not self._parser.requests and self._parser.error is None
 
     def answer(self, status: int, headers: Mapping[str, str], body: bytes) -> None:
         """Write a complete answer at once."""
--- a/tests/instance/draining.feature
+++ b/tests/instance/draining.feature
@@ -41,3 +41,5 @@
       | stops in the middle of a body                 | 503      | 2.8   | 4.9  |
       | sends a head and, a second later, its body    | 200      | 3.3   | 4.9  |
       | reads its answer at 200000 bytes a second     | 200      | 4.3   | 6.0  |
+      | pipelines three requests                      | 200, 200, 200 | 2.8 | 4.5 |
+      | pipelines an upload of 2 seconds and a request | 200, 200 | 4.3  | 5.9  |
