Answer the calls that a drain can't finish instead of closing their connections

What callers saw: at the limit of a drain each call that still ran ended with a closed connection and no answer, also those that had been sent nowhere.

Cause: the end of a process cut its calls (Exchange, ForwardedCall, Resumption), whether or not their answers had begun, and it did so as the process ended.

Evidence: a call whose endpoint doesn't answer, running at the limit, got an end of its connection (two rows of tests/instance/draining.feature failed before).

Change: as the drain ends, half a second before its limit, a call without a begun answer is answered: 502 if a byte of it was written to an endpoint, as it may have run, else 503, which is true, with the time at which to return. Begun answers are cut as before, and don't look complete.

--- a/roadlift/instance/callhost.py
+++ b/roadlift/instance/callhost.py
@@ -15,7 +15,7 @@
     call: Call
 
     def close(self) -> None:
-        """Cut the call when the process ends."""
+        """End the call as the process ends."""
 
     def withdraw(self, identity: bytes) -> None:
         """End the call if its work is quarantined now."""
--- a/roadlift/instance/exchange.py
+++ b/roadlift/instance/exchange.py
@@ -2,6 +2,7 @@
 
 from roadlift.core.errors import (
     ConnectionLost,
+    Draining,
     EndpointFailed,
     EndpointsResting,
     EndpointUnreachable,
@@ -22,6 +23,7 @@
 from roadlift.decisions.limits import Basis
 from roadlift.decisions.origins import Origin
 from roadlift.decisions.resending import BUDGET_SPENT
+from roadlift.draining.connections import RETRY_DELAY
 from roadlift.instance.access import Authorization
 from roadlift.instance.adapterwait import (
     DEFAULT_RETRY_AFTER,
@@ -154,9 +156,13 @@
         self._search.try_send()
 
     def close(self) -> None:
-        """Cut the exchange when the process ends."""
+        """End the call as the process ends; only a begun answer is cut."""
         if self._is_over:
             return
+        if not self._answer.has_begun:
+            self._record_unconfirmed(ConnectionLost, "the instance ends")
+            self._end_with_error(Draining(retry_after=RETRY_DELAY))
+            return
         self._cancel_all()
         self._caller.truncate()
         self._end("cut", None)
@@ -177,11 +183,7 @@
         if any(send.chunks_received for send in self._kept):
             self._return_to_kept(obstacle)
             return
-        written = self._find_written()
-        if written is not None:
-            self._unconfirmed_error = ConnectionLost(
-                f"at {written.endpoint.id}: cancelled, work quarantined"
-            )
+        self._record_unconfirmed(ConnectionLost, "cancelled, work quarantined")
         self._end_with_error(obstacle)
 
     def pass_on(self) -> bool:
@@ -207,6 +209,12 @@
             return False
         return self._isolation.choose_gateway() is not None
 
+    def _record_unconfirmed(self, kind: type[RoadliftError], reason: str) -> None:
+        """Record that the call may have run, if an open send was written."""
+        written = self._find_written()
+        if written is not None:
+            self._unconfirmed_error = kind(f"at {written.endpoint.id}: {reason}")
+
     def _find_written(self) -> Send | None:
         """Return an open send of which a byte was written, or None."""
         return next((send for send in self._list_open() if send.is_written), None)
@@ -634,9 +642,7 @@
         """Fail the call at its time limit, whatever its state."""
         if self._is_over:
             return
-        written = self._find_written()
-        if written is not None:
-            self._unconfirmed_error = RequestTimeout(f"at {written.endpoint.id}")
+        self._record_unconfirmed(RequestTimeout, "time limit")
         error = NoEndpoint("time limit exceeded", DEFAULT_RETRY_AFTER)
         self._end_with_error(self._unconfirmed_error or error)
 
--- a/roadlift/instance/forwarding.py
+++ b/roadlift/instance/forwarding.py
@@ -9,6 +9,7 @@
 
 from roadlift.core.errors import (
     ConnectionLost,
+    Draining,
     NoEndpoint,
     Outcome,
     RequestTimeout,
@@ -16,6 +17,7 @@
 )
 from roadlift.core.kernel import Kernel
 from roadlift.core.logs import ComponentLog
+from roadlift.draining.connections import RETRY_DELAY
 from roadlift.http.messages import drop_hop_by_hop
 from roadlift.instance.adapterwait import DEFAULT_RETRY_AFTER
 from roadlift.instance.answer import NOT_RUN_STATUSES
@@ -83,10 +85,13 @@
         self._try()
 
     def close(self) -> None:
-        """Cut the call when the process ends."""
-        if not self._is_over:
-            self._caller.truncate()
-            self._end("cut")
+        """End the call as the process ends; only a begun answer is cut."""
+        if self._is_over:
+            return
+        if self._line is not None and self._line.written:
+            self._fail(ConnectionLost("the instance ends"))
+        else:
+            self._fail(Draining(retry_after=RETRY_DELAY))
 
     def withdraw(self, identity: bytes) -> None:
         """Leave it to the other instance to end quarantined work."""
--- a/roadlift/instance/resumption.py
+++ b/roadlift/instance/resumption.py
@@ -6,10 +6,16 @@
 
 from collections.abc import Callable
 
-from roadlift.core.errors import RoadliftError, SoftwareUnavailable, StreamUnknown
+from roadlift.core.errors import (
+    Draining,
+    RoadliftError,
+    SoftwareUnavailable,
+    StreamUnknown,
+)
 from roadlift.core.kernel import Kernel
 from roadlift.core.logs import ComponentLog
 from roadlift.decisions.origins import Basis, Origin
+from roadlift.draining.connections import RETRY_DELAY
 from roadlift.instance.forwarding import PendingCall
 from roadlift.instance.metrics import InstanceMetrics
 from roadlift.instance.originquery import OriginAnswer
@@ -66,9 +72,10 @@
         self._origins.query(self.call.resumes, self._service, self._handle_answer)
 
     def close(self) -> None:
-        """Cut the call when the process ends."""
+        """Refuse the call, which was not sent, as the process ends."""
         self._leave()
-        self._caller.truncate()
+        error = Draining(retry_after=RETRY_DELAY)
+        self._on_refused(self._pending, self._caller, error)
 
     def withdraw(self, identity: bytes) -> None:
         """Leave it to the exchange, which checks before it sends."""
--- a/tests/instance/draining.feature
+++ b/tests/instance/draining.feature
@@ -43,3 +43,20 @@
       | reads its answer at 200000 bytes a second     | 200      | 4.3   | 6.0  |
       | pipelines three requests                      | 200, 200, 200 | 2.8 | 4.5 |
       | pipelines an upload of 2 seconds and a request | 200, 200 | 4.3  | 5.9  |
+
+  Scenario Outline: A caller <does>, and the drain reaches its limit
+    Guards against connections that end without a word: what can't be finished is answered.
+
+    When a drains, and 2.4 seconds later a caller <does>
+    Then the caller gets "<answers>"
+    And a ended between 7.5 and 7.8 seconds after its SIGTERM
+
+    Examples:
+      | does                                              | answers |
+      | uploads for 4.2 seconds what no endpoint answers  | 502     |
+      | sends a stream that no engine answers             | 502     |
+
+  Scenario: A stream that has begun is cut as the drain reaches its limit
+    When a drains, and 2.4 seconds later a caller sends a stream that stalls
+    Then the caller's answer is cut, and doesn't look complete
+    And a ended between 7.5 and 7.8 seconds after its SIGTERM
--- a/tests/steps/drain_steps.py
+++ b/tests/steps/drain_steps.py
@@ -232,7 +232,29 @@
     return caller
 
 
+def _send_stream(fault):
+    def begin(context):
+        for runner in context.entries.installation.runners.values():
+            runner.faults = [fault] * 20
+        caller = _connect(context)
+        head = b"Host: h.example\r\nRequest-Id: c1\r\nModel: base\r\n"
+        counts = b"Token-Count: 10,20\r\nPrompt-Prefix: ab:10\r\n\r\n"
+        caller.send(b"GET /long/1 HTTP/1.1\r\n" + head + counts)
+        return caller
+
+    return begin
+
+
+def _upload_unanswered(context):
+    for runner in _list_plain(context):
+        runner.faults = ["mute"]
+    return _upload(4.2)(context)
+
+
 _CALLERS = {
+    "uploads for 4.2 seconds what no endpoint answers": _upload_unanswered,
+    "sends a stream that no engine answers": _send_stream("mute"),
+    "sends a stream that stalls": _send_stream("stall"),
     "has an idle connection": _be_idle,
     "sends a request on a new connection": _send_small,
     "does not close behind its last answer": _linger,
@@ -269,6 +291,15 @@
     assert not context.caller.is_open
 
 
+@then("the caller's answer is cut, and doesn't look complete")
+def step_gets_cut(context):
+    """Check that an answer began, and that it does not look complete."""
+    assert not context.caller.answers, context.caller.answers
+    assert context.caller.partial.startswith(b"HTTP/1.1 200 ")
+    assert b"\r\n0\r\n\r\n" not in context.caller.partial
+    assert not context.caller.is_open
+
+
 @then('the caller gets ""')
 def step_gets_nothing(context):
     """Check that the connection was closed without an answer."""
--- a/tests/support/rawcallers.py
+++ b/tests/support/rawcallers.py
@@ -12,6 +12,8 @@
 BUFFER = 4096  # Bytes that the socket to a slow reader buffers.
 _LENGTH = re.compile(rb"\r\nContent-Length: (\d+)", re.IGNORECASE)
 
+_LAST_CHUNK = b"0\r\n\r\n"
+
 
 class RawAnswer(NamedTuple):
     """An answer as it was read; ``is_last`` tells that the connection ends."""
@@ -106,9 +108,8 @@
     def _take_answer(self) -> bool:
         """Take a complete answer off what was read; return whether one was."""
         head, end, rest = self._seen.partition(b"\r\n\r\n")
-        found = _LENGTH.search(head)
-        size = int(found[1]) if found else 0
-        if not end or len(rest) < size:
+        size = _measure_body(head, rest)
+        if not end or size is None or len(rest) < size:
             return False
         is_last = b"connection: close" in head.lower()
         status, now = int(head.split(b" ", 2)[1]), self._timeline.now()
@@ -125,6 +126,15 @@
             self.ended_at = self._timeline.now()
 
 
+def _measure_body(head: bytes, rest: bytes) -> int | None:
+    """Return the bytes of a body, or None where its end has not come."""
+    if b"chunked" in head.lower():
+        end = rest.find(_LAST_CHUNK)
+        return None if end < 0 else end + len(_LAST_CHUNK)
+    found = _LENGTH.search(head)
+    return int(found[1]) if found else 0
+
+
 def make_upload(call_id: str, size: int, path: str = "/once/1") -> bytes:
     """Return a request with a body of ``size`` bytes."""
     head = f"POST {path} HTTP/1.1\r\nHost: h.example\r\nRequest-Id: {call_id}\r\n"
