--- a/roadlift/http/connection.py
+++ b/roadlift/http/connection.py
@@ -382,7 +382,8 @@
             self._discard_sent(sent)
         if not self._buffer:
             self._watch()
-            self._complete_answer()
+        # A caller that reads on gets more time to read the rest.
+        self._complete_answer()
         if was_full and self._buffered_bytes <= LOW_WATER and self.on_drained:
             self.on_drained()
 
--- a/tests/http/ingress.feature
+++ b/tests/http/ingress.feature
@@ -135,3 +135,17 @@
     When a GET arrives at once
     And the held answer begins, the server drains and the answer ends
     Then the answer is complete and the connection is closed
+
+  Scenario Outline: A caller takes an answer of 100000 bytes, <rate> bytes a second
+    Guards against cutting an answer at the idle timeout although its caller goes on reading.
+
+    Given an ingress that holds its answers
+    When a caller takes an answer of 100000 bytes, <rate> bytes a second, for <seconds> seconds
+    Then the connection is <state>
+
+    Examples: The idle timeout is 15 seconds
+      | rate | seconds | state                                  |
+      | 5000 | 25      | open, and the answer was read complete |
+      | 5000 | 14      | open, and the answer was read in part  |
+      | 0    | 14      | open, and the answer was read in part  |
+      | 0    | 16      | cut                                    |
--- a/tests/steps/ingress_steps.py
+++ b/tests/steps/ingress_steps.py
@@ -269,3 +269,58 @@
 def step_gone(context, count):
     """Check that the handler was notified."""
     assert context.ingress.handler.gone == count
+
+
+@when(
+    "a caller takes an answer of {size:d} bytes, {rate:d} bytes a second,"
+    " for {seconds:d} seconds"
+)
+def step_read_slowly(context, size, rate, seconds):
+    """Answer a caller whose socket buffers little, and read at its pace."""
+    ingress = context.ingress
+    others = set(ingress.server.connections)
+    caller, far_side = socket.socketpair()
+    caller.setblocking(False)
+    context.add_cleanup(caller.close)
+    far_side.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+    ingress.server.add_socket(far_side)
+    ingress.send(caller, REQUESTS["a GET"], False)
+    ingress.handler.callers[-1].answer(200, {}, b"x" * size)
+    context.missing = size
+    for _ in range(seconds):
+        ingress.driver.advance(1.0)
+        context.missing -= _read_some(ingress, caller, rate)
+    context.is_closed = not ingress.server.connections - others
+
+
+def _read_some(ingress, caller, most):
+    """Read up to so many bytes, as they come; return how many body bytes."""
+    count = 0
+    while count < most:
+        try:
+            data = caller.recv(min(1000, most - count))
+        except BlockingIOError:
+            break
+        if not data:
+            break
+        count += len(data)
+        ingress.driver.settle()
+    return count
+
+
+@then("the connection is open, and the answer was read complete")
+def step_complete(context):
+    """Check that the body came; the head makes it a little more."""
+    assert not context.is_closed and context.missing <= 0, context.missing
+
+
+@then("the connection is open, and the answer was read in part")
+def step_partial(context):
+    """Check that the caller is still answered."""
+    assert not context.is_closed and context.missing > 0
+
+
+@then("the connection is cut")
+def step_cut(context):
+    """Check that the connection was closed within the answer."""
+    assert context.is_closed and context.missing > 0
