--- a/roadlift/daemon/front.py
+++ b/roadlift/daemon/front.py
@@ -26,6 +26,7 @@
         )
         address = Address.parse(settings.http)
         self._server = Server(kernel.loop, address, kernel.get(Gateway), limits)
+        kernel.get(Leaving).attach(self._server)
 
     def start(self) -> None:
         """Bind the server and accept."""
--- a/roadlift/draining/connections.py
+++ b/roadlift/draining/connections.py
@@ -18,11 +18,17 @@
 
 
 class ConnectionDrain:
-    """Drains the connections of a server as its process drains."""
+    """Drains the connections of a server as its process drains.
 
-    def __init__(self, drain: Drain, server: Server) -> None:
+    ``is_admitting`` tells whether calls are admitted after the grace. If not,
+    the server goes on to accept, for what else it answers, and all requests
+    that are not complete are refused at once.
+    """
+
+    def __init__(self, drain: Drain, server: Server, is_admitting: bool) -> None:
         self._drain = drain
         self._server = server
+        self._is_admitting = is_admitting
 
     def advance(self, running: int, owned: int) -> Phase:
         """Close or refuse what can be, and return the phase of the process.
@@ -32,7 +38,7 @@
         phase = self._drain.compute_phase(1, 0)
         if phase < Phase.CLOSED:
             return phase
-        self._server.drain()
+        self._server.drain(stops_accepting=self._is_admitting)
         self._refuse_uploads()
         self._server.close_idle()
         unfinished = running + len(self._server.connections)
@@ -42,5 +48,7 @@
         """Refuse the uploads that are not complete in time to be served."""
         error = Draining(retry_after=RETRY_DELAY)
         headers = {"Retry-After": f"{RETRY_DELAY:g}"}
-        seconds = self._drain.compute_time_left() - SERVING_TIME
+        seconds = 0.0
+        if self._is_admitting:
+            seconds = self._drain.compute_time_left() - SERVING_TIME
         self._server.refuse_uploads(seconds, error, headers)
--- a/roadlift/http/server.py
+++ b/roadlift/http/server.py
@@ -66,8 +66,8 @@
         for connection in list(self.connections):
             connection.close()
 
-    def drain(self) -> None:
-        """Stop accepting, and close every connection after its next answer.
+    def drain(self, stops_accepting: bool = True) -> None:
+        """Close every connection after its next answer, and stop accepting.
 
         New callers are refused at once and can connect to another instance;
         if they were admitted late, the end of the process would cut them off.
@@ -75,10 +75,12 @@
         """
         if self.is_draining:
             return
-        # Callers that are connected already may have sent a request.
-        self._accept(BACKLOG)
+        if self._socket is not None:
+            # Callers that are connected already may have sent a request.
+            self._accept(BACKLOG)
         self.is_draining = True
-        self._stop_listening()
+        if stops_accepting:
+            self._stop_listening()
         for connection in self.connections:
             connection.is_draining = True
 
--- a/roadlift/instance/ingress.py
+++ b/roadlift/instance/ingress.py
@@ -119,7 +119,9 @@
             _ReadinessHandler(self),
             HttpLimits(),
         )
-        self._connection_drain = ConnectionDrain(self._drain, self._server)
+        self._connection_drain = ConnectionDrain(
+            self._drain, self._server, is_admitting=True
+        )
         self._follower.on_configuration.append(self._apply_limits)
         self._ledger = kernel.get(CrashLedger)
         self._ledger.on_change.append(self._end_quarantined)
--- a/tests/retries/retries.feature
+++ b/tests/retries/retries.feature
@@ -53,3 +53,17 @@
     When 30 s pass
     Then its call is answered
     And it has announced that it is gone
+
+  Scenario Outline: A caller <does> as an instance that admits no more calls drains
+    Guards against a process that ends while connections send or take something, also behind
+    the interface openai.
+
+    Given a deployment of 1 zone with 3 instances and 1 fencing engine
+    When a caller <does>, and its instance is told to shut down
+    Then <answer> comes, and the instance is gone after <least> to <most> s
+
+    Examples:
+      | does                         | answer                | least | most |
+      | has an idle connection       | nothing               | 1.0   | 1.3  |
+      | has sent half of a request   | a refusal as draining | 1.0   | 1.5  |
+      | takes an answer in 3 seconds | the whole answer      | 2.9   | 3.5  |
--- a/tests/steps/retry_steps.py
+++ b/tests/steps/retry_steps.py
@@ -7,7 +7,11 @@
 from roadlift.daemon.gateway import Gateway
 from roadlift.daemon.leaving import Leaving
 from roadlift.draining.drain import Drain
+from roadlift.http.messages import HttpLimits
+from roadlift.http.server import Server
+from roadlift.relay.address import Address
 from roadlift.retries.rules import RetryBudget, may_retry
+from tests.support.rawcallers import TICK, RawCaller, make_upload
 
 
 @then(
@@ -99,3 +103,80 @@
     assert deployment.get(context.victim, Gateway).running == 0
     for name in deployment.hub.kernels:
         assert deployment.see(name, context.victim) == "GONE", name
+
+
+class _Timeline:
+    """The calls of a hub in the future, for a caller on a socket."""
+
+    def __init__(self, hub, kernel) -> None:
+        self._hub = hub
+        self._kernel = kernel
+
+    def now(self) -> float:
+        """Return the hub's time."""
+        return self._hub.clock.now()
+
+    def call_later(self, seconds: float, call) -> None:
+        """Call once the clock has moved on."""
+        self._kernel.loop.call_later(seconds, call)
+
+
+def _begin(does, caller):
+    request = make_upload("c1", 100)
+    if does == "has sent half of a request":
+        caller.send(request[:-50])
+    elif does == "takes an answer in 3 seconds":
+        caller.send(request)
+
+
+def _advance(hub, kernel, seconds):
+    """Let time pass, and an instance look at its sockets."""
+    for _ in range(round(seconds / TICK)):
+        hub.advance(TICK)
+        kernel.loop.run_once()
+
+
+class _LongAnswers:
+    """Answers each request with more than a socket buffers."""
+
+    def handle(self, received, caller) -> None:
+        """Answer at once."""
+        caller.answer(200, {}, b"x" * 300_000)
+
+
+@when("a caller {does}, and its instance is told to shut down")
+def step_caller_at_drain(context, does):
+    """Attach a server to the instance; drain it with a caller there."""
+    hub = context.deployment.hub
+    owners = context.deployment.list_owners("engine-a0")
+    name = next(name for name in hub.kernels if name not in owners)
+    kernel = hub.kernels[name]
+    server = Server(kernel.loop, Address("127.0.0.1", 0), _LongAnswers(), HttpLimits())
+    context.add_cleanup(server.close)
+    leaving = context.deployment.get(name, Leaving)
+    leaving.attach(server)
+    context.raw = RawCaller(_Timeline(hub, kernel), server, rate=100_000)
+    context.add_cleanup(context.raw.close)
+    _begin(does, context.raw)
+    _advance(hub, kernel, 0.05)
+    began_at = hub.clock.now()
+    context.gone_after = None
+
+    def stop() -> None:
+        """Note when the process ends, and close its connections."""
+        context.gone_after = hub.clock.now() - began_at
+        server.close()
+
+    kernel.stop = stop
+    leaving.leave()
+    _advance(hub, kernel, 6.0)
+
+
+@then("{answer} comes, and the instance is gone after {least:g} to {most:g} s")
+def step_gone_after(context, answer, least, most):
+    """Check the answer, and how long the drain lasted."""
+    answers = [one.status for one in context.raw.answers]
+    expected = {"nothing": [], "the whole answer": [200]}.get(answer, [503])
+    assert answers == expected and not context.raw.partial, answers
+    assert context.gone_after is not None
+    assert least <= context.gone_after <= most, context.gone_after
