Send a call again only on connections that carried none of its sends (REFUSED)

What callers saw: a request that isn't idempotent was answered 503, "not run", while a runner ran it.

Cause: an answer was known by its request's id alone, which all sends of a call share. A runner that rejected the first send repeated its rejection late, where the answer to the second send was expected, on the same kept connection: the id was right, and the repetition was taken for the second send's answer.

No answer came from another connection or of another id, and the calls had no send whose outcome was unknown; so neither the mapping of errors nor other requests' answers explain it.

Change: the sends of one call share a ChannelHistory, weakly, and the pool gives a send no connection that is in it; other calls may use them, as another id is told apart. So a second round, a 421, a retry and a stream that goes on are all covered. What was skipped, and may be anybody's, still closes its connection.

Why it works: a repetition comes on the connection of its answer, and no later send of the same id is there.

One client after the other needs 2 connections where each request is rejected once, 3 where it is twice (tests/relay/upstream.feature, which failed before, as the rows in tests/instance/instance.feature did).

--- a/roadlift/instance/sendrequest.py
+++ b/roadlift/instance/sendrequest.py
@@ -10,6 +10,7 @@
 from roadlift.instance.platform import Platform
 from roadlift.instance.progress import Progress
 from roadlift.instance.send import Send
+from roadlift.relay.history import ChannelHistory
 from roadlift.relay.upstream import Request
 from roadlift.serving.calls import Call
 from roadlift.serving.directory import Endpoint
@@ -38,6 +39,7 @@
         self._authorization = authorization
         self._progress = progress
         self._deadline = deadline
+        self._history = ChannelHistory()
         self._choice = kernel.get(EngineChoice)
         self._follower = kernel.get(Follower)
         self._knowledge = kernel.get(Knowledge)
@@ -56,7 +58,9 @@
             position,
             self._authorization.name,
         )
-        return self._format.build_request(call, self._route, send.endpoint, guard)
+        request = self._format.build_request(call, self._route, send.endpoint, guard)
+        # A late repetition of an answer to an earlier send has the same id.
+        return request._replace(history=self._history)
 
     def describe_state_age(self, endpoint: Endpoint) -> dict[str, float]:
         """Return the age in seconds of the state of a chosen engine.
--- a/roadlift/relay/pool.py
+++ b/roadlift/relay/pool.py
@@ -9,6 +9,7 @@
 
 import socket
 from collections import deque
+from collections.abc import Callable
 
 from roadlift.core.loop import Loop
 from roadlift.relay.address import Address
@@ -25,7 +26,14 @@
 class Channel:
     """A connected socket that carries one call at a time."""
 
-    __slots__ = ("address", "idle_since", "is_new", "reusable_until", "socket")
+    __slots__ = (
+        "__weakref__",
+        "address",
+        "idle_since",
+        "is_new",
+        "reusable_until",
+        "socket",
+    )
 
     def __init__(self, address: Address, sock: socket.socket) -> None:
         self.address = address
@@ -53,19 +61,24 @@
         self._idle: dict[Address, deque[Channel]] = {}
         self._is_sweep_scheduled = False
 
-    def acquire(self, address: Address, max_idle: float) -> Channel | None:
+    def acquire(
+        self,
+        address: Address,
+        max_idle: float,
+        is_allowed: Callable[[Channel], bool] = lambda channel: True,
+    ) -> Channel | None:
         """Return a connection idle for at most ``max_idle`` seconds, if any.
 
         A newer connection is tried first; those that expired or received input
-        are closed.
+        are closed, and those that are not allowed are left to other calls.
         """
-        idle = self._idle.get(address)
         now = self._loop.clock.now()
-        while idle:
-            channel = idle[-1]
+        for channel in reversed(tuple(self._idle.get(address, ()))):
             if now - channel.idle_since > max_idle:
                 return None
-            idle.pop()
+            if not is_allowed(channel):
+                continue
+            self._idle[address].remove(channel)
             self._loop.unwatch(channel.socket.fileno())
             if now < channel.reusable_until and channel.has_no_input():
                 return channel
--- a/roadlift/relay/upstream.py
+++ b/roadlift/relay/upstream.py
@@ -25,6 +25,7 @@
 from roadlift.http.messages import add_header, has_token
 from roadlift.relay.address import Address
 from roadlift.relay.framing import Framing, find_framing
+from roadlift.relay.history import ChannelHistory
 from roadlift.relay.pool import Channel, ConnectionPool
 
 READ_SIZE = 65536  # Bytes read from a socket at most at once.
@@ -49,8 +50,10 @@
     have been idle; 0 opens a new one and closes it after the answer.
     ``echo`` is a header, its name in lower case, and the value that the
     answer must repeat: an answer with another value belongs to another
-    request and is skipped. ``may_send`` is called right before the first byte
-    is written; if it returns false, the request is not sent.
+    request and is skipped. ``history`` are the connections that carried
+    earlier sends with the same echo: none of them carries this one, unless
+    ``may_share`` is set. ``may_send`` is called right before the first byte is
+    written; if it returns false, the request is not sent.
     """
 
     method: str
@@ -60,6 +63,8 @@
     host: str = ""
     max_idle: float = 0.0
     echo: tuple[str, str] | None = None
+    history: ChannelHistory | None = None
+    may_share: bool = False
     may_send: Callable[[], bool] | None = None
     connect_timeout: float | None = None
 
@@ -143,10 +148,11 @@
 
     def start(self) -> None:
         """Reuse or open a connection; failures reach the receiver later."""
-        self._channel = self._pool.acquire(self._address, self._request.max_idle)
+        self._channel = self._acquire()
         if self._channel is None:
             self._connect()
             return
+        self._record_channel()
         self._socket = self._channel.socket
         self._timer = self._loop.call_later(self._timeout, self._on_timeout)
         self._loop.watch(self._socket.fileno(), self._on_readable, self._on_writable)
@@ -173,11 +179,24 @@
 
     # The connection.
 
+    def _acquire(self) -> Channel | None:
+        """Return an idle connection that the request may use, or None."""
+        address, max_idle = self._address, self._request.max_idle
+        history = self._request.history
+        if history is None or self._request.may_share:
+            return self._pool.acquire(address, max_idle)
+        return self._pool.acquire(address, max_idle, history.is_unused)
+
+    def _record_channel(self) -> None:
+        if self._request.history is not None:
+            self._request.history.add(self._channel)
+
     def _connect(self) -> None:
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self._socket.setblocking(False)
         _set_options(self._socket)
         self._channel = Channel(self._address, self._socket)
+        self._record_channel()
         wait = self._request.connect_timeout or self._timeout
         self._timer = self._loop.call_later(wait, self._on_timeout)
         code = self._socket.connect_ex(self._address)
--- a/tests/instance/instance.feature
+++ b/tests/instance/instance.feature
@@ -55,6 +55,22 @@
       | engines         | cut a stream                | a resumable stream | 200    | 0.4     | 2    |
       | engines         | refuse once                 | a stream           | 200    | 0.3     | 1    |
 
+  Scenario Outline: The sends of one call use no connection twice: <endpoints> <fault>
+    Guards against a late repetition of the answer to a call's first send, which would be
+    taken for the answer to another send of it.
+
+    Given <endpoints> <fault> next
+    When <call> is sent to a and its sends are recorded
+    Then it gets 200 within 0.6 seconds
+    And its sends exclude each other's connections, and no other call's
+
+    Examples:
+      | endpoints       | fault         | call               |
+      | plain endpoints | refuse thrice | a call to run once |
+      | plain endpoints | refuse once   | an idempotent call |
+      | engines         | refuse once   | a stream           |
+      | engines         | cut a stream  | a resumable stream |
+
   Scenario: A resumed stream has each event once
     Given engines cut a stream next
     When a resumable stream is sent to a
--- a/tests/relay/upstream.feature
+++ b/tests/relay/upstream.feature
@@ -116,3 +116,31 @@
       | 0    | 8     | is delivered             |
       | 8    | 8     | is delivered             |
       | 9    | 8     | fails as connection_lost |
+
+  Scenario Outline: A request is sent again while its rejection is <repeated>
+    Guards against taking a late repetition of the answer to a request's first send for the
+    answer to its second: its caller was told that it had not run, and it ran.
+
+    Given an endpoint
+    When a request is rejected, and is sent again while its rejection is <repeated>
+    Then the second send is answered 200 by its own run
+    And 2 connections were opened
+
+    Examples:
+      | repeated         |
+      | repeated late    |
+      | repeated at once |
+      | not repeated     |
+
+  Scenario Outline: Requests that are each rejected <rejected> times share few connections
+    Guards against a connection for each send where most sends are rejected.
+
+    Given an endpoint
+    When <count> requests are each rejected <rejected> times
+    Then <connections> connections were opened
+
+    Examples:
+      | count | rejected | connections |
+      | 30    | 0        | 1           |
+      | 30    | 1        | 2           |
+      | 30    | 2        | 3           |
--- a/tests/steps/instance_steps.py
+++ b/tests/steps/instance_steps.py
@@ -218,6 +218,37 @@
     _send(context, call, name)
 
 
+@when("{call} is sent to a and its sends are recorded")
+def step_send_recorded(context, call):
+    """Send a call and another one behind it, and keep the requests."""
+    context.requests = []
+    dialer = context.entries.entries["a"].dialer
+    open_line = dialer.open
+
+    def open_recorded(address, request, *values):
+        """Record a request, and send it."""
+        context.requests.append(request)
+        return open_line(address, request, *values)
+
+    dialer.open = open_recorded
+    _send(context, call, "a")
+    context.entries.call("a", *_CALLS["an idempotent call"])
+
+
+@then("its sends exclude each other's connections, and no other call's")
+def step_histories(context):
+    """Check which sends share a history of connections."""
+    histories = {}
+    for request in context.requests:
+        if request.echo is not None and request.echo[1]:
+            assert request.history is not None and not request.may_share
+            histories.setdefault(request.echo[1], []).append(request.history)
+    sent = [len(found) for found in histories.values()]
+    assert len(sent) == 2 and max(sent) > 1, sent
+    assert all(len(set(map(id, found))) == 1 for found in histories.values())
+    assert len({id(found[0]) for found in histories.values()}) == len(sent)
+
+
 @when("an idempotent call is sent to a 0.1 seconds later")
 def step_send_later(context):
     """Wait until updates have arrived, then send a call."""
--- a/tests/steps/upstream_steps.py
+++ b/tests/steps/upstream_steps.py
@@ -52,9 +52,15 @@
 
 
 def _start(context, request=None):
+    step_endpoint(context)
+    context.call, context.recorder = context.endpoint.open(request or _request())
+
+
+@given("an endpoint")
+def step_endpoint(context):
+    """Listen, and let the test write the answers."""
     context.endpoint = Endpoint()
     context.add_cleanup(context.endpoint.close)
-    context.call, context.recorder = context.endpoint.open(request or _request())
 
 
 @given("an endpoint and a call to it")
