--- a/roadlift/core/errors.py
+++ b/roadlift/core/errors.py
@@ -281,6 +281,14 @@
     outcome = Outcome.UNKNOWN
 
 
+class AnswerUnidentified(RoadliftError):
+    """A failure without an id came where it may be another request's."""
+
+    code = "answer_unidentified"
+    status = 502
+    outcome = Outcome.UNKNOWN
+
+
 class EndpointFailed(RoadliftError):
     """The endpoint ran the request and answered with an error."""
 
--- a/roadlift/relay/upstream.py
+++ b/roadlift/relay/upstream.py
@@ -14,6 +14,7 @@
 import httptools
 
 from roadlift.core.errors import (
+    AnswerUnidentified,
     ConnectionLost,
     ConnectionRefused,
     EndpointUnreachable,
@@ -141,6 +142,7 @@
         self._is_complete = False
         self._is_skipping = False
         self._is_unusable = False
+        self._is_unidentified = False
         self._ends_with_close = False
         self._is_reading = True
         self._has_progress = False
@@ -271,6 +273,9 @@
                 self._deliver_body()
                 self._fail(ConnectionLost(f"malformed HTTP answer: {error}"))
                 return
+        if self._is_unidentified:
+            self._fail(AnswerUnidentified(f"status {self._status}"))
+            return
         self._deliver_body()
 
     def _on_eof(self) -> None:
@@ -342,14 +347,18 @@
     def _matches_request(self, status: int, headers: Mapping[str, str]) -> bool:
         """Return whether an answer repeats the ``echo`` header of the request.
 
-        An error status without the header is accepted, since an endpoint that
-        rejects early may not have read the header.
+        An error status without the header is accepted on a new connection,
+        since an endpoint that rejects early may not have read the header. On
+        one that carried other requests it may be a late repetition of an
+        answer to one of them.
         """
         if self._request.echo is None:
             return True
         name, expected = self._request.echo
-        default = "" if status < 400 else expected
-        return headers.get(name, default) == expected
+        if name in headers or status < 400:
+            return headers.get(name, "") == expected
+        self._is_unidentified = bool(expected) and not self._channel.is_new
+        return not self._is_unidentified
 
     def _deliver_body(self) -> None:
         if self._socket is None:
--- a/tests/relay/upstream.feature
+++ b/tests/relay/upstream.feature
@@ -144,3 +144,19 @@
       | 30    | 0        | 1           |
       | 30    | 1        | 2           |
       | 30    | 2        | 3           |
+
+  Scenario Outline: A failure <named> comes on a connection that is <used>
+    Guards against taking a late repetition of one request's rejection, which bears no id,
+    for the answer to the next request on its connection.
+
+    Given an endpoint
+    When a request is sent on a connection that is <used>, and a failure <named> comes
+    Then the request <outcome>
+
+    Examples:
+      | used | named           | outcome                     |
+      | new  | without an id   | is answered 503             |
+      | new  | with its id     | is answered 503             |
+      | used | with its id     | is answered 503             |
+      | used | without an id   | fails as answer_unidentified |
+      | used | with another id | is still open               |
--- a/tests/retries/retries.feature
+++ b/tests/retries/retries.feature
@@ -14,6 +14,8 @@
       | connection_lost      | idempotent     | a part  | not         |
       | request_timeout      | not idempotent | nothing | not         |
       | request_timeout      | idempotent     | nothing | be repeated |
+      | answer_unidentified  | not idempotent | nothing | not         |
+      | answer_unidentified  | idempotent     | nothing | be repeated |
       | endpoint_failed      | not idempotent | nothing | not         |
       | stream_cut           | idempotent     | a part  | not         |
 
--- a/tests/steps/repetition_steps.py
+++ b/tests/steps/repetition_steps.py
@@ -74,3 +74,41 @@
 def step_opened(context, count):
     """Check how many connections the endpoint has accepted."""
     assert len(context.endpoint.accepted) == count, len(context.endpoint.accepted)
+
+
+_FAILURES = {
+    "without an id": _HEAD + b"Content-Length: 0\r\n\r\n",
+    "with its id": REFUSAL % b"r1",
+    "with another id": REFUSAL % b"r0",
+}
+
+
+@when("a request is sent on a connection that is {used}, and a failure {named} comes")
+def step_failure(context, used, named):
+    """Answer a request with a failure."""
+    endpoint = context.endpoint
+    if used == "used":
+        endpoint.open(make_request("r0"))
+        reply(endpoint, find_receiver(endpoint), SUCCESS % b"r0")
+    _, context.recorder = endpoint.open(make_request("r1"))
+    assert len(endpoint.accepted) == 1
+    reply(endpoint, find_receiver(endpoint), _FAILURES[named])
+
+
+@then("the request is answered {status:d}")
+def step_answered(context, status):
+    """Check that the answer was taken for its own."""
+    assert context.recorder.is_whole and context.recorder.status == status
+
+
+@then("the request fails as {code}")
+def step_fails(context, code):
+    """Check that the answer was taken for nobody's."""
+    assert context.recorder.error is not None and not context.recorder.status
+    assert context.recorder.error.code == code
+
+
+@then("the request is still open")
+def step_open(context):
+    """Check that the answer was skipped."""
+    assert context.recorder.error is None and not context.recorder.status
