--- a/roadlift/instance/engine.py
+++ b/roadlift/instance/engine.py
@@ -41,6 +41,7 @@
     ) -> None:
         self._kernel = kernel
         self._orders = kernel.get(Platform).adapter.orders
+        self._history = kernel.get(Platform).order_history
         self._lease = kernel.get(Leases).get(zone)
         self._metrics = kernel.get(InstanceMetrics)
         self._availabilities = kernel.get(Availabilities)
@@ -124,6 +125,9 @@
             lambda: self._lease.may_order(self._kernel.clock.now()),
         )
         request = self._orders.build_order(order, self.endpoint)
+        # A late repetition of an answer to an earlier order, or of a report,
+        # could not be told from this order's own.
+        request = request._replace(history=self._history)
         fetch(
             self._kernel.dialer,
             self.endpoint.address,
@@ -210,10 +214,11 @@
             on_report(report)
             self.advance()
 
+        request = self._orders.build_report(self.endpoint)
         fetch(
             self._kernel.dialer,
             self.endpoint.address,
-            self._orders.build_report(self.endpoint),
+            request._replace(history=self._history, may_share=True),
             handle,
             lambda error: on_error(error) if self._is_open else None,
             REPORT_TIMEOUT,
--- a/roadlift/instance/platform.py
+++ b/roadlift/instance/platform.py
@@ -6,6 +6,7 @@
 
 from roadlift.core.errors import ImproperlyConfigured
 from roadlift.core.kernel import Kernel, components
+from roadlift.relay.history import ChannelHistory
 from roadlift.serving.interfaces import adapters
 
 
@@ -27,7 +28,11 @@
 
 @components.register("platform")
 class Platform:
-    """The platform's adapter, and this process's client of its store."""
+    """The platform's adapter, and this process's client of its store.
+
+    ``order_history`` are the connections that carried orders or requests for
+    reports, whose answers bear no id.
+    """
 
     name = "platform"
     needs = ()
@@ -35,6 +40,7 @@
     def __init__(self, kernel: Kernel) -> None:
         self.adapter = adapters.get(kernel.settings.adapter)
         self.store = self.adapter.open_store(kernel)
+        self.order_history = ChannelHistory()
 
     def start(self) -> None:
         """Do nothing: other components make the calls."""
--- a/tests/instance/instance.feature
+++ b/tests/instance/instance.feature
@@ -71,6 +71,14 @@
       | engines         | refuse once   | a stream           |
       | engines         | cut a stream  | a resumable stream |
 
+  Scenario: An order uses no connection of another order or of a report
+    Guards against a late repetition of another answer, which would be taken for the
+    answer to an order.
+
+    When a stream of an adapter is sent to a and all requests are recorded
+    Then it gets 200 within 0.6 seconds
+    And orders exclude the connections of orders and reports
+
   Scenario: A resumed stream has each event once
     Given engines cut a stream next
     When a resumable stream is sent to a
--- a/tests/steps/instance_steps.py
+++ b/tests/steps/instance_steps.py
@@ -218,19 +218,47 @@
     _send(context, call, name)
 
 
-@when("{call} is sent to a and its sends are recorded")
-def step_send_recorded(context, call):
-    """Send a call and another one behind it, and keep the requests."""
+def _record_requests(context):
+    """Keep what all instances send."""
     context.requests = []
-    dialer = context.entries.entries["a"].dialer
-    open_line = dialer.open
+    for entry in context.entries.entries.values():
+        entry.dialer.open = _record_opened(context, entry.dialer.open)
+
 
+def _record_opened(context, open_line):
     def open_recorded(address, request, *values):
         """Record a request, and send it."""
         context.requests.append(request)
         return open_line(address, request, *values)
 
-    dialer.open = open_recorded
+    return open_recorded
+
+
+@when("{call} is sent to a and all requests are recorded")
+def step_send_all_recorded(context, call):
+    """Let an engine be read, send a call, and keep all requests."""
+    _record_requests(context)
+    context.entries.installation.add_runner("llm", "e9", "z1", BASE)
+    context.entries.advance(3.0)
+    _send(context, call, "a")
+
+
+@then("orders exclude the connections of orders and reports")
+def step_order_history(context):
+    """Check what orders, and requests for reports, may share."""
+    orders = [one for one in context.requests if one.path == "/order"]
+    reports = [one for one in context.requests if one.path == "/report"]
+    assert orders and reports, (len(orders), len(reports))
+    for request in (*orders, *reports):
+        assert request.echo == ("request-id", ""), request.echo
+        assert request.history is not None
+        assert request.may_share == (request.path == "/report")
+
+
+@when("{call} is sent to a and its sends are recorded")
+def step_send_recorded(context, call):
+    """Send a call and another one behind it, and keep the requests."""
+    _record_requests(context)
     _send(context, call, "a")
     context.entries.call("a", *_CALLS["an idempotent call"])
 
--- a/tests/steps/repetition_steps.py
+++ b/tests/steps/repetition_steps.py
@@ -23,6 +23,18 @@
     )
 
 
+def make_unnamed_request(history: ChannelHistory, may_share: bool) -> Request:
+    """Return an order, or the request for a report, which bear no id."""
+    return Request(
+        "POST",
+        "/order",
+        max_idle=2.0,
+        echo=("x-call", ""),
+        history=history,
+        may_share=may_share,
+    )
+
+
 def find_receiver(endpoint):
     """Return the connection on which a request has come."""
     (found,) = (sock for sock in endpoint.accepted if read_all(sock)[0])
@@ -112,3 +124,26 @@
 def step_open(context):
     """Check that the answer was skipped."""
     assert context.recorder.error is None and not context.recorder.status
+
+
+@when("{first} is answered, and that is repeated to an order")
+def step_order(context, first):
+    """Repeat the answer to a first request as an order is answered."""
+    endpoint, history = context.endpoint, ChannelHistory()
+    request = make_unnamed_request(history, first == "a report")
+    answer = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+    if first == "a call":
+        request, answer = make_request("r0"), SUCCESS % b"r0"
+    endpoint.open(request)
+    used = find_receiver(endpoint)
+    reply(endpoint, used, answer)
+    _, context.recorder = endpoint.open(make_unnamed_request(history, False))
+    receiver = find_receiver(endpoint)
+    reply(endpoint, used, answer)
+    reply(endpoint, receiver, b"HTTP/1.1 409 Busy\r\nContent-Length: 0\r\n\r\n")
+
+
+@then("the order is answered {status:d} by its endpoint")
+def step_order_answered(context, status):
+    """Check that the order has its own answer."""
+    assert context.recorder.is_whole and context.recorder.status == status
