Let orders share connections again: their numbers protect them

What stays: an answer that bears an id is that of a call, and is skipped. What a repeated answer to another order can do is bounded by the number that each order expects: the next one is refused with 409, and the report is read.

--- a/roadlift/instance/engine.py
+++ b/roadlift/instance/engine.py
@@ -41,7 +41,6 @@
     ) -> None:
         self._kernel = kernel
         self._orders = kernel.get(Platform).adapter.orders
-        self._history = kernel.get(Platform).order_history
         self._lease = kernel.get(Leases).get(zone)
         self._metrics = kernel.get(InstanceMetrics)
         self._availabilities = kernel.get(Availabilities)
@@ -125,9 +124,6 @@
             lambda: self._lease.may_order(self._kernel.clock.now()),
         )
         request = self._orders.build_order(order, self.endpoint)
-        # A late repetition of an answer to an earlier order, or of a report,
-        # could not be told from this order's own.
-        request = request._replace(history=self._history)
         fetch(
             self._kernel.dialer,
             self.endpoint.address,
@@ -214,11 +210,10 @@
             on_report(report)
             self.advance()
 
-        request = self._orders.build_report(self.endpoint)
         fetch(
             self._kernel.dialer,
             self.endpoint.address,
-            request._replace(history=self._history, may_share=True),
+            self._orders.build_report(self.endpoint),
             handle,
             lambda error: on_error(error) if self._is_open else None,
             REPORT_TIMEOUT,
--- a/roadlift/instance/platform.py
+++ b/roadlift/instance/platform.py
@@ -6,7 +6,6 @@
 
 from roadlift.core.errors import ImproperlyConfigured
 from roadlift.core.kernel import Kernel, components
-from roadlift.relay.history import ChannelHistory
 from roadlift.serving.interfaces import adapters
 
 
@@ -28,11 +27,7 @@
 
 @components.register("platform")
 class Platform:
-    """The platform's adapter, and this process's client of its store.
-
-    ``order_history`` are the connections that carried orders or requests for
-    reports, whose answers bear no id.
-    """
+    """The platform's adapter, and this process's client of its store."""
 
     name = "platform"
     needs = ()
@@ -40,7 +35,6 @@
     def __init__(self, kernel: Kernel) -> None:
         self.adapter = adapters.get(kernel.settings.adapter)
         self.store = self.adapter.open_store(kernel)
-        self.order_history = ChannelHistory()
 
     def start(self) -> None:
         """Do nothing: other components make the calls."""
--- a/roadlift/relay/upstream.py
+++ b/roadlift/relay/upstream.py
@@ -50,11 +50,11 @@
     ``max_idle`` is the number of seconds for which a reused connection may
     have been idle; 0 opens a new one and closes it after the answer.
     ``echo`` is a header, its name in lower case, and the value that the
-    answer must repeat: an answer with another value belongs to another
-    request and is skipped. ``history`` are the connections that carried
-    earlier sends with the same echo: none of them carries this one, unless
-    ``may_share`` is set. ``may_send`` is called right before the first byte is
-    written; if it returns false, the request is not sent.
+    answer must repeat, empty if it must lack the header: another answer
+    belongs to another request and is skipped. ``history`` are the connections
+    that carried earlier sends with the same echo, which may not carry this
+    one. ``may_send`` is called right before the first byte is written; if it
+    returns false, the request is not sent.
     """
 
     method: str
@@ -65,7 +65,6 @@
     max_idle: float = 0.0
     echo: tuple[str, str] | None = None
     history: ChannelHistory | None = None
-    may_share: bool = False
     may_send: Callable[[], bool] | None = None
     connect_timeout: float | None = None
 
@@ -183,11 +182,11 @@
 
     def _acquire(self) -> Channel | None:
         """Return an idle connection that the request may use, or None."""
-        address, max_idle = self._address, self._request.max_idle
-        history = self._request.history
-        if history is None or self._request.may_share:
-            return self._pool.acquire(address, max_idle)
-        return self._pool.acquire(address, max_idle, history.is_unused)
+        address, request = self._address, self._request
+        if request.history is None:
+            return self._pool.acquire(address, request.max_idle)
+        is_allowed = request.history.is_unused
+        return self._pool.acquire(address, request.max_idle, is_allowed)
 
     def _record_channel(self) -> None:
         if self._request.history is not None:
