Let the soak send and read slowly over drains, and repeat answers late

A request that ran and whose connection ended at an instance that was only leaving counts as cut_by_drain, one that ran and was told that it had not as false_not_run. The plain runners reject calls and repeat each third answer late for some seconds.

--- a/benchmarks/routes.py
+++ b/benchmarks/routes.py
@@ -5,7 +5,8 @@
 store, the store falls silent, loses answers or comes back older, engines start
 again under their names, play faults, name limits, leave, ask for rest and end
 under calls or under a part of prompts, or have little room and fall over under
-what they reject; many connections come to one instance; and the operator adds
+what they reject; runners repeat answers late; callers send and read slowly;
+many connections come to one instance; and the operator adds
 routes, names versions and revokes keys; faults overlap. What callers were told
 is compared with what the runners noted. Prints JSON, and fails where a count
 of violations is above zero.
@@ -27,6 +28,7 @@
 
 from benchmarks.organisations import REVOKE_LIMIT, SETTINGS, KeyRing
 from benchmarks.silences import Silences
+from benchmarks.slowcallers import SlowCallers
 from benchmarks.streams import CALL_LIMIT, SLOW_MIX, Call, StreamWatch, find_terms
 from benchmarks.takeups import TakeUps
 from demo.installation import (
@@ -47,6 +49,7 @@
 ADAPTERS = 40
 CALLERS = 24
 TAKERS = 6  # Callers that leave streams and take them up elsewhere.
+SLOW_CALLERS = 18  # Callers that send and read slowly.
 READERS = 16  # Callers of streams that are long enough to be held up.
 EVENTS = 3  # Events of a whole stream.
 LEASE_TURN = 3.0  # Seconds within which holders may not take turns.
@@ -83,6 +86,8 @@
     "break off",
     "break off early",
 )
+REPEAT_SPAN = (2.0, 5.0)  # Seconds for which runners repeat answers.
+REJECT_GAP = 0.05  # Seconds between two rejections meanwhile.
 FAULT_GAP = (0.2, 1.5)  # Seconds between two faults, at least and at most.
 VIOLATIONS = (
     "wrong_answer",
@@ -148,6 +153,7 @@
         self._began = 0.0
         self._end = 0.0
         self.noticed_after: float | None = None
+        self.only: list[str] = []  # Names of faults; empty for all.
         self._serial = 0
         self._disturbed: dict[str, float] = {}
         self._away: set[str] = set()
@@ -170,6 +176,8 @@
             self.keys.pick,
             EVENTS,
         )
+        slow_draw = random.Random(f"slow {seed}")
+        self._slow_callers = SlowCallers(slow_draw, self, self.keys.get_safe)
         self._said: dict[str, str] = {}
         self._kinds: dict[str, str] = {}
         self._sent_to: dict[str, tuple[str, float]] = {}
@@ -187,6 +195,7 @@
         mixes = [_MIX] * CALLERS + [SLOW_MIX] * READERS
         callers = [self._run_caller(mix) for mix in mixes]
         callers += [self._takeups.run(self._is_over) for _ in range(TAKERS)]
+        callers += [self._slow_callers.run(self._is_over) for _ in range(SLOW_CALLERS)]
         watches = (self._watch_routes(), self._watch_processes())
         silences = self._silences.run(self._end - CALM)
         await asyncio.gather(*callers, self._run_faults(), silences, *watches)
@@ -196,7 +205,19 @@
         return time.monotonic() >= self._end
 
     def _pick_address(self) -> Address:
-        return self._deployment.instances[self._pick_instance()].address
+        return self.find_address(self.pick_instance())
+
+    def find_address(self, name: str) -> Address:
+        """Return where an instance listens."""
+        return self._deployment.instances[name].address
+
+    def is_leaving(self, name: str) -> bool:
+        """Return whether an instance was told to leave and has not ended."""
+        return name in self._leaving_at
+
+    def was_disturbed(self, name: str, since: float) -> bool:
+        """Return whether something else befell an instance since a time."""
+        return self._disturbed.get(name, 0.0) >= since - CALM
 
     def note(self, violation: str, detail: str, after: float | None = None) -> None:
         """Note a violation, seen so many seconds after the beginning."""
@@ -209,13 +230,14 @@
 
     # Callers.
 
-    def _pick_instance(self) -> str:
+    def pick_instance(self) -> str:
+        """Return the name of an instance that should take calls."""
         names = sorted(set(self._deployment.instances) - self._away)
         return self._draw.choice(names)
 
     async def _run_caller(self, mix: tuple) -> None:
         while time.monotonic() < self._end:
-            name = self._pick_instance()
+            name = self.pick_instance()
             channel = Channel(self._deployment.instances[name].address)
             for _ in range(self._draw.randrange(1, 30)):
                 if time.monotonic() >= self._end or name in self._away:
@@ -306,7 +328,7 @@
         faults = (
             (self._kill, 3),
             (self._freeze, 3),
-            (self._leave, 3),
+            (self._leave, 6),
             (self._silence_store, 2),
             (self._go_back, 3),
             (self._cut_from_store, 3),
@@ -328,7 +350,10 @@
             (self._turn_brittle, 3),
             (self._send_deadly_part, 2),
             (self._send_herd, 2),
+            (self._repeat_answers, 4),
         )
+        if self.only:
+            faults = [one for one in faults if one[0].__name__[1:] in self.only]
         tasks = []
         calls, weights = zip(*faults, strict=True)
         while time.monotonic() < self._end - 6.0:
@@ -586,7 +611,7 @@
 
     async def _send_herd(self) -> None:
         """Open many connections to one instance, each for one call."""
-        name = self._pick_instance()
+        name = self.pick_instance()
         address = self._deployment.instances[name].address
 
         async def call(call_id: str) -> None:
@@ -607,8 +632,21 @@
             await asyncio.sleep(HERD_GAP)
         await asyncio.gather(*tasks)
 
+    async def _repeat_answers(self) -> None:
+        """Let plain runners reject calls, and repeat some of their answers."""
+        runners = [f"p{number}0" for number in range(3)]
+        for runner in runners:
+            await self._command(runner=runner, repeat=True)
+        until = time.monotonic() + self._draw.uniform(*REPEAT_SPAN)
+        while time.monotonic() < until:
+            for runner in runners:
+                await self._command(runner=runner, fault="refuse")
+            await asyncio.sleep(REJECT_GAP)
+        for runner in runners:
+            await self._command(runner=runner, repeat=False)
+
     async def _call_deadly(self, number: int, part: str = "") -> None:
-        name = self._pick_instance()
+        name = self.pick_instance()
         self._serial += 1
         call_id = f"d{self._serial}"
         began = time.monotonic()
@@ -702,7 +740,11 @@
                 self.note("false_not_run", f"{call_id} {kind}")
             if said == "served" and not runs[call_id]:
                 self.note("lost_answer", f"{call_id} {kind}")
-        self._check_cuts(set(found["spoiled"]) | set(found["hung"]))
+        spoiled = set(found["spoiled"]) | set(found["hung"])
+        self._check_cuts(spoiled)
+        for breach in self._slow_callers.check(runs, spoiled):
+            self.note(breach.rule, breach.detail)
+        self.counts.update(self._slow_callers.counts)
         for breach, after in self._streams.check(found):
             self.note(breach.rule, breach.detail, after)
         self.counts.update(self._silences.counts)
@@ -841,10 +883,18 @@
             last[name] = at
 
 
-def run(seconds: float, seed: int, instances: int, folder: Path, rule: str) -> dict:
+def run(
+    seconds: float,
+    seed: int,
+    instances: int,
+    folder: Path,
+    rule: str,
+    only: list[str],
+) -> dict:
     """Run the soak in a folder and return its summary."""
     deployment = Deployment(folder, instances, rule, SETTINGS)
     soak = Soak(deployment, seed)
+    soak.only = only
     deployment.tenants = soak.keys.describe()
     try:
         deployment.start()
@@ -872,13 +922,16 @@
     parser.add_argument("--instances", type=int, default=6)
     parser.add_argument("--break", default="", dest="rule")
     parser.add_argument("--logs", type=Path)
+    parser.add_argument("--fault", action="append", default=[])
     args = parser.parse_args()
     is_broken = False
     for seed in range(args.seed, args.seed + args.seeds):
         with tempfile.TemporaryDirectory() as temporary:
             folder = args.logs or Path(temporary)
             folder.mkdir(parents=True, exist_ok=True)
-            summary = run(args.seconds, seed, args.instances, folder, args.rule)
+            summary = run(
+                args.seconds, seed, args.instances, folder, args.rule, args.fault
+            )
         print(json.dumps(summary, indent=2), flush=True)
         is_broken = is_broken or any(summary["violations"].values())
     sys.exit(1 if is_broken else 0)
--- a/demo/installation.py
+++ b/demo/installation.py
@@ -7,7 +7,7 @@
 import sys
 from collections.abc import Callable
 from pathlib import Path
-from typing import NamedTuple
+from typing import NamedTuple, Protocol
 
 from demo.fleet import Process
 from demo.ports import PortBlock
@@ -72,31 +72,52 @@
         lines += [f"Content-Length: {len(content)}"]
         lines += [f"{name}: {value}" for name, value in headers.items()]
         self._writer.write("\r\n".join([*lines, "", ""]).encode() + content)
-        head = (await self._reader.readuntil(b"\r\n\r\n")).decode("latin-1")
-        first, *rest = head.rstrip().split("\r\n")
-        pairs = [line.split(":", 1) for line in rest]
-        found = {name.lower(): value.strip() for name, value in pairs}
-        body, is_whole = await self._read_body(found, is_enough)
-        if found.get("connection") == "close" or not is_whole:
+        answer = await read_answer(self._reader, is_enough)
+        if answer.headers.get("connection") == "close" or not answer.is_whole:
             self.close()
-        return Answer(int(first.split()[1]), found, body, is_whole)
-
-    async def _read_body(self, headers, is_enough) -> tuple[bytes, bool]:
-        body = bytearray()
-        try:
-            if headers.get("transfer-encoding") != "chunked":
-                length = int(headers.get("content-length", 0))
-                return await self._reader.readexactly(length), True
-            while True:
-                line = await self._reader.readuntil(b"\r\n")
-                data = await self._reader.readexactly(int(line, 16) + 2)
-                if len(data) == 2:
-                    return bytes(body), True
-                body += data[:-2]
-                if is_enough(bytes(body)):
-                    return bytes(body), False
-        except (asyncio.IncompleteReadError, ConnectionError):
-            return bytes(body), False
+        return answer
+
+
+class AnswerReader(Protocol):
+    """What an answer is read from, such as asyncio's StreamReader."""
+
+    async def readuntil(self, separator: bytes) -> bytes:
+        """Read up to a separator."""
+
+    async def readexactly(self, count: int) -> bytes:
+        """Read so many bytes."""
+
+
+async def read_answer(
+    reader: AnswerReader, is_enough: Callable[[bytes], bool] = lambda body: False
+) -> Answer:
+    """Read an answer; one in chunks is left once what came of it is enough."""
+    head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+    first, *rest = head.rstrip().split("\r\n")
+    pairs = [line.split(":", 1) for line in rest]
+    headers = {name.lower(): value.strip() for name, value in pairs}
+    body, is_whole = await _read_body(reader, headers, is_enough)
+    return Answer(int(first.split()[1]), headers, body, is_whole)
+
+
+async def _read_body(
+    reader: AnswerReader, headers: dict[str, str], is_enough: Callable[[bytes], bool]
+) -> tuple[bytes, bool]:
+    body = bytearray()
+    try:
+        if headers.get("transfer-encoding") != "chunked":
+            length = int(headers.get("content-length", 0))
+            return await reader.readexactly(length), True
+        while True:
+            line = await reader.readuntil(b"\r\n")
+            data = await reader.readexactly(int(line, 16) + 2)
+            if len(data) == 2:
+                return bytes(body), True
+            body += data[:-2]
+            if is_enough(bytes(body)):
+                return bytes(body), False
+    except (asyncio.IncompleteReadError, ConnectionError):
+        return bytes(body), False
 
 
 class Deployment:
--- a/standins/broken.py
+++ b/standins/broken.py
@@ -10,6 +10,8 @@
 from roadlift.crashes.ledger import CrashLedger
 from roadlift.daemon import main as daemon
 from roadlift.decisions.homes import Regions
+from roadlift.draining.connections import ConnectionDrain
+from roadlift.draining.drain import Phase
 from roadlift.endpoints.events import EventFrames
 from roadlift.instance.access import Access
 from roadlift.instance.allowances import Allowances
@@ -18,6 +20,7 @@
 from roadlift.instance.follower import Follower
 from roadlift.instance.ingress import Ingress
 from roadlift.instance.limits import EndpointLimits
+from roadlift.relay.history import ChannelHistory
 from roadlift.serving.directory import Directory
 from roadlift.serving.engine import EngineRecord
 from roadlift.serving.eras import StoreEras
@@ -158,6 +161,22 @@
     EventFrames.extract_complete = lambda self, data: data
 
 
+def _end_without_connections() -> None:
+    """End a process as soon as no call runs, whatever connections hold."""
+    advance = ConnectionDrain.advance
+
+    def count_calls(self, running: int, owned: int) -> Phase:
+        advance(self, running, owned)
+        return self._drain.compute_phase(running, owned)
+
+    ConnectionDrain.advance = count_calls
+
+
+def _share_connections() -> None:
+    """Send a call again on a connection that carried it before."""
+    ChannelHistory.is_unused = lambda self, channel: True
+
+
 RULES: dict[str, Callable[[], None]] = {
     "run_once": _send_again,
     "true_refusals": _deny_runs,
@@ -179,6 +198,8 @@
     "homes": _ignore_homes,
     "eras": _ignore_eras,
     "old_rows": _trust_old_rows,
+    "connections": _end_without_connections,
+    "answers": _share_connections,
 }
 
 
--- a/standins/installation.py
+++ b/standins/installation.py
@@ -35,6 +35,8 @@
 SHORTEST_WAIT = 1e-6  # Seconds; less is what the sum of times leaves.
 EVENT_GAP = 0.02  # Seconds between the events of a stream.
 SLOW = "/slow"  # The end of the paths whose streams have a longer gap.
+LARGE = "/large"  # The end of the path of calls whose answers are large.
+LARGE_SIZE = 600_000  # Bytes of such an answer.
 SLOW_GAP = 0.2  # Seconds between their events.
 
 
@@ -605,16 +607,17 @@
                 self.run_time, lambda: line.fail(ConnectionLost("lost"))
             )
             return
-        self._answer_run(headers, line, fault, request.path.endswith(SLOW))
+        self._answer_run(headers, line, fault, request.path)
 
     def _answer_run(
-        self, headers: dict, line: MemoryLine, fault: object, is_slow: bool
+        self, headers: dict, line: MemoryLine, fault: object, path: str
     ) -> None:
         stamp = f"stamp-{self.id}"
         call_id = headers["request-id"]
         head = {"request-id": call_id, "server-stamp": stamp}
         if "token-count" not in headers:
-            body = f"{self.id}:{call_id}".encode().ljust(self.padding, b".")
+            size = LARGE_SIZE if path.endswith(LARGE) else self.padding
+            body = f"{self.id}:{call_id}".encode().ljust(size, b".")
             head["content-length"] = str(len(body))
             send = lambda: self._send_whole(line, Reply(200, head, body), call_id)
             self._timeline.call_later(self.run_time, send)
@@ -622,7 +625,7 @@
         head["content-type"] = "text/event-stream"
         first = int(headers.get("last-event-id", -1)) + 1
         begin = self.queue_time + self.run_time
-        gap = SLOW_GAP if is_slow else EVENT_GAP
+        gap = SLOW_GAP if path.endswith(SLOW) else EVENT_GAP
         stream = lambda: self._stream(line, head, first, fault, gap)
         self._timeline.call_later(begin, stream)
 
@@ -741,8 +744,10 @@
 
     def _send_whole(self, line: MemoryLine, reply: Reply, call_id: str) -> None:
         """Answer a call that still waits for its answer."""
-        if not line.is_closed:
-            line.send(reply._replace(headers=self._add_said(reply.headers, call_id)))
+        if line.is_closed:
+            return
+        headers = self._add_said(reply.headers, call_id)
+        line.send(reply._replace(headers={"request-id": call_id, **headers}))
 
     def _answer(self, line: MemoryLine, reply: Reply) -> None:
         """Answer what is no call, or is for another run."""
--- a/standins/loopback.py
+++ b/standins/loopback.py
@@ -8,6 +8,7 @@
 import argparse
 import json
 from collections.abc import Callable
+from weakref import WeakKeyDictionary
 
 from roadlift.core.clock import BootClock
 from roadlift.core.errors import RoadliftError
@@ -33,6 +34,7 @@
 # Seconds behind the store's return until what it lost is written again.
 WRITTEN_AGAIN = 1.0
 BATCH_SLOTS = 8  # Calls that a runner runs at once, as its entry has it.
+REPEATED = 3  # Each such answer is repeated by a runner that does so.
 BATCH_ROOM = 100  # Calls that wait there as long as it is not.
 _OWN = ("content-length", "transfer-encoding", "connection")
 # An event of a stream has 16 bytes: one ends inside the second, one is whole.
@@ -92,6 +94,7 @@
         super().__init__(_Receiver(caller))
         self._caller = caller
         self.written = True
+        self.on_reply: Callable[[Reply], None] = lambda reply: None
         caller.on_gone = self.close
 
     def send(self, reply: Reply) -> None:
@@ -102,6 +105,7 @@
         if reply.status == 0:
             self._caller.close()
             return
+        self.on_reply(reply)
         self._caller.answer(reply.status, _drop_own(reply.headers), reply.body)
 
 
@@ -109,15 +113,37 @@
     return {name: text for name, text in headers.items() if name not in _OWN}
 
 
+def _encode_reply(reply: Reply) -> bytes:
+    """Return the bytes of a whole answer."""
+    lines = [f"HTTP/1.1 {reply.status} Again"]
+    headers = {**_drop_own(reply.headers), "Content-Length": str(len(reply.body))}
+    lines += [f"{name}: {value}" for name, value in headers.items()]
+    return "\r\n".join([*lines, "", ""]).encode("latin-1") + reply.body
+
+
 class RunnerHandler:
     """Hands requests to a runner."""
 
     def __init__(self, runner: Runner) -> None:
         self.runner = runner
+        self.repeats = False
+        self._answers = 0
+        self._late: WeakKeyDictionary[Connection, bytes] = WeakKeyDictionary()
 
     def handle(self, received: ReceivedRequest, caller: Connection) -> None:
-        """Take a request."""
-        self.runner.handle(_make_request(received), SocketLine(caller))
+        """Take a request; first repeat the answer before, if it is to be."""
+        late = self._late.pop(caller, b"")
+        if late:
+            caller._send(late)
+        line = SocketLine(caller)
+        line.on_reply = lambda reply: self._choose_late(caller, reply)
+        self.runner.handle(_make_request(received), line)
+
+    def _choose_late(self, caller: Connection, reply: Reply) -> None:
+        """Keep some answers, to be sent once more behind the next request."""
+        self._answers += 1
+        if self.repeats and not self._answers % REPEATED:
+            self._late[caller] = _encode_reply(reply)
 
 
 class StoreHandler:
@@ -245,6 +271,8 @@
             self._turn_cold(command["cold"], command["rate"], command["seconds"])
         if "fault" in command:
             self._spoil(command["runner"], command["fault"])
+        if "repeat" in command:
+            self._handlers[command["runner"]].repeats = command["repeat"]
         if "pause" in command:
             self._pause(command["runner"], Pause(command["pause"]))
         if "hang" in command:
