Keep retry budgets and the log of calls outside the ingress

Cause: a call's report and its retries reached back into the ingress that created the call (ingress, exchange, callreport, ingress), and the ingress held what isn't its job: retry budgets and the sample of served calls. The events drained and stopped wrote fields that the catalogue's test can't see.

Change: ServiceBudgets and CallLog are components; an exchange takes them, and InstanceMetrics, from the kernel, and asks its host only for jitter, for forwarding and to be removed. drained and stopped have one field, connections.

--- a/roadlift/core/events.py
+++ b/roadlift/core/events.py
@@ -20,9 +20,6 @@
     meaning: str
 
 
-# What connections of callers may do (see roadlift/http/connection.py).
-_CONNECTION_STATES = ("idle", "reading", "answering", "writing", "lingering")
-
 EVENTS = (
     Event(
         "control",
@@ -221,16 +218,16 @@
     Event(
         "ingress",
         "drained",
-        ("cut", *_CONNECTION_STATES),
-        "Draining ended; cut is the number of calls that remain, the others are "
-        "the numbers of connections by what they do.",
+        ("cut", "connections"),
+        "Draining ended; cut is the number of calls that remain, connections the "
+        "numbers of callers' connections by what they do.",
     ),
     Event("ingress", "leaving", ("running",), "SIGTERM was received."),
     Event("ingress", "started", ("version",), "The process serves."),
     Event(
         "ingress",
         "stopped",
-        ("cut", *_CONNECTION_STATES),
+        ("cut", "connections"),
         "The process ends, with these calls and connections.",
     ),
     Event("leases", "lease_gained", ("zone", "fence", "quiet"), "It was acquired."),
--- a/roadlift/instance/callreport.py
+++ b/roadlift/instance/callreport.py
@@ -3,12 +3,14 @@
 from typing import NamedTuple
 
 from roadlift.core.errors import RoadliftError
+from roadlift.core.kernel import Kernel
 from roadlift.instance.access import Authorization
 from roadlift.instance.adapterwait import AdapterWait
 from roadlift.instance.answer import Answer
 from roadlift.instance.attempts import Attempts
-from roadlift.instance.callhost import CallHost
+from roadlift.instance.calllog import CallLog
 from roadlift.instance.follower import Follower
+from roadlift.instance.metrics import InstanceMetrics
 from roadlift.instance.progress import Progress
 from roadlift.serving.calls import Call
 from roadlift.serving.routes import Route
@@ -32,8 +34,7 @@
 
     def __init__(
         self,
-        host: CallHost,
-        follower: Follower,
+        kernel: Kernel,
         call: Call,
         route: Route,
         service: str,
@@ -43,8 +44,9 @@
         progress: Progress,
         answer: Answer,
     ) -> None:
-        self._host = host
-        self._follower = follower
+        self._log_lines = kernel.get(CallLog)
+        self._metrics = kernel.get(InstanceMetrics)
+        self._follower = kernel.get(Follower)
         self._call = call
         self._route = route
         self._service = service
@@ -53,7 +55,7 @@
         self._attempts = attempts
         self._progress = progress
         self._answer = answer
-        self._configuration = follower.configuration.version
+        self._configuration = self._follower.configuration.version
 
     def write(self, end: CallEnd) -> None:
         """Count the call, and log it."""
@@ -65,7 +67,7 @@
         began_at = self._progress.began_at
         first = self._progress.time_to_first_byte
         has_sends = bool(self._attempts.sends)
-        self._host.log_end(
+        self._log_lines.log_end(
             end.outcome,
             is_late,
             self._call.model,
@@ -93,15 +95,15 @@
         )
 
     def _count(self, end: CallEnd, is_late: bool) -> None:
-        measures, service = self._host.measures, self._service
+        metrics, service = self._metrics, self._service
         late = "yes" if is_late else "no"
-        measures.count("roadlift_calls", service, end.outcome, late)
+        metrics.count("roadlift_calls", service, end.outcome, late)
         seconds = end.now - self._progress.began_at
-        measures.observe("roadlift_call_seconds", seconds, service)
+        metrics.observe("roadlift_call_seconds", seconds, service)
         first = self._progress.time_to_first_byte
         if first is not None:
-            measures.observe("roadlift_first_seconds", first, service)
+            metrics.observe("roadlift_first_seconds", first, service)
         if self._adapter_wait.seconds:
-            measures.observe(
+            metrics.observe(
                 "roadlift_wait_seconds", self._adapter_wait.seconds, service
             )
--- a/roadlift/instance/exchange.py
+++ b/roadlift/instance/exchange.py
@@ -35,15 +35,16 @@
 from roadlift.instance.callscope import CallScope
 from roadlift.instance.calltimes import CallTimes
 from roadlift.instance.crashes import CrashMonitor
-from roadlift.instance.follower import Follower
 from roadlift.instance.forwarding import PendingCall
 from roadlift.instance.isolation import Isolation
 from roadlift.instance.keptsends import KeptSends
 from roadlift.instance.loadrequests import LoadRequests
+from roadlift.instance.metrics import InstanceMetrics
 from roadlift.instance.origins import OriginRegistry
 from roadlift.instance.placement import Placement
 from roadlift.instance.platform import Platform
 from roadlift.instance.progress import Progress
+from roadlift.instance.retrybudgets import ServiceBudgets
 from roadlift.instance.search import EndpointSearch
 from roadlift.instance.send import Send, classify_failure
 from roadlift.instance.sendrequest import RequestBuilder
@@ -93,9 +94,9 @@
         self._caller = caller
         self._placement = kernel.get(Placement)
         self._load_requests = kernel.get(LoadRequests)
-        self._follower = kernel.get(Follower)
         self._crashes = kernel.get(CrashMonitor)
         self._isolation = kernel.get(Isolation)
+        self._metrics = kernel.get(InstanceMetrics)
         self._ledger = kernel.get(CrashLedger)
         self._format = kernel.get(Platform).adapter.calls
         self._service = origin.service if origin else route.choose_service(call.id)
@@ -120,7 +121,8 @@
         self._handover_timer: Timer | None = None
         self._silence_obstacle: str | None = None
         self._endpoint: Endpoint | None = None
-        self._attempts = Attempts(host, self._service, route)
+        self._budgets = kernel.get(ServiceBudgets)
+        self._attempts = Attempts(self._budgets, self._service, route)
         self._unconfirmed_error: RoadliftError | None = None
         self._is_over = False
         self._answer = Answer(kernel.clock, call, route, caller, self._progress)
@@ -128,8 +130,7 @@
             kernel, call, route, authorization, self._progress, self._times.deadline
         )
         self._report = CallReport(
-            host,
-            self._follower,
+            kernel,
             call,
             route,
             self._service,
@@ -140,7 +141,7 @@
             self._answer,
         )
         self._silences = SilenceReport(
-            kernel.clock, host.measures, self._service, self.record_step
+            kernel.clock, self._metrics, self._service, self.record_step
         )
         self._sent_at = 0.0
         caller.on_gone = self._on_caller_gone
@@ -149,7 +150,7 @@
     def start(self) -> None:
         """Start with the first send."""
         now = self._times.began_at
-        self._host.get_budget(self._service).count_request(now)
+        self._budgets.count_request(self._service, now)
         self._timer = self._kernel.loop.call_later(
             max(0.0, self._times.deadline - now), self._on_deadline
         )
@@ -513,7 +514,7 @@
         else:
             self._authorization.refund()
         reason = self._take_retry(error)
-        self._host.measures.count(
+        self._metrics.count(
             "roadlift_failed_sends", self._service, error.code, reason or "no"
         )
         log.event(
@@ -554,7 +555,7 @@
         if self._search.gate.is_backing_off(endpoint):
             return
         if self._placement.health.record_failure(endpoint.id, now):
-            self._host.measures.count("roadlift_ejections", self._service)
+            self._metrics.count("roadlift_ejections", self._service)
             log.event("endpoint_ejected", endpoint=endpoint.id, error=str(error))
 
     def _resend(self, error: RoadliftError) -> None:
--- a/roadlift/instance/ingress.py
+++ b/roadlift/instance/ingress.py
@@ -23,13 +23,13 @@
 from roadlift.instance.aggregator import Aggregator
 from roadlift.instance.availabilities import Availabilities
 from roadlift.instance.callhost import RunningCall
+from roadlift.instance.calllog import CallLog
 from roadlift.instance.control import ControlCosts
 from roadlift.instance.crashes import CrashMonitor
 from roadlift.instance.exchange import Exchange
 from roadlift.instance.follower import Follower
 from roadlift.instance.forwarding import ForwardedCall, PendingCall
 from roadlift.instance.isolation import Isolation
-from roadlift.instance.knowledge import Knowledge
 from roadlift.instance.leases import Leases
 from roadlift.instance.limits import EndpointLimits
 from roadlift.instance.metrics import InstanceMetrics
@@ -40,21 +40,17 @@
 from roadlift.instance.platform import Platform
 from roadlift.instance.refusals import RefusalLog
 from roadlift.instance.resumption import Resumption, resumes_stream
-from roadlift.instance.served import ServedAdapters
+from roadlift.instance.retrybudgets import ServiceBudgets
 from roadlift.instance.sharing import SharedUse
 from roadlift.instance.slots import EndpointSlots
 from roadlift.relay.address import Address
-from roadlift.retries.window import WindowBudget
-from roadlift.serving.calls import Call, Model
+from roadlift.serving.calls import Call
 from roadlift.serving.routes import Configuration, Route
 
 DRAIN_CHECK_INTERVAL = 0.1  # Seconds between checks of the drain's progress.
 # Seconds before the drain limit at which a process ends by itself: the time
 # that it takes to close, and the delay of a timer on a slow instance.
 DRAIN_LIMIT_MARGIN = 0.5
-# One of this many calls that were served in time is logged; of all other
-# calls, and of those that resume a stream, each one.
-SERVED_LOG_SAMPLE = 20
 # Seconds after which a call may come back to an instance that reaches no
 # endpoint: the time in which it finds another one, or that it reaches some.
 ISOLATED_RETRY_DELAY = 0.5
@@ -70,6 +66,7 @@
     needs = (
         Access.name,
         Aggregator.name,
+        CallLog.name,
         ControlCosts.name,
         CrashLedger.name,
         CrashMonitor.name,
@@ -84,6 +81,7 @@
         Permits.name,
         "placing",
         "platform",
+        ServiceBudgets.name,
         SharedUse.name,
         EndpointSlots.name,
         Availabilities.name,
@@ -96,15 +94,11 @@
         self._format = kernel.get(Platform).adapter.calls
         self._follower = kernel.get(Follower)
         self._placement = kernel.get(Placement)
-        self._knowledge = kernel.get(Knowledge)
         self._access = kernel.get(Access)
-        self.measures = kernel.get(InstanceMetrics)
+        self._metrics = kernel.get(InstanceMetrics)
         self._isolation = kernel.get(Isolation)
         self._isolation.on_gateway.append(self._pass_on)
         self._exchanges: set[RunningCall] = set()
-        self._budgets: dict[str, WindowBudget] = {}
-        self._served_count = 0
-        self._served_adapters = ServedAdapters(kernel)
         self._refusal_log = RefusalLog(kernel.clock)
         self.is_drained = False
         limit = max(settings.grace, settings.drain_limit - DRAIN_LIMIT_MARGIN)
@@ -135,17 +129,16 @@
         """Bind the addresses and start to accept."""
         self._server.start()
         self._ready_server.start()
-        self._served_adapters.start()
         log.event("started", version=__version__)
 
     def close(self) -> None:
         """Cut the remaining exchanges and close the servers."""
         if self._timer is not None:
             self._timer.close()
-        log.event("stopped", cut=len(self._exchanges), **self._describe_connections())
+        cut = len(self._exchanges)
+        log.event("stopped", cut=cut, connections=self._count_connections())
         for exchange in list(self._exchanges):
             exchange.close()
-        self._served_adapters.close()
         self._server.close()
         self._ready_server.close()
 
@@ -164,28 +157,6 @@
         """Return a random number from 0 to 1, as jitter for retries."""
         return self._rng.random()
 
-    def get_budget(self, service: str) -> WindowBudget:
-        """Return the retry budget of a service."""
-        budget = self._budgets.get(service)
-        if budget is None:
-            settings = self._kernel.settings
-            budget = self._budgets[service] = WindowBudget(
-                settings.retry_share, settings.retry_slack, settings.retry_window
-            )
-        return budget
-
-    def consume_retry(self, service: str, now: float, has_begun: bool) -> bool:
-        """Consume a retry of a service's budget; return False without one.
-
-        ``has_begun`` tells that it continues an answer that has begun.
-        """
-        instances = self._knowledge.count_instances()
-        return self.get_budget(service).spend(now, instances, has_begun)
-
-    def refund_retry(self, service: str, now: float) -> None:
-        """Return a retry that was consumed and not sent."""
-        self.get_budget(service).refund(now)
-
     def handle(self, received: ReceivedRequest, caller: Connection) -> None:
         """Start the exchange of a request, or refuse it."""
         call = None
@@ -208,25 +179,7 @@
     def finish(self, call: RunningCall) -> None:
         """Remove an exchange that has ended."""
         self._exchanges.discard(call)
-        self.measures.set("roadlift_running_calls", len(self._exchanges))
-
-    def log_end(
-        self, outcome: str, is_late: bool, model: Model | None, **fields: object
-    ) -> None:
-        """Log how a call ended; calls that were served in time are sampled.
-
-        One that resumes a stream is always logged.
-        """
-        if outcome == "served" and model is not None:
-            self._served_adapters.record(str(model))
-        is_sampled = outcome == "served" and not is_late
-        if is_sampled and not fields.get("resumes"):
-            self._served_count += 1
-            if self._served_count % SERVED_LOG_SAMPLE:
-                return
-            fields["one_in"] = SERVED_LOG_SAMPLE
-        name = str(model) if model else None
-        log.event("call_ended", outcome=outcome, model=name, **fields)
+        self._metrics.set("roadlift_running_calls", len(self._exchanges))
 
     def _read_call(self, received: ReceivedRequest) -> Call:
         if self._follower.configuration is None:
@@ -311,7 +264,7 @@
         authorization = self._access.admit(pending.call, pending.route)
         exchange = Exchange(self._kernel, self, pending, origin, authorization, caller)
         self._exchanges.add(exchange)
-        self.measures.set("roadlift_running_calls", len(self._exchanges))
+        self._metrics.set("roadlift_running_calls", len(self._exchanges))
         try:
             exchange.start()
         except Exception as error:
@@ -345,7 +298,7 @@
         error: RoadliftError,
         call: Call | None,
     ) -> None:
-        self.measures.count("roadlift_refusals", error.code)
+        self._metrics.count("roadlift_refusals", error.code)
         self._refusal_log.log_refusal(
             error.code,
             call_id,
@@ -379,13 +332,13 @@
         self._timer.close()
         self.is_drained = True
         cut = len(self._exchanges)
-        log.event("drained", cut=cut, **self._describe_connections())
+        log.event("drained", cut=cut, connections=self._count_connections())
         for exchange in list(self._exchanges):
             exchange.close()
         self._kernel.loop.call_later(DRAIN_CHECK_INTERVAL, self._kernel.stop)
 
-    def _describe_connections(self) -> dict[str, int]:
-        """Return the log fields of how many connections do what."""
+    def _count_connections(self) -> dict[str, int]:
+        """Return how many connections are in each state, by its name."""
         states = self._server.count_states()
         return {state.value: states[state] for state in ConnectionState}
 
--- a/tests/steps/pause_steps.py
+++ b/tests/steps/pause_steps.py
@@ -4,6 +4,7 @@
 
 from behave import then, when
 
+from roadlift.instance.retrybudgets import ServiceBudgets
 from standins.installation import REFUSAL, Pause
 from tests.support.configuration import BASE, SERVICES, make_route
 from tests.support.entries import Entries
@@ -91,8 +92,8 @@
 
 def _spend_retries(entries):
     """Let calls without an answer use all retries that they get."""
-    ingress, now = entries.entries["a"].ingress, entries.installation.clock.now()
-    while ingress.consume_retry("llm", now, False):
+    budgets = entries.entries["a"].kernel.get(ServiceBudgets)
+    while budgets.consume_retry("llm", entries.installation.clock.now(), False):
         pass
 
 
