Move the bytes that a slow caller has not taken to a module of their own

Change: Outbox holds and writes them; a connection asks it whether all were written.

Measured: tests/http, tests/retries, tests/daemon and draining.feature pass.

--- a/roadlift/http/connection.py
+++ b/roadlift/http/connection.py
@@ -3,7 +3,6 @@
 import enum
 import socket
 import struct
-from collections import deque
 from collections.abc import Callable, Mapping
 from typing import Protocol
 
@@ -11,6 +10,7 @@
 from roadlift.core.loop import Loop
 from roadlift.http.errors import encode_error, format_seconds
 from roadlift.http.messages import HttpLimits, ReceivedRequest, get_reason_phrase
+from roadlift.http.outbox import Outbox
 from roadlift.http.parser import ParsedRequest, RequestParser
 from roadlift.http.uploads import Upload, can_complete
 
@@ -68,8 +68,7 @@
         self._limits = limits
         self._on_close = on_close
         self._parser = RequestParser(limits)
-        self._buffer: deque[memoryview] = deque()
-        self._buffered_bytes = 0
+        self._outbox = Outbox()
         self._pipelined = b""
         self._upload: Upload | None = None
         self._deadline = loop.clock.now() + limits.idle_timeout
@@ -90,7 +89,7 @@
     @property
     def is_full(self) -> bool:
         """Return whether the sender should pause."""
-        return self._buffered_bytes >= HIGH_WATER
+        return self._outbox.size >= HIGH_WATER
 
     @property
     def state(self) -> ConnectionState:
@@ -109,7 +108,7 @@
     @property
     def is_idle(self) -> bool:
         """Return whether no request is being read or answered."""
-        return self.state is ConnectionState.IDLE and not self._buffer
+        return self.state is ConnectionState.IDLE and self._outbox.is_empty
 
     # Writing an answer.
 
@@ -215,8 +214,7 @@
         self._loop.unwatch(self._socket.fileno())
         self._socket.close()
         self._socket = None
-        self._buffer.clear()
-        self._buffered_bytes = 0
+        self._outbox.clear()
         self._on_close(self)
 
     # Draining.
@@ -342,21 +340,16 @@
     def _send(self, data: bytes) -> None:
         if self._socket is None or self._is_lingering:
             return
-        sent = 0
-        if not self._buffer:
+        was_empty = self._outbox.is_empty
+        self._outbox.add(data)
+        if was_empty:
             try:
-                sent = self._socket.send(data)
-            except BlockingIOError:
-                pass
+                self._outbox.flush(self._socket)
             except OSError:
                 self._loop.call_later(0, self._handle_send_failure)
                 return
-            if sent == len(data):
-                return
-        view = memoryview(data)[sent:]
-        self._buffer.append(view)
-        self._buffered_bytes += len(view)
-        self._watch()
+        if not self._outbox.is_empty:
+            self._watch()
 
     def _handle_send_failure(self) -> None:
         if self._socket is not None:
@@ -366,40 +359,29 @@
         """Update which socket events are watched."""
         is_full = self._is_answering and len(self._pipelined) >= MAX_PIPELINED_BYTES
         on_read = None if is_full else self._on_readable
-        on_write = self._on_writable if self._buffer else None
+        on_write = None if self._outbox.is_empty else self._on_writable
         self._loop.watch(self._socket.fileno(), on_read, on_write)
 
     def _on_writable(self) -> None:
-        was_full = self._buffered_bytes > LOW_WATER
-        while self._buffer:
-            try:
-                sent = self._socket.send(self._buffer[0])
-            except BlockingIOError:
-                break
-            except OSError:
-                self._handle_disconnect()
-                return
-            self._discard_sent(sent)
-        if not self._buffer:
+        was_full = self._outbox.size > LOW_WATER
+        try:
+            self._outbox.flush(self._socket)
+        except OSError:
+            self._handle_disconnect()
+            return
+        if self._outbox.is_empty:
             self._watch()
         # A caller that reads on gets more time to read the rest.
         self._complete_answer()
-        if was_full and self._buffered_bytes <= LOW_WATER and self.on_drained:
+        if was_full and self._outbox.size <= LOW_WATER and self.on_drained:
             self.on_drained()
 
-    def _discard_sent(self, sent: int) -> None:
-        self._buffered_bytes -= sent
-        if sent == len(self._buffer[0]):
-            self._buffer.popleft()
-        else:
-            self._buffer[0] = self._buffer[0][sent:]
-
     # Completing an answer.
 
     def _complete_answer(self) -> None:
         if not self._is_finishing or self._socket is None or self._is_lingering:
             return
-        if self._buffer:
+        if not self._outbox.is_empty:
             self._deadline = self._loop.clock.now() + self._limits.idle_timeout
             return
         self.on_gone = self.on_drained = None
