Tell of each call how many of its sends may have run

The end of a call now tells runs. Stand-in runners can stand still with what arrived unread (stop), let new connections hang (shut), and reject late (refusal_time).

--- a/roadlift/core/events.py
+++ b/roadlift/core/events.py
@@ -172,6 +172,7 @@
             "model",
             "endpoint",
             "sends",
+            "runs",
             "status",
             "framing",
             "partial",
@@ -188,12 +189,12 @@
             "steps",
             "one_in",
         ),
-        "A call ended; steps are its decisions, with the age of the liveness signal "
-        "of the engine's owner and the version of the endpoint's software at each "
-        "send; resumes is the call that brought the first event of a stream that this "
-        "one resumes; framing is that of the endpoint's answer, and partial the bytes "
-        "of an event that it left incomplete. Of calls in time that resume no stream, "
-        "one in one_in is logged.",
+        "A call ended; runs of its sends may have run; steps are its decisions, with "
+        "the age of the liveness signal of the engine's owner and the version of the "
+        "endpoint's software at each send; resumes is the call that brought the first "
+        "event of a stream that this one resumes; framing is that of the endpoint's "
+        "answer, and partial the bytes of an event that it left incomplete. Of calls "
+        "in time that resume no stream, one in one_in is logged.",
     ),
     Event(
         "ingress",
--- a/roadlift/instance/callreport.py
+++ b/roadlift/instance/callreport.py
@@ -78,6 +78,7 @@
             service=self._service,
             endpoint=end.endpoint,
             sends=self._attempts.sends,
+            runs=self._attempts.runs,
             status=self._answer.status,
             framing=self._answer.framing,
             partial=self._answer.count_partial(),
--- a/standins/installation.py
+++ b/standins/installation.py
@@ -17,6 +17,7 @@
     AnswerUnbounded,
     ConnectionLost,
     ConnectionRefused,
+    EndpointUnreachable,
     RequestTimeout,
     RoadliftError,
     SendingRevoked,
@@ -284,6 +285,27 @@
         self._lines: list[MemoryLine] = []
         self._paused_until = 0.0
         self._hung_until = 0.0
+        self._stopped_until = 0.0
+        self._shut_until = 0.0
+        # Seconds until a call that is turned away is told so.
+        self.refusal_time = DELAY
+
+    def stop(self, seconds: float) -> None:
+        """Stand still for some seconds, as a process that is stopped.
+
+        Connections and what is sent on them are taken, and read behind that.
+        """
+        self._stopped_until = self._timeline.now() + seconds
+        self.pause(seconds)
+
+    def shut(self, seconds: float) -> None:
+        """Stand still, and let new connections hang for some seconds."""
+        self.stop(seconds)
+        self._shut_until = self._stopped_until
+
+    def measure_shut_time(self) -> float:
+        """Return the seconds for which new connections hang still."""
+        return max(0.0, self._shut_until - self._timeline.now())
 
     def pause(self, seconds: float) -> None:
         """Hold all streams up for some seconds, if none are held up now."""
@@ -452,7 +474,11 @@
         }
 
     def handle(self, request: Request, line: MemoryLine) -> None:
-        """Answer one request."""
+        """Answer one request, or read it once the runner goes on."""
+        left = self._stopped_until - self._timeline.now()
+        if left > SHORTEST_WAIT:
+            self._timeline.call_later(left, lambda: self.handle(request, line))
+            return
         headers = {name.lower(): value for name, value in request.headers.items()}
         self._note_arrival(headers)
         expected = headers.get("expect-instance")
@@ -796,12 +822,17 @@
     def _refuse(self, line: MemoryLine, reply: Reply, call_id: str) -> None:
         """Answer a call that is not run, or fails."""
         send = lambda: self._send_whole(line, reply, call_id)
-        self._timeline.call_later(DELAY, send)
+        self._timeline.call_later(self.refusal_time, send)
 
     def _send_whole(self, line: MemoryLine, reply: Reply, call_id: str) -> None:
         """Answer a call that still waits for its answer."""
+        left = self._stopped_until - self._timeline.now()
         if line.is_closed:
             return
+        if left > SHORTEST_WAIT:
+            again = lambda: self._send_whole(line, reply, call_id)
+            self._timeline.call_later(left, again)
+            return
         headers = self._add_said(reply.headers, call_id)
         line.send(reply._replace(headers={"request-id": call_id, **headers}))
 
@@ -957,8 +988,17 @@
         """Return whether a call needs a new connection, which is refused."""
         if dialer not in self.half_refused:
             return False
+        return not self._uses_idle(request)
+
+    def _give_up(self, line: MemoryLine) -> None:
+        """End a call whose connection was not made in time."""
+        if not line.written:
+            line.fail(EndpointUnreachable("connect timeout"))
+
+    def _uses_idle(self, request: Request) -> bool:
+        """Tell whether a call finds an idle connection, as each second may."""
         self._has_idle = bool(request.max_idle) and not self._has_idle
-        return not self._has_idle
+        return self._has_idle
 
     def _deliver(self, dialer, address, request: Request, line: MemoryLine) -> None:
         if line.is_closed:
@@ -979,6 +1019,13 @@
             line.fail(ConnectionRefused("refused"))
             return
         found = [one for one in self.runners.values() if one.address == address]
+        shut = found[-1].measure_shut_time() if found else 0.0
+        if shut > SHORTEST_WAIT and not self._uses_idle(request):
+            again = lambda: self._deliver(dialer, address, request, line)
+            self.timeline.call_later(shut, again)
+            wait = request.connect_timeout or shut
+            self.timeline.call_later(wait, lambda: self._give_up(line))
+            return
         if not found:
             line.fail(ConnectionRefused("refused"))
         elif request.may_send is not None and not request.may_send():
