Never promise that a call has not run behind a send that was cancelled (REFUSED)

Callers saw: 503, has not run, for a stream that an engine ran as it went on. Cause: two memories of one fact. A send that was cancelled, as a follower replaced it, was counted as a run, but the answer asked the error of the last send that failed; the follower's rejection was then told as it was. Change: Attempts alone knows whether a send may have run, and how it ended; each end of a written send is recorded there, cancelled ones too, and an answer that would promise is corrected by it, behind the cancellation of what is still open. Class: one truth that is kept at several places, of which an answer asks one.

--- a/roadlift/decisions/resending.py
+++ b/roadlift/decisions/resending.py
@@ -13,7 +13,12 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-from roadlift.core.errors import EndpointUnreachable, Outcome, RoadliftError
+from roadlift.core.errors import (
+    ConnectionLost,
+    EndpointUnreachable,
+    Outcome,
+    RoadliftError,
+)
 from roadlift.serving.routes import Route
 
 # Maximum sends of one call, including those that did not run.
@@ -42,6 +47,19 @@
     has_begun: bool
 
 
+def correct_error(
+    error: RoadliftError, runs: int, unconfirmed: RoadliftError | None
+) -> RoadliftError:
+    """Return the error of a call as it is true of all of its sends.
+
+    An error promises that the call has not run; ``runs`` of its sends may
+    have, of which the last ended as ``unconfirmed`` tells, where it is known.
+    """
+    if error.outcome is not Outcome.NOT_RUN or not runs:
+        return error
+    return unconfirmed or ConnectionLost("it was sent before")
+
+
 def find_obstacle(
     error: RoadliftError,
     route: Route,
--- a/roadlift/instance/attempts.py
+++ b/roadlift/instance/attempts.py
@@ -4,7 +4,7 @@
 from typing import NamedTuple, Protocol
 
 from roadlift.core.errors import EndpointUnreachable, RoadliftError
-from roadlift.decisions.resending import Sends, find_obstacle
+from roadlift.decisions.resending import Sends, correct_error, find_obstacle
 from roadlift.serving.routes import Route
 
 
@@ -38,8 +38,9 @@
 class Attempts:
     """The sends of one call so far.
 
-    ``runs`` of those that have ended may have run. ``has_retry`` tells that a
-    retry was taken from the budget and has not been sent yet.
+    ``runs`` of those that have ended may have run; ``unconfirmed`` is how the
+    last of them ended here, or None. ``has_retry`` tells that a retry was
+    taken from the budget and has not been sent yet.
     """
 
     def __init__(self, budgets: RetryBudgets, service: str, route: Route) -> None:
@@ -50,6 +51,7 @@
         self._used_retry = False  # Whether the last send took one.
         self.sends = 0
         self.runs = 0
+        self.unconfirmed: RoadliftError | None = None
         self.has_retry = False
 
     def begin(self) -> None:
@@ -57,6 +59,15 @@
         self.sends += 1
         self._used_retry, self.has_retry = self.has_retry, False
 
+    def record_run(self, error: RoadliftError) -> None:
+        """Record that a send which has ended like this may have run."""
+        self.runs += 1
+        self.unconfirmed = error
+
+    def correct(self, error: RoadliftError) -> RoadliftError:
+        """Return an error as it is true of all sends of the call."""
+        return correct_error(error, self.runs, self.unconfirmed)
+
     def return_send(self) -> None:
         """Keep the retry of the last send, of which nothing was written."""
         self.has_retry = self.has_retry or self._used_retry
--- a/roadlift/instance/exchange.py
+++ b/roadlift/instance/exchange.py
@@ -37,7 +37,7 @@
 from roadlift.instance.forwarding import PendingCall
 from roadlift.instance.isolation import Isolation
 from roadlift.instance.metrics import InstanceMetrics
-from roadlift.instance.opensends import OpenSends
+from roadlift.instance.opensends import CANCELLED, Cancellation, OpenSends
 from roadlift.instance.origins import OriginRegistry
 from roadlift.instance.outcomes import SendOutcomes
 from roadlift.instance.placement import Placement
@@ -108,7 +108,6 @@
         self._silence_obstacle: str | None = None
         self._budgets = kernel.get(ServiceBudgets)
         self._attempts = Attempts(self._budgets, self._service, route)
-        self._unconfirmed_error: RoadliftError | None = None
         self._is_over = False
         self._answer = Answer(kernel.clock, call, route, caller, self._progress)
         self._requests = RequestBuilder(
@@ -156,8 +155,8 @@
         if self._is_over:
             return
         if not self._answer.has_begun:
-            self._record_unconfirmed(ConnectionLost, "the instance ends")
-            self._end_with_error(Draining(retry_after=RETRY_DELAY))
+            error = Draining(retry_after=RETRY_DELAY)
+            self._end_with_error(error, Cancellation("the instance ends"))
             return
         self._cancel_all()
         self._caller.truncate()
@@ -180,8 +179,7 @@
         if any(send.chunks_received for send in self._sends.kept):
             self._sends.return_to_kept(obstacle)
             return
-        self._record_unconfirmed(ConnectionLost, "cancelled, work quarantined")
-        self._end_with_error(obstacle)
+        self._end_with_error(obstacle, Cancellation("work quarantined"))
 
     def pass_on(self) -> bool:
         """Forward the call if no endpoint is reached; return whether it was.
@@ -204,19 +202,10 @@
         """Return whether another instance may take the call, and one does."""
         if self.call.is_forwarded or self._answer.has_begun or self._attempts.runs:
             return False
-        is_unsent = (
-            self._unconfirmed_error is None and self._sends.find_written() is None
-        )
-        if not is_unsent and not self.route.is_repeatable:
+        if self._sends.find_written() is not None and not self.route.is_repeatable:
             return False
         return self._isolation.choose_gateway() is not None
 
-    def _record_unconfirmed(self, kind: type[RoadliftError], reason: str) -> None:
-        """Record that the call may have run, if an open send was written."""
-        written = self._sends.find_written()
-        if written is not None:
-            self._unconfirmed_error = kind(f"at {written.endpoint.id}: {reason}")
-
     def abort(self, error: Exception) -> None:
         """Fail the call after an internal error of this process."""
         log.error("Unhandled error in the exchange of a call: %r.", error)
@@ -275,10 +264,10 @@
         if self._sends.kept:
             self._sends.schedule_handover(send)
 
-    def _cancel_all(self) -> None:
+    def _cancel_all(self, cancellation: Cancellation = CANCELLED) -> None:
         """Cancel all sends, and the search for an endpoint."""
         self._search.close()
-        self._sends.cancel_all()
+        self._sends.cancel_all(cancellation)
 
     def _cancel_search(self) -> None:
         """Cancel the current send, or the search for an endpoint."""
@@ -351,7 +340,6 @@
         if send.verdict is Verdict.SUCCEEDED and self._answer.can_use(send):
             self._choose_answer(send)
             self._sends.current = None
-            self._attempts.runs += 1
             self._outcomes.record_served(send, self._answer)
             self._answer.finish(send)
             self._end("served", None)
@@ -363,7 +351,8 @@
         self._sends.current = None
         if not self._sends.kept:
             self._answer.adopt(send)
-        self._attempts.runs += error.outcome is not Outcome.NOT_RUN
+        if error.outcome is not Outcome.NOT_RUN:
+            self._attempts.record_run(error)
         if send.verdict is Verdict.WRONG_ENDPOINT:
             self._outcomes.report_missing(send)
         is_excluded = send.verdict is not Verdict.WRONG_ENDPOINT
@@ -382,7 +371,7 @@
             self._on_revoked(endpoint)
             return
         if error.outcome is not Outcome.NOT_RUN:
-            self._attempts.runs += 1
+            self._attempts.record_run(error)
         if self._answer.has_begun:
             error = StreamCut(f"{endpoint.id}: {error.detail}")
         self._on_failure(send, error)
@@ -393,8 +382,7 @@
         if send.verdict is Verdict.WRONG_ENDPOINT:
             self._outcomes.report_missing(send)
         if error.outcome is not Outcome.NOT_RUN:
-            self._attempts.runs += 1
-            self._unconfirmed_error = error
+            self._attempts.record_run(error)
             self._outcomes.record_failure(send.endpoint, error)
         self._sends.end_kept(send, error)
 
@@ -419,9 +407,7 @@
         if is_excluded:
             self._search.exclude({endpoint.id})
             self._outcomes.record_failure(endpoint, error)
-        if error.outcome is not Outcome.NOT_RUN:
-            self._unconfirmed_error = error
-        else:
+        if error.outcome is Outcome.NOT_RUN:
             self._authorization.refund()
         reason = self._take_retry(error)
         self._metrics.count(
@@ -515,17 +501,17 @@
         else:
             self._end_with_error(error)
 
-    def _end_with_error(self, error: RoadliftError) -> None:
+    def _end_with_error(
+        self, error: RoadliftError, cancellation: Cancellation = CANCELLED
+    ) -> None:
         """Answer the caller with an error, or end the answer that has begun.
 
-        A call of which an earlier send may have run is not reported as "not
-        run".
+        A call of which any send may have run is not reported as "not run".
         """
         if self._is_over:
             return
-        if error.outcome is Outcome.NOT_RUN and self._unconfirmed_error is not None:
-            error = self._unconfirmed_error
-        self._cancel_all()
+        self._cancel_all(cancellation)
+        error = self._attempts.correct(error)
         headers = dict(self._format.describe(self.call.id))
         if error.status in NOT_RUN_STATUSES:
             delay = error.retry_after or (
@@ -538,11 +524,8 @@
 
     def _on_deadline(self) -> None:
         """Fail the call at its time limit, whatever its state."""
-        if self._is_over:
-            return
-        self._record_unconfirmed(RequestTimeout, "time limit")
         error = NoEndpoint("time limit exceeded", DEFAULT_RETRY_AFTER)
-        self._end_with_error(self._unconfirmed_error or error)
+        self._end_with_error(error, Cancellation("time limit", RequestTimeout))
 
     # Caller
 
--- a/roadlift/instance/opensends.py
+++ b/roadlift/instance/opensends.py
@@ -6,9 +6,10 @@
 """
 
 from collections.abc import Callable
+from typing import NamedTuple
 
 from roadlift.core.clock import Clock
-from roadlift.core.errors import RoadliftError
+from roadlift.core.errors import ConnectionLost, RoadliftError
 from roadlift.core.loop import Loop, Timer
 from roadlift.instance.access import Authorization
 from roadlift.instance.attempts import Attempts
@@ -23,6 +24,17 @@
 HANDOVER_TIMEOUT = 0.2
 
 
+class Cancellation(NamedTuple):
+    """Why sends are cancelled, and the error of those that may have run."""
+
+    reason: str
+    error: type[RoadliftError] = ConnectionLost
+
+
+CANCELLED = Cancellation("cancelled")
+REPLACED = Cancellation("replaced")
+
+
 class OpenSends:
     """The sends of one call that go on.
 
@@ -67,25 +79,26 @@
         """Return a send of which a byte was written, or None."""
         return next((send for send in self.list_all() if send.is_written), None)
 
-    def cancel_all(self) -> None:
+    def cancel_all(self, cancellation: Cancellation = CANCELLED) -> None:
         """Cancel all sends."""
-        self.cancel_current()
+        self.cancel_current(cancellation)
         for send in self.kept.clear():
-            self._cancel(send)
+            self._cancel(send, cancellation)
 
-    def cancel_current(self) -> None:
+    def cancel_current(self, cancellation: Cancellation = CANCELLED) -> None:
         """Cancel the current send, if there is one."""
         if self._handover_timer is not None:
             self._handover_timer.close()
             self._handover_timer = None
         if self.current is not None:
             send, self.current = self.current, None
-            self._cancel(send)
+            self._cancel(send, cancellation)
 
-    def _cancel(self, send: Send) -> None:
+    def _cancel(self, send: Send, cancellation: Cancellation) -> None:
         """Cancel a send, which may have run if it was written."""
         if send.is_written:
-            self._attempts.runs += 1
+            detail = f"at {send.endpoint.id}: {cancellation.reason}"
+            self._attempts.record_run(cancellation.error(detail))
         else:
             self._authorization.refund()
             self._attempts.return_send()
@@ -147,5 +160,5 @@
     def _replace_kept(self) -> None:
         """Close the kept sends, as the current one continues the call."""
         for other in self.kept.clear():
-            self._cancel(other)
+            self._cancel(other, REPLACED)
             self._silences.record_end("replaced", other)
