Carry along which sends of a call may have run as it is passed on (REFUSED, BUDGET)

Callers saw: 503, has not run, for calls that ran: their instance, cut off from endpoints, had sent them and passed them on; the other one drained or found all endpoints rejecting, and its refusal was told as it was. Runners saw up to three runs where a route allows two. Cause: what was written before the call was passed on was forgotten: the other instance began anew, and the passing one relayed its word. Change: the runs go along (a header of ours, beside the one that marks passed-on calls), so that the other instance counts them against the route's attempts and corrects its error; the passing one replaces a refusal that is not true (refused_by_instance is corrected to connection_lost). A call is only passed on while its route allows a further runner.

--- a/roadlift/core/errors.py
+++ b/roadlift/core/errors.py
@@ -245,6 +245,14 @@
     outcome = Outcome.NOT_RUN
 
 
+class RefusedByInstance(RoadliftError):
+    """The instance that a call was passed on to refused it."""
+
+    code = "refused_by_instance"
+    status = 503
+    outcome = Outcome.NOT_RUN
+
+
 class EndpointUnreachable(RoadliftError):
     """No byte of the request reached the endpoint."""
 
--- a/roadlift/instance/attempts.py
+++ b/roadlift/instance/attempts.py
@@ -38,19 +38,22 @@
 class Attempts:
     """The sends of one call so far.
 
-    ``runs`` of those that have ended may have run; ``unconfirmed`` is how the
-    last of them ended here, or None. ``has_retry`` tells that a retry was
-    taken from the budget and has not been sent yet.
+    ``runs`` of those that have ended may have run, including those of the
+    instance that passed the call on; ``unconfirmed`` is how the last of them
+    ended here, or None. ``has_retry`` tells that a retry was taken from the
+    budget and has not been sent yet.
     """
 
-    def __init__(self, budgets: RetryBudgets, service: str, route: Route) -> None:
+    def __init__(
+        self, budgets: RetryBudgets, service: str, route: Route, runs: int
+    ) -> None:
         self._budgets = budgets
         self._service = service
         self._route = route
         self._unreached = 0
         self._used_retry = False  # Whether the last send took one.
         self.sends = 0
-        self.runs = 0
+        self.runs = runs
         self.unconfirmed: RoadliftError | None = None
         self.has_retry = False
 
--- a/roadlift/instance/exchange.py
+++ b/roadlift/instance/exchange.py
@@ -107,7 +107,7 @@
         self._searched_at = float("-inf")
         self._silence_obstacle: str | None = None
         self._budgets = kernel.get(ServiceBudgets)
-        self._attempts = Attempts(self._budgets, self._service, route)
+        self._attempts = Attempts(self._budgets, self._service, route, call.runs)
         self._is_over = False
         self._answer = Answer(kernel.clock, call, route, caller, self._progress)
         self._requests = RequestBuilder(
@@ -189,12 +189,13 @@
         """
         if self._is_over or not self._may_pass_on():
             return False
-        was_sent = self._sends.find_written() is not None
+        was_sent = self._sends.count_written() > 0
         self._cancel_all()
         self._end("forwarded", None)
         now = self._kernel.clock.now()
         self._budgets.record_handover(self._service, now, was_sent)
-        pending = PendingCall(self.call, self.route, self._times.deadline)
+        call = self.call._replace(runs=self._attempts.runs)
+        pending = PendingCall(call, self.route, self._times.deadline)
         self._host.forward(pending, self._caller)
         return True
 
@@ -202,7 +203,10 @@
         """Return whether another instance may take the call, and one does."""
         if self.call.is_forwarded or self._answer.has_begun or self._attempts.runs:
             return False
-        if self._sends.find_written() is not None and not self.route.is_repeatable:
+        runs = self._sends.count_written()
+        if runs and not self.route.is_repeatable:
+            return False
+        if runs >= self.route.attempts:
             return False
         return self._isolation.choose_gateway() is not None
 
--- a/roadlift/instance/forwarding.py
+++ b/roadlift/instance/forwarding.py
@@ -12,11 +12,13 @@
     Draining,
     NoEndpoint,
     Outcome,
+    RefusedByInstance,
     RequestTimeout,
     RoadliftError,
 )
 from roadlift.core.kernel import Kernel
 from roadlift.core.logs import ComponentLog
+from roadlift.decisions.resending import correct_error
 from roadlift.draining.connections import RETRY_DELAY
 from roadlift.http.messages import drop_hop_by_hop
 from roadlift.instance.adapterwait import DEFAULT_RETRY_AFTER
@@ -38,7 +40,10 @@
 
 
 class PendingCall(NamedTuple):
-    """A call for another instance; ``deadline`` is a time of this process."""
+    """A call for another instance; ``deadline`` is a time of this process.
+
+    Its ``runs`` are the sends by this instance that may have run.
+    """
 
     call: Call
     route: Route
@@ -114,8 +119,11 @@
     # Receiver of the answer
 
     def receive_head(self, status: int, headers: dict[str, str]) -> None:
-        """Pass the head on, unless the answer is short."""
+        """Pass the head on, unless the answer is short, or is not true."""
         self._status = status
+        if status in NOT_RUN_STATUSES and self.call.runs:
+            self._fail(RefusedByInstance(f"{self._address}: {status}"))
+            return
         self._headers = drop_hop_by_hop(headers)
         if find_framing(headers) is not Framing.LENGTH:
             self._begin()
@@ -171,6 +179,7 @@
 
     def _fail(self, error: RoadliftError) -> None:
         """Answer with an error, or cut an answer that has begun."""
+        error = correct_error(error, self.call.runs, None)
         if self._caller.started:
             self._caller.truncate()
         else:
--- a/roadlift/instance/opensends.py
+++ b/roadlift/instance/opensends.py
@@ -75,9 +75,9 @@
         current = [] if self.current is None else [self.current]
         return [*current, *self.kept]
 
-    def find_written(self) -> Send | None:
-        """Return a send of which a byte was written, or None."""
-        return next((send for send in self.list_all() if send.is_written), None)
+    def count_written(self) -> int:
+        """Return the number of sends of which a byte was written."""
+        return sum(send.is_written for send in self.list_all())
 
     def cancel_all(self, cancellation: Cancellation = CANCELLED) -> None:
         """Cancel all sends."""
--- a/roadlift/serving/calls.py
+++ b/roadlift/serving/calls.py
@@ -42,7 +42,8 @@
     the last event that the caller received of an interrupted stream, and
     ``resumes`` the id of the call that brought its first event, or empty;
     ``key`` is the digest of the caller's key, or empty. One that
-    ``is_forwarded`` comes from another instance.
+    ``is_forwarded`` comes from another instance, of whose sends ``runs`` may
+    have run.
     """
 
     id: str
@@ -59,6 +60,7 @@
     resume_after: str = ""
     key: str = ""
     is_forwarded: bool = False
+    runs: int = 0
     resumes: str = ""
 
     @property
--- a/roadlift/serving/interfaces.py
+++ b/roadlift/serving/interfaces.py
@@ -165,7 +165,8 @@
     def build_forwarded(self, call: Call, route: Route, remaining: float) -> Request:
         """Return the request that lets another instance take a call.
 
-        ``remaining`` is the time left in seconds.
+        ``remaining`` is the time left in seconds; ``runs`` of the call are
+        its sends by this instance that may have run.
         """
 
     def judge(self, status: int, headers: Mapping[str, str]) -> Verdict:
