--- a/roadlift/instance/attempts.py
+++ b/roadlift/instance/attempts.py
@@ -110,6 +110,16 @@
             self.has_retry = True
         return obstacle
 
+    def take_handover(self, now: float) -> bool:
+        """Return whether another instance may send a call that was sent here.
+
+        That takes a retry; the other instance counts its first send as none.
+        """
+        if self.has_retry:
+            self.has_retry = False
+            return True
+        return self._budgets.consume_retry(self._service, now, False)
+
     def refund(self, now: float) -> None:
         """Return a retry that was taken and not sent to the budget."""
         if self.has_retry:
--- a/roadlift/instance/exchange.py
+++ b/roadlift/instance/exchange.py
@@ -185,15 +185,17 @@
         """Forward the call if no endpoint is reached; return whether it was.
 
         It stays if its answer has begun, or if it may have run and must not
-        run again.
+        run again, or may not by the retry budget.
         """
         if self._is_over or not self._may_pass_on():
             return False
+        now = self._kernel.clock.now()
         was_sent = self._sends.count_written() > 0
+        if was_sent and not self._attempts.take_handover(now):
+            return False
         self._cancel_all()
         self._end("forwarded", None)
-        now = self._kernel.clock.now()
-        self._budgets.record_handover(self._service, now, was_sent)
+        self._budgets.record_handover(self._service, now)
         call = self.call._replace(runs=self._attempts.runs)
         pending = PendingCall(call, self.route, self._times.deadline)
         self._host.forward(pending, self._caller)
--- a/roadlift/instance/retrybudgets.py
+++ b/roadlift/instance/retrybudgets.py
@@ -56,17 +56,9 @@
         self._report(service, instances, now)
         return is_granted
 
-    def record_handover(self, service: str, now: float, was_sent: bool) -> None:
-        """Record that another instance takes a call over.
-
-        It counts the call as a request and its own first send as none, which
-        is a retry if the call ``was_sent`` here.
-        """
-        budget = self._get(service)
-        budget.discount_request(now)
-        if was_sent:
-            budget.charge(now)
-            self._metrics.count("roadlift_retries", service, "handed_over")
+    def record_handover(self, service: str, now: float) -> None:
+        """Record that another instance takes a call over, and counts it."""
+        self._get(service).discount_request(now)
 
     def measure(self, service: str, now: float) -> BudgetUse:
         """Return what this process has used of a service's budget."""
--- a/roadlift/retries/window.py
+++ b/roadlift/retries/window.py
@@ -85,11 +85,6 @@
         self._retries += 1
         return True
 
-    def charge(self, now: float) -> None:
-        """Count a retry that is sent whether the budget allows it or not."""
-        self._get_bucket(now).retries += 1
-        self._retries += 1
-
     def discount_request(self, now: float) -> None:
         """Uncount a request, which another process counts."""
         self._get_bucket(now)
--- a/tests/instance/repeats.feature
+++ b/tests/instance/repeats.feature
@@ -52,3 +52,11 @@
       | kind                                | seconds | retries |
       | that is the only one                | 12      | 20      |
       | whose peers never say anything      | 12      | 16      |
+
+  Scenario: Calls that instances pass on as they are cut off stay within the retry rule
+    Guards against passing all open calls on at once, each of them a repeat, unasked.
+
+    Given 6 instances over 2 zones that have run for 15 s, and 16 plain endpoints that stand still
+    When 20 calls wait at each of 4 instances, which are cut off from endpoints
+    Then endpoints receive at most the retries that the rule allows in each 10 s
+    And calls are passed on
--- a/tests/steps/repeat_steps.py
+++ b/tests/steps/repeat_steps.py
@@ -15,17 +15,18 @@
 _ZONES = ("z1", "z2")
 _STEP = 0.05  # Seconds between two calls, or changes, at least.
 _DURATION = 25.0  # Seconds for which calls are sent.
+_STANDING = 3.0  # Seconds for which endpoints stand still.
 _MAX_GAP = 5.0  # Seconds between two retries at most.
 
 
-def _start_deployment(context, count):
+def _start_deployment(context, count, endpoints=3):
     context.entries = entries = Entries()
     entries.age = 0.0
     context.add_cleanup(entries.close)
     entries.configure([*ROUTES, _ROUTE], SERVICES)
     for number in range(count):
         entries.start(f"i{number}", _ZONES[number % 2])
-    for number in range(3):
+    for number in range(endpoints):
         name = f"p{number}"
         runner = entries.installation.add_runner("plain", name, _ZONES[number % 2], "")
         runner.failed_part = 1.0
@@ -51,7 +52,37 @@
     context.entries.advance(3.0)
 
 
-def _send_call(context):
+@given(
+    "{count:d} instances over 2 zones that have run for {seconds:d} s, and"
+    " {endpoints:d} plain endpoints that stand still"
+)
+def step_standing(context, count, seconds, endpoints):
+    """Start them, and let what endpoints are sent stay unread for a while."""
+    _start_deployment(context, count, endpoints)
+    context.entries.advance(seconds)
+    for runner in context.entries.installation.runners.values():
+        runner.failed_part = 0.0
+        runner.stop(_STANDING)
+
+
+@when(
+    "{calls:d} calls wait at each of {count:d} instances, which are cut off from"
+    " endpoints"
+)
+def step_cut(context, calls, count):
+    """Cut them off once all of their calls were written."""
+    entries = context.entries
+    names = sorted(entries.entries)[:count]
+    for _ in range(calls):
+        for name in names:
+            _send_call(context, name)
+    entries.advance(_STEP)
+    dialers = {entries.entries[name].dialer for name in names}
+    entries.installation.cut_from_runners.update(dialers)
+    entries.advance(_STANDING + 1.0)
+
+
+def _send_call(context, name=None):
     entries = context.entries
     names = sorted(entries.entries)
     if not names:
@@ -59,7 +90,7 @@
     call_id = f"r{len(context.sent)}"
     now = entries.installation.clock.now()
     context.sent.append(SentCall(now, "plain", call_id, None))
-    name = names[len(context.sent) % len(names)]
+    name = name or names[len(context.sent) % len(names)]
     entries.call(name, "/often/1", {"request-id": call_id})
 
 
@@ -172,3 +203,10 @@
     assert use.fraction <= 1.0, use
     retries = context.entries.installation.arrivals.list_retries()["plain"]
     assert len(retries) >= least, len(retries)
+
+
+@then("calls are passed on")
+def step_passed_on(context):
+    """Count the calls that arrived more than once."""
+    retries = context.entries.installation.arrivals.list_retries()["plain"]
+    assert retries, "none arrived twice"
