--- a/roadlift/core/events.py
+++ b/roadlift/core/events.py
@@ -422,6 +422,37 @@
         "A call that came while no endpoint was reached was given to the instance "
         "at address, whose call_ended tells the rest.",
     ),
+    Event(
+        "origins",
+        "versions_declared",
+        ("service", "versions", "since"),
+        "Streams of a service may begin on these versions of its software; the row "
+        "tells all that did since that time of the store, in seconds.",
+    ),
+    Event(
+        "origins",
+        "versions_undeclared",
+        ("service", "error"),
+        "The row of a service was not written; it is tried again.",
+    ),
+    Event(
+        "origins",
+        "streams_read",
+        ("streams", "rows"),
+        "The streams that began beside several versions were read from the store.",
+    ),
+    Event(
+        "origins",
+        "streams_unwritten",
+        ("streams", "error"),
+        "Streams wait to be written to the store; it is tried again.",
+    ),
+    Event(
+        "origins",
+        "origins_unread",
+        ("error",),
+        "What began streams was not read from the store.",
+    ),
     Event(
         "resumption",
         "stream_looked_up",
@@ -438,8 +469,9 @@
         ),
         "A call resumes a stream that this process did not begin, or is refused. The "
         "stream began at that version of a service's software: an instance remembers "
-        "it (remote), recorded age seconds ago, or no other version of the service "
-        "was listed (only_version). Unless complete, an instance did not answer.",
+        "it (remote), recorded age seconds ago, the store has it (stored), or no other "
+        "version of the service was listed or declared (only_version). Unless "
+        "complete, an instance did not answer that may know it.",
     ),
     Event(
         "crashes",
--- a/roadlift/decisions/origins.py
+++ b/roadlift/decisions/origins.py
@@ -41,13 +41,15 @@
 class Basis(enum.StrEnum):
     """Whence the version of a stream is known.
 
-    LOCAL is a stream of this process, REMOTE one that another instance began.
+    LOCAL is a stream of this process, REMOTE one that another instance began;
+    one that is STORED was read from the platform's store.
     With ONLY_VERSION no other version of the service was listed for as long as
     a stream may be resumed, with MIXED several were; UNKNOWN is neither.
     """
 
     LOCAL = "local"
     REMOTE = "remote"
+    STORED = "stored"
     ONLY_VERSION = "only_version"
     MIXED = "mixed"
     UNKNOWN = "unknown"
@@ -65,8 +67,8 @@
 
     @property
     def is_remembered(self) -> bool:
-        """Return whether an instance remembers the stream."""
-        return self.basis in (Basis.LOCAL, Basis.REMOTE)
+        """Return whether the stream itself is remembered."""
+        return self.basis in (Basis.LOCAL, Basis.REMOTE, Basis.STORED)
 
 
 UNKNOWN = Finding(Basis.UNKNOWN)
@@ -207,7 +209,7 @@
     version of the service counts, unless they disagree on it.
     """
     found = list(findings)
-    for basis in (Basis.LOCAL, Basis.REMOTE):
+    for basis in (Basis.LOCAL, Basis.REMOTE, Basis.STORED):
         known = [one for one in found if one.basis is basis]
         if known:
             return min(known, key=lambda one: one.age or 0.0)
--- a/roadlift/instance/callscope.py
+++ b/roadlift/instance/callscope.py
@@ -3,7 +3,7 @@
 from roadlift.decisions.homes import Scope
 from roadlift.decisions.origins import Origin
 from roadlift.instance.origins import OriginRegistry
-from roadlift.serving.calls import Call
+from roadlift.serving.calls import Call, Kind
 from roadlift.serving.routes import Route
 
 
@@ -23,7 +23,7 @@
         origins: OriginRegistry,
         origin: Origin | None,
     ) -> None:
-        self.current = scope
+        self._scope = scope
         self._call = call
         self._route = route
         self._origins = origins
@@ -33,7 +33,19 @@
     @property
     def is_bound(self) -> bool:
         """Return whether a stream has begun."""
-        return self.current.software is not None
+        return self._scope.software is not None
+
+    @property
+    def current(self) -> Scope:
+        """Return the endpoints that the call may use now.
+
+        A stream that may be resumed begins on a version that is declared.
+        """
+        is_stream = self._route.kind is Kind.STREAM and self._route.is_resumable
+        if self.is_bound or not is_stream:
+            return self._scope
+        admitted = self._origins.list_admitted(self._scope.service)
+        return self._scope._replace(software=admitted)
 
     def begin_stream(self, software: str | None) -> None:
         """Record the version that brings the call's first event.
@@ -42,9 +54,9 @@
         """
         self._bind(software)
         if software is not None and self._route.is_resumable:
-            origin = Origin(self.current.service, software)
+            origin = Origin(self._scope.service, software)
             self._origins.record(self._call.resumes or self._call.id, origin)
 
     def _bind(self, software: str | None) -> None:
         versions = frozenset() if software is None else frozenset({software})
-        self.current = self.current._replace(software=versions)
+        self._scope = self._scope._replace(software=versions)
--- a/roadlift/instance/leases.py
+++ b/roadlift/instance/leases.py
@@ -150,6 +150,12 @@
         if zone in self._leases and (known is None or fence > known.fence):
             self._reported[zone] = ReportedOwner(address, fence)
 
+    @property
+    def hears_owners(self) -> bool:
+        """Return whether an owner, other than this process, is alive."""
+        now = self._kernel.clock.now()
+        return any(self._is_owner_alive(zone, now) for zone in self._zones)
+
     def record_subscriber_count(self, count: int) -> None:
         """Record how many instances subscribe to the aggregator in use."""
         self._members = count
--- a/roadlift/instance/metriccatalogue.py
+++ b/roadlift/instance/metriccatalogue.py
@@ -133,6 +133,14 @@
         "Calls that resumed a stream, by how its software version was known.",
         "`refused`: nobody knew the version, or its service left the route.",
     ),
+    InstanceMetric(
+        "roadlift_stored_streams",
+        "counter",
+        "streams",
+        (),
+        "Streams whose software version an owner has written to the store.",
+        "It rises while several versions of a service are declared, at no other time.",
+    ),
     InstanceMetric(
         "roadlift_remembered_streams",
         "gauge",
--- a/roadlift/instance/originfeed.py
+++ b/roadlift/instance/originfeed.py
@@ -6,18 +6,17 @@
 aggregator that changes: the next one is sent all that is still remembered.
 """
 
-from collections import defaultdict
 from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
-from roadlift.core.errors import MalformedMessage
 from roadlift.core.kernel import Kernel
 from roadlift.core.loop import Timer
 from roadlift.daemon.transport import Transport
-from roadlift.decisions.origins import DIGEST_BYTES, Origin, rank_zones
+from roadlift.decisions.origins import rank_zones
 from roadlift.instance.leases import Leases
 from roadlift.instance.subscription import Subscription
 from roadlift.serving.messages import StreamOrigins
+from roadlift.serving.originrows import Stream, group_streams
 
 # Seconds from a stream's first event until it is sent. A process that is
 # killed meanwhile takes what it knows with it.
@@ -26,8 +25,6 @@
 MAX_BATCH = 1000  # Streams in one message, of 8 bytes each.
 MAX_QUEUED = 20_000  # Streams that wait for one instance; the oldest are dropped.
 
-Stream = tuple[bytes, Origin]
-
 
 class Target(NamedTuple):
     """A replica, of all streams or of those that a zone keeps."""
@@ -124,24 +121,6 @@
             del queue[:-MAX_QUEUED]
 
     def _send(self, target: Target, streams: list[Stream]) -> bool:
-        digests: dict[Origin, list[bytes]] = defaultdict(list)
-        for digest, origin in streams:
-            digests[origin].append(digest)
-        origins = [[*origin, b"".join(found)] for origin, found in digests.items()]
-        message = StreamOrigins(self._peer, origins, target.zone is not None)
+        is_passed_on = target.zone is not None
+        message = StreamOrigins(self._peer, group_streams(streams), is_passed_on)
         return self._transport.send(target.address, message)
-
-
-def read_streams(message: StreamOrigins) -> list[Stream]:
-    """Return the streams of a message, or raise MalformedMessage."""
-    found: list[Stream] = []
-    try:
-        for service, software, digests in message.origins:
-            if not isinstance(digests, bytes):
-                raise TypeError(f"digests: {type(digests).__name__}")
-            origin = Origin(str(service), str(software))
-            starts = range(0, len(digests), DIGEST_BYTES)
-            found += [(digests[one : one + DIGEST_BYTES], origin) for one in starts]
-    except (TypeError, ValueError) as error:
-        raise MalformedMessage(repr(error)) from error
-    return found
--- a/roadlift/instance/origins.py
+++ b/roadlift/instance/origins.py
@@ -24,10 +24,12 @@
 from roadlift.instance.follower import Follower
 from roadlift.instance.leases import Leases
 from roadlift.instance.metrics import InstanceMetrics
-from roadlift.instance.originfeed import OriginFeed, read_streams
+from roadlift.instance.originarchive import OriginArchive
+from roadlift.instance.originfeed import OriginFeed
 from roadlift.instance.originquery import OriginAnswer, OriginQuery
 from roadlift.instance.subscription import Subscription
 from roadlift.serving.messages import FindOrigin, OriginReply, StreamOrigins
+from roadlift.serving.originrows import Stream, split_streams
 from roadlift.serving.routes import Configuration
 
 # Seconds in which the first owner that is queried answers, all others do, and
@@ -38,6 +40,8 @@
 CHECK_INTERVAL = 1.0  # Seconds between removals of what is outdated.
 # Seconds that the list of endpoints may be old and still count as current.
 MAX_LIST_AGE = 2.5
+# Seconds in which a process that has started hears of an owner that is alive.
+STARTING_TIME = 1.0
 
 OnAnswer = Callable[[OriginAnswer], None]
 
@@ -49,7 +53,14 @@
     """The origins of streams that this process began, or keeps for others."""
 
     name = "origins"
-    needs = ("follower", "leases", "measures", "subscription", "transport")
+    needs = (
+        "follower",
+        "leases",
+        "measures",
+        "origin_archive",
+        "subscription",
+        "transport",
+    )
 
     def __init__(self, kernel: Kernel) -> None:
         self._kernel = kernel
@@ -68,6 +79,9 @@
         self._queries: dict[tuple[bytes, str], list[OriginQuery]] = defaultdict(list)
         self._unanswered: set[FindOrigin] = set()
         self._feed = OriginFeed(kernel, self._list_streams)
+        self._archive = kernel.get(OriginArchive)
+        self._archive.on_mixed = self._archive_streams
+        self._began_at = kernel.clock.now()
         self._is_first_start = False
         self._timer = None
         self._follower.on_directory.append(self._record_list)
@@ -96,6 +110,7 @@
         stream = compute_digest(call_id), origin
         self._own.put(*stream)
         self._feed.put(stream)
+        self._archive.put(stream)
 
     def find(self, digest: bytes, service: str) -> Finding:
         """Return what this process knows of a stream of a service."""
@@ -107,14 +122,40 @@
         )
         if found is not None:
             return found
+        stored = self._archive.find(digest)
+        if stored is not None:
+            return Finding(Basis.STORED, stored)
         self._check_list_age(now)
-        return self._history.judge(service, now, self._ttl)
+        judged = self._history.judge(service, now, self._ttl)
+        return self._find_declared(service) if judged == UNKNOWN else judged
+
+    def _find_declared(self, service: str) -> Finding:
+        """Return the only version that was declared, on a current list."""
+        version = self._archive.find_only_version(service)
+        if version is None or not self._is_list_current:
+            return UNKNOWN
+        return Finding(Basis.ONLY_VERSION, Origin(service, version))
+
+    @property
+    def _is_list_current(self) -> bool:
+        return self._follower.compute_list_age() <= MAX_LIST_AGE
+
+    def list_admitted(self, service: str) -> frozenset[str] | None:
+        """Return the versions on which streams may begin, or None for all."""
+        return self._archive.list_admitted(service)
 
     def count(self) -> int:
         """Return the number of streams that are remembered."""
         return len(self._own) + len(self._members) + len(self._others)
 
-    def _list_streams(self) -> list[tuple[bytes, Origin]]:
+    def _archive_streams(self, service: str) -> None:
+        """Store the streams from before a second version was declared."""
+        for stream in self._list_streams():
+            _, origin = stream
+            if origin.service == service:
+                self._archive.put(stream)
+
+    def _list_streams(self) -> list[Stream]:
         return [*self._members.list_all(), *self._own.list_all()]
 
     def _record_list(self) -> None:
@@ -130,7 +171,8 @@
         now = self._clock.now()
         if self._leases.is_first_start and not self._is_first_start:
             self._is_first_start = True
-            self._history.record_first_start()
+            if self._archive.is_first_era:
+                self._history.record_first_start()
         self._check_list_age(now)
         for table in (self._own, self._members, self._others):
             table.expire(now, self._ttl)
@@ -138,7 +180,7 @@
 
     def _check_list_age(self, now: float) -> None:
         """Note a gap in the history if the list is not current."""
-        if self._follower.compute_list_age() > MAX_LIST_AGE:
+        if not self._is_list_current:
             self._history.record_gap()
         elif self._follower.directory.is_known:
             self._history.record_current(now)
@@ -148,6 +190,59 @@
     def query(self, call_id: str, service: str, on_answer: OnAnswer) -> None:
         """Find out what began a stream; the id is empty if it is not named."""
         digest = compute_digest(call_id) if call_id else b""
+        if self._is_new and not self._leases.hears_owners:
+            self._query_archive(digest, service, on_answer)
+            return
+
+        def answer(found: OriginAnswer) -> None:
+            """Answer by what others know, or else by the store."""
+            if found.finding.origin is None and self._is_new:
+                self._complete(digest, service, found, on_answer)
+            else:
+                on_answer(found)
+
+        self._query_others(digest, service, answer)
+
+    @property
+    def _is_new(self) -> bool:
+        """Return whether streams may be older than this process."""
+        return self._clock.now() - self._began_at < self._ttl
+
+    def _query_archive(self, digest: bytes, service: str, on_answer: OnAnswer) -> None:
+        """Answer by the store, as no other instance has been heard of.
+
+        A process that has just started may hear of one yet, and asks those
+        that the store names.
+        """
+        is_starting = self._clock.now() - self._began_at < STARTING_TIME
+
+        def answer(is_read: bool) -> None:
+            """Answer, unless another instance may know the stream."""
+            finding = self.find(digest, service)
+            if finding.origin is None and is_starting:
+                self._query_others(digest, service, on_answer)
+            else:
+                on_answer(OriginAnswer(finding, is_read))
+
+        self._archive.refresh(answer)
+
+    def _complete(
+        self, digest: bytes, service: str, known: OriginAnswer, on_answer: OnAnswer
+    ) -> None:
+        """Answer by the store what others do not know.
+
+        Where the store tells all, an instance that is silent knows no more.
+        """
+
+        def answer(is_read: bool) -> None:
+            """Judge the stream again."""
+            finding = combine((self.find(digest, service), known.finding))
+            is_complete = known.is_complete or self._archive.covers(service)
+            on_answer(known._replace(finding=finding, is_complete=is_complete))
+
+        self._archive.refresh(answer)
+
+    def _query_others(self, digest: bytes, service: str, on_answer: OnAnswer) -> None:
         source = self._subscription.source
         if self._leases.list_held() or not source:
             self._query_owners(digest, service, on_answer)
@@ -213,7 +308,7 @@
     def _handle_origins(self, sender: str, message: StreamOrigins) -> None:
         table = self._others if message.is_passed_on else self._members
         try:
-            streams = read_streams(message)
+            streams = split_streams(message.origins)
         except MalformedMessage as error:
             log.warning("The streams of %s were ignored: %s.", sender, error)
             return
@@ -221,6 +316,7 @@
             table.put(*stream)
             if not message.is_passed_on:
                 self._feed.put(stream)
+                self._archive.put(stream)
 
     def _handle_question(self, sender: str, message: FindOrigin) -> None:
         """Answer; an instance's query goes to the other owners as well."""
--- a/tests/instance/takeups.feature
+++ b/tests/instance/takeups.feature
@@ -29,7 +29,6 @@
       | what                                         | versions           | seconds | result              |
       | nobody remembers it                          | v1, v1.2           | 30      | is refused for good |
       | nobody remembers it                          | v1, v1             | 5       | goes on             |
-      | all instances have just started again        | v1, v1             | 5       | is refused for good |
       | all instances started again long ago         | v1, v1             | 5       | goes on             |
       | nobody remembers it                          | v1, v1             | 30      | goes on             |
       | nobody remembers it                          | none, none         | 30      | goes on             |
@@ -39,6 +38,20 @@
       | its caller does not name it                  | v1, v1.2           | 30      | is refused for good |
       | its caller does not name it                  | v1, v1             | 30      | goes on             |
 
+    Examples: All instances were killed at once, and know nothing
+      | what                                                              | versions           | seconds | result              |
+      | all instances have just started again                             | v1, v1             | 5       | goes on             |
+      | all instances have just started again                             | v1, v1, v1.2, v1.2 | 5       | goes on             |
+      | all instances have started again, and own zones                   | v1, v1, v1.2, v1.2 | 5       | goes on             |
+      | all instances start again behind its version's first streams      | v1, v1             | 5       | goes on             |
+      | all instances have just started again without the other version   | v1, v1.2           | 5       | goes on             |
+      | all instances have just started again without its version         | v1, v1.2           | 5       | is refused for good |
+      | all instances have started again without its version, long ago    | v1, v1.2           | 30      | is refused for good |
+      | all instances have just started again, and the store is older     | v1, v1             | 5       | is refused for good |
+      | all instances have just started again, and the store is older     | v1, v1.2           | 5       | is refused for good |
+      | all instances have just started again, and the store lost its row | v1, v1             | 5       | is refused for good |
+      | all instances have just started again, and nobody began it        | v1, v1.2           | 5       | is refused for good |
+
   Scenario: Streams begin while an instance comes to own all zones
     Guards against a stream that failed within 0.1 seconds of its instance's last lease.
 
--- a/tests/steps/takeup_steps.py
+++ b/tests/steps/takeup_steps.py
@@ -7,6 +7,7 @@
 from roadlift.instance.leases import Leases
 from roadlift.instance.origins import OriginRegistry
 from roadlift.serving.messages import FindOrigin, OriginReply, StreamOrigins
+from roadlift.serving.originrows import SOFTWARE_TABLE
 from standins.installation import Runner
 from tests.support.configuration import BASE, SERVICES, make_route
 from tests.support.entries import Entries
@@ -37,6 +38,8 @@
 _AT_ONCE = 0.5  # Seconds.
 _LISTED = 1.5  # Seconds in which all know of a change of the list.
 _STORE_AWAY = 12.0  # Seconds without the store, more than a lease lasts.
+_STARTED = 1.5  # Seconds in which processes that have started serve.
+_LOST = 6.0  # Seconds of writes that the store loses.
 _OUTDATED = 6.0  # Seconds in which the list is outdated.
 
 
@@ -204,19 +207,70 @@
     return stream
 
 
-def _restart_all(context, seconds: float) -> Stream:
-    """End all instances, so that nobody remembers the stream."""
+def _restart_all(
+    context, seconds: float, change: Callable[..., None] = lambda context, stream: None
+) -> Stream:
+    """End all instances, so that no process remembers the stream."""
     stream = _begin(context)
+    _end_all(context, stream, change)
+    context.entries.advance(seconds)
+    _take_up(stream)
+    return stream
+
+
+def _end_all(context, stream: Stream, change: Callable[..., None]) -> None:
+    """Kill all instances, change something, and start them."""
     stream.leave()
     for name in _ZONES:
         context.entries.end(name)
+    change(context, stream)
     for name, zone in _ZONES.items():
         context.entries.start(name, zone)
-    context.entries.advance(seconds)
+
+
+def _play_new_version(context) -> Stream:
+    """Begin streams as soon as another version is listed, and kill all."""
+    for index in (7, 8):
+        _add_runner(context.entries, "llm", index, "v1.2")
+    streams = []
+    while not any("v1.2-llm" in one.list_software() for one in streams):
+        streams.append(_begin(context, name=f"n{len(streams)}"))
+        assert len(streams) < _MOST_STREAMS
+    stream = streams[-1]
+    _end_all(context, stream, lambda context, stream: None)
+    context.entries.advance(_STARTED)
     _take_up(stream)
     return stream
 
 
+def _remove_own(context, stream: Stream) -> None:
+    """Let the endpoints of a stream's version leave."""
+    _remove(context.entries, _list_alike(context.entries, stream))
+
+
+def _remove_others(context, stream: Stream) -> None:
+    """Let the endpoints of all other versions leave."""
+    alike = _list_alike(context.entries, stream)
+    runners = context.entries.installation.runners.values()
+    _remove(context.entries, [one for one in runners if one not in alike])
+
+
+def _lose_writes(context, stream: Stream) -> None:
+    """Let the store come back older; the runners write their rows again."""
+    store = context.entries.installation.store
+    store.write_again(store.go_back(_LOST))
+
+
+def _lose_row(context, stream: Stream) -> None:
+    for service in _SERVICES:
+        context.entries.installation.store.delete(SOFTWARE_TABLE, service)
+
+
+def _play_started_without(context) -> Stream:
+    """Take up a stream that no instance ever began."""
+    return _restart_all(context, _STARTED, lambda context, stream: _forget(stream))
+
+
 def _play_version_left(context) -> Stream:
     stream = _begin(context)
     _forget(stream)
@@ -246,8 +300,30 @@
     "nobody remembers it": _play_forgotten,
     "nobody remembers it and the list is old": _play_forgotten_old,
     "nobody remembers it at an instance just started": _play_forgotten_new,
-    "all instances have just started again": lambda context: _restart_all(context, 5.0),
+    "all instances have just started again": lambda context: _restart_all(
+        context, _STARTED
+    ),
+    "all instances have started again, and own zones": lambda context: _restart_all(
+        context, 5.0
+    ),
     "all instances started again long ago": lambda context: _restart_all(context, 30.0),
+    "all instances start again behind its version's first streams": _play_new_version,
+    "all instances have just started again without the other version": (
+        lambda context: _restart_all(context, _STARTED, _remove_others)
+    ),
+    "all instances have just started again without its version": (
+        lambda context: _restart_all(context, _STARTED, _remove_own)
+    ),
+    "all instances have started again without its version, long ago": (
+        lambda context: _restart_all(context, 60.0, _remove_own)
+    ),
+    "all instances have just started again, and the store is older": (
+        lambda context: _restart_all(context, _STARTED, _lose_writes)
+    ),
+    "all instances have just started again, and the store lost its row": (
+        lambda context: _restart_all(context, _STARTED, _lose_row)
+    ),
+    "all instances have just started again, and nobody began it": _play_started_without,
     "a version has left, and nobody remembers it": _play_version_left,
     "its caller does not name it": _play_unnamed,
 }
