Let the soak stop runners beside changes and kill all instances, and check all refusals

The soak kept false_not_run to calls that may run once, so that refusals of repeatable calls that had run went unseen; now it counts all. New faults: runners stand still 0.6 s behind a configuration, with what arrived unread, and all instances are killed at once.

--- a/benchmarks/routes.py
+++ b/benchmarks/routes.py
@@ -240,8 +240,8 @@
 
     def pick_instance(self) -> str:
         """Return the name of an instance that should take calls."""
-        names = sorted(set(self._deployment.instances) - self._away)
-        return self._draw.choice(names)
+        names = set(self._deployment.instances)
+        return self._draw.choice(sorted(names - self._away or names))
 
     async def _run_caller(self, mix: tuple) -> None:
         while time.monotonic() < self._end:
@@ -253,6 +253,7 @@
                 await self._send(channel, name, mix)
                 await asyncio.sleep(self._draw.uniform(0.0, 0.1))
             channel.close()
+            await asyncio.sleep(0.0 if name not in self._away else 0.05)
 
     async def _send(self, channel: Channel, name: str, mix: tuple) -> None:
         kinds, paths, weights = zip(*mix, strict=True)
@@ -361,6 +362,8 @@
             (self._repeat_answers, 4),
             (self._restarts.restart_in_series, 3),
             (self._restarts.fail_calls, 5),
+            (self._stand_still_beside, 4),
+            (self._kill_all, 1),
         )
         if self.only:
             faults = [one for one in faults if one[0].__name__.strip("_") in self.only]
@@ -391,6 +394,18 @@
         await asyncio.sleep(self._draw.uniform(0.1, 2.0))
         await self._start_again(name)
 
+    async def _kill_all(self) -> None:
+        """Kill all instances at once, and start them together."""
+        names = set(self._deployment.instances) - self._away - set(self._leaving_at)
+        self._away |= names
+        for name in names:
+            self._deployment.instances[name].kill()
+        await asyncio.sleep(self._draw.uniform(0.1, 1.0))
+        await asyncio.gather(*map(self._start_again, sorted(names)))
+
+    async def _stand_still_beside(self) -> None:
+        await self._silences.stand_still(self._add_route)
+
     async def _start_again(self, name: str) -> None:
         self._runs_of[name] = self._runs_of.get(name, 0) + 1
         process = self._deployment.instances[name]
@@ -762,7 +777,7 @@
             said = self._said.get(call_id)
             if kind not in _REPEATABLE and runs[call_id] > 1:
                 self.note("ran_twice", f"{call_id} {kind} {runs[call_id]}")
-            if kind not in _REPEATABLE and said == "not_run" and runs[call_id]:
+            if said == "not_run" and runs[call_id]:
                 self.note("false_not_run", f"{call_id} {kind}")
             if said == "served" and not runs[call_id]:
                 self.note("lost_answer", f"{call_id} {kind}")
--- a/benchmarks/silences.py
+++ b/benchmarks/silences.py
@@ -12,6 +12,10 @@
 PAUSES_SPAN = (2.0, 6.0)  # Seconds for which a series goes on.
 HANG_SPAN = (1.0, 4.0)  # Seconds in which an engine takes calls, and is silent.
 SERIES_GAP = (0.2, 2.5)  # Seconds between two series, or hangs.
+STOP = (0.8, 2.4)  # Seconds for which runners stand still beside a change.
+STOPPED_PARTS = (0.6, 1.0)  # Parts of the runners that do.
+STOP_LEAD = 0.6  # Seconds from the change until they do.
+PLAIN = ("p00", "p10", "p20")
 HANG_PART = 0.3  # Part of them that are hangs.
 
 
@@ -47,6 +51,17 @@
         self.counts["pauses"] += 1
         await self._command(runner=engine, pause=self._draw.uniform(*PAUSE))
 
+    async def stand_still(self, change: Callable[[], Awaitable[None]]) -> None:
+        """Let runners stand still, some time behind a change."""
+        await change()
+        await asyncio.sleep(STOP_LEAD)
+        seconds = self._draw.uniform(*STOP)
+        part = self._draw.choice(STOPPED_PARTS)
+        for runner in (*ENGINES, *PLAIN):
+            if self._draw.random() < part:
+                await self._command(stop=runner, seconds=seconds)
+        await asyncio.sleep(seconds)
+
     async def _hang_engine(self) -> None:
         """Let the streams of one engine go silent for good.
 
--- a/standins/installation.py
+++ b/standins/installation.py
@@ -475,12 +475,17 @@
 
     def handle(self, request: Request, line: MemoryLine) -> None:
         """Answer one request, or read it once the runner goes on."""
+        headers = {name.lower(): value for name, value in request.headers.items()}
+        self._note_arrival(headers)
+        self._read(request, headers, line)
+
+    def _read(self, request: Request, headers: dict, line: MemoryLine) -> None:
+        """Answer what has arrived."""
         left = self._stopped_until - self._timeline.now()
         if left > SHORTEST_WAIT:
-            self._timeline.call_later(left, lambda: self.handle(request, line))
+            again = lambda: self._read(request, headers, line)
+            self._timeline.call_later(left, again)
             return
-        headers = {name.lower(): value for name, value in request.headers.items()}
-        self._note_arrival(headers)
         expected = headers.get("expect-instance")
         if expected not in (None, self.id):
             self._answer(line, Reply(421, {"instance-id": self.id}))
@@ -503,6 +508,10 @@
         now = self._timeline.now()
         arrival = Arrival(now, self.service, call_id, self.id, seconds)
         self._installation.arrivals.note(arrival)
+        if headers.get("expect-instance") in (None, self.id):
+            self._installation.limits.note_call(self.id, now)
+            self._installation.places.note_call(self.id, self.zone, call_id, now)
+            self._installation.statements.note_call(self.run, call_id, now)
 
     def _report(self) -> dict:
         base = self.bases[0] if self.bases else ""
@@ -578,10 +587,6 @@
 
     def _run(self, request: Request, headers: dict, line: MemoryLine) -> None:
         call_id = headers["request-id"]
-        now = self._timeline.now()
-        self._installation.limits.note_call(self.id, now)
-        self._installation.places.note_call(self.id, self.zone, call_id, now)
-        self._installation.statements.note_call(self.run, call_id, self._timeline.now())
         if self._is_turned_away():
             self._turn_away(call_id, line)
             return
--- a/standins/loopback.py
+++ b/standins/loopback.py
@@ -290,6 +290,8 @@
             self._repeat(command["runner"], command["repeat"])
         if "pause" in command:
             self._pause(command["runner"], Pause(command["pause"]))
+        if "stop" in command:
+            self._stop(command["stop"], command["seconds"])
         if "hang" in command:
             self._hang(command["runner"], command["hang"])
 
@@ -306,6 +308,12 @@
             runner.restart()
             self._write(runner)
 
+    def _stop(self, name: str, seconds: float) -> None:
+        """Let a runner stand still, and read behind that what arrives."""
+        runner = self._find_runner(name)
+        if runner is not None:
+            runner.stop(seconds)
+
     def _release(self, name: str, software: str) -> None:
         """Let a runner end, and come back with a version of its software."""
         runner = self._find_runner(name)
