Go on repeating load requests behind one that served two scopes

Callers saw nothing for certain: the calls that waited for other adapters had their requests repeated one round later. The log told of a callback that raised KeyError. Cause: a round goes over a copy of the pending loads; one that finds its adapter held lets all scopes' calls of that model go on, whose loads were then looked up again. Change: a load that is not pending any more is passed over, in the round and on a denial.

--- a/roadlift/instance/loadrequests.py
+++ b/roadlift/instance/loadrequests.py
@@ -211,6 +211,9 @@
     def _repeat_requests(self) -> None:
         now = self._clock.now()
         for key, pending in list(self._pending.items()):
+            if self._pending.get(key) is not pending:
+                # The calls of another scope were served by the same load.
+                continue
             pending.waiters = [one for one in pending.waiters if one.is_open]
             if not pending.waiters:
                 del self._pending[key]
@@ -251,7 +254,8 @@
     def _handle_denial(self, denial: Denial) -> None:
         model = Model(denial.base, denial.adapter)
         for key, pending in list(self._pending.items()):
-            if key[1] == model and pending.endpoint == denial.endpoint:
+            is_open = self._pending.get(key) is pending
+            if is_open and key[1] == model and pending.endpoint == denial.endpoint:
                 self._knowledge.workload.mark_full(denial.endpoint)
                 pending.denied[denial.endpoint] = self._clock.now()
                 self._request_elsewhere(key, pending)
