Test what is declared of versions, and who may begin streams, in tables

One version, several, a row that covers too little, a row of another era, and lists of different ages: decisions of roadlift/decisions/declarations.py alone.

--- a/tests/decisions/origins.feature
+++ b/tests/decisions/origins.feature
@@ -50,3 +50,44 @@
       | v1 at 0, a gap at 15, v1 at 16   | unknown         |
       | an unknown one at 0              | unknown         |
       | nothing                          | unknown         |
+
+  Scenario Outline: Where <declared> is declared and <listed> listed, <known> began all streams
+    When <declared> is declared since <since> in era <era>, and <listed> is listed at 100 in era 1
+    Then <known> began all streams of the last 24 seconds
+
+    Examples: One version, or several
+      | declared | listed  | since | era | known   |
+      | v1       | v1      | 0     | 1   | v1      |
+      | v1       | v1      | 76    | 1   | v1      |
+      | v1       | nothing | 0     | 1   | v1      |
+      | v1 v2    | v1      | 0     | 1   | unknown |
+      | v1       | v2      | 0     | 1   | unknown |
+      | v1       | v1 v2   | 0     | 1   | unknown |
+
+    Examples: Not all streams are covered
+      | declared | listed  | since | era | known   |
+      | v1       | v1      | 77    | 1   | unknown |
+      | v1       | v1      | 0     | 0   | unknown |
+      | nothing  | v1      | 0     | 1   | unknown |
+
+  Scenario Outline: Streams begin on <admitted> where <declared> is declared and <ready> is ready
+    When <declared> is declared and <ready> is ready
+    Then streams may begin on <admitted>
+
+    Examples:
+      | declared | ready | admitted |
+      | v1 v2    | v1 v2 | all      |
+      | v1       | v1 v2 | v1       |
+      | v1       | v2 v3 | all      |
+      | v1       | v1    | all      |
+      | nothing  | v1 v2 | all      |
+
+  Scenario Outline: A version that was listed <ago> s ago is <state>
+    When v1 is declared and was listed <ago> s ago beside v2, and streams live for 24 s
+    Then v1 is <state>
+
+    Examples: Lists of instances are of different ages
+      | ago | state      |
+      | 25  | declared   |
+      | 47  | declared   |
+      | 49  | undeclared |
--- a/tests/steps/origin_steps.py
+++ b/tests/steps/origin_steps.py
@@ -2,6 +2,13 @@
 
 from behave import then, when
 
+from roadlift.decisions.declarations import (
+    Declaration,
+    Declarations,
+    StoreMoment,
+    find_only_version,
+    list_admitted,
+)
 from roadlift.decisions.origins import (
     Basis,
     Finding,
@@ -89,3 +96,61 @@
 def step_history(context, result):
     """Compare the judgement."""
     assert _describe(context.finding) == result, context.finding
+
+
+# What is declared.
+
+
+def _read_versions(text: str) -> frozenset[str]:
+    return frozenset() if text == "nothing" else frozenset(text.split())
+
+
+@when(
+    "{declared} is declared since {since:g} in era {era:d}, and {listed} is listed at"
+    " {now:g} in era {current:d}"
+)
+def step_declared(context, declared, since, era, listed, now, current):
+    """Keep what the row, the list and the store say."""
+    versions = _read_versions(declared)
+    context.declared = Declaration(versions, since, era) if versions else None
+    context.listed = _read_versions(listed)
+    context.moment = StoreMoment(now, current)
+
+
+@then("{known} began all streams of the last {ttl:g} seconds")
+def step_only_version(context, known, ttl):
+    """Judge by the row and the list."""
+    found = find_only_version(context.declared, context.listed, context.moment, ttl)
+    assert (found or "unknown") == known, found
+
+
+@when("{declared} is declared and {ready} is ready")
+def step_ready(context, declared, ready):
+    """Find where streams may begin."""
+    known = None if declared == "nothing" else _read_versions(declared)
+    context.admitted = list_admitted(known, _read_versions(ready))
+
+
+@then("streams may begin on {admitted}")
+def step_admitted(context, admitted):
+    """Compare the versions."""
+    expected = None if admitted == "all" else _read_versions(admitted)
+    assert context.admitted == expected, context.admitted
+
+
+@when(
+    "v1 is declared and was listed {ago:g} s ago beside v2, and streams live for"
+    " {ttl:g} s"
+)
+def step_revise(context, ago, ttl):
+    """Revise what is declared as v1 has left the list."""
+    declarations = Declarations()
+    both = Declaration(frozenset({"v1", "v2"}), 0.0, 1)
+    declarations.revise(_SERVICE, both, both.versions, 0.0, ttl)
+    context.versions = declarations.revise(_SERVICE, both, {"v2"}, ago, ttl)
+
+
+@then("v1 is {state}")
+def step_still_declared(context, state):
+    """Look for it."""
+    assert ("v1" in context.versions) == (state == "declared"), context.versions
