--- a/standins/loopback.py
+++ b/standins/loopback.py
@@ -20,16 +20,10 @@
 from roadlift.relay.upstream import Request
 from standins.batches import Batch
 from standins.framings import Unframed
-from standins.installation import (
-    REFUSAL,
-    STAMP,
-    Installation,
-    MemoryLine,
-    Pause,
-    Reply,
-    Runner,
-)
+from standins.installation import Installation, Reply
+from standins.lines import MemoryLine
 from standins.pours import Heads, Pour, Pourer
+from standins.runners import REFUSAL, STAMP, Pause, Runner
 
 CONTROL = "/control"
 HEADS = Heads(REFUSAL.headers, {STAMP: "stamp-pour"})
--- a/tests/steps/adapter_steps.py
+++ b/tests/steps/adapter_steps.py
@@ -458,7 +458,7 @@
         text=True,
         check=True,
     ).stdout.split()
-    allowed = ("platform/", "tests/", "standins/installation.py", "standins/store.py")
+    allowed = ("platform/", "tests/", "standins/runners.py", "standins/store.py")
     pattern = re.compile(_WIRE_NAMES, re.IGNORECASE)
     found = [
         f"{name}: {match.group()}"
--- a/tests/steps/allowance_steps.py
+++ b/tests/steps/allowance_steps.py
@@ -8,7 +8,7 @@
 from roadlift.organisations.shares import AllowanceTolerance, Meter
 from roadlift.organisations.sharing import DemandSharing
 from roadlift.serving.routes import Allowance
-from standins.installation import Reply
+from standins.replies import Reply
 from tests.support.configuration import SERVICES, describe_configuration, make_tenant
 from tests.support.entries import Entries
 
--- a/tests/steps/continuation_steps.py
+++ b/tests/steps/continuation_steps.py
@@ -7,7 +7,7 @@
 from behave import given, then, when
 
 from roadlift.instance.placement import Placement
-from standins.installation import REFUSAL, Pause
+from standins.runners import REFUSAL, Pause
 from tests.support.configuration import BASE, SERVICES, make_route
 from tests.support.entries import Entries
 
--- a/tests/steps/instance_steps.py
+++ b/tests/steps/instance_steps.py
@@ -7,7 +7,7 @@
 from roadlift.instance.leases import Leases
 from roadlift.instance.platform import Platform
 from roadlift.serving.calls import Model
-from standins.installation import Reply
+from standins.replies import Reply
 from tests.support.configuration import BASE, ROUTES, SERVICES, make_route
 from tests.support.entries import Entries
 
--- a/tests/steps/pause_steps.py
+++ b/tests/steps/pause_steps.py
@@ -5,7 +5,7 @@
 from behave import then, when
 
 from roadlift.instance.retrybudgets import ServiceBudgets
-from standins.installation import REFUSAL, Pause
+from standins.runners import REFUSAL, Pause
 from tests.support.configuration import BASE, SERVICES, make_route
 from tests.support.entries import Entries
 
--- a/tests/steps/place_steps.py
+++ b/tests/steps/place_steps.py
@@ -8,7 +8,7 @@
 from roadlift.decisions.warmup import ColdEndpoints
 from roadlift.instance.follower import Follower
 from roadlift.instance.metrics import InstanceMetrics
-from standins.installation import REFUSAL
+from standins.runners import REFUSAL
 from tests.steps.limit_steps import cause_fault, find_endpoints, step_served
 from tests.support.configuration import (
     BASE,
--- a/tests/steps/soak_steps.py
+++ b/tests/steps/soak_steps.py
@@ -11,7 +11,9 @@
 from demo.installation import Answer
 from roadlift.relay.upstream import Request
 from standins.arrivals import Arrival, ArrivalWatch, SentCall
-from standins.installation import SLOW, Installation, MemoryLine
+from standins.installation import Installation
+from standins.lines import MemoryLine
+from standins.runners import SLOW
 from standins.statements import Sent, StatementWatch
 
 
--- a/tests/steps/takeup_steps.py
+++ b/tests/steps/takeup_steps.py
@@ -8,7 +8,7 @@
 from roadlift.instance.origins import OriginRegistry
 from roadlift.serving.messages import FindOrigin, OriginReply, StreamOrigins
 from roadlift.serving.originrows import SOFTWARE_TABLE
-from standins.installation import Runner
+from standins.runners import Runner
 from tests.support.configuration import BASE, SERVICES, make_route
 from tests.support.entries import Entries
 from tests.support.streams import Stream
--- a/tests/steps/unframed_steps.py
+++ b/tests/steps/unframed_steps.py
@@ -3,7 +3,7 @@
 from behave import given, then, when
 
 from standins.framings import Unframed
-from standins.installation import Pause
+from standins.runners import Pause
 from tests.support.configuration import BASE, SERVICES, make_route
 from tests.support.entries import Entries
 
--- a/tests/steps/usage_steps.py
+++ b/tests/steps/usage_steps.py
@@ -3,7 +3,7 @@
 from behave import given, then, when
 
 from roadlift.instance.owner import Owner
-from standins.installation import EVENT_GAP
+from standins.runners import EVENT_GAP
 from tests.support.configuration import BASE
 
 
--- a/tests/steps/version_steps.py
+++ b/tests/steps/version_steps.py
@@ -5,7 +5,7 @@
 from behave import given, then, when
 
 from roadlift.instance.leases import Leases
-from standins.installation import Pause
+from standins.runners import Pause
 from tests.support.configuration import BASE, SERVICES, make_route
 from tests.support.entries import Entries
 from tests.support.streams import Stream
--- a/tests/support/entries.py
+++ b/tests/support/entries.py
@@ -13,7 +13,9 @@
 from roadlift.relay.upstream import Request
 from standins.framings import CHUNKED
 from standins.hub import HubCaller, HubTransport
-from standins.installation import DELAY, Installation, MemoryDialer, MemoryLine
+from standins.installation import Installation
+from standins.lines import MemoryDialer, MemoryLine
+from standins.replies import DELAY
 from standins.statements import Sent
 from tests.support.configuration import describe_routes
 
--- a/tests/support/rawcallers.py
+++ b/tests/support/rawcallers.py
@@ -6,7 +6,7 @@
 from typing import NamedTuple
 
 from roadlift.http.server import Server
-from standins.installation import Timeline
+from standins.lines import Timeline
 
 TICK = 0.01  # Seconds between two looks at a socket.
 BUFFER = 4096  # Bytes that the socket to a slow reader buffers.
