--- a/benchmarks/origins.py
+++ b/benchmarks/origins.py
@@ -3,7 +3,8 @@
 Instances of five zones in one process, on a paused clock: each begins streams
 at a rate, and some are resumed at other instances. Prints, as JSON, the bytes
 and messages a second of an instance and of an owner, and the streams and bytes
-that each remembers. Counts and bytes are exact.
+that each remembers, and the store's calls for streams beside several versions.
+Counts and bytes are exact.
 """
 
 import argparse
@@ -15,6 +16,9 @@
 from roadlift.decisions.origins import Origin
 from roadlift.instance.leases import Leases
 from roadlift.instance.origins import OriginRegistry
+from roadlift.instance.platform import Platform
+from roadlift.serving.interfaces import StoreCall
+from roadlift.serving.originrows import STREAM_TABLE
 from tests.support.configuration import BASE, ROUTES, SERVICES
 from tests.support.entries import Entries, Entry
 
@@ -35,12 +39,14 @@
     memory: float
 
 
-def start(instances: int) -> Entries:
+def start(instances: int, versions: int) -> Entries:
     """Start instances, and wait until all have an aggregator."""
     entries = Entries()
     entries.configure(ROUTES, SERVICES)
     for zone in ZONES:
-        entries.installation.add_runner("llm", f"e-{zone}", zone, BASE)
+        for version in range(versions):
+            name, software = f"e-{zone}-{version}", f"v{version + 1}"
+            entries.installation.add_runner("llm", name, zone, BASE, software)
     for number in range(instances):
         zone = ZONES[number % len(ZONES)]
         entries.start(f"i{number}", zone, {"zones": ",".join(ZONES)})
@@ -91,6 +97,12 @@
     )
 
 
+def count_writes(found: list[Entry]) -> int:
+    """Return how often some instances wrote streams to the store."""
+    call = StoreCall("write", STREAM_TABLE)
+    return sum(one.kernel.get(Platform).store.calls[call] for one in found)
+
+
 def main() -> None:
     """Read the flags, measure and print."""
     parser = argparse.ArgumentParser()
@@ -98,8 +110,9 @@
     parser.add_argument("--rate", type=float, default=8.0)
     parser.add_argument("--resumed", type=float, default=0.05)
     parser.add_argument("--seconds", type=float, default=10.0)
+    parser.add_argument("--versions", type=int, default=1)
     args = parser.parse_args()
-    entries = start(args.instances)
+    entries = start(args.instances, args.versions)
     play(entries, args.rate, args.resumed, args.seconds)
     found = list(entries.entries.values())
     owners = [one for one in found if one.kernel.get(Leases).list_held()]
@@ -110,6 +123,7 @@
         "instance": measure(others, args.seconds)._asdict(),
         "owner": measure(owners, args.seconds)._asdict(),
         "owners": len(owners),
+        "stream_writes": count_writes(found),
     }
     print(json.dumps(summary, indent=2))
     entries.close()
--- a/tests/adapter/adapter.feature
+++ b/tests/adapter/adapter.feature
@@ -11,6 +11,9 @@
       | Deadline-Ms: 1500                 | time_limit   | 1.5                           |
       | Deadline-Ms: -5                   | time_limit   | 0.0                           |
       | Deadline-Ms: soon                 | error        | invalid_request               |
+      | Roadlift-Runs: 2                  | runs         | 2                             |
+      | Roadlift-Runs: -1                 | error        | invalid_request               |
+      | Roadlift-Runs: two                | error        | invalid_request               |
       | Model: m/a3                       | model        | m/a3                          |
       | Model: m                          | model        | m                             |
       | Token-Count: 1460,80              | tokens_in    | 1460                          |
