Claim that a row tells all since ever for the first row of a service alone

Callers would have seen a stream joined of two versions: where the row of a service was lost, or a route became one whose streams may be resumed long behind the first start, an owner of the first start wrote the row anew as telling all since ever, with the versions of that moment. Cause: is_first_start is true for as long as its process runs. Change: it counts for services of the first configuration that were never declared; versions that are not declared any more are forgotten. A scenario of takeups.feature fails without it. The scenario of 60 s is played at 15 s: a stream lives for 20, and what it showed was a copy that an owner had read again by chance.

--- a/roadlift/decisions/declarations.py
+++ b/roadlift/decisions/declarations.py
@@ -95,4 +95,10 @@
             self._listed_at[service, version] = now
         limit = now - KEPT_FACTOR * ttl
         kept = {one for one in known if self._listed_at[service, one] > limit}
-        return frozenset(kept.union(listed))
+        versions = kept.union(listed)
+        self._listed_at = {
+            (of, one): at
+            for (of, one), at in self._listed_at.items()
+            if of != service or one in versions
+        }
+        return frozenset(versions)
--- a/roadlift/instance/forwarding.py
+++ b/roadlift/instance/forwarding.py
@@ -40,10 +40,7 @@
 
 
 class PendingCall(NamedTuple):
-    """A call for another instance; ``deadline`` is a time of this process.
-
-    Its ``runs`` are the sends by this instance that may have run.
-    """
+    """A call for another instance; ``deadline`` is a time of this process."""
 
     call: Call
     route: Route
--- a/roadlift/instance/originarchive.py
+++ b/roadlift/instance/originarchive.py
@@ -6,7 +6,7 @@
 comes to own a zone.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
 from roadlift.core.errors import MalformedMessage, RoadliftError, VersionConflict
@@ -86,6 +86,8 @@
         self._ring.on_conflict = self._forget_rows
         self._time: StoreTime | None = None
         self._services: frozenset[str] = frozenset()
+        # Of the first configuration, and never declared yet.
+        self._first_services: frozenset[str] | None = None
         # Of each service, derived from the list and from the rows.
         self._listed: dict[str, frozenset[str | None]] = {}
         self._admitted: dict[str, frozenset[str] | None] = {}
@@ -177,6 +179,10 @@
             self._listed[service] = frozenset(one.software for one in endpoints)
         return self._listed[service]
 
+    def _forget_first(self, services: Iterable[str]) -> None:
+        """Record that services were declared: another row is not the first."""
+        self._first_services = (self._first_services or frozenset()) - set(services)
+
     def _forget_list(self) -> None:
         self._listed.clear()
         self._admitted.clear()
@@ -213,6 +219,7 @@
                 log.error("The row of service %s is ignored: %s.", row.key, error)
                 continue
             self._rows[row.key] = _KnownRow(declaration, row.position)
+        self._forget_first(self._rows)
         self._admitted.clear()
         if any(map(self._is_mixed, self._rows)):
             self._store.read(STREAM_TABLE, self._handle_streams, self._handle_error)
@@ -260,6 +267,8 @@
         self._services = frozenset(
             target.service for route in resumable for target in route.targets
         )
+        if self._first_services is None:
+            self._first_services = self._services
 
     def _check(self) -> None:
         """Declare what is listed, as an owner, or read what is declared."""
@@ -309,13 +318,18 @@
         rank = self._leases.list_zones().index(self._ring.zone)
         due = self._due.setdefault(service, now + ZONE_DELAY * rank)
         if now >= due and service not in self._writing:
-            since = declared.since if is_current else self._find_beginning()
+            since = declared.since if is_current else self._find_beginning(service)
             self._write(service, Declaration(versions, since, era))
 
-    def _find_beginning(self) -> float:
-        """Return since when a first row tells all, 0 for ever."""
+    def _find_beginning(self, service: str) -> float:
+        """Return since when a first row tells all, 0 for ever.
+
+        That is so where nothing can have run before it: at the very first
+        start, of a service whose streams may be resumed from the start.
+        """
         is_first = self._leases.is_first_start and self.is_first_era
-        return 0.0 if is_first else self._moment.now
+        is_new = service in self._first_services
+        return 0.0 if is_first and is_new else self._moment.now
 
     def _write(self, service: str, declaration: Declaration) -> None:
         known = self._rows.get(service)
@@ -339,6 +353,7 @@
         self._writing.discard(service)
         self._due.pop(service, None)
         self._rows[service] = _KnownRow(declaration, position)
+        self._forget_first((service,))
         self._admitted.clear()
         log.event(
             "versions_declared",
--- a/tests/instance/takeups.feature
+++ b/tests/instance/takeups.feature
@@ -46,10 +46,11 @@
       | all instances start again behind its version's first streams      | v1, v1             | 5       | goes on             |
       | all instances have just started again without the other version   | v1, v1.2           | 5       | goes on             |
       | all instances have just started again without its version         | v1, v1.2           | 5       | is refused for good |
-      | all instances have started again without its version, long ago    | v1, v1.2           | 30      | is refused for good |
+      | all instances have started again without its version, 15 s ago    | v1, v1.2           | 5       | is refused for good |
       | all instances have just started again, and the store is older     | v1, v1             | 5       | is refused for good |
       | all instances have just started again, and the store is older     | v1, v1.2           | 5       | is refused for good |
       | all instances have just started again, and the store lost its row | v1, v1             | 5       | is refused for good |
+      | all instances have just started again, as the row was written anew | v1, v1            | 5       | is refused for good |
       | all instances have just started again, and nobody began it        | v1, v1.2           | 5       | is refused for good |
 
   Scenario: Streams begin while an instance comes to own all zones
--- a/tests/steps/takeup_steps.py
+++ b/tests/steps/takeup_steps.py
@@ -5,6 +5,7 @@
 from behave import given, then, when
 
 from roadlift.instance.leases import Leases
+from roadlift.instance.originarchive import OriginArchive
 from roadlift.instance.origins import OriginRegistry
 from roadlift.serving.messages import FindOrigin, OriginReply, StreamOrigins
 from roadlift.serving.originrows import SOFTWARE_TABLE
@@ -266,6 +267,25 @@
         context.entries.installation.store.delete(SOFTWARE_TABLE, service)
 
 
+def _play_row_anew(context) -> Stream:
+    """Lose a row while instances live, whose owners write it again."""
+    stream = _begin(context)
+    _lose_row(context, stream)
+    owner = next(
+        one for one in context.entries.entries.values() if _holds_leases(one.kernel)
+    )
+    owner.kernel.get(OriginArchive).read(lambda is_read: None)
+    context.entries.advance(_STARTED)
+    _end_all(context, stream, lambda context, stream: None)
+    context.entries.advance(_STARTED)
+    _take_up(stream)
+    return stream
+
+
+def _holds_leases(kernel) -> bool:
+    return bool(kernel.get(Leases).list_held())
+
+
 def _play_started_without(context) -> Stream:
     """Take up a stream that no instance ever began."""
     return _restart_all(context, _STARTED, lambda context, stream: _forget(stream))
@@ -314,8 +334,8 @@
     "all instances have just started again without its version": (
         lambda context: _restart_all(context, _STARTED, _remove_own)
     ),
-    "all instances have started again without its version, long ago": (
-        lambda context: _restart_all(context, 60.0, _remove_own)
+    "all instances have started again without its version, 15 s ago": (
+        lambda context: _restart_all(context, 15.0, _remove_own)
     ),
     "all instances have just started again, and the store is older": (
         lambda context: _restart_all(context, _STARTED, _lose_writes)
@@ -323,6 +343,9 @@
     "all instances have just started again, and the store lost its row": (
         lambda context: _restart_all(context, _STARTED, _lose_row)
     ),
+    "all instances have just started again, as the row was written anew": (
+        _play_row_anew
+    ),
     "all instances have just started again, and nobody began it": _play_started_without,
     "a version has left, and nobody remembers it": _play_version_left,
     "its caller does not name it": _play_unnamed,
