--- a/benchmarks/routes.py
+++ b/benchmarks/routes.py
@@ -24,17 +24,16 @@
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from pathlib import Path
-from typing import NamedTuple
 
 from benchmarks.organisations import REVOKE_LIMIT, SETTINGS, KeyRing
-from benchmarks.restarts import Restarts, list_breaches
+from benchmarks.restarts import Restarts
+from benchmarks.runchecks import CALM, Cut, Notes, RunChecks, Watches
 from benchmarks.silences import Silences
 from benchmarks.slowcallers import SlowCallers
 from benchmarks.streams import CALL_LIMIT, SLOW_MIX, Call, StreamWatch, find_terms
 from benchmarks.takeups import TakeUps
 from demo.installation import (
     COLD_RATE,
-    HOME_ZONE,
     ZONES,
     Answer,
     Channel,
@@ -42,10 +41,8 @@
 )
 from roadlift.core.clock import BootClock
 from roadlift.relay.address import Address
-from standins.arrivals import ArrivalWatch, SentCall
-from standins.batches import Fall
 from standins.proxies import Way
-from standins.statements import Sent, StatementWatch
+from standins.statements import Sent
 from tests.support.callers import PROMISES, Wanted, find_runner, make_headers
 
 ADAPTERS = 40
@@ -54,19 +51,12 @@
 SLOW_CALLERS = 18  # Callers that send and read slowly.
 READERS = 16  # Callers of streams that are long enough to be held up.
 EVENTS = 3  # Events of a whole stream.
-LEASE_TURN = 3.0  # Seconds within which holders may not take turns.
-VERSION_LIMIT = 5.0  # Seconds from a version's naming to its use at most.
 ROUTE_LIMIT = 3.0  # Seconds in which an added route is in force.
 START_LIMIT = 8.0  # Seconds in which a process that was started listens.
-CALM = 4.0  # Seconds behind a disturbance in which an instance is excused.
-CONTACT = 3.5  # Seconds in which all know of a call that ended three engines.
-MOST_DEADLY = 3  # Runs of it behind that at most, as of engines under it.
 DEADLY_SPAN = 12.0  # Seconds for which such a call comes again.
 DEADLY_GAP = (0.2, 0.8)  # Seconds until it does, at least and at most.
-MOST_PART_CRASHES = 5  # Crashes under a part behind which runs of it count.
 BRITTLE_SPAN = (5.0, 9.0)  # Seconds for which a service's runners are brittle.
 BEARS = (2, 3, 5)  # Rejections a second that they bear.
-MOST_FALLS = 2  # Of them, in one such time.
 HERD = 90  # New connections that come to one instance.
 HERD_GAP = 0.03  # Seconds between them.
 LIMITS = (1.0, 12.0)  # Calls a second that a runner names, at least and at most.
@@ -92,42 +82,6 @@
 REPEAT_SPAN = (2.0, 5.0)  # Seconds for which runners repeat answers.
 REJECT_GAP = 0.05  # Seconds between two rejections meanwhile.
 FAULT_GAP = (0.2, 1.5)  # Seconds between two faults, at least and at most.
-VIOLATIONS = (
-    "wrong_answer",
-    "whole_but_cut",
-    "cut_by_drain",
-    "ran_twice",
-    "false_not_run",
-    "lost_answer",
-    "old_version",
-    "overfull_engine",
-    "holders_take_turns",
-    "fence_goes_back",
-    "late_route",
-    "route_reverted",
-    "deadly_again",
-    "deadly_part_again",
-    "fell_over",
-    "over_limit",
-    "late_to_leaving",
-    "broken_rest",
-    "late_to_evacuated",
-    "over_cold_rate",
-    "away_from_home",
-    "revoked_run",
-    "wrong_organisation",
-    "key_passed_on",
-    "over_allowance",
-    "cut_by_instance",
-    "ran_at_two",
-    "over_attempts",
-    "over_retries",
-    "over_time",
-    "two_versions",
-    "events_out_of_order",
-    "own_end",
-    "no_recovery",
-)
 _MIX = (
     ("stream", "/long/1", 6),
     ("again", "/again/1", 3),
@@ -137,35 +91,24 @@
 )
 _STREAMS = ("stream", "again", "slow", "slow_again")
 _CUTS = (frozenset(Way), frozenset({Way.REQUESTS}), frozenset({Way.ANSWERS}))
-_REPEATABLE = ("idem", "again", "home", "slow_again")
 _HOT = 3  # Adapters of which new versions are named.
 
 
-class Cut(NamedTuple):
-    """A call that ended early at an instance that was leaving."""
-
-    call_id: str
-    instance: str
-    after: float
-
-
 class Soak:
     """The callers, the faults, and what is found."""
 
     def __init__(self, deployment: Deployment, seed: int) -> None:
         self._deployment = deployment
+        self.notes = Notes()
         self._draw = random.Random(seed)
         self._began = 0.0
         self._end = 0.0
-        self.noticed_after: float | None = None
         self.only: list[str] = []  # Names of faults; empty for all.
         self._serial = 0
-        self._disturbed: dict[str, float] = {}
         self._away: set[str] = set()
         self._leaving_at: dict[str, float] = {}
         self._runs_of: dict[str, int] = {}
         self._freezes: Counter[str] = Counter()
-        self._senders: dict[str, Sent] = {}
         self._clock = BootClock()
         self.keys = KeyRing(self._draw, self._clock)
         self._streams = StreamWatch()
@@ -175,7 +118,6 @@
         )
         self._writing = asyncio.Lock()
         self._seen_routes: dict[tuple[str, int], int] = {}
-        self._store_disturbed = 0.0
         self._evacuated = ""
         self._added: list[float] = []
         self._takeups = TakeUps(
@@ -186,18 +128,10 @@
         )
         slow_draw = random.Random(f"slow {seed}")
         self._slow_callers = SlowCallers(slow_draw, self, self.keys.get_safe)
-        self._said: dict[str, str] = {}
-        self._kinds: dict[str, str] = {}
-        self._sent_to: dict[str, tuple[str, float]] = {}
-        self._excused: dict[str, bool] = {}
-        self._cuts: list[Cut] = []
-        self.counts: Counter[str] = Counter()
-        self.violations: Counter[str] = Counter(dict.fromkeys(VIOLATIONS, 0))
-        self.details: list[str] = []
 
     async def run(self, seconds: float) -> None:
         """Run callers and faults for some seconds, then look at the rest."""
-        self._began = time.monotonic()
+        self._began = self.notes.began_at = time.monotonic()
         self._end = self._began + seconds
         await self._command(release="e10", software=SOFTWARE[1])
         mixes = [_MIX] * CALLERS + [SLOW_MIX] * READERS
@@ -225,16 +159,11 @@
 
     def was_disturbed(self, name: str, since: float) -> bool:
         """Return whether something else befell an instance since a time."""
-        return self._disturbed.get(name, 0.0) >= since - CALM
+        return self.notes.disturbed.get(name, 0.0) >= since - CALM
 
     def note(self, violation: str, detail: str, after: float | None = None) -> None:
         """Note a violation, seen so many seconds after the beginning."""
-        if after is None:
-            after = round(time.monotonic() - self._began, 1)
-        if self.noticed_after is None:
-            self.noticed_after = after
-        self.violations[violation] += 1
-        self.details.append(f"{violation}: {detail}")
+        self.notes.add(violation, detail, after)
 
     # Callers.
 
@@ -268,7 +197,7 @@
         key = self.keys.pick(call_id)
         headers = make_headers(Wanted(call_id, model, CALL_LIMIT, key))
         began = time.monotonic()
-        self._kinds[call_id] = kind
+        self.notes.kinds[call_id] = kind
         self._note_sent(call_id, name, began)
         run = self._runs_of.get(name, 0)
         answer = await channel.call("POST", path, headers)
@@ -288,23 +217,23 @@
     def _is_held_up(self, name: str, run: int, began: float) -> bool:
         """Tell whether an instance was disturbed or ended since a time."""
         has_ended = name in self._away or self._runs_of.get(name, 0) != run
-        return has_ended or self._disturbed.get(name, 0.0) >= began
+        return has_ended or self.notes.disturbed.get(name, 0.0) >= began
 
     def _note_sent(self, call_id: str, name: str, began: float) -> None:
         """Keep to which run of an instance a call is sent, by both clocks."""
-        self._sent_to[call_id] = (name, began)
+        self.notes.sent_to[call_id] = (name, began)
         process = f"{name} {self._runs_of.get(name, 0)} {self._freezes[name]}"
-        self._senders[call_id] = Sent(process, self._clock.now())
+        self.notes.senders[call_id] = Sent(process, self._clock.now())
 
     def _judge(self, call_id, kind, name, began, answer: Answer) -> None:
-        self.counts[f"{kind}_{answer.status}"] += 1
+        self.notes.counts[f"{kind}_{answer.status}"] += 1
         if answer.status == 200 and answer.is_whole:
-            self._said[call_id] = "served"
+            self.notes.said[call_id] = "served"
             self._check_answer(call_id, kind, answer)
         elif answer.status in PROMISES:
-            self._said[call_id] = "not_run"
+            self.notes.said[call_id] = "not_run"
         elif self._streams.is_expired(call_id):
-            self.counts["cut_at_limit"] += 1
+            self.notes.counts["cut_at_limit"] += 1
         elif answer.status in (0, 200):
             self._check_cut(call_id, name, began)
 
@@ -327,9 +256,9 @@
         leaving_at = self._leaving_at.get(name)
         if leaving_at is None or began > leaving_at + 2.5:
             return
-        if self._disturbed.get(name, 0.0) < began - CALM:
+        if self.notes.disturbed.get(name, 0.0) < began - CALM:
             after = round(time.monotonic() - self._began, 1)
-            self._cuts.append(Cut(call_id, name, after))
+            self.notes.cuts.append(Cut(call_id, name, after))
 
     # Faults.
 
@@ -372,14 +301,16 @@
         while time.monotonic() < self._end - 6.0:
             await asyncio.sleep(self._draw.uniform(*FAULT_GAP))
             fault = self._draw.choices(calls, weights)[0]
-            self.counts[fault.__name__.strip("_")] += 1
+            self.notes.counts[fault.__name__.strip("_")] += 1
             tasks.append(asyncio.create_task(fault()))
         await asyncio.gather(*tasks)
 
     def _take_instance(self) -> str | None:
         """Return an instance that no other fault has, or None."""
         names = set(self._deployment.instances) - self._away - set(self._leaving_at)
-        free = [name for name in sorted(names) if self._disturbed.get(name, 0) >= 0]
+        free = [
+            name for name in sorted(names) if self.notes.disturbed.get(name, 0) >= 0
+        ]
         return self._draw.choice(free) if len(free) > 2 else None
 
     async def _command(self, **fields: object) -> None:
@@ -412,7 +343,7 @@
         process.start()
         await self._wait_until_listening(process.address)
         await asyncio.sleep(1.0)
-        self._disturbed[name] = time.monotonic()
+        self.notes.disturbed[name] = time.monotonic()
         self._away.discard(name)
 
     async def _wait_until_listening(self, address: Address) -> None:
@@ -441,12 +372,12 @@
     async def _stand_still(self, name: str) -> AsyncIterator[None]:
         """Stop an instance for as long as this is held."""
         process = self._deployment.instances[name]
-        self._disturbed[name] = time.monotonic() + 60.0
+        self.notes.disturbed[name] = time.monotonic() + 60.0
         self._freezes[name] += 1
         process.send_signal(signal.SIGSTOP)
         yield
         process.send_signal(signal.SIGCONT)
-        self._disturbed[name] = time.monotonic()
+        self.notes.disturbed[name] = time.monotonic()
 
     async def _leave(self) -> None:
         name = self._take_instance()
@@ -468,21 +399,21 @@
         del self._leaving_at[name]
 
     async def _silence_store(self) -> None:
-        self._store_disturbed = time.monotonic() + 60.0
+        self.notes.store_disturbed = time.monotonic() + 60.0
         await self._command(is_down=True)
         await asyncio.sleep(self._draw.uniform(0.5, 5.0))
         await self._command(is_down=False)
-        self._store_disturbed = time.monotonic()
+        self.notes.store_disturbed = time.monotonic()
 
     async def _go_back(self) -> None:
         """Take the store away for a moment; it comes back older."""
-        self._store_disturbed = time.monotonic() + 60.0
+        self.notes.store_disturbed = time.monotonic() + 60.0
         await self._command(is_down=True)
         await asyncio.sleep(self._draw.uniform(0.1, 2.0))
         passed = self._draw.choice((0, 20, MOST_PASSED))
         await self._command(go_back=self._draw.uniform(1.0, MOST_LOST), passed=passed)
         await self._command(is_down=False)
-        self._store_disturbed = time.monotonic()
+        self.notes.store_disturbed = time.monotonic()
 
     async def _cut_from_store(self) -> None:
         """Let nothing pass between an instance and the store, or one way."""
@@ -490,18 +421,18 @@
         if name is None:
             return
         proxy = self._deployment.proxies[name]
-        self._disturbed[name] = time.monotonic() + 60.0
+        self.notes.disturbed[name] = time.monotonic() + 60.0
         proxy.held = self._draw.choice(_CUTS)
         await asyncio.sleep(self._draw.uniform(0.3, MOST_CUT))
         proxy.held = frozenset()
-        self._disturbed[name] = time.monotonic()
+        self.notes.disturbed[name] = time.monotonic()
 
     async def _reset_store(self) -> None:
         """Reset an instance's connections to the store, or silence them."""
         name = self._take_instance()
         if name is None:
             return
-        self._disturbed[name] = time.monotonic()
+        self.notes.disturbed[name] = time.monotonic()
         proxy = self._deployment.proxies[name]
         self._draw.choice((proxy.reset, proxy.silence))()
 
@@ -565,7 +496,7 @@
         channel = Channel(self._deployment.instances[name].address)
         answer = await channel.call("POST", "/idem/1", headers)
         channel.close()
-        self.counts[f"former_{answer.status}"] += 1
+        self.notes.counts[f"former_{answer.status}"] += 1
 
     async def _revoke_key(self) -> str:
         """Give an organisation another key; return the one that it had."""
@@ -620,7 +551,7 @@
 
     async def _send_deadly(self) -> None:
         """Send a call that ends engines, again and again, for a while."""
-        number = self.counts["send_deadly"]
+        number = self.notes.counts["send_deadly"]
         await self._command(deadly=f"deadly {number}")
         until = min(self._end, time.monotonic() + DEADLY_SPAN)
         tasks = []
@@ -641,7 +572,7 @@
 
     async def _send_deadly_part(self) -> None:
         """Send calls, no two alike, with a part that ends engines."""
-        part = f"d{self.counts['send_deadly_part']}"
+        part = f"d{self.notes.counts['send_deadly_part']}"
         await self._command(deadly_part=part)
         until = min(self._end, time.monotonic() + DEADLY_SPAN)
         tasks = []
@@ -664,7 +595,7 @@
             channel = Channel(address)
             answer = await channel.call("POST", "/idem/1", headers, b"")
             channel.close()
-            self.counts[f"herd_{answer.status}"] += 1
+            self.notes.counts[f"herd_{answer.status}"] += 1
 
         tasks = []
         for _ in range(HERD):
@@ -692,15 +623,15 @@
         call_id = f"d{self._serial}"
         began = time.monotonic()
         self._note_sent(call_id, name, began)
-        is_disturbed = self._disturbed.get(name, 0.0) > began - CALM
-        self._excused[call_id] = is_disturbed or name in self._leaving_at
+        is_disturbed = self.notes.disturbed.get(name, 0.0) > began - CALM
+        self.notes.excused[call_id] = is_disturbed or name in self._leaving_at
         model, key = f"base/x{number % ADAPTERS}", self.keys.get_safe(call_id)
         headers = make_headers(Wanted(call_id, model, 4.0, key, part=part))
         channel = Channel(self._deployment.instances[name].address)
         body = (call_id if part else f"deadly {number}").encode()
         answer = await channel.call("POST", "/long/deadly", headers, body)
         channel.close()
-        self.counts[f"deadly_{answer.status}"] += 1
+        self.notes.counts[f"deadly_{answer.status}"] += 1
 
     # Configurations.
 
@@ -742,7 +673,7 @@
             return
         if self._seen_routes.get(run, 0) >= number:
             self.note("route_reverted", f"{name} /added-{number}/")
-        excused = max(self._disturbed.get(name, 0.0), self._store_disturbed)
+        excused = max(self.notes.disturbed.get(name, 0.0), self.notes.store_disturbed)
         is_same = run == (name, self._runs_of.get(name, 0))
         if is_same and excused < now - CALM and name not in self._away:
             self.note("late_route", f"{name} /added-{number}/")
@@ -770,169 +701,13 @@
                 else:
                     self.note("no_recovery", f"{name} {kind} {answer.status}")
 
-    def check_runs(self, found: dict) -> None:
-        """Compare what callers were told with what the runners noted."""
-        runs = Counter(run["id"] for run in found["runs"])
-        for call_id, kind in self._kinds.items():
-            said = self._said.get(call_id)
-            if kind not in _REPEATABLE and runs[call_id] > 1:
-                self.note("ran_twice", f"{call_id} {kind} {runs[call_id]}")
-            if said == "not_run" and runs[call_id]:
-                self.note("false_not_run", f"{call_id} {kind}")
-            if said == "served" and not runs[call_id]:
-                self.note("lost_answer", f"{call_id} {kind}")
-        spoiled = set(found["spoiled"]) | set(found["hung"])
-        self._check_cuts(spoiled)
-        for breach in self._slow_callers.check(runs, spoiled):
-            self.note(breach.rule, breach.detail)
-        self.counts.update(self._slow_callers.counts)
-        for breach, after in self._streams.check(found):
-            self.note(breach.rule, breach.detail, after)
-        self.counts.update(self._silences.counts)
-        self.counts.update(self._takeups.counts)
-        for breach in self._takeups.breaches:
-            self.note(breach.rule, breach.detail)
-        self._check_arrivals(ArrivalWatch.read(found["arrivals"]))
-        self.counts["hung_calls"] = len(found["hung"])
-        for runs in found["deadly"]:
-            self._check_deadly(runs, MOST_DEADLY, "deadly_again")
-        for runs in found["deadly_parts"]:
-            self._check_deadly(runs, MOST_PART_CRASHES, "deadly_part_again")
-        self._check_falls([Fall(*fall) for fall in found["fallen"]])
-        self.counts["rejected"] = found["rejected"]
-        for run in found["runs"]:
-            self._check_version(run["id"], run["old_for"])
-        self._check_limits(found["excess"])
-        for breach in self.keys.check(found["runs"]):
-            self.note(breach.rule, breach.detail)
-        self._check_statements(StatementWatch.read(found["statements"]))
-        self._check_places(found)
-        for name in found["overfull"]:
-            self.note("overfull_engine", name)
-        for name, orders in found["orders"].items():
-            self._check_orders(name, orders)
-        self.counts["runs"] = len(found["runs"])
-        self.counts["store_calls"] = found["store_calls"]
-
-    def _check_arrivals(self, watch: ArrivalWatch) -> None:
-        """Note sends beyond the retry rule, or with too much time."""
-        sent = [
-            SentCall(sender.at, "", call_id, CALL_LIMIT)
-            for call_id, sender in self._senders.items()
-            if call_id in self._kinds
-        ]
-        for breach in list_breaches(watch, sent):
-            self.note(breach.rule, breach.detail)
-
-    def _check_limits(self, found: list) -> None:
-        """Note what came too much behind the first naming of a limit.
-
-        What came before it, in the same window, nobody could keep back.
-        """
-        for at, runner, calls, allowed, since, late in found:
-            if late <= allowed:
-                self.counts["over_limit_before"] += 1
-                continue
-            told = f"{runner} {calls} of {allowed:.0f} at {at:.1f}"
-            self.note("over_limit", f"{told}, {late} of them in {since:.1f} s")
-
-    def _check_statements(self, watch: StatementWatch) -> None:
-        """Note what was sent on against what runners said of themselves."""
-        self.counts["rests"] = watch.count_rests()
-        for late in watch.list_late(self._senders):
-            told = f"{late.call_id} at {late.runner} from {late.process}"
-            self.note("late_to_leaving", f"{told}, {late.after:.2f} s")
-        for rest in watch.list_broken(self._senders):
-            told = f"{rest.calls} at {rest.runner} from {rest.process}"
-            self.note("broken_rest", f"{told} in {rest.seconds} s from {rest.at:.1f}")
-
-    def _check_places(self, found: dict) -> None:
-        """Note calls in evacuated zones, at cold runners and away from home.
-
-        A call in an evacuated zone is excused where its instance, or the
-        store, was disturbed since the operator's row.
-        """
-        for call_id, runner, after in found["stray"]:
-            name, began = self._sent_to.get(call_id, ("", 0.0))
-            held_up = max(self._disturbed.get(name, 0.0), self._store_disturbed)
-            if name and held_up < began - after:
-                self.note("late_to_evacuated", f"{call_id} at {runner}, {after:.2f} s")
-            self.counts["stray_excused"] += held_up >= began - after
-        for runner, at, calls, allowed in found["crowded"]:
-            self.note(
-                "over_cold_rate", f"{runner} {calls} of {allowed:.0f} at {at:.1f}"
-            )
-        home = ZONES.index(HOME_ZONE)
-        for run in found["runs"]:
-            is_away = int(run["runner"][1]) != home
-            if self._kinds.get(run["id"]) == "home" and is_away:
-                self.note("away_from_home", f"{run['id']} at {run['runner']}")
-
-    def _check_cuts(self, spoiled: set[str]) -> None:
-        """Note the calls that were cut at a drain, but not by a runner."""
-        for cut in self._cuts:
-            if cut.call_id in spoiled:
-                self.counts["cut_by_runner"] += 1
-                continue
-            self.note("cut_by_drain", f"{cut.call_id} at {cut.instance}", cut.after)
-
-    def _check_deadly(self, runs: list[str], most: int, rule: str) -> None:
-        """Count the runs of deadly calls that all should have known of.
-
-        All know of them behind as many runs as ``most``.
-        """
-        sent = [(self._sent_to[call_id][1], call_id) for call_id in runs]
-        self.counts["deadly_runs"] += len(sent)
-        if len(sent) < most:
-            return
-        known_at = sent[most - 1][0] + CONTACT
-        late = [one for at, one in sent if at > known_at and not self._excused[one]]
-        if len(late) > MOST_DEADLY:
-            self.note(rule, f"{len(sent)} runs, {late}")
-
-    def _check_falls(self, falls: list[Fall]) -> None:
-        """Count the runners that fell over in each time of brittleness.
-
-        A fall counts if most of what was rejected came from instances that
-        were not disturbed.
-        """
-        self.counts["falls"] = len(falls)
-        counted = Counter(fall.time for fall in falls if self._is_counted(fall))
-        for number, count in counted.items():
-            if count > MOST_FALLS:
-                self.note("fell_over", f"{count} in time {number}")
-
-    def _is_counted(self, fall: Fall) -> bool:
-        senders = [self._sent_to.get(call_id) for call_id in fall.rejected]
-        calm = [
-            sender
-            for sender in senders
-            if sender and self._disturbed.get(sender[0], 0.0) < sender[1] - CALM
-        ]
-        return 2 * len(calm) > len(senders)
-
-    def _check_version(self, call_id: str, old_for: float) -> None:
-        """A run on an old version is excused where its news were held up."""
-        name, began = self._sent_to.get(call_id, ("", 0.0))
-        if old_for <= VERSION_LIMIT or not name:
-            return
-        named_at = began - old_for
-        held_up = max(self._disturbed.get(name, 0.0), self._store_disturbed)
-        if held_up < named_at:
-            self.note("old_version", f"{call_id} at {name}, {old_for:.1f} s")
-
-    def _check_orders(self, engine: str, orders: list) -> None:
-        """See that fences grow, and that holders take no turns."""
-        last: dict[str, float] = {}
-        fence, holder = 0, ""
-        for at, name, number in orders:
-            if number < fence:
-                self.note("fence_goes_back", f"{engine} {name} {number} < {fence}")
-            is_back = name != holder and name in last
-            if is_back and at - last[name] < LEASE_TURN:
-                self.note("holders_take_turns", f"{engine} {holder} {name} at {at:.2f}")
-            fence, holder = max(fence, number), name
-            last[name] = at
+    @property
+    def checks(self) -> RunChecks:
+        """Return what compares callers' answers with the runners' notes."""
+        watches = Watches(
+            self.keys, self._streams, self._silences, self._takeups, self._slow_callers
+        )
+        return RunChecks(self.notes, watches)
 
 
 def run(
@@ -952,16 +727,16 @@
         deployment.start()
         time.sleep(4.0)
         asyncio.run(soak.run(seconds))
-        soak.check_runs(deployment.site.read("/control"))
+        soak.checks.check(deployment.site.read("/control"))
     finally:
         deployment.close()
     return {
-        "violations": dict(sorted(soak.violations.items())),
-        "counts": dict(sorted(soak.counts.items())),
-        "details": soak.details[:20],
+        "violations": dict(sorted(soak.notes.violations.items())),
+        "counts": dict(sorted(soak.notes.counts.items())),
+        "details": soak.notes.details[:20],
         "seed": seed,
         "broken_rule": rule,
-        "noticed_after": soak.noticed_after,
+        "noticed_after": soak.notes.noticed_after,
     }
 
 
--- a/standins/loopback.py
+++ b/standins/loopback.py
@@ -20,9 +20,10 @@
 from roadlift.relay.upstream import Request
 from standins.batches import Batch
 from standins.framings import Unframed
-from standins.installation import Installation, Reply
+from standins.installation import Installation
 from standins.lines import MemoryLine
 from standins.pours import Heads, Pour, Pourer
+from standins.replies import Reply
 from standins.runners import REFUSAL, STAMP, Pause, Runner
 
 CONTROL = "/control"
--- a/tests/steps/soak_steps.py
+++ b/tests/steps/soak_steps.py
@@ -6,7 +6,8 @@
 from behave import given, then, when
 
 from benchmarks.restarts import list_breaches
-from benchmarks.routes import MOST_DEADLY, Cut, Soak
+from benchmarks.routes import Soak
+from benchmarks.runchecks import MOST_DEADLY, Cut
 from benchmarks.streams import Call, StreamWatch, find_terms
 from demo.installation import Answer
 from roadlift.relay.upstream import Request
@@ -25,20 +26,20 @@
 def step_cuts(context, calls):
     """Make a soak without processes, and note cuts."""
     context.soak = Soak(None, 1)
-    context.soak._cuts = [Cut(name, "entry-0", 1.0) for name in _split(calls)]
+    context.soak.notes.cuts = [Cut(name, "entry-0", 1.0) for name in _split(calls)]
 
 
 @when('the runners tell that they broke off "{spoiled}"')
 def step_spoiled(context, spoiled):
     """Check the cuts."""
-    context.soak._check_cuts(set(_split(spoiled)))
+    context.soak.checks._check_cuts(set(_split(spoiled)))
 
 
 @then("{violations:d} calls were cut by a drain and {excused:d} by runners")
 def step_cut(context, violations, excused):
     """Look at the counts."""
     soak = context.soak
-    found = (soak.violations["cut_by_drain"], soak.counts["cut_by_runner"])
+    found = (soak.notes.violations["cut_by_drain"], soak.notes.counts["cut_by_runner"])
     assert found == (violations, excused), found
 
 
@@ -49,13 +50,13 @@
 def step_limit(context, allowed, calls, late):
     """Check what a runner says that it got."""
     context.soak = Soak(None, 1)
-    context.soak._check_limits([[5.0, "p0", calls, allowed, 3.4, late]])
+    context.soak.checks._check_limits([[5.0, "p0", calls, allowed, 3.4, late]])
 
 
 @then("{violations:d} runners got more than their limit")
 def step_over_limit(context, violations):
     """Look at the count."""
-    assert context.soak.violations["over_limit"] == violations
+    assert context.soak.notes.violations["over_limit"] == violations
 
 
 @given('a soak in which a deadly call ran at "{runs}" seconds')
@@ -65,16 +66,16 @@
     is_frozen = runs.endswith(" at a frozen one")
     times = [float(one) for one in _split(runs.removesuffix(" at a frozen one"))]
     for index, at in enumerate(times):
-        soak._sent_to[f"d{index}"] = ("entry-0", at)
-        soak._excused[f"d{index}"] = is_frozen and index == len(times) - 1
-    soak._check_deadly(list(soak._sent_to), MOST_DEADLY, "deadly_again")
+        soak.notes.sent_to[f"d{index}"] = ("entry-0", at)
+        soak.notes.excused[f"d{index}"] = is_frozen and index == len(times) - 1
+    soak.checks._check_deadly(list(soak.notes.sent_to), MOST_DEADLY, "deadly_again")
 
 
 @then("{violations:d} deadly calls ran again")
 def step_again(context, violations):
     """Look at the count."""
-    found = context.soak.violations["deadly_again"]
-    assert found == violations, (found, context.soak.details)
+    found = context.soak.notes.violations["deadly_again"]
+    assert found == violations, (found, context.soak.notes.details)
 
 
 @given(
@@ -85,8 +86,10 @@
     """Note what runners noted; a rest is of 3 seconds."""
     soak = context.soak = Soak(None, 1)
     watch = StatementWatch()
-    soak._senders = {f"r{number}": Sent("entry-0", after) for number in range(calls)}
-    soak._senders["first"] = Sent("entry-0", 0.0)
+    soak.notes.senders = {
+        f"r{number}": Sent("entry-0", after) for number in range(calls)
+    }
+    soak.notes.senders["first"] = Sent("entry-0", 0.0)
     if word == "leaving":
         watch.note_leaving("p0", "first", 0.0)
     else:
@@ -94,13 +97,13 @@
     for number in range(calls):
         watch.note_call("p0", f"r{number}", after)
     content = json.loads(json.dumps(watch.describe()))
-    soak._check_statements(StatementWatch.read(content))
+    soak.checks._check_statements(StatementWatch.read(content))
 
 
 @then("{late:d} calls came too late and {broken:d} rests were broken")
 def step_kept(context, late, broken):
     """Look at the counts."""
-    found = context.soak.violations
+    found = context.soak.notes.violations
     assert (found["late_to_leaving"], found["broken_rest"]) == (late, broken), found
 
 
@@ -179,7 +182,9 @@
     """Disturb an instance, or not, while a call is there."""
     soak = context.soak = Soak(None, 1)
     if what in ("stands still", "goes on"):
-        soak._disturbed["entry-0"] = _AT + (60.0 if what == "stands still" else 0.5)
+        soak.notes.disturbed["entry-0"] = _AT + (
+            60.0 if what == "stands still" else 0.5
+        )
     elif what == "is away":
         soak._away.add("entry-0")
     elif what == "starts again":
@@ -190,7 +195,7 @@
 def step_went_on(context):
     """Disturb an instance before a call is there."""
     context.soak = Soak(None, 1)
-    context.soak._disturbed["entry-0"] = _AT - 0.1
+    context.soak.notes.disturbed["entry-0"] = _AT - 0.1
 
 
 @then("the call is held up: {answer}")
@@ -354,14 +359,14 @@
     soak._leaving_at["entry-0"] = began
     soak._note_call("r1", _PATH, "entry-0", 0, began, _ANSWERS[answer])
     soak._judge("r1", "again", "entry-0", began, _ANSWERS[answer])
-    soak._check_cuts(set())
+    soak.checks._check_cuts(set())
 
 
 @then("{violations:d} calls were cut by a drain and {expired:d} at their limit")
 def step_drain_limit(context, violations, expired):
     """Look at the counts."""
     soak = context.soak
-    found = (soak.violations["cut_by_drain"], soak.counts["cut_at_limit"])
+    found = (soak.notes.violations["cut_by_drain"], soak.notes.counts["cut_at_limit"])
     assert found == (violations, expired), found
 
 
