Send a call to no engine that has it and does not respond

Callers saw a stream cut though its engine was sound: it paused for a moment, and went on. Cause: where no other engine could go on with a stream, a search begins a second round, in which all that was left out is tried again, also the engine that keeps the call's first send. Once it responds to others it was sent the call again; the new send replaced the first one, whose run was sound, and used the route's last attempt. Change: the engines of kept sends are left out for as long as they are kept, in each round.

--- a/roadlift/instance/exchange.py
+++ b/roadlift/instance/exchange.py
@@ -234,6 +234,10 @@
         has_begun = self._answer.has_begun or self._scope.is_bound
         return bool(self._sends.kept) or has_begun
 
+    def list_kept(self) -> set[str]:
+        """Return the endpoints that have the call and do not respond."""
+        return self._sends.kept.list_endpoints()
+
     def identify(self) -> bytes:
         """Return the identity of the call's work; computed once."""
         if self._identity is None:
@@ -304,7 +308,6 @@
         """Search for another engine while the current send is kept."""
         self._sends.keep_current()
         self._search.begin_round()
-        self._search.exclude(self._sends.kept.list_endpoints())
         self._search.gate.denied.clear()
         self._search.schedule(DETECTION_DELAY)
 
--- a/roadlift/instance/search.py
+++ b/roadlift/instance/search.py
@@ -50,6 +50,9 @@
     def needs_endpoint(self) -> bool:
         """Return whether the call has not ended, and no current send."""
 
+    def list_kept(self) -> set[str]:
+        """Return the endpoints that have the call and do not respond."""
+
     def pass_on(self) -> bool:
         """Forward the call if no endpoint is reached; tell if it was."""
 
@@ -143,7 +146,7 @@
         self.call_later(seconds, self.try_send)
 
     def _list_excluded(self) -> set[str]:
-        return self._excluded | self.gate.denied
+        return self._excluded | self.gate.denied | self._owner.list_kept()
 
     # Sending
 
--- a/tests/instance/pauses.feature
+++ b/tests/instance/pauses.feature
@@ -17,6 +17,12 @@
     Then each of these answers is whole and has each event once
     And no call ran at two engines at once for long
 
+  Scenario: A stream is not sent again to its silent engine, which has it
+    Guards against a second run at the same engine that replaces the first, and uses an attempt.
+
+    When the only engine pauses for 0.9 seconds, and goes on with one of two streams
+    Then the other stream is not sent to it again
+
   Scenario: A call that waits at an engine whose streams pause is not failed
     When a call waits at an engine whose only stream pauses for 0.9 seconds
       | where                                           |
--- a/tests/steps/pause_steps.py
+++ b/tests/steps/pause_steps.py
@@ -19,6 +19,7 @@
     gapGoalMs=500,
 )
 _EVENTS = 6
+_MANY = 60  # Events of streams that go on until a case is over.
 _SLOW_LOAD = 1.6  # Seconds, several times what a load usually takes here.
 _HEADERS = {
     "model": f"{BASE}/x",
@@ -267,3 +268,29 @@
         runners = entries.installation.runners.values()
         holders = [one.id for one in runners if "x" in one.held or "x" in one.arriving]
         assert len(holders) == 2, holders
+
+
+@when(
+    "the only engine pauses for {seconds:g} seconds, and goes on with one of two"
+    " streams"
+)
+def step_go_on_with_one(context, seconds):
+    """Let the first of them make no event for much longer."""
+    context.entries = entries = _start(context, "there is no other engine")
+    engine = _find_holder(entries)
+    engine.events = _MANY
+    engine.faults = [Pause(_DURATION)]
+    entries.call("a", "/again/held", _HEADERS)
+    context.held = f"r{len(entries.callers)}"
+    entries.call("a", "/again/slow", _HEADERS)
+    entries.advance(0.5)
+    engine.pause(seconds)
+    entries.advance(_DURATION / 2)
+
+
+@then("the other stream is not sent to it again")
+def step_not_again(context):
+    """Count its runs."""
+    engine = _find_holder(context.entries)
+    runs = [one for one in engine.ran if one["request-id"] == context.held]
+    assert len(runs) == 1, len(runs)
