--- a/tests/instance/pauses.feature
+++ b/tests/instance/pauses.feature
@@ -23,6 +23,12 @@
     When the only engine pauses for 0.9 seconds, and goes on with one of two streams
     Then the other stream is not sent to it again
 
+  Scenario: A stream goes on at its sound engine as the one that took it over ends at once
+    Guards against giving up a sound run for one that has not brought an event yet.
+
+    When a stream's engine pauses for 1.5 seconds, and the one that takes it over ends unread
+    Then each of these answers is whole and has each event once
+
   Scenario: A call that waits at an engine whose streams pause is not failed
     When a call waits at an engine whose only stream pauses for 0.9 seconds
       | where                                           |
--- a/tests/steps/pause_steps.py
+++ b/tests/steps/pause_steps.py
@@ -27,6 +27,7 @@
     "prompt-prefix": "ab:10",
     "deadline-ms": "10000",
 }
+_HANDED_OVER = 0.3  # Seconds in which a call is handed over.
 _DURATION = 6.0  # Seconds for which a case is played.
 _STEP = 0.01  # Seconds.
 _ONCE = make_route("/once/", "streaming", "llm", timeoutMs=10000, attempts=1)
@@ -294,3 +295,32 @@
     engine = _find_holder(context.entries)
     runs = [one for one in engine.ran if one["request-id"] == context.held]
     assert len(runs) == 1, len(runs)
+
+
+@when(
+    "a stream's engine pauses for {seconds:g} seconds, and the one that takes it over"
+    " ends unread"
+)
+def step_taken_over(context, seconds):
+    """End the other engine behind the handover, before its first event."""
+    where = "the others read prompts for 1.5 seconds first"
+    entries = _start(context, where)
+    holder = _find_holder(entries)
+    _prepare_others(entries, holder, where)
+    holder.faults = [Pause(seconds)]
+    caller = entries.call("a", "/again/1", _HEADERS)
+    call_id = f"r{len(entries.callers)}"
+    others = [one for one in entries.installation.runners.values() if one != holder]
+    for _ in range(round(seconds / _STEP)):
+        entries.advance(_STEP)
+        taken = [one for one in others if _has_run(one, call_id)]
+        if taken:
+            break
+    entries.advance(_HANDED_OVER)
+    taken[0].crash()
+    entries.advance(_DURATION)
+    context.played = {where: [caller]}
+
+
+def _has_run(engine, call_id):
+    return any(one["request-id"] == call_id for one in engine.ran)
