Let a stand-in runner that ends drop what it had not read

What is not read at a runner's end, or its restart, is never read now, and its connection closes at once.

--- a/standins/lines.py
+++ b/standins/lines.py
@@ -16,6 +16,8 @@
 if TYPE_CHECKING:
     from standins.installation import Installation
 
+_numbers = itertools.count()  # Of calls, in the order they begin.
+
 
 class Timeline:
     """Calls in the future, on a clock that the test advances."""
@@ -52,6 +54,7 @@
 
     def __init__(self, receiver: "HeldReceiver") -> None:
         super().__init__(receiver)
+        self.number = next(_numbers)
         self.written = False
         self.call_id = ""
         self.progress_at = 0.0  # When it began, or made its last event.
--- a/standins/runners.py
+++ b/standins/runners.py
@@ -120,6 +120,7 @@
         self._hung_until = 0.0
         self._stopped_until = 0.0
         self._shut_until = 0.0
+        self._unread: set[MemoryLine] = set()
         # Seconds until a call that is turned away is told so.
         self.refusal_time = DELAY
 
@@ -183,6 +184,7 @@
         self.on_end()
         self.interrupt()
         lines, self._lines = self._list_running(), []
+        lines += self._drop_unread()
         if self.batch is not None:
             lines += self.batch.take_waiting()
         for line in lines:
@@ -278,6 +280,8 @@
         if self.named is not None:
             self.name_limit(None)
         self.interrupt()
+        for line in self._drop_unread():
+            line.fail(ConnectionLost("closed early"))
         self._hung_until = 0.0
         self.is_leaving = False
         self.rest = None
@@ -316,7 +320,8 @@
         """Answer what has arrived."""
         left = self._stopped_until - self._timeline.now()
         if left > SHORTEST_WAIT:
-            again = lambda: self._read(request, headers, line)
+            self._unread.add(line)
+            again = lambda: self._read_late(request, headers, line)
             self._timeline.call_later(left, again)
             return
         expected = headers.get("expect-instance")
@@ -331,6 +336,18 @@
         else:
             self._run(request, headers, line)
 
+    def _read_late(self, request: Request, headers: dict, line: MemoryLine) -> None:
+        """Read what arrived meanwhile, unless the runner has ended since."""
+        if line in self._unread:
+            self._unread.remove(line)
+            self._read(request, headers, line)
+
+    def _drop_unread(self) -> list[MemoryLine]:
+        """Return the calls that the runner has not read, and never will."""
+        unread, self._unread = self._unread, set()
+        self._stopped_until = 0.0
+        return sorted(unread, key=lambda line: line.number)
+
     def _note_arrival(self, headers: dict[str, str]) -> None:
         """Note the send of a call, whatever becomes of it."""
         call_id = headers.get("request-id")
