--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 export PYTHONHASHSEED := 0
 READY := $(VENV)/.ready
 
-.PHONY: install demo test lint behave model soak soak-routes bench-policy bench-relay bench-capacity bench-shares bench-repeats docs days
+.PHONY: install demo test lint behave model soak soak-routes bench-policy bench-relay bench-capacity bench-shares bench-repeats bench-stops docs days
 
 install: $(READY)
 
@@ -42,6 +42,9 @@
 test: lint
 	$(RUN) -m tests.run
 
+bench-stops: $(READY)
+	$(RUN) -m benchmarks.stops --seeds 15
+
 bench-capacity: $(READY)
 	$(RUN) -m benchmarks.capacity.run
 	$(RUN) -m benchmarks.capacity.page
