Store the streams from before a second version is declared

Callers saw 503 for good behind a kill of all instances: the stream had begun before another version was listed, seconds before the kill. Cause: whether the declaration was the first of several was asked of the list as well, which has the second version by then, so that what owners remembered was never stored; and only the owner that wrote the row was asked at all. Change: each owner that learns of a second declared version, by its write or by a read, stores what it remembers of the service. Evidence: found as the diff was read; a scenario of takeups.feature fails on the code before.

--- a/roadlift/instance/originarchive.py
+++ b/roadlift/instance/originarchive.py
@@ -6,7 +6,7 @@
 comes to own a zone.
 """
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Mapping
 from typing import NamedTuple
 
 from roadlift.core.errors import MalformedMessage, RoadliftError, VersionConflict
@@ -60,13 +60,18 @@
     declaration: Declaration
     position: StorePosition
 
+    @property
+    def is_mixed(self) -> bool:
+        """Return whether several versions are declared."""
+        return len(self.declaration.versions) > 1
+
 
 @components.register("origin_archive")
 class OriginArchive:
     """The rows of streams' origins, as far as this process knows them.
 
-    ``on_mixed`` is called with a service of which a second version was
-    declared by this process.
+    ``on_mixed`` is called with a service of which this process learns that a
+    second version is declared.
     """
 
     name = "origin_archive"
@@ -179,10 +184,6 @@
             self._listed[service] = frozenset(one.software for one in endpoints)
         return self._listed[service]
 
-    def _forget_first(self, services: Iterable[str]) -> None:
-        """Record that services were declared: another row is not the first."""
-        self._first_services = (self._first_services or frozenset()) - set(services)
-
     def _forget_list(self) -> None:
         self._listed.clear()
         self._admitted.clear()
@@ -211,21 +212,30 @@
 
     def _handle_software(self, rows: Rows) -> None:
         self._time = rows.time
-        self._rows = {}
+        found: dict[str, _KnownRow] = {}
         for row in rows.rows:
             try:
                 declaration = read_declaration(row.value)
             except MalformedMessage as error:
                 log.error("The row of service %s is ignored: %s.", row.key, error)
                 continue
-            self._rows[row.key] = _KnownRow(declaration, row.position)
-        self._forget_first(self._rows)
-        self._admitted.clear()
+            found[row.key] = _KnownRow(declaration, row.position)
+        self._apply_rows(found)
         if any(map(self._is_mixed, self._rows)):
             self._store.read(STREAM_TABLE, self._handle_streams, self._handle_error)
         else:
             self._end_read(True)
 
+    def _apply_rows(self, rows: Mapping[str, _KnownRow]) -> None:
+        """Replace the known rows, and tell where a second version is new."""
+        before, self._rows = self._rows, dict(rows)
+        # A service that was declared never gets a first row again.
+        self._first_services = (self._first_services or frozenset()) - set(rows)
+        self._admitted.clear()
+        for service, row in rows.items():
+            if row.is_mixed and not (service in before and before[service].is_mixed):
+                self.on_mixed(service)
+
     def _handle_streams(self, rows: Rows) -> None:
         found: dict[bytes, Origin] = {}
         for row in rows.rows:
@@ -349,20 +359,15 @@
     def _record_written(
         self, service: str, declaration: Declaration, position: StorePosition
     ) -> None:
-        was_mixed = self._is_mixed(service)
         self._writing.discard(service)
         self._due.pop(service, None)
-        self._rows[service] = _KnownRow(declaration, position)
-        self._forget_first((service,))
-        self._admitted.clear()
+        self._apply_rows({**self._rows, service: _KnownRow(declaration, position)})
         log.event(
             "versions_declared",
             service=service,
             versions=sorted(declaration.versions),
             since=declaration.since,
         )
-        if self._is_mixed(service) and not was_mixed:
-            self.on_mixed(service)
 
     def _handle_unwritten(self, service: str, error: RoadliftError) -> None:
         self._writing.discard(service)
--- a/tests/instance/takeups.feature
+++ b/tests/instance/takeups.feature
@@ -44,6 +44,7 @@
       | all instances have just started again                             | v1, v1, v1.2, v1.2 | 5       | goes on             |
       | all instances have started again, and own zones                   | v1, v1, v1.2, v1.2 | 5       | goes on             |
       | all instances start again behind its version's first streams      | v1, v1             | 5       | goes on             |
+      | all instances start again behind a version that came after it     | v1, v1             | 5       | goes on             |
       | all instances have just started again without the other version   | v1, v1.2           | 5       | goes on             |
       | all instances have just started again without its version         | v1, v1.2           | 5       | is refused for good |
       | all instances have started again without its version, 15 s ago    | v1, v1.2           | 5       | is refused for good |
--- a/tests/steps/takeup_steps.py
+++ b/tests/steps/takeup_steps.py
@@ -244,6 +244,18 @@
     return stream
 
 
+def _play_later_version(context) -> Stream:
+    """Declare another version behind a stream that has begun, and kill all."""
+    stream = _begin(context)
+    stream.leave()
+    _add_runner(context.entries, "llm", 7, "v1.2")
+    context.entries.advance(_LISTED)
+    _end_all(context, stream, lambda context, stream: None)
+    context.entries.advance(_STARTED)
+    _take_up(stream)
+    return stream
+
+
 def _remove_own(context, stream: Stream) -> None:
     """Let the endpoints of a stream's version leave."""
     _remove(context.entries, _list_alike(context.entries, stream))
@@ -328,6 +340,9 @@
     ),
     "all instances started again long ago": lambda context: _restart_all(context, 30.0),
     "all instances start again behind its version's first streams": _play_new_version,
+    "all instances start again behind a version that came after it": (
+        _play_later_version
+    ),
     "all instances have just started again without the other version": (
         lambda context: _restart_all(context, _STARTED, _remove_others)
     ),
