--- a/roadlift/instance/exchange.py
+++ b/roadlift/instance/exchange.py
@@ -308,6 +308,7 @@
         """Search for another engine while the current send is kept."""
         self._sends.keep_current()
         self._search.begin_round()
+        self._search.exclude(self.list_kept())
         self._search.gate.denied.clear()
         self._search.schedule(DETECTION_DELAY)
 
