--- a/benchmarks/stops.py
+++ b/benchmarks/stops.py
@@ -19,8 +19,10 @@
 from roadlift.retries.window import RetryRule
 from standins.arrivals import SentCall
 from standins.hub import HubCaller
-from tests.support.configuration import BASE, make_route
+from tests.support.callers import Wanted, make_headers
+from tests.support.configuration import BASE
 from tests.support.entries import Entries
+from tests.support.stops import Terms, make_routes
 
 RULE = RetryRule(0.2, 20.0, 10.0)
 SECONDS = 24.0  # Of calls in a play.
@@ -35,7 +37,7 @@
 CUT = (0.7, 3.0)  # Seconds for which instances are cut from runners.
 GIVEN_UP = 0.1  # Part of the calls that their callers give up early.
 REFUSAL_TIMES = (0.001, 0.3, 0.5)  # Seconds until a rejection is told.
-LIMITS = ("1000", "2500", "4000")  # Milliseconds that callers of streams wait.
+LIMITS = (1.0, 2.5, 4.0)  # Seconds that callers of streams wait.
 TARGETS = {
     "/once/1": 1,
     "/split/1": 1,
@@ -51,15 +53,6 @@
 TROUBLES = ("drain", "suspend", "reset", "cut", "store", "kill")
 
 
-class Terms(NamedTuple):
-    """What changes of the configuration."""
-
-    added: int = 0
-    timeout: int = 4000
-    weight: int = 50
-    is_moved: bool = False
-
-
 class Played(NamedTuple):
     """A call: its path, its caller, when it was sent and its time limit."""
 
@@ -78,29 +71,6 @@
     retries: float
 
 
-def make_routes(terms: Terms) -> list[dict]:
-    """Return the routes of a configuration."""
-    times = {"timeoutMs": terms.timeout, "goalMs": 600, "gapGoalMs": 400}
-    split = [
-        {"backend": "plain", "weight": terms.weight},
-        {"backend": "other", "weight": 100 - terms.weight},
-    ]
-    moved = "other" if terms.is_moved else "plain"
-    once = {"kind": "non_idempotent", "attempts": 1}
-    return [
-        make_route("/once/", service="plain", **once),
-        make_route("/split/", service="plain", split=split, **once),
-        make_route("/moved/", service=moved, **once),
-        make_route("/idem/", "idempotent", "plain", attempts=3),
-        make_route("/stream/", "streaming", "llm", attempts=1, **times),
-        make_route("/again/", "streaming", "llm", resumable=True, **times),
-        *(
-            make_route(f"/added-{number}/", service="plain", **once)
-            for number in range(terms.added)
-        ),
-    ]
-
-
 class Play:
     """One play of a seed."""
 
@@ -168,14 +138,13 @@
             return
         target = self._draw.choice(list(TARGETS))
         number = len(self._calls)
-        limit = self._draw.choice(LIMITS) if target.startswith(STREAMS) else LIMITS[0]
-        headers = {"request-id": f"c{number}", "deadline-ms": limit}
-        if target.startswith(STREAMS):
-            headers["model"] = f"{BASE}/x{self._draw.randrange(5)}"
-            headers["token-count"] = "10,20"
-            headers["prompt-prefix"] = f"{number:x}:10"
+        is_stream = target.startswith(STREAMS)
+        limit = self._draw.choice(LIMITS) if is_stream else LIMITS[0]
+        model = f"{BASE}/x{self._draw.randrange(5)}" if is_stream else ""
+        wanted = make_headers(Wanted(f"c{number}", model, limit))
+        headers = {name.lower(): text for name, text in wanted.items()}
         caller = self._entries.call(self._draw.choice(names), target, headers)
-        played = Played(target, caller, self._now(), int(limit) / 1000)
+        played = Played(target, caller, self._now(), limit)
         self._calls[f"c{number}"] = played
         if self._draw.random() < GIVEN_UP:
             self._later(self._draw.uniform(0.05, 1.5), lambda: _give_up(caller))
