--- a/benchmarks/routes.py
+++ b/benchmarks/routes.py
@@ -626,7 +626,8 @@
         is_disturbed = self.notes.disturbed.get(name, 0.0) > began - CALM
         self.notes.excused[call_id] = is_disturbed or name in self._leaving_at
         model, key = f"base/x{number % ADAPTERS}", self.keys.get_safe(call_id)
-        headers = make_headers(Wanted(call_id, model, 4.0, key, part=part))
+        parts = (part,) if part else ()
+        headers = make_headers(Wanted(call_id, model, 4.0, key, parts=parts))
         channel = Channel(self._deployment.instances[name].address)
         body = (call_id if part else f"deadly {number}").encode()
         answer = await channel.call("POST", "/long/deadly", headers, body)
--- a/standins/installation.py
+++ b/standins/installation.py
@@ -12,6 +12,7 @@
 
 from roadlift.core.clock import Clock, ManualClock
 from roadlift.core.errors import (
+    ConnectionLost,
     ConnectionRefused,
     EndpointUnreachable,
     RequestTimeout,
@@ -21,6 +22,7 @@
 from roadlift.relay.upstream import Request
 from standins.arrivals import ArrivalWatch
 from standins.batches import Fall
+from standins.endings import LATE_CLOSE, Ending, Listener
 from standins.limits import LimitWatch
 from standins.lines import MemoryDialer, MemoryLine, Timeline
 from standins.overlaps import EndWatch, OverlapWatch
@@ -71,6 +73,11 @@
         self.deadly_part_runs: dict[str, list[DeadlyRun]] = {}
         self.ended: list[str] = []  # Runners that ended, in order, and when.
         self.crash_times: list[float] = []
+        # How runners end, and what still listens at the addresses of those
+        # that did.
+        self.ending = Ending()
+        self.draw_ending: Callable[[], Ending] | None = None
+        self.listeners: dict[Address, Listener] = {}
         # Brittle runners that fell over, and the calls that were rejected for
         # want of room.
         self.fallen: list[Fall] = []
@@ -94,6 +101,36 @@
         # Of each call, its runs whose runner ended or was replaced meanwhile.
         self.interrupted: Counter[str] = Counter()
 
+    def choose_ending(self) -> Ending:
+        """Return how a runner ends now; the next one may end otherwise."""
+        chosen = self.ending
+        if self.draw_ending is not None:
+            self.ending = self.draw_ending()
+        return chosen
+
+    def leave_listener(self, address: Address, listener: Listener) -> None:
+        """Keep a listener at the address of a runner that ended."""
+        if listener is Listener.GONE:
+            return
+        self.listeners[address] = listener
+        if listener is Listener.LATE:
+            close = lambda: self.listeners.pop(address, None)
+            self.timeline.call_later(LATE_CLOSE, close)
+
+    def _meet_listener(
+        self, listener: Listener, request: Request, line: MemoryLine
+    ) -> None:
+        """Connect to the address of a runner that ended."""
+        if request.may_send is not None and not request.may_send():
+            line.fail(SendingRevoked())
+            return
+        line.written = True
+        if listener is Listener.RESETS:
+            self.timeline.call_later(DELAY, lambda: line.fail(ConnectionLost("reset")))
+        elif listener is Listener.LATE:
+            lose = lambda: line.fail(ConnectionLost("reset"))
+            self.timeline.call_later(LATE_CLOSE, lose)
+
     def reset_lines(self, dialer: MemoryDialer) -> None:
         """Reset the connections of an instance to all runners."""
         for runner in self.runners.values():
@@ -214,7 +251,10 @@
             wait = request.connect_timeout or shut
             self.timeline.call_later(wait, lambda: self._give_up(line))
             return
-        if not found:
+        listener = self.listeners.get(address)
+        if not found and listener is not None:
+            self._meet_listener(listener, request, line)
+        elif not found:
             line.fail(ConnectionRefused("refused"))
         elif request.may_send is not None and not request.may_send():
             line.fail(SendingRevoked())
--- a/standins/loopback.py
+++ b/standins/loopback.py
@@ -7,6 +7,7 @@
 
 import argparse
 import json
+import random
 from collections.abc import Callable
 from weakref import WeakKeyDictionary
 
@@ -19,9 +20,11 @@
 from roadlift.relay.address import Address
 from roadlift.relay.upstream import Request
 from standins.batches import Batch
+from standins.endings import ENDINGS, LATE_CLOSE, Ending, Listener
 from standins.framings import Unframed
 from standins.installation import Installation
 from standins.lines import MemoryLine
+from standins.listeners import OrphanListener
 from standins.pours import Heads, Pour, Pourer
 from standins.replies import Reply
 from standins.runners import REFUSAL, STAMP, Pause, Runner
@@ -124,6 +127,7 @@
 
     def __init__(self, runner: Runner) -> None:
         self.runner = runner
+        self.is_away = False  # Whether the runner has ended.
         self.repeats = False
         self.pour: Pour | None = None
         self.poured: list[str] = []
@@ -132,6 +136,8 @@
 
     def handle(self, received: ReceivedRequest, caller: Connection) -> None:
         """Take a request; first repeat the answer before, if it is to be."""
+        if self.is_away:
+            return
         late = self._late.pop(caller, b"")
         if late:
             caller._send(late)
@@ -151,6 +157,44 @@
             self._late[caller] = _encode_reply(reply)
 
 
+class RunnerServer:
+    """The server of a runner, and what listens in its place behind its end."""
+
+    def __init__(self, loop: Loop, runner: Runner, handler: RunnerHandler) -> None:
+        self._loop = loop
+        self._address = runner.address
+        self._handler = handler
+        self._server = Server(loop, runner.address, handler, HttpLimits())
+        self._orphan: OrphanListener | None = None
+        runner.on_end = self.end
+        runner.on_return = self.start
+
+    def start(self) -> None:
+        """Serve, in place of what has listened meanwhile."""
+        self._drop_orphan()
+        self._handler.is_away = False
+        self._server.start()
+
+    def end(self, ending: Ending) -> None:
+        """Cut all connections; the listener goes, stays or is replaced."""
+        if ending.listener is Listener.LATE:
+            self._handler.is_away = True
+            for connection in list(self._server.connections):
+                connection.reset()
+            self._loop.call_later(LATE_CLOSE, self._server.close)
+            return
+        self._server.close()
+        if ending.listener is not Listener.GONE:
+            resets = ending.listener is Listener.RESETS
+            self._orphan = OrphanListener(self._loop, self._address, resets)
+            self._orphan.start()
+
+    def _drop_orphan(self) -> None:
+        if self._orphan is not None:
+            self._orphan.close()
+            self._orphan = None
+
+
 class StoreHandler:
     """Hands calls to the store, and the control's to the site."""
 
@@ -204,9 +248,7 @@
         self.installation.runners[name] = runner
         self._runners.append(runner)
         handler = self._handlers[name] = RunnerHandler(runner)
-        server = Server(self._loop, runner.address, handler, HttpLimits())
-        runner.on_end = server.close
-        runner.on_return = server.start
+        server = RunnerServer(self._loop, runner, handler)
         runner.on_run = lambda headers: self._note_run(runner, headers)
         server.start()
         self._beat(runner)
@@ -289,6 +331,24 @@
             self._stop(command["stop"], command["seconds"])
         if "hang" in command:
             self._hang(command["runner"], command["hang"])
+        if "ending" in command:
+            self.installation.ending = ENDINGS[command["ending"]]
+        if "draw_endings" in command:
+            self._draw_endings(command["draw_endings"])
+        if "events" in command:
+            self._set_events(command["events"])
+
+    def _draw_endings(self, seed: int) -> None:
+        """Let each runner that ends do so in a way that is drawn."""
+        rng = random.Random(seed)
+        ways = list(ENDINGS.values())
+        self.installation.draw_ending = lambda: rng.choice(ways)
+        self.installation.ending = rng.choice(ways)
+
+    def _set_events(self, count: int) -> None:
+        """Let streams have so many events."""
+        for runner in self.installation.runners.values():
+            runner.events = count
 
     def _go_back(self, seconds: float, passed: int) -> None:
         """Bring the store back from a copy; what it lost is written again."""
@@ -421,6 +481,8 @@
             "overlaps": self.installation.overlaps.found,
             "deadly": [[run.call_id for run in runs] for runs in deadly],
             "deadly_parts": [[run.call_id for run in runs] for runs in of_parts],
+            "deadly_part_runs": [list(run) for runs in of_parts for run in runs],
+            "crash_times": self.installation.crash_times,
             "fallen": [list(fall) for fall in self.installation.fallen],
             "rejected": len(self.installation.rejected),
             "orders": {
--- a/standins/runners.py
+++ b/standins/runners.py
@@ -9,6 +9,7 @@
 from roadlift.relay.upstream import Request
 from standins.arrivals import Arrival
 from standins.batches import Batch, Fall
+from standins.endings import Ending
 from standins.framings import CHUNKED, Unframed
 from standins.lines import MemoryDialer, MemoryLine
 from standins.pours import Pour
@@ -113,7 +114,7 @@
         self.software = "v1"
         self.batch: Batch | None = None
         self.on_run: Callable[[dict[str, str]], None] = lambda headers: None
-        self.on_end: Callable[[], None] = lambda: None
+        self.on_end: Callable[[Ending], None] = lambda ending: None
         self.on_return: Callable[[], None] = lambda: None
         self._lines: list[MemoryLine] = []
         self._paused_until = 0.0
@@ -181,7 +182,11 @@
         del self._installation.runners[self.id]
         self._installation.ended.append(self.id)
         self._installation.crash_times.append(self._timeline.now())
-        self.on_end()
+        ending = self._installation.choose_ending()
+        self._installation.leave_listener(self.address, ending.listener)
+        if ending.removes_entry:
+            self._installation.store.delete("servers", self.id)
+        self.on_end(ending)
         self.interrupt()
         lines, self._lines = self._list_running(), []
         lines += self._drop_unread()
@@ -198,6 +203,7 @@
     def _return(self) -> None:
         """Start again: under the same name where that tells of starts."""
         installation = self._installation
+        installation.listeners.pop(self.address, None)
         if self.born:
             self.restart()
             installation.runners[self.id] = self
@@ -511,6 +517,8 @@
             self._installation.note_deadly_part(self.id, part, call_id)
             end = lambda: None if line.is_closed else self.crash()
             self._timeline.call_later(self.queue_time + CRASH_DELAY, end)
+            if self._installation.ending.before_head:
+                fault = "mute"
         self._installation.overlaps.note_run(call_id, lambda: line.is_closed)
         if fault == "mute":
             line.is_hung = True
--- a/tests/support/callers.py
+++ b/tests/support/callers.py
@@ -22,7 +22,7 @@
     key: str = ""
     resumes: str = ""
     last_event: str = ""
-    part: str = ""
+    parts: tuple[str, ...] = ()
 
 
 def make_headers(wanted: Wanted) -> dict[str, str]:
@@ -39,7 +39,7 @@
         headers["Model"] = wanted.model
         headers["Token-Count"] = "10,20"
         own = f"{zlib.crc32(wanted.id.encode()):x}:5"
-        parts = ["ab:10", *([f"{wanted.part}:5"] if wanted.part else []), own]
+        parts = ["ab:10", *(f"{part}:5" for part in wanted.parts), own]
         headers["Prompt-Prefix"] = ",".join(parts)
     return headers
 
