--- a/roadlift/core/events.py
+++ b/roadlift/core/events.py
@@ -42,8 +42,18 @@
     Event(
         "crashes",
         "work_cleared",
-        ("identity",),
-        "It completed successfully, or its row was deleted; it is admitted again.",
+        ("identity", "basis", "ends"),
+        "Work that was quarantined is admitted again: it completed successfully "
+        "(run), endpoints survived calls with it (survival), or its row was deleted "
+        "(row). That many endpoints had crashed under it.",
+    ),
+    Event(
+        "crashes",
+        "endpoint_checked",
+        ("endpoint", "sign", "cut", "silent", "delay"),
+        "After an endpoint cut calls off, a new connection to it was tried, that many "
+        "seconds after the first; sign is what became of it. Of the calls that were "
+        "cut, silent had received nothing.",
     ),
     Event(
         "crashes",
--- a/roadlift/crashes/detection.py
+++ b/roadlift/crashes/detection.py
@@ -5,6 +5,7 @@
 
 from roadlift.core.errors import ConnectionRefused, RoadliftError
 from roadlift.core.kernel import Kernel
+from roadlift.core.logs import ComponentLog
 from roadlift.decisions.crashes import STRONG, SURVIVAL_TIME, WEAK
 from roadlift.relay.address import Address
 from roadlift.relay.upstream import AnswerCollector, Request
@@ -20,6 +21,8 @@
 MAX_SUSPECTS = 16  # Suspects that one instance reports for one crash.
 MAX_PARTS = 16  # Parts of prompts that it reports, besides.
 
+log = ComponentLog("crashes")
+
 
 class CutCall(NamedTuple):
     """A call that an endpoint cut off; ``parts`` are those of its prompt.
@@ -33,6 +36,11 @@
     parts: tuple[bytes, ...] = ()
     running_time: float | None = None
 
+    @property
+    def is_silent(self) -> bool:
+        """Return whether the call had received nothing, not even a head."""
+        return not self.has_begun and self.running_time is None
+
     @property
     def is_recent(self) -> bool:
         """Return whether its endpoint had not survived its beginning yet."""
@@ -82,6 +90,14 @@
 
     def _handle_check(self, endpoint: str, error: RoadliftError) -> None:
         cuts = self._cuts.pop(endpoint, [])
+        log.event(
+            "endpoint_checked",
+            endpoint=endpoint,
+            sign="refused" if isinstance(error, ConnectionRefused) else error.code,
+            cut=len(cuts),
+            silent=sum(cut.is_silent for cut in cuts),
+            delay=CHECK_DELAY,
+        )
         if isinstance(error, ConnectionRefused):
             suspects = choose_suspects(cuts)
             count = len({cut.identity for cut in cuts})
--- a/roadlift/crashes/ledger.py
+++ b/roadlift/crashes/ledger.py
@@ -5,6 +5,7 @@
 with the interface ``openai`` each instance keeps its own.
 """
 
+import enum
 import zlib
 from collections.abc import Callable, Iterable
 from typing import Protocol
@@ -17,6 +18,14 @@
 log = ComponentLog("crashes")
 
 
+class ClearingBasis(enum.StrEnum):
+    """Why work is admitted again."""
+
+    RUN = "run"
+    SURVIVAL = "survival"
+    ROW = "row"
+
+
 class Work(Protocol):
     """A call, as what an endpoint may crash under."""
 
@@ -122,7 +131,7 @@
     def clear_parts(self, identities: Iterable[bytes]) -> None:
         """Clear parts of prompts that an endpoint has survived."""
         for identity in identities:
-            self.clear(lambda identity=identity: identity)
+            self.clear(lambda identity=identity: identity, ClearingBasis.SURVIVAL)
 
     def promote_parts(self) -> None:
         """Refuse the parts of prompts whose evidence nobody has cleared."""
@@ -131,16 +140,19 @@
         for identity in self.crashes.promote(self._clock.now()):
             self._notify_change(identity)
 
-    def clear(self, identify: Callable[[], bytes]) -> None:
+    def clear(
+        self, identify: Callable[[], bytes], basis: ClearingBasis = ClearingBasis.RUN
+    ) -> None:
         """Clear work that succeeded, or that is to be tried again."""
         if self.crashes.is_empty:
             return
         identity = identify()
         was_refused = self.crashes.is_refused(identity)
+        ends = self.crashes.count_crashes(identity)
         if not self.crashes.clear(identity):
             return
         if was_refused:
-            log.event("work_cleared", identity=identity.hex())
+            log.event("work_cleared", identity=identity.hex(), basis=basis, ends=ends)
         self._notify_change(identity)
         cleared = self.crashes.list_evidence(self._clock.now(), identity)
         for listener in self.on_evidence:
--- a/roadlift/instance/crashrows.py
+++ b/roadlift/instance/crashrows.py
@@ -14,7 +14,7 @@
 from roadlift.core.kernel import Kernel
 from roadlift.core.logs import ComponentLog
 from roadlift.core.loop import Timer
-from roadlift.crashes.ledger import CrashLedger
+from roadlift.crashes.ledger import ClearingBasis, CrashLedger
 from roadlift.decisions.crashes import MAX_CALLS
 from roadlift.instance.follower import Follower
 from roadlift.instance.leases import Leases
@@ -194,7 +194,7 @@
         identity = read_key(row.key)
         if row.value is None:
             if self._rows.pop(identity, None) is not None:
-                self._ledger.clear(lambda: identity)
+                self._ledger.clear(lambda: identity, ClearingBasis.ROW)
             return
         evidence = read_row(identity, row.value, store_now)
         weights = {item.endpoint: item.weight for item in evidence}
