--- a/roadlift/core/events.py
+++ b/roadlift/core/events.py
@@ -51,9 +51,15 @@
         "crashes",
         "endpoint_checked",
         ("endpoint", "sign", "cut", "silent", "delay"),
-        "After an endpoint cut calls off, a new connection to it was tried, that many "
-        "seconds after the first; sign is what became of it. Of the calls that were "
-        "cut, silent had received nothing.",
+        "What was seen of an endpoint that many seconds after it cut calls off: a new "
+        "connection was refused, closed, held or unreachable, its entry is unlisted, "
+        "or it answered. Of the calls that were cut, silent had received nothing.",
+    ),
+    Event(
+        "crashes",
+        "endpoint_end_unknown",
+        ("endpoint",),
+        "An endpoint cut calls off, and nothing has shown since whether it ended.",
     ),
     Event(
         "crashes",
--- a/roadlift/crashes/detection.py
+++ b/roadlift/crashes/detection.py
@@ -1,20 +1,32 @@
 """Detect whether an endpoint crashed, or only cut off some answers."""
 
 from collections.abc import Callable, Iterable
-from typing import NamedTuple
+from typing import NamedTuple, Protocol
 
-from roadlift.core.errors import ConnectionRefused, RoadliftError
+from roadlift.core.errors import (
+    ConnectionLost,
+    ConnectionRefused,
+    RequestTimeout,
+    RoadliftError,
+)
 from roadlift.core.kernel import Kernel
 from roadlift.core.logs import ComponentLog
+from roadlift.core.loop import Timer
 from roadlift.decisions.crashes import STRONG, SURVIVAL_TIME, WEAK
+from roadlift.decisions.endings import (
+    CHECK_TIMES,
+    CONNECT_TIMEOUT,
+    HOLD_TIME,
+    LIST_INTERVAL,
+    MAX_WATCH_TIME,
+    NEEDS_REACH,
+    TRANSIT_TIME,
+    Sign,
+    is_conclusive,
+)
 from roadlift.relay.address import Address
 from roadlift.relay.upstream import AnswerCollector, Request
 
-# Seconds from a cut answer until a connection to its endpoint is tried: by
-# then all calls that ran there are cut, and a process that exited no longer
-# has a listener.
-CHECK_DELAY = 0.02
-CHECK_TIMEOUT = 0.3  # Timeout of that connection, in seconds.
 # Seconds after which the result is usually known: a call that was cut is not
 # sent to another endpoint sooner, as it might crash a fourth one.
 DETECTION_DELAY = 0.04
@@ -51,60 +63,206 @@
 class EndpointCrash(NamedTuple):
     """The crash of an endpoint with ``cut`` calls of this process.
 
-    ``suspects`` maps the identities of calls that may be the cause to weights;
-    ``parts`` of prompts may be the cause as well.
+    It was ``age`` seconds ago. ``suspects`` maps the identities of calls that
+    may be the cause to weights; ``parts`` of prompts may be the cause as well.
     """
 
     endpoint: str
     cut: int
     suspects: dict[bytes, int]
     parts: list[bytes]
+    age: float
+
+
+class Surroundings(Protocol):
+    """What a process knows of endpoints besides the calls that were cut."""
+
+    def is_listed(self, endpoint: str) -> bool:
+        """Return whether the endpoint's entry is there, of the same run."""
+
+    def count_open(self, endpoint: str, before: float) -> int:
+        """Return how many open calls were sent there before a time."""
+
+    def confirm_reach(self, endpoint: str, on_result: Callable[[bool], None]) -> None:
+        """Check whether other endpoints than this one are reached."""
+
+    def record_doubt(self, endpoint: str) -> None:
+        """Handle that nothing is known of an endpoint that cut all calls."""
+
+
+class NoSurroundings:
+    """Those of a process that knows of its endpoints by calls alone."""
+
+    def is_listed(self, endpoint: str) -> bool:
+        """Return True: no list says otherwise."""
+        return True
+
+    def count_open(self, endpoint: str, before: float) -> int:
+        """Return 0: calls are not counted by when they were sent."""
+        return 0
+
+    def confirm_reach(self, endpoint: str, on_result: Callable[[bool], None]) -> None:
+        """Take the path for sound."""
+        on_result(True)
+
+    def record_doubt(self, endpoint: str) -> None:
+        """Do nothing."""
+
+
+class _Watch:
+    """The cut calls of an endpoint of which nothing is concluded yet."""
+
+    def __init__(self, endpoint: str, address: Address, at: float) -> None:
+        self.endpoint = endpoint
+        self.address = address
+        self.at = at
+        self.cuts: list[CutCall] = []
+        self.checks = 0
+        self.timer: Timer | None = None
+
+    def find_next_look(self, now: float) -> float:
+        """Return the seconds until the endpoint is looked at again."""
+        if self.checks < len(CHECK_TIMES):
+            return max(0.0, self.at + CHECK_TIMES[self.checks] - now)
+        return LIST_INTERVAL
 
 
 class CrashDetector:
     """The cut calls of this process, and whether their endpoints crashed."""
 
     def __init__(
-        self, kernel: Kernel, on_crash: Callable[[EndpointCrash], None]
+        self,
+        kernel: Kernel,
+        surroundings: Surroundings,
+        on_crash: Callable[[EndpointCrash], None],
     ) -> None:
         self._kernel = kernel
+        self._surroundings = surroundings
         self._on_crash = on_crash
-        self._cuts: dict[str, list[CutCall]] = {}
+        self._watches: dict[str, _Watch] = {}
+
+    @property
+    def is_watching(self) -> bool:
+        """Return whether there is an endpoint that may have crashed."""
+        return bool(self._watches)
+
+    def is_watched(self, endpoint: str) -> bool:
+        """Return whether it is undecided if an endpoint crashed."""
+        return endpoint in self._watches
 
     def record_cut(self, endpoint: str, address: Address, cut: CutCall) -> None:
         """Record that an endpoint closed the connection of a call it had."""
-        found = self._cuts.setdefault(endpoint, [])
-        found.append(cut)
-        if len(found) == 1:
-            check = lambda: self._check(endpoint, address)
-            self._kernel.loop.call_later(CHECK_DELAY, check)
-
-    def _check(self, endpoint: str, address: Address) -> None:
-        """Connect to an endpoint without sending anything."""
-        request = Request(
-            "GET", "/", may_send=lambda: False, connect_timeout=CHECK_TIMEOUT
-        )
-        on_error = lambda error: self._handle_check(endpoint, error)
-        receiver = AnswerCollector(lambda answer: None, on_error)
-        self._kernel.dialer.open(address, request, receiver, CHECK_TIMEOUT)
+        watch = self._watches.get(endpoint)
+        if watch is None:
+            now = self._kernel.clock.now()
+            watch = self._watches[endpoint] = _Watch(endpoint, address, now)
+            self._schedule(watch)
+        watch.cuts.append(cut)
+
+    def record_answer(self, endpoint: str, sent_at: float) -> None:
+        """Record bytes of an answer to a request that was sent at a time.
+
+        A later request may be answered by a later run of the endpoint.
+        """
+        watch = self._watches.get(endpoint)
+        if watch is None:
+            return
+        if sent_at >= watch.at:
+            watch.checks = len(CHECK_TIMES)
+        elif self._kernel.clock.now() - watch.at >= TRANSIT_TIME:
+            self._log_sign(watch, Sign.ANSWERED)
+            self._forget(watch)
+
+    def close(self) -> None:
+        """Stop watching."""
+        for watch in list(self._watches.values()):
+            self._forget(watch)
+
+    def _forget(self, watch: _Watch) -> None:
+        watch.timer.close()
+        del self._watches[watch.endpoint]
+
+    def _is_current(self, watch: _Watch) -> bool:
+        return self._watches.get(watch.endpoint) is watch
+
+    def _schedule(self, watch: _Watch) -> None:
+        delay = watch.find_next_look(self._kernel.clock.now())
+        watch.timer = self._kernel.loop.call_later(delay, lambda: self._look(watch))
 
-    def _handle_check(self, endpoint: str, error: RoadliftError) -> None:
-        cuts = self._cuts.pop(endpoint, [])
+    def _look(self, watch: _Watch) -> None:
+        """Look at the list, and try a new connection if one is due."""
+        if not self._surroundings.is_listed(watch.endpoint):
+            self._handle_sign(watch, Sign.UNLISTED)
+        elif self._kernel.clock.now() - watch.at >= MAX_WATCH_TIME:
+            log.event("endpoint_end_unknown", endpoint=watch.endpoint)
+            self._forget(watch)
+        elif watch.checks < len(CHECK_TIMES):
+            watch.checks += 1
+            self._connect(watch)
+        else:
+            self._schedule(watch)
+
+    def _connect(self, watch: _Watch) -> None:
+        """Open a connection without sending anything, and watch it."""
+        request = Request("GET", "/", is_probe=True, connect_timeout=CONNECT_TIMEOUT)
+        on_error = lambda error: self._handle_check(watch, error)
+        receiver = AnswerCollector(lambda answer: on_error(ConnectionLost()), on_error)
+        self._kernel.dialer.open(watch.address, request, receiver, HOLD_TIME)
+
+    def _handle_check(self, watch: _Watch, error: RoadliftError) -> None:
+        if self._is_current(watch):
+            self._handle_sign(watch, classify(error))
+
+    def _handle_sign(self, watch: _Watch, sign: Sign) -> None:
+        self._log_sign(watch, sign)
+        open_sends = self._surroundings.count_open(watch.endpoint, watch.at)
+        if not is_conclusive(sign, open_sends):
+            if not open_sends:
+                self._surroundings.record_doubt(watch.endpoint)
+            self._schedule(watch)
+        elif sign in NEEDS_REACH:
+            self._surroundings.confirm_reach(
+                watch.endpoint, lambda is_reached: self._handle_reach(watch, is_reached)
+            )
+        else:
+            self._conclude(watch)
+
+    def _handle_reach(self, watch: _Watch, is_reached: bool) -> None:
+        if not self._is_current(watch):
+            return
+        if is_reached:
+            self._conclude(watch)
+            return
+        log.event("endpoint_end_doubted", endpoint=watch.endpoint, cut=len(watch.cuts))
+        self._schedule(watch)
+
+    def _conclude(self, watch: _Watch) -> None:
+        """Report the crash of an endpoint."""
+        self._forget(watch)
+        suspects = choose_suspects(watch.cuts)
+        count = len({cut.identity for cut in watch.cuts})
+        age = self._kernel.clock.now() - watch.at
+        parts = list_parts(watch.cuts)
+        self._on_crash(EndpointCrash(watch.endpoint, count, suspects, parts, age))
+
+    def _log_sign(self, watch: _Watch, sign: Sign) -> None:
         log.event(
             "endpoint_checked",
-            endpoint=endpoint,
-            sign="refused" if isinstance(error, ConnectionRefused) else error.code,
-            cut=len(cuts),
-            silent=sum(cut.is_silent for cut in cuts),
-            delay=CHECK_DELAY,
+            endpoint=watch.endpoint,
+            sign=sign,
+            cut=len(watch.cuts),
+            silent=sum(cut.is_silent for cut in watch.cuts),
+            delay=round(self._kernel.clock.now() - watch.at, 3),
         )
-        if isinstance(error, ConnectionRefused):
-            suspects = choose_suspects(cuts)
-            count = len({cut.identity for cut in cuts})
-            parts = list_parts(cuts)
-            self._on_crash(EndpointCrash(endpoint, count, suspects, parts))
-        # Otherwise it is alive, or the check is inconclusive: a network path
-        # that is cut, a host without power. Calls can't be the cause of that.
+
+
+def classify(error: RoadliftError) -> Sign:
+    """Return what the end of a connection shows on which nothing was sent."""
+    if isinstance(error, ConnectionRefused):
+        return Sign.REFUSED
+    if isinstance(error, ConnectionLost):
+        return Sign.CLOSED
+    return Sign.HELD if isinstance(error, RequestTimeout) else Sign.UNREACHABLE
 
 
 def choose_suspects(cuts: Iterable[CutCall]) -> dict[bytes, int]:
--- a/roadlift/daemon/calls.py
+++ b/roadlift/daemon/calls.py
@@ -4,7 +4,7 @@
 
 from roadlift.core.kernel import Kernel, components
 from roadlift.core.logs import ComponentLog
-from roadlift.crashes.detection import CrashDetector, EndpointCrash
+from roadlift.crashes.detection import CrashDetector, EndpointCrash, NoSurroundings
 from roadlift.crashes.ledger import CrashLedger
 from roadlift.daemon.bundles import StorePart
 from roadlift.daemon.members import Members
@@ -27,7 +27,7 @@
         self.budget = RetryBudget(kernel.settings.retry_share)
         self.claims = Claims(store, kernel.loop, kernel.get(Members).process)
         self.ledger = kernel.get(CrashLedger)
-        self.ends = CrashDetector(kernel, self._note_end)
+        self.ends = CrashDetector(kernel, NoSurroundings(), self._note_end)
         self._ended: Counter[str] = Counter()
         self._running: dict[str, int] = {}
 
@@ -35,7 +35,8 @@
         """Do nothing; the exchanges use the part."""
 
     def close(self) -> None:
-        """Do nothing; nothing is open."""
+        """Stop watching endpoints."""
+        self.ends.close()
 
     def count(self, endpoint: str) -> int:
         """Return the calls that run at a service's endpoint."""
@@ -58,7 +59,7 @@
             "endpoint_ended", endpoint=end.endpoint, cut=end.cut, suspects=suspects
         )
         signs = [
-            CrashEvidence(name, run, weight, 0.0)
+            CrashEvidence(name, run, weight, end.age)
             for name, weight in end.suspects.items()
         ]
         self.ledger.record_evidence(signs)
--- a/roadlift/instance/crashes.py
+++ b/roadlift/instance/crashes.py
@@ -1,12 +1,14 @@
 """Detect calls that crash the endpoints which run them, and report them."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Hashable
+from typing import NamedTuple
 
 from roadlift.core.kernel import Kernel, components
 from roadlift.core.logs import ComponentLog
 from roadlift.core.loop import Timer
 from roadlift.crashes.detection import CrashDetector, CutCall, EndpointCrash
 from roadlift.crashes.ledger import CrashLedger, Work
+from roadlift.crashes.opencalls import OpenCalls
 from roadlift.crashes.trials import TrialSlots
 from roadlift.decisions.crashes import SHARED, SURVIVAL_TIME, CrashEvidence
 from roadlift.instance.aggregator import Aggregator
@@ -15,6 +17,7 @@
 from roadlift.instance.crashrows import CrashRows
 from roadlift.instance.follower import Follower
 from roadlift.instance.isolation import Isolation
+from roadlift.instance.knowledge import Knowledge
 from roadlift.instance.metrics import InstanceMetrics
 from roadlift.serving.directory import Endpoint
 
@@ -28,6 +31,13 @@
 log = ComponentLog("crashes")
 
 
+class _Cutter(NamedTuple):
+    """An endpoint that cut a call off, and when it last did."""
+
+    endpoint: Endpoint
+    at: float
+
+
 @components.register("crashes")
 class CrashMonitor:
     """Crashes of endpoints that this process detects by its local calls."""
@@ -39,6 +49,7 @@
         CrashLedger.name,
         "follower",
         Isolation.name,
+        Knowledge.name,
         "leases",
         "measures",
         "subscription",
@@ -54,8 +65,10 @@
         self._sync = CrashSync(kernel)
         self._rows = CrashRows(kernel)
         self._trial_slots = TrialSlots(kernel.loop)
-        self._crash_check = CrashDetector(kernel, self._confirm_crash)
-        self._cut_at: dict[str, float] = {}
+        self._detector = CrashDetector(kernel, self, self._record_crash)
+        self._open_calls = OpenCalls()
+        self._health = kernel.get(Knowledge).health
+        self._cutters: dict[str, _Cutter] = {}
         self._timer: Timer | None = None
         self._ledger.on_change.append(self._update_metrics)
 
@@ -70,6 +83,7 @@
     def close(self) -> None:
         """Stop both."""
         self._timer.close()
+        self._detector.close()
         self._rows.close()
         self._sync.close()
 
@@ -81,6 +95,14 @@
         suspect = self._ledger.find_suspect(work)
         return suspect is not None and self._trial_slots.wait(suspect, on_slot)
 
+    def record_sent(self, endpoint: Endpoint, call: Hashable) -> None:
+        """Record a call that is sent to an endpoint."""
+        self._open_calls.begin(endpoint.id, call, self._kernel.clock.now())
+
+    def record_over(self, endpoint: Endpoint, call: Hashable) -> None:
+        """Record that a call that was sent is over."""
+        self._open_calls.end(endpoint.id, call)
+
     def begin(self, work: Work) -> bytes | None:
         """Give a call that is sent the trial slot, if it is suspect.
 
@@ -98,11 +120,48 @@
     def record_cut(self, endpoint: Endpoint, cut: CutCall) -> None:
         """Record that an endpoint closed the connection of a running call."""
         now = self._kernel.clock.now()
-        if len(self._cut_at) > MAX_CUT_ENDPOINTS:
+        if len(self._cutters) > MAX_CUT_ENDPOINTS:
             recent = now - CUT_RETENTION
-            self._cut_at = {one: at for one, at in self._cut_at.items() if at > recent}
-        self._cut_at[endpoint.id] = now
-        self._crash_check.record_cut(endpoint.id, endpoint.address, cut)
+            self._cutters = {
+                one: cutter
+                for one, cutter in self._cutters.items()
+                if cutter.at > recent
+            }
+        self._cutters[endpoint.id] = _Cutter(endpoint, now)
+        self._detector.record_cut(endpoint.id, endpoint.address, cut)
+
+    def record_answer(self, endpoint: Endpoint, sent_at: float) -> None:
+        """Record bytes of an answer to a call that was sent at a time."""
+        if self._detector.is_watching:
+            self._detector.record_answer(endpoint.id, sent_at)
+
+    # What the detector asks for
+
+    def is_listed(self, endpoint: str) -> bool:
+        """Return whether an endpoint's entry is there, of the same run.
+
+        Another one at its address has taken its place.
+        """
+        directory = self._follower.directory
+        known = directory.get(endpoint)
+        if known is None:
+            return False
+        others = directory.list_service(known.service)
+        return not any(
+            one.address == known.address and one.id != endpoint for one in others
+        )
+
+    def count_open(self, endpoint: str, before: float) -> int:
+        """Return how many open calls were sent there before a time."""
+        return self._open_calls.count(endpoint, before)
+
+    def confirm_reach(self, endpoint: str, on_result: Callable[[bool], None]) -> None:
+        """Check whether other endpoints than this one are reached."""
+        self._isolation.confirm_reach(endpoint, on_result)
+
+    def record_doubt(self, endpoint: str) -> None:
+        """Send one call at a time to an endpoint that cut all calls off."""
+        self._health.record_connect_failure(endpoint, self._kernel.clock.now())
 
     def record_run(self, endpoint: Endpoint, began_at: float, work: Work) -> None:
         """Clear the parts of a call's prompt once its endpoint survived it.
@@ -124,26 +183,19 @@
     def _clear_parts(
         self, endpoint: str, began_at: float, parts: tuple[bytes, ...]
     ) -> None:
-        was_cut = self._cut_at.get(endpoint, float("-inf")) >= began_at
+        cutter = self._cutters.get(endpoint)
+        was_cut = cutter is not None and cutter.at >= began_at
         if not was_cut and not self._ledger.crashes.has_crashed(endpoint):
             self._ledger.clear_parts(parts)
 
-    def _confirm_crash(self, end: EndpointCrash) -> None:
-        """Record a crash, unless no other endpoint is reached either."""
-        self._isolation.confirm_reach(
-            end.endpoint, lambda is_reached: self._handle_reach(end, is_reached)
-        )
-
-    def _handle_reach(self, end: EndpointCrash, is_reached: bool) -> None:
-        if is_reached:
-            self._record_crash(end)
-        else:
-            log.event("endpoint_end_doubted", endpoint=end.endpoint, cut=end.cut)
-
     def _record_crash(self, end: EndpointCrash) -> None:
-        known = self._follower.directory.get(end.endpoint)
-        if known is None or known.is_draining:
-            return
+        now = self._kernel.clock.now()
+        self._health.record_end(end.endpoint, now)
+        directory = self._follower.directory
+        known = directory.get(end.endpoint) or self._cutters[end.endpoint].endpoint
+        if known.is_draining:
+            # Its end may be planned: only what had just begun is a suspect.
+            end = end._replace(suspects={})
         suspects = [[work.hex(), weight] for work, weight in end.suspects.items()]
         log.event(
             "endpoint_ended",
@@ -157,12 +209,12 @@
         self._metrics.count("roadlift_endpoint_ends", known.service)
         self._ledger.record_evidence(
             [
-                CrashEvidence(identity, end.endpoint, weight, 0.0)
+                CrashEvidence(identity, end.endpoint, weight, end.age)
                 for identity, weight in end.suspects.items()
             ]
         )
         self._ledger.record_evidence(
-            [CrashEvidence(part, end.endpoint, SHARED, 0.0) for part in end.parts]
+            [CrashEvidence(part, end.endpoint, SHARED, end.age) for part in end.parts]
         )
 
     def _update_metrics(self, identity: bytes) -> None:
--- a/roadlift/instance/send.py
+++ b/roadlift/instance/send.py
@@ -98,6 +98,7 @@
         call = self._owner.call
         self._placement.begin(self.endpoint, call)
         self._suspect = self._crashes.begin(self._owner)
+        self._crashes.record_sent(self.endpoint, self)
         self._is_prompt_unread = True
         self._isolation.record_sent()
         if call.model is not None:
@@ -190,6 +191,7 @@
 
     def _end(self) -> None:
         self._line = None
+        self._crashes.record_over(self.endpoint, self)
         self._placement.inactivity.end(self.endpoint.id, self)
         self._record_prompt_read()
         has_run = self.verdict in (Verdict.SUCCEEDED, Verdict.FAILED)
@@ -215,6 +217,8 @@
         has_run = self.verdict is Verdict.SUCCEEDED
         if has_run and _EVENT_STREAM in headers.get("content-type", ""):
             self.frames = EventFrames()
+        if self.verdict in (Verdict.SUCCEEDED, Verdict.NOT_RUN):
+            self._crashes.record_answer(self.endpoint, self.sent_at)
         self._gate.record_head(self._sent, status, headers, has_run)
         self._owner.on_head(self)
 
@@ -226,6 +230,7 @@
         if self.first_at is None:
             self.first_at = now
             self._record_run()
+        self._crashes.record_answer(self.endpoint, self.sent_at)
         self._placement.inactivity.record_event(self.endpoint.id, self, now)
         if self.verdict is Verdict.SUCCEEDED:
             data = data if self.frames is None else self.frames.extract_complete(data)
--- a/roadlift/relay/upstream.py
+++ b/roadlift/relay/upstream.py
@@ -66,7 +66,9 @@
     that carried earlier sends with the same echo, which may not carry this
     one. ``may_send`` is called right before the first byte is written; if it
     returns false, the request is not sent. An answer with more than
-    ``max_body`` bytes in its body is a failure; 0 is no limit.
+    ``max_body`` bytes in its body is a failure; 0 is no limit. Of one that
+    ``is_probe``, nothing is sent: it fails with RequestTimeout if its
+    connection stays open for the timeout, and with ConnectionLost otherwise.
     """
 
     method: str
@@ -80,6 +82,7 @@
     may_send: Callable[[], bool] | None = None
     connect_timeout: float | None = None
     max_body: int = 0
+    is_probe: bool = False
 
     def encode(self, address: str) -> bytes:
         """Return the request as bytes; ``address`` is the default host."""
@@ -146,7 +149,8 @@
         self._channel: Channel | None = None
         self._socket: socket.socket | None = None
         self._timer = None
-        self._unsent = memoryview(request.encode(str(address)))
+        encoded = b"" if request.is_probe else request.encode(str(address))
+        self._unsent = memoryview(encoded)
         self._parser = httptools.HttpResponseParser(self)
         self._headers: dict[str, str] = {}
         self._status = 0
@@ -222,18 +226,28 @@
             return
         self._loop.watch(self._socket.fileno(), None, self._on_writable)
 
+    @property
+    def _is_sent(self) -> bool:
+        """Return whether nothing is left to be sent."""
+        return not self._unsent and (self.written or not self._request.is_probe)
+
     def _update_watch(self) -> None:
         if self._socket is None:
             return
         on_read = self._on_readable if self._is_reading else None
-        on_write = self._on_writable if self._unsent else None
+        on_write = None if self._is_sent else self._on_writable
         self._loop.watch(self._socket.fileno(), on_read, on_write)
 
     def _on_writable(self) -> None:
-        if self._socket is None or not self._unsent:
+        if self._socket is None or self._is_sent:
             return
         if not self.written and not self._prepare_send():
             return
+        if self._request.is_probe:
+            # Whatever happens from now on happens to an open connection.
+            self.written = True
+            self._update_watch()
+            return
         try:
             sent = self._socket.send(self._unsent)
         except BlockingIOError:
--- a/roadlift/serving/health.py
+++ b/roadlift/serving/health.py
@@ -114,6 +114,12 @@
         record.connect_failures += 1
         record.unreachable_until = now + seconds
 
+    def record_end(self, endpoint: str, now: float) -> None:
+        """Record that an endpoint ended: it is back as another one."""
+        record = self._records.setdefault(endpoint, EndpointHealth())
+        record.connect_failures += 1
+        record.unreachable_until = now + MAX_UNREACHABLE_TIME
+
     def record_failure(self, endpoint: str, now: float) -> bool:
         """Record that a call failed; return whether that ejected it."""
         record = self._records.setdefault(endpoint, EndpointHealth())
--- a/standins/hub.py
+++ b/standins/hub.py
@@ -604,6 +604,9 @@
             line.receive_error(ConnectionRefused("ECONNREFUSED"))
         elif request.may_send is not None and not request.may_send():
             line.receive_error(SendingRevoked())
+        elif request.is_probe:
+            # It stays open until it times out.
+            return
         elif address in self.engines:
             self.engines[address].handle(request, line)
         elif address == PLATFORM:
--- a/standins/installation.py
+++ b/standins/installation.py
@@ -258,6 +258,8 @@
             line.fail(ConnectionRefused("refused"))
         elif request.may_send is not None and not request.may_send():
             line.fail(SendingRevoked())
+        elif request.is_probe:
+            line.written = True
         else:
             line.written = True
             found[-1].handle(request, line)
--- a/tests/steps/deadly_part_steps.py
+++ b/tests/steps/deadly_part_steps.py
@@ -4,6 +4,8 @@
 
 from behave import given, then, when
 
+from standins.departures import LeavingCaller
+from standins.endings import ENDINGS
 from tests.steps.crash_steps import find_owner, restart
 from tests.support.configuration import BASE
 
@@ -14,7 +16,7 @@
 _ANSWERED = 3.0  # Seconds until all calls have their answers.
 
 
-def _call(context, parts, target):
+def _call(context, parts, target, caller=None):
     """Send a call to any instance; its prompt ends with a part of its own."""
     names = sorted(context.entries.entries)
     if not names:
@@ -29,7 +31,8 @@
     }
     body = f"body {context.number}".encode()
     name = context.rng.choice(names)
-    return context.entries.call(name, f"{target}{context.number}", headers, body=body)
+    target = f"{target}{context.number}"
+    return context.entries.call(name, target, headers, body=body, caller=caller)
 
 
 def _repeat(context, rate, send, until=float("inf")):
@@ -48,6 +51,18 @@
     run()
 
 
+@given("engines end so: {ending}")
+def step_ending(context, ending):
+    """Let all engines end in one way."""
+    context.entries.installation.ending = ENDINGS[ending]
+
+
+@given("{left:d} in 100 of the callers with the part leave after their first event")
+def step_leaving(context, left):
+    """Let callers leave before their calls can crash an engine."""
+    context.left = left / 100
+
+
 @given(
     "sound callers at random with seed {seed:d}, {rate:g} calls a second, that share"
     " parts"
@@ -150,7 +165,9 @@
         """Send one; beside the deadly part it shares those of sound calls."""
         shared = f"s{context.rng.randrange(_SHARED)}"
         parts = [_FIRST, shared, _DEADLY]
-        context.deadly.append(_call(context, parts, "/long/deadly"))
+        leaves = context.rng.random() < getattr(context, "left", 0.0)
+        caller = LeavingCaller(entries.installation.timeline) if leaves else None
+        context.deadly.append(_call(context, parts, "/long/deadly", caller))
 
     _repeat(context, rate, send, until)
     entries.advance(2.0)
--- a/tests/support/entries.py
+++ b/tests/support/entries.py
@@ -309,10 +309,11 @@
         headers: dict[str, str],
         method: str = "POST",
         body: bytes = b"body",
+        caller: HubCaller | None = None,
     ) -> HubCaller:
-        """Send a call to an instance."""
+        """Send a call to an instance; a caller stays if none is given."""
         number = len(self.callers) + 1
-        caller = HubCaller()
+        caller = caller or HubCaller()
         self.callers.append(caller)
         found = {"host": "h.example", "request-id": f"r{number}", **headers}
         now = self.installation.clock.now()
