--- a/roadlift/decisions/crashes.py
+++ b/roadlift/decisions/crashes.py
@@ -68,11 +68,19 @@
 # Seconds of the refusal of a part after the third crash, ten times as long
 # after each further one.
 FIRST_PART_REFUSAL = 10.0
+# Seconds at most. Each trial may crash one more endpoint, and few are allowed
+# in all; an operator readmits a part whose cause was mended sooner.
+MAX_PART_REFUSAL = 86_400.0
 # Seconds after the last crash from which several parts together explain the
 # crashes under another one.
 JOINT_EXCUSE_DELAY = 5.0
-# Seconds that evidence against a part is kept unless the part is refused.
-PART_RETENTION = 30.0
+# Seconds that evidence against a part is kept unless the part is refused: a
+# part of rare calls is not refuted by others, and has no others to share it.
+PART_RETENTION = 3600.0
+REFUTED_RETENTION = 30.0  # Seconds for refuted evidence: others may lack that.
+# Seconds after which evidence that was not refuted is compared with that of
+# other instances; most is refuted within a second.
+LASTING_TIME = 5.0
 MAX_CALLS = 256  # Calls with evidence that are kept.
 MAX_PARTS = 1024  # Parts of prompts with evidence that are kept.
 
@@ -113,16 +121,18 @@
     """The evidence against one call or part: weights and times, by endpoint.
 
     ``causes`` is shared by all records. One of a part that ``has_stood`` has
-    not been cleared in the time that this takes.
+    not been cleared in the time that this takes; one that ``has_lasted`` is
+    compared with other instances.
     """
 
-    __slots__ = ("causes", "evidence", "has_stood", "is_part")
+    __slots__ = ("causes", "evidence", "has_lasted", "has_stood", "is_part")
 
     def __init__(self, causes: _Causes) -> None:
         self.evidence: dict[str, tuple[int, float]] = {}
         self.causes = causes
         self.is_part = False
         self.has_stood = False
+        self.has_lasted = False
 
     def _list_weights(self) -> list[int]:
         """Return the weights above 0 that count, one for each crash."""
@@ -175,10 +185,17 @@
         self.has_stood = now - first >= STANDING_TIME
         return self.has_stood
 
+    def update_lasting(self, now: float) -> bool:
+        """Update whether open evidence has lasted; return whether new."""
+        had_lasted = self.has_lasted
+        age = now - self.find_last_crash()
+        self.has_lasted = bool(self.weight) and age >= LASTING_TIME
+        return self.has_lasted != had_lasted
+
     def compute_retention(self) -> float:
         """Return the seconds that the record is kept after the last crash."""
         if self.is_part and not self.is_refused:
-            return PART_RETENTION
+            return PART_RETENTION if self.weight else REFUTED_RETENTION
         return self.compute_refusal() + RETENTION
 
     def list_strong(self) -> list[str]:
@@ -191,7 +208,7 @@
             return 0.0
         if self.is_part:
             further = self.crash_count - PART_CRASHES
-            return min(MAX_REFUSAL, FIRST_PART_REFUSAL * REFUSAL_GROWTH**further)
+            return min(MAX_PART_REFUSAL, FIRST_PART_REFUSAL * REFUSAL_GROWTH**further)
         return min(
             MAX_REFUSAL, FIRST_REFUSAL * REFUSAL_GROWTH ** (self.crash_count - 2)
         )
@@ -350,18 +367,20 @@
             if now > record.find_last_crash() + record.compute_retention():
                 del self._records[identity]
                 self._checksum = None
+            elif record.update_lasting(now):
+                self._checksum = None
         self._update_causes()
 
     def compute_checksum(self) -> int:
         """Return a checksum, equal on instances with the same evidence.
 
-        Evidence against parts that are not refused is left out: most of it is
-        cleared within a second.
+        New evidence against parts that are not refused is left out: most of it
+        is cleared within a second.
         """
         if self._checksum is None:
             self._checksum = 0
             for identity, record in self._records.items():
-                if record.is_part and not record.has_stood:
+                if record.is_part and not (record.has_stood or record.has_lasted):
                     continue
                 for endpoint, (weight, _) in record.evidence.items():
                     data = identity + bytes([weight]) + endpoint.encode()
--- a/tests/decisions/crashes.feature
+++ b/tests/decisions/crashes.feature
@@ -48,7 +48,16 @@
       | 1 a shared e1, 2 a shared e2, 2.5 a cleared, 3 a shared e3                                 | 5   | 0       |
       | 1 a shared e1, 2 a shared e2, 3 a shared e3, 4 a cleared                                   | 5   | 0       |
       | 1 a shared e1, 2 a shared e2, 3 a shared e3, 14 a shared e4                                | 15  | 99      |
-      | 1 a shared e1, 2 a shared e2, 40 time passes, 41 a shared e3                               | 42  | 0       |
+      | 1 a shared e1, 2 a shared e2, 40 time passes, 41 a shared e3                               | 42  | 9       |
+      | 1 a shared e1, 36 time passes, 36 a shared e2, 71 time passes, 71 a shared e3              | 72  | 9       |
+      | 1 a shared e1, 2 a shared e2, 2.5 a cleared, 40 time passes, 41 a shared e3                | 42  | 0       |
+      | 1 a shared e1, 2 a shared e2, 3700 time passes, 3701 a shared e3                           | 3702 | 0       |
+      | 1 a shared e1, 2 a shared e2, 3 a shared e3, 4 a survived 1.5, 5 a shared e4               | 6   | 9       |
+      | 1 a shared e1, 2 a shared e2, 3 a shared e3, 4 a survived 2.5, 5 a shared e4               | 6   | 0       |
+      | 1 a shared e1, 2 a shared e2, 3 a shared e3, 4 a shared e4, 5 a readmitted e1              | 6   | 8       |
+      | 1 a shared e1, 2 a shared e2, 3 a shared e3, 4 a shared e4, 5 a readmitted e1+e2           | 6   | 0       |
+      | 1 a shared e1, 2 a shared e2, 3 a shared e3, 4 a shared e4, 5 a shared e5, 6 a shared e6   | 7   | 9999    |
+      | 1 a shared e1, 2 a shared e2, 3 a shared e3, 4 a shared e4, 5 a shared e5, 6 a shared e6, 7 a shared e7, 8 a shared e8 | 9 | 86399 |
       | 1 a shared e1, 2 a shared e2, 2 2000 parts, 3 a shared e3                                  | 5   | 8       |
       | 1 b shared e1, 1 a weak e1, 2 b shared e2, 2 a weak e2, 3 b shared e3, 3 a weak e3         | 5   | 0       |
       | 1 b shared e1, 1 a strong e1, 2 b shared e2, 2 a strong e2, 3 b shared e3                  | 5   | 0       |
--- a/tests/steps/sign_steps.py
+++ b/tests/steps/sign_steps.py
@@ -36,6 +36,10 @@
         context.crashes.expire(now)
         if words[-1] == "cleared":
             context.crashes.clear(_name(words[1]))
+        elif words[2] == "survived":
+            context.crashes.clear(_name(words[1]), float(words[3]))
+        elif words[2] == "readmitted":
+            context.crashes.readmit(_name(words[1]), words[3].split("+"))
         elif words[-1] == "others":
             for index in range(int(words[1])):
                 other = CrashEvidence(_name(f"o{index}"), "e9", STRONG, 0.0)
