--- a/roadlift/relay/address.py
+++ b/roadlift/relay/address.py
@@ -1,6 +1,6 @@
 """Name where an endpoint, a store or another instance listens."""
 
-import socket
+from ipaddress import IPv4Address
 from typing import NamedTuple
 
 
@@ -14,12 +14,9 @@
     def parse(cls, text: str) -> "Address":
         """Parse ``host:port``; raise ValueError if it is malformed."""
         host, _, port = text.rpartition(":")
-        socket.inet_aton(host) if host.count(".") == 3 else _reject(text)
-        return cls(host, int(port))
+        if not (port.isascii() and port.isdigit()):
+            raise ValueError(f"{text!r}: the port is not a number")
+        return cls(str(IPv4Address(host)), int(port))
 
     def __str__(self) -> str:
         return f"{self.host}:{self.port}"
-
-
-def _reject(text: str) -> None:
-    raise ValueError(f"{text!r} is not an IPv4 address with a port")
--- a/standins/store.py
+++ b/standins/store.py
@@ -99,6 +99,10 @@
         """Write a row as the operator or a runner does."""
         return self._write(table, key, json.dumps(content).encode())
 
+    def put_bytes(self, table: str, key: str, value: bytes) -> int:
+        """Write a row as another writer does, whatever it holds."""
+        return self._write(table, key, value)
+
     def delete(self, table: str, key: str) -> None:
         """Delete a row."""
         self._write(table, key, None)
--- a/tests/adapter/adapter.feature
+++ b/tests/adapter/adapter.feature
@@ -261,6 +261,17 @@
       | -1 as its born            |
       | an unnamed state          |
       | a port too large          |
+      | address 10.0.0.1:65536    |
+      | address 10.0.0.1:0        |
+      | address 10.0.0.1:-1       |
+      | address 10.0.0.1:8_0      |
+      | address 10.0.0.1:+80      |
+      | address 10.0.0.1:٨٠       |
+      | address 10.0.0.1 x:80     |
+      | address 010.0.0.1:80      |
+      | address 10.0.1:80         |
+      | half of a pair as its zone |
+      | half of a pair as its backend |
       | a long text as its zone   |
 
     Examples: No document at all
@@ -304,6 +315,10 @@
       | nothing special | 4 accepted, holds m/a3@2, m/a4@0, arriving m/a5@1 |
       | status 503      | endpoint_failed                              |
       | no sequence     | endpoint_failed                              |
+      | half of a pair as its model | endpoint_failed                  |
+      | half of a pair as its adapter | endpoint_failed                |
+      | text as its sequence | endpoint_failed                         |
+      | 1e999 as its sequence | endpoint_failed                        |
 
   Scenario Outline: An answer to an order is judged
     Then an order that is answered <status> is <result>
--- a/tests/relay/upstream.feature
+++ b/tests/relay/upstream.feature
@@ -33,6 +33,64 @@
       | another id              | at once      | closes   | fails as connection_lost having read ""    |
       | no id                   | at once      | closes   | fails as connection_lost having read ""    |
 
+  Scenario Outline: A head that stops short at <where> is no answer, <how> and then <end>
+    Given an endpoint and a call to it
+    When it answers "a head that stops <where>" <how> and then <end>
+    Then the call fails as connection_lost having read ""
+
+    Examples: The connection ends in order, or is reset
+      | where                          | how          | end    |
+      | in the status line             | at once      | closes |
+      | in the status line             | byte by byte | closes |
+      | in the status line             | at once      | resets |
+      | behind the status line         | at once      | closes |
+      | in a header's name             | at once      | closes |
+      | in a header's name             | byte by byte | closes |
+      | behind a header's name         | at once      | closes |
+      | in the length                  | at once      | closes |
+      | in the length                  | byte by byte | closes |
+      | in the length                  | at once      | resets |
+      | behind a length of nothing     | at once      | closes |
+      | before the last line           | at once      | closes |
+      | before the last line           | byte by byte | closes |
+      | behind one CR                  | at once      | closes |
+      | behind one CR                  | byte by byte | closes |
+      | behind one CR with a length    | at once      | closes |
+      | behind an interim answer       | at once      | closes |
+      | behind an interim answer       | byte by byte | closes |
+      | behind an interim answer alone | at once      | closes |
+      | behind another answer          | at once      | closes |
+
+  Scenario Outline: A head that stops short on a kept connection is no answer: <where>
+    Given an endpoint and a call to it
+    When it answers "with a length" at once and then waits
+    And another call is made there, and the endpoint answers "a head that stops <where>" and closes
+    Then the other call fails as connection_lost having read ""
+
+    Examples:
+      | where                    |
+      | in the status line       |
+      | in the length            |
+      | behind one CR            |
+      | before the last line     |
+      | behind an interim answer |
+
+  Scenario Outline: A probe tells what becomes of a connection on which nothing is sent: <does>
+    Given an endpoint and a probe of it
+    When the endpoint <does> it
+    Then the probe fails as <code>
+
+    Examples:
+      | does         | code                 |
+      | closes       | connection_lost      |
+      | resets       | connection_lost      |
+      | writes to    | connection_lost      |
+      | only holds   | request_timeout      |
+
+  Scenario: A probe of an address where no server listens
+    Given a probe of an endpoint that no longer listens
+    Then the probe fails as endpoint_unreachable
+
   Scenario Outline: A connection is reused only after a clean answer
     Given an endpoint and a call to it
     When it answers "<answer>" at once and then waits
--- a/tests/steps/adapter_steps.py
+++ b/tests/steps/adapter_steps.py
@@ -277,6 +277,8 @@
     "numbers": [1, 2],
     "empty text": "",
     "a long text": "z" * 2**20,
+    "half of a pair": "\ud800",
+    "1e999": float("inf"),
 }
 
 
@@ -292,6 +294,8 @@
         del content[fault[3:]]
     elif field:
         content[field] = _VALUES[value] if value in _VALUES else _read_value(value)
+    elif fault.startswith("address "):
+        content["addr"] = fault.removeprefix("address ")
     elif fault == "an unnamed state":
         content["state"] = "warming"
     elif fault == "a port too large":
@@ -405,6 +409,13 @@
     }
     if change == "no sequence":
         del content["seq"]
+    value, _, field = change.partition(" as its ")
+    if field == "sequence":
+        content["seq"] = _VALUES[value]
+    elif field == "model":
+        content["models"][0]["name"] = _VALUES[value]
+    elif field == "adapter":
+        content["models"][0]["adapters"] = [_VALUES[value]]
     status = 503 if change == "status 503" else 200
     answer = Answer(status, {}, json.dumps(content).encode())
     context.read = _run(lambda: _ADAPTER.orders.read_report(answer))
