--- a/roadlift/instance/engine.py
+++ b/roadlift/instance/engine.py
@@ -227,6 +227,7 @@
         """
         known = self.endpoint.started_at
         if known and report.started_at not in (0, known):
+            self.on_crash(self)
             raise EndpointFailed(f"{self.endpoint.name} has restarted")
 
     def _apply_report(self, report: EngineReport) -> None:
--- a/roadlift/instance/term.py
+++ b/roadlift/instance/term.py
@@ -118,7 +118,10 @@
         gone = set(self.engines) - set(found)
         self._replication.forget(gone)
         for name in gone:
-            self.engines.pop(name).close()
+            engine = self.engines.pop(name)
+            engine.close()
+            if self._follower.directory.get(name) is None:
+                self._record_crash(engine)
         self._update_evacuation()
         for endpoint, shape in found.values():
             if endpoint.id not in self.engines:
--- a/standins/installation.py
+++ b/standins/installation.py
@@ -41,6 +41,14 @@
     call_id: str
 
 
+class DeadlyLoad(NamedTuple):
+    """A load under which a runner ends."""
+
+    at: float
+    runner: str
+    adapter: str
+
+
 class Installation:
     """The store and the runners, on one clock."""
 
@@ -84,10 +92,10 @@
         self.brittle_times = 0
         self.rejected: list[str] = []
         self.deadly_runs: dict[bytes, list[DeadlyRun]] = {}
-        # Adapters whose weights end a runner that loads them, and the runners
-        # that began to.
+        # Adapters whose weights end a runner that loads them, and the loads
+        # that began.
         self.deadly_adapters: set[str] = set()
-        self.deadly_loads: list[str] = []
+        self.deadly_loads: list[DeadlyLoad] = []
         self.arrivals = ArrivalWatch()
         self.limits = LimitWatch()
         self.overlaps = OverlapWatch(self.timeline)
@@ -164,6 +172,10 @@
         runs = self.deadly_part_runs.setdefault(part, [])
         runs.append(DeadlyRun(self.clock.now(), runner, call_id))
 
+    def note_deadly_load(self, runner: str, adapter: str) -> None:
+        """Note that a runner begins to load an adapter that ends it."""
+        self.deadly_loads.append(DeadlyLoad(self.clock.now(), runner, adapter))
+
     def note_deadly(self, runner: str, body: bytes, call_id: str) -> None:
         """Count a run of a deadly call."""
         runs = self.deadly_runs.setdefault(body, [])
--- a/standins/runners.py
+++ b/standins/runners.py
@@ -423,7 +423,7 @@
         self.held.pop(name, None)
         self.arriving[name] = version
         if name in self._installation.deadly_adapters:
-            self._installation.deadly_loads.append(self.id)
+            self._installation.note_deadly_load(self.id, name)
             self._timeline.call_later(CRASH_DELAY, self.crash)
         self._timeline.call_later(self.load_time, lambda: self._arrive(name))
         return 202
--- a/tests/instance/unseen_ends.feature
+++ b/tests/instance/unseen_ends.feature
@@ -36,3 +36,18 @@
       | left | deadly | seed |
       | 50   | 3      | 1    |
       | 85   | 6      | 1    |
+
+  Scenario Outline: Weights that crash engines are not loaded forever where they end so: <ending>
+    Given instances a, b and d in zone z1 and c, f and g in zone z2, and 9 engines
+    And engines end so: <ending>
+    And callers of 20 adapters, 25 calls a second
+    When an adapter whose weights crash engines is requested each 0.45 seconds
+    Then at most 3 loads of it began later than 3 seconds after the fifth crash
+    And 80 in 100 of the other calls were served
+
+    Examples:
+      | ending   |
+      | late     |
+      | resets   |
+      | holds    |
+      | no entry |
--- a/tests/steps/crash_steps.py
+++ b/tests/steps/crash_steps.py
@@ -230,8 +230,21 @@
 @then("{most:d} engines crashed by its weights at most")
 def step_loads(context, most):
     """Count the engines that began to load it."""
-    found = context.entries.installation.deadly_loads
-    assert len(set(found)) <= most, found
+    loads = context.entries.installation.deadly_loads
+    found = {load.runner for load in loads}
+    assert len(found) <= most, found
+
+
+@then(
+    "at most {most:d} loads of it began later than {seconds:g} seconds after the fifth"
+    " crash"
+)
+def step_late_loads(context, most, seconds):
+    """Count the loads that began too late."""
+    loads = context.entries.installation.deadly_loads
+    crashes = context.entries.installation.crash_times
+    late = [one for one in loads if len(crashes) > 4 and one.at > crashes[4] + seconds]
+    assert len(late) <= most, (len(late), len(loads), len(crashes))
 
 
 @given("a configuration that makes a listener fail")
