--- a/benchmarks/routes.py
+++ b/benchmarks/routes.py
@@ -5,7 +5,8 @@
 store, the store falls silent, loses answers or comes back older, engines start
 again under their names, play faults, name limits, leave, ask for rest and end
 under calls or under a part of prompts, or have little room and fall over under
-what they reject; runners repeat answers late; callers send and read slowly;
+what they reject, each end in one of the ways that are drawn; runners repeat
+answers late; callers send and read slowly, and leave within their streams;
 many connections come to one instance; and the operator adds
 routes, names versions and revokes keys; faults overlap. What callers were told
 is compared with what the runners noted. Prints JSON, and fails where a count
@@ -54,6 +55,8 @@
 ROUTE_LIMIT = 3.0  # Seconds in which an added route is in force.
 START_LIMIT = 8.0  # Seconds in which a process that was started listens.
 DEADLY_SPAN = 12.0  # Seconds for which such a call comes again.
+LEAVING_PART = 0.05  # Of the callers of streams, that leave after an event.
+LEAVING_DEADLY_PART = 0.4  # The same of calls with a part that ends engines.
 DEADLY_GAP = (0.2, 0.8)  # Seconds until it does, at least and at most.
 BRITTLE_SPAN = (5.0, 9.0)  # Seconds for which a service's runners are brittle.
 BEARS = (2, 3, 5)  # Rejections a second that they bear.
@@ -126,6 +129,8 @@
             self.keys.pick,
             EVENTS,
         )
+        self._seed = seed
+        self._departures = random.Random(f"departures {seed}")
         slow_draw = random.Random(f"slow {seed}")
         self._slow_callers = SlowCallers(slow_draw, self, self.keys.get_safe)
 
@@ -133,6 +138,7 @@
         """Run callers and faults for some seconds, then look at the rest."""
         self._began = self.notes.began_at = time.monotonic()
         self._end = self._began + seconds
+        await self._command(draw_endings=self._seed)
         await self._command(release="e10", software=SOFTWARE[1])
         mixes = [_MIX] * CALLERS + [SLOW_MIX] * READERS
         callers = [self._run_caller(mix) for mix in mixes]
@@ -200,7 +206,12 @@
         self.notes.kinds[call_id] = kind
         self._note_sent(call_id, name, began)
         run = self._runs_of.get(name, 0)
-        answer = await channel.call("POST", path, headers)
+        leaves = kind in _STREAMS and self._departures.random() < LEAVING_PART
+        is_enough = lambda body: leaves
+        answer = await channel.call("POST", path, headers, is_enough=is_enough)
+        if leaves:
+            self.notes.counts["left"] += 1
+            return
         self._note_call(call_id, path, name, run, began, answer)
         self._judge(call_id, kind, name, began, answer)
 
@@ -630,7 +641,11 @@
         headers = make_headers(Wanted(call_id, model, 4.0, key, parts=parts))
         channel = Channel(self._deployment.instances[name].address)
         body = (call_id if part else f"deadly {number}").encode()
-        answer = await channel.call("POST", "/long/deadly", headers, body)
+        leaves = bool(part) and self._departures.random() < LEAVING_DEADLY_PART
+        if leaves:
+            self.notes.left.add(call_id)
+        is_enough = lambda body: leaves
+        answer = await channel.call("POST", "/long/deadly", headers, body, is_enough)
         channel.close()
         self.notes.counts[f"deadly_{answer.status}"] += 1
 
--- a/tests/benchmarks/soak.feature
+++ b/tests/benchmarks/soak.feature
@@ -50,6 +50,9 @@
       | 1, 2, 3, 7, 8, 9                         | 0          |
       | 1, 2, 3, 7, 8, 9, 10                     | 1          |
       | 1, 2, 3, 7, 8, 9, 10 at a frozen one     | 0          |
+      | 1 left, 2, 3, 7, 8, 9, 10                | 0          |
+      | 1 left, 2, 3, 4, 8, 9, 10, 11            | 1          |
+      | 1, 2, 3, 7 left, 8, 9, 10                | 1          |
 
   Scenario Outline: What runners said is kept to, or not, where a call comes <after> s later
     Given a soak in which a runner says <word> to a call, and <calls> more come <after> s later
