--- a/roadlift/crashes/detection.py
+++ b/roadlift/crashes/detection.py
@@ -12,7 +12,8 @@
 from roadlift.core.kernel import Kernel
 from roadlift.core.logs import ComponentLog
 from roadlift.core.loop import Timer
-from roadlift.decisions.crashes import STRONG, SURVIVAL_TIME, WEAK
+from roadlift.decisions.crashes import SURVIVAL_TIME
+from roadlift.decisions.crashrecord import STRONG, WEAK
 from roadlift.decisions.endings import (
     CHECK_TIMES,
     CONNECT_TIMEOUT,
--- a/roadlift/crashes/ledger.py
+++ b/roadlift/crashes/ledger.py
@@ -14,7 +14,8 @@
 from roadlift.core.kernel import Kernel, components
 from roadlift.core.logs import ComponentLog
 from roadlift.crashes.survivals import Survivals
-from roadlift.decisions.crashes import Crashes, CrashEvidence
+from roadlift.decisions.crashes import Crashes
+from roadlift.decisions.crashrecord import CrashEvidence
 
 log = ComponentLog("crashes")
 
--- a/roadlift/daemon/calls.py
+++ b/roadlift/daemon/calls.py
@@ -8,7 +8,7 @@
 from roadlift.crashes.ledger import CrashLedger
 from roadlift.daemon.bundles import StorePart
 from roadlift.daemon.members import Members
-from roadlift.decisions.crashes import CrashEvidence
+from roadlift.decisions.crashrecord import CrashEvidence
 from roadlift.idempotency.claims import Claims
 from roadlift.retries.rules import RetryBudget
 
--- a/roadlift/instance/crashes.py
+++ b/roadlift/instance/crashes.py
@@ -11,7 +11,7 @@
 from roadlift.crashes.opencalls import OpenCalls
 from roadlift.crashes.recentruns import RecentRun, RecentRuns
 from roadlift.crashes.trials import TrialSlots
-from roadlift.decisions.crashes import SHARED, CrashEvidence
+from roadlift.decisions.crashrecord import SHARED, CrashEvidence
 from roadlift.instance.aggregator import Aggregator
 from roadlift.instance.brittleness import BrittleEndpoints
 from roadlift.instance.crashnews import CrashSync
--- a/roadlift/instance/crashnews.py
+++ b/roadlift/instance/crashnews.py
@@ -15,7 +15,7 @@
 from roadlift.core.loop import Timer
 from roadlift.crashes.ledger import CrashLedger
 from roadlift.daemon.transport import Transport
-from roadlift.decisions.crashes import CrashEvidence
+from roadlift.decisions.crashrecord import CrashEvidence
 from roadlift.instance.aggregator import Aggregator
 from roadlift.instance.leases import Leases
 from roadlift.instance.subscription import Subscription
--- a/roadlift/instance/term.py
+++ b/roadlift/instance/term.py
@@ -4,7 +4,7 @@
 from roadlift.core.logs import ComponentLog
 from roadlift.crashes.ledger import CrashLedger
 from roadlift.daemon.transport import Transport
-from roadlift.decisions.crashes import WEAK, CrashEvidence
+from roadlift.decisions.crashrecord import WEAK, CrashEvidence
 from roadlift.decisions.denials import Denials
 from roadlift.decisions.urgency import Urgency
 from roadlift.decisions.workload import EngineLoad, ReportedLoads
--- a/roadlift/serving/crashevidence.py
+++ b/roadlift/serving/crashevidence.py
@@ -5,7 +5,7 @@
 import msgpack
 
 from roadlift.core.errors import MalformedMessage
-from roadlift.decisions.crashes import SHARED, STRONG, WEAK, CrashEvidence
+from roadlift.decisions.crashrecord import SHARED, STRONG, WEAK, CrashEvidence
 from roadlift.serving.identity import IDENTITY_SIZE
 
 MAX_NAME_LENGTH = 512  # Characters of an endpoint's id.
--- a/tests/steps/barred_steps.py
+++ b/tests/steps/barred_steps.py
@@ -11,7 +11,7 @@
 from behave import given, then, when
 
 from demo.fleet import ROOT, Process
-from roadlift.decisions.crashes import STRONG, CrashEvidence
+from roadlift.decisions.crashrecord import STRONG, CrashEvidence
 from roadlift.explanation.barred import find_barred
 from roadlift.explanation.lines import read_lines
 from roadlift.instance.crashrows import TABLE
--- a/tests/steps/return_steps.py
+++ b/tests/steps/return_steps.py
@@ -5,7 +5,7 @@
 from behave import given, then, when
 
 from roadlift.crashes.ledger import CrashLedger
-from roadlift.decisions.crashes import STRONG, CrashEvidence
+from roadlift.decisions.crashrecord import STRONG, CrashEvidence
 from roadlift.instance.crashrows import TABLE
 from roadlift.instance.follower import Follower
 from roadlift.instance.leases import Leases
--- a/tests/steps/sign_steps.py
+++ b/tests/steps/sign_steps.py
@@ -6,13 +6,8 @@
 from behave import given, then, when
 
 from roadlift.core.errors import MalformedMessage
-from roadlift.decisions.crashes import (
-    SHARED,
-    STRONG,
-    WEAK,
-    Crashes,
-    CrashEvidence,
-)
+from roadlift.decisions.crashes import Crashes
+from roadlift.decisions.crashrecord import SHARED, STRONG, WEAK, CrashEvidence
 from roadlift.serving.calls import Call, Model, PromptPart
 from roadlift.serving.crashevidence import encode_row, read_evidence, read_row
 from roadlift.serving.identity import IDENTITY_SIZE, identify, identify_parts
