--- a/roadlift/decisions/endings.py
+++ b/roadlift/decisions/endings.py
@@ -12,7 +12,7 @@
 # Seconds after the first cut at which new connections are tried. At the first,
 # all calls that ran there are cut, and a process that exited usually has no
 # listener. The later ones are for listeners that outlive their process.
-CHECK_TIMES = (0.02, 0.1, 0.3, 1.0)
+CHECK_TIMES = (0.02, 0.2, 1.0)
 CONNECT_TIMEOUT = 0.3  # Seconds in which a connection is accepted.
 # Seconds for which an accepted connection is watched: a mapper closes it as
 # soon as it finds no process, an endpoint that lives waits for a request.
--- a/roadlift/instance/crashes.py
+++ b/roadlift/instance/crashes.py
@@ -96,12 +96,12 @@
         suspect = self._ledger.find_suspect(work)
         return suspect is not None and self._trial_slots.wait(suspect, on_slot)
 
-    def record_sent(self, endpoint: Endpoint, call: Hashable) -> None:
-        """Record a call that is sent to an endpoint."""
-        self._open_calls.begin(endpoint.id, call, self._kernel.clock.now())
+    def record_sent(self, endpoint: Endpoint, call: Hashable, at: float) -> None:
+        """Record a call that was sent at a time, and whose answer is read."""
+        self._open_calls.begin(endpoint.id, call, at)
 
     def record_over(self, endpoint: Endpoint, call: Hashable) -> None:
-        """Record that a call that was sent is over."""
+        """Record that a call is over, or that its answer is not read now."""
         self._open_calls.end(endpoint.id, call)
 
     def begin(self, work: Work) -> bytes | None:
--- a/roadlift/instance/send.py
+++ b/roadlift/instance/send.py
@@ -100,7 +100,7 @@
         call = self._owner.call
         self._placement.begin(self.endpoint, call)
         self._suspect = self._crashes.begin(self._owner)
-        self._crashes.record_sent(self.endpoint, self)
+        self._crashes.record_sent(self.endpoint, self, self.sent_at)
         self._is_prompt_unread = True
         self._isolation.record_sent()
         if call.model is not None:
@@ -127,6 +127,8 @@
         """Stop reading the answer until ``resume``."""
         if self._line is not None:
             self._placement.inactivity.pause(self.endpoint.id, self)
+            # That its connection was closed is not seen meanwhile.
+            self._crashes.record_over(self.endpoint, self)
             self._line.pause()
 
     def resume(self) -> None:
@@ -135,6 +137,7 @@
             now = self._kernel.clock.now()
             # What was not read meanwhile may have come at any time.
             self._watched_from = now
+            self._crashes.record_sent(self.endpoint, self, self.sent_at)
             self._placement.inactivity.resume(self.endpoint.id, self, now)
             self._line.resume()
 
