--- a/roadlift/crashes/detection.py
+++ b/roadlift/crashes/detection.py
@@ -22,7 +22,7 @@
     MAX_WATCH_TIME,
     NEEDS_REACH,
     TRANSIT_TIME,
-    Sign,
+    Observation,
     is_conclusive,
 )
 from roadlift.relay.address import Address
@@ -88,7 +88,7 @@
     def confirm_reach(self, endpoint: str, on_result: Callable[[bool], None]) -> None:
         """Check whether other endpoints than this one are reached."""
 
-    def record_doubt(self, endpoint: str) -> None:
+    def record_suspicion(self, endpoint: str) -> None:
         """Handle that nothing is known of an endpoint that cut all calls."""
 
 
@@ -107,7 +107,7 @@
         """Take the path for sound."""
         on_result(True)
 
-    def record_doubt(self, endpoint: str) -> None:
+    def record_suspicion(self, endpoint: str) -> None:
         """Do nothing."""
 
 
@@ -121,11 +121,17 @@
         self.cuts: list[CutCall] = []
         self.recent_parts: list[bytes] = []
         self.checks = 0
+        self.has_answered = False
         self.timer: Timer | None = None
 
-    def find_next_look(self, now: float) -> float:
-        """Return the seconds until the endpoint is looked at again."""
-        if self.checks < len(CHECK_TIMES):
+    @property
+    def needs_check(self) -> bool:
+        """Return whether another connection is to be tried."""
+        return self.checks < len(CHECK_TIMES) and not self.has_answered
+
+    def compute_delay(self, now: float) -> float:
+        """Return the seconds until the endpoint is checked again."""
+        if self.needs_check:
             return max(0.0, self.at + CHECK_TIMES[self.checks] - now)
         return LIST_INTERVAL
 
@@ -182,9 +188,9 @@
         if watch is None:
             return
         if sent_at >= watch.at:
-            watch.checks = len(CHECK_TIMES)
+            watch.has_answered = True
         elif self._kernel.clock.now() - watch.at >= TRANSIT_TIME:
-            self._log_sign(watch, Sign.ANSWERED)
+            self._log_observation(watch, Observation.ANSWERED)
             self._forget(watch)
 
     def close(self) -> None:
@@ -200,17 +206,17 @@
         return self._watches.get(watch.endpoint) is watch
 
     def _schedule(self, watch: _Watch) -> None:
-        delay = watch.find_next_look(self._kernel.clock.now())
-        watch.timer = self._kernel.loop.call_later(delay, lambda: self._look(watch))
+        delay = watch.compute_delay(self._kernel.clock.now())
+        watch.timer = self._kernel.loop.call_later(delay, lambda: self._poll(watch))
 
-    def _look(self, watch: _Watch) -> None:
+    def _poll(self, watch: _Watch) -> None:
         """Look at the list, and try a new connection if one is due."""
-        if not self._surroundings.is_listed(watch.endpoint):
-            self._handle_sign(watch, Sign.UNLISTED)
-        elif self._kernel.clock.now() - watch.at >= MAX_WATCH_TIME:
+        if self._kernel.clock.now() - watch.at >= MAX_WATCH_TIME:
             log.event("endpoint_end_unknown", endpoint=watch.endpoint)
             self._forget(watch)
-        elif watch.checks < len(CHECK_TIMES):
+        elif not self._surroundings.is_listed(watch.endpoint):
+            self._handle_observation(watch, Observation.UNLISTED)
+        elif watch.needs_check:
             watch.checks += 1
             self._connect(watch)
         else:
@@ -225,16 +231,16 @@
 
     def _handle_check(self, watch: _Watch, error: RoadliftError) -> None:
         if self._is_current(watch):
-            self._handle_sign(watch, classify(error))
+            self._handle_observation(watch, classify(error))
 
-    def _handle_sign(self, watch: _Watch, sign: Sign) -> None:
-        self._log_sign(watch, sign)
+    def _handle_observation(self, watch: _Watch, observation: Observation) -> None:
+        self._log_observation(watch, observation)
         open_sends = self._surroundings.count_open(watch.endpoint, watch.at)
-        if not is_conclusive(sign, open_sends):
-            if not open_sends:
-                self._surroundings.record_doubt(watch.endpoint)
+        if not is_conclusive(observation, open_sends):
+            if not open_sends and not watch.has_answered:
+                self._surroundings.record_suspicion(watch.endpoint)
             self._schedule(watch)
-        elif sign in NEEDS_REACH:
+        elif observation in NEEDS_REACH:
             self._surroundings.confirm_reach(
                 watch.endpoint, lambda is_reached: self._handle_reach(watch, is_reached)
             )
@@ -259,24 +265,28 @@
         parts = list(dict.fromkeys([*list_parts(watch.cuts), *watch.recent_parts]))
         self._on_crash(EndpointCrash(watch.endpoint, count, suspects, parts, age))
 
-    def _log_sign(self, watch: _Watch, sign: Sign) -> None:
+    def _log_observation(self, watch: _Watch, observation: Observation) -> None:
         log.event(
             "endpoint_checked",
             endpoint=watch.endpoint,
-            sign=sign,
+            result=observation,
             cut=len(watch.cuts),
             silent=sum(cut.is_silent for cut in watch.cuts),
             delay=round(self._kernel.clock.now() - watch.at, 3),
         )
 
 
-def classify(error: RoadliftError) -> Sign:
+def classify(error: RoadliftError) -> Observation:
     """Return what the end of a connection shows on which nothing was sent."""
     if isinstance(error, ConnectionRefused):
-        return Sign.REFUSED
+        return Observation.REFUSED
     if isinstance(error, ConnectionLost):
-        return Sign.CLOSED
-    return Sign.HELD if isinstance(error, RequestTimeout) else Sign.UNREACHABLE
+        return Observation.CLOSED
+    return (
+        Observation.HELD
+        if isinstance(error, RequestTimeout)
+        else Observation.UNREACHABLE
+    )
 
 
 def choose_suspects(cuts: Iterable[CutCall]) -> dict[bytes, int]:
--- a/roadlift/decisions/endings.py
+++ b/roadlift/decisions/endings.py
@@ -20,13 +20,13 @@
 # Seconds after the first cut from which bytes on an older connection show that
 # the endpoint lives; until then they may have been on their way.
 TRANSIT_TIME = 0.2
-LIST_INTERVAL = 0.2  # Seconds between two looks at its entry after these.
+LIST_INTERVAL = 0.2  # Seconds between two readings of the list after these.
 # Seconds for which an undecided endpoint is watched: an entry of one that
 # ended is replaced or has lapsed by then.
 MAX_WATCH_TIME = 10.0
 
 
-class Sign(enum.StrEnum):
+class Observation(enum.StrEnum):
     """What was seen of an endpoint after it cut calls off.
 
     ``HELD`` is a new connection that stayed open, ``UNREACHABLE`` one that was
@@ -44,15 +44,15 @@
 
 
 # A path that is cut or reset refuses and closes connections as well.
-NEEDS_REACH = frozenset({Sign.REFUSED, Sign.CLOSED})
+NEEDS_REACH = frozenset({Observation.REFUSED, Observation.CLOSED})
 
 
-def is_conclusive(sign: Sign, open_sends: int) -> bool:
-    """Return whether a sign shows that an endpoint ended.
+def is_conclusive(observation: Observation, open_sends: int) -> bool:
+    """Return whether an observation shows that an endpoint ended.
 
     As long as ``open_sends`` calls of this process are still open there, only
     a refused connection does.
     """
-    if sign is Sign.REFUSED:
+    if observation is Observation.REFUSED:
         return True
-    return sign in (Sign.CLOSED, Sign.UNLISTED) and not open_sends
+    return observation in (Observation.CLOSED, Observation.UNLISTED) and not open_sends
--- a/roadlift/instance/crashes.py
+++ b/roadlift/instance/crashes.py
@@ -121,7 +121,16 @@
     def record_cut(self, endpoint: Endpoint, cut: CutCall) -> None:
         """Record that an endpoint closed the connection of a running call."""
         now = self._kernel.clock.now()
-        is_watched = self._detector.is_watched(endpoint.id)
+        parts = self._recent_runs.list_parts(endpoint.id)
+        self._record_cutter(endpoint, now)
+        self._detector.record_cut(endpoint.id, endpoint.address, cut, parts)
+
+    def _record_cutter(self, endpoint: Endpoint, now: float) -> None:
+        """Remember an endpoint as it was listed when it began to cut calls."""
+        cutter = self._cutters.get(endpoint.id)
+        if cutter is not None and self._detector.is_watched(endpoint.id):
+            self._cutters[endpoint.id] = cutter._replace(at=now)
+            return
         if len(self._cutters) > MAX_CUT_ENDPOINTS:
             recent = now - CUT_RETENTION
             self._cutters = {
@@ -129,9 +138,10 @@
                 for one, cutter in self._cutters.items()
                 if cutter.at > recent
             }
+        known = self._follower.directory.get(endpoint.id)
+        # One that has left the list serves its calls to their end, and leaves.
+        endpoint = known or endpoint._replace(is_draining=True)
         self._cutters[endpoint.id] = _Cutter(endpoint, now)
-        parts = () if is_watched else self._recent_runs.list_parts(endpoint.id)
-        self._detector.record_cut(endpoint.id, endpoint.address, cut, parts)
 
     def record_answer(self, endpoint: Endpoint, sent_at: float) -> None:
         """Record bytes of an answer to a call that was sent at a time."""
@@ -162,7 +172,7 @@
         """Check whether other endpoints than this one are reached."""
         self._isolation.confirm_reach(endpoint, on_result)
 
-    def record_doubt(self, endpoint: str) -> None:
+    def record_suspicion(self, endpoint: str) -> None:
         """Send one call at a time to an endpoint that cut all calls off."""
         self._health.record_connect_failure(endpoint, self._kernel.clock.now())
 
@@ -195,8 +205,7 @@
     def _record_crash(self, end: EndpointCrash) -> None:
         now = self._kernel.clock.now()
         self._health.record_end(end.endpoint, now)
-        directory = self._follower.directory
-        known = directory.get(end.endpoint) or self._cutters[end.endpoint].endpoint
+        known = self._cutters[end.endpoint].endpoint
         if known.is_draining:
             # Its end may be planned: only what had just begun is a suspect.
             end = end._replace(suspects={})
--- a/roadlift/instance/exchange.py
+++ b/roadlift/instance/exchange.py
@@ -169,7 +169,9 @@
         has brought events is not the cause, or it is too late to end it.
         """
         current = self._sends.current
-        has_events = current is not None and current.chunks_received
+        has_events = current is not None and (
+            current.chunks_received or self._answer.has_begun
+        )
         is_concerned = identity in (self.identify(), *self.identify_parts())
         if self._is_over or has_events or not is_concerned:
             return
--- a/tests/instance/unseen_ends.feature
+++ b/tests/instance/unseen_ends.feature
@@ -51,3 +51,20 @@
       | resets   |
       | holds    |
       | no entry |
+
+  Scenario: A stream that has begun is not cut as its work is refused
+    Given instances a, b and d in zone z1 and c, f and g in zone z2, and 6 engines
+    And a stream whose engine broke it off, and that waits at another engine
+    When its work is refused for crashes of three engines
+    Then the stream goes on to its end
+
+  Scenario Outline: An engine that <leaves> and ends under long calls is evidence against none
+    Given instances a, b and d in zone z1 and c, f and g in zone z2, and 6 engines
+    And long streams at all engines
+    When each engine <leaves>, and ends 1.5 seconds later
+    Then no instance has evidence against any work
+
+    Examples:
+      | leaves                   |
+      | drains                   |
+      | takes its entry away     |
