--- a/benchmarks/routes.py
+++ b/benchmarks/routes.py
@@ -26,16 +26,16 @@
 from contextlib import asynccontextmanager
 from pathlib import Path
 
+from benchmarks.deadlycalls import DeadlyCalls
 from benchmarks.organisations import REVOKE_LIMIT, SETTINGS, KeyRing
 from benchmarks.restarts import Restarts
 from benchmarks.runchecks import CALM, Cut, Notes, RunChecks, Watches
+from benchmarks.runnerfaults import SOFTWARE, RunnerFaults
 from benchmarks.silences import Silences
 from benchmarks.slowcallers import SlowCallers
 from benchmarks.streams import CALL_LIMIT, SLOW_MIX, Call, StreamWatch, find_terms
 from benchmarks.takeups import TakeUps
 from demo.installation import (
-    COLD_RATE,
-    ZONES,
     Answer,
     Channel,
     Deployment,
@@ -54,36 +54,13 @@
 EVENTS = 3  # Events of a whole stream.
 ROUTE_LIMIT = 3.0  # Seconds in which an added route is in force.
 START_LIMIT = 8.0  # Seconds in which a process that was started listens.
-DEADLY_SPAN = 12.0  # Seconds for which such a call comes again.
 LEAVING_PART = 0.05  # Of the callers of streams, that leave after an event.
-LEAVING_DEADLY_PART = 0.4  # The same of calls with a part that ends engines.
-DEADLY_GAP = (0.2, 0.8)  # Seconds until it does, at least and at most.
-BRITTLE_SPAN = (5.0, 9.0)  # Seconds for which a service's runners are brittle.
-BEARS = (2, 3, 5)  # Rejections a second that they bear.
 HERD = 90  # New connections that come to one instance.
 HERD_GAP = 0.03  # Seconds between them.
-LIMITS = (1.0, 12.0)  # Calls a second that a runner names, at least and at most.
-LIMIT_SPAN = (4.0, 12.0)  # Seconds for which it does.
-LEAVE_SPAN = (3.0, 8.0)  # Seconds for which a runner says that it leaves.
-RESTS = (0.6, 4.0)  # Seconds of rest that a runner asks for, at least and at most.
-REST_SPAN = (2.0, 9.0)  # Seconds for which it turns calls away.
-EVACUATION_SPAN = (4.0, 8.0)  # Seconds for which a zone is out of service.
-SOFTWARE = ("v1", "v1.2")  # Versions that engines come back with.
-COLD_SPAN = (3.0, 6.0)  # Seconds for which a runner is cold.
 MOST_LOST = 8.0  # Seconds of writes that the store loses as it comes back.
 MOST_PASSED = 500  # Versions that are given out again at once behind that.
 MOST_CUT = 5.0  # Seconds for which an instance is cut from the store.
 MOST_FROZEN = 10.0  # Seconds that an instance stands still: beyond its lease.
-_ENGINE_FAULTS = (
-    "cut",
-    "mute",
-    "refuse",
-    "unframed",
-    "break off",
-    "break off early",
-)
-REPEAT_SPAN = (2.0, 5.0)  # Seconds for which runners repeat answers.
-REJECT_GAP = 0.05  # Seconds between two rejections meanwhile.
 FAULT_GAP = (0.2, 1.5)  # Seconds between two faults, at least and at most.
 _MIX = (
     ("stream", "/long/1", 6),
@@ -94,7 +71,6 @@
 )
 _STREAMS = ("stream", "again", "slow", "slow_again")
 _CUTS = (frozenset(Way), frozenset({Way.REQUESTS}), frozenset({Way.ANSWERS}))
-_HOT = 3  # Adapters of which new versions are named.
 
 
 class Soak:
@@ -121,7 +97,6 @@
         )
         self._writing = asyncio.Lock()
         self._seen_routes: dict[tuple[str, int], int] = {}
-        self._evacuated = ""
         self._added: list[float] = []
         self._takeups = TakeUps(
             random.Random(f"takeups {seed}"),
@@ -131,6 +106,10 @@
         )
         self._seed = seed
         self._departures = random.Random(f"departures {seed}")
+        self._runner_faults = RunnerFaults(self._draw, self._command)
+        self._deadly_calls = DeadlyCalls(
+            (self._draw, self._departures), self, self._command, self.keys.get_safe
+        )
         slow_draw = random.Random(f"slow {seed}")
         self._slow_callers = SlowCallers(slow_draw, self, self.keys.get_safe)
 
@@ -142,14 +121,15 @@
         await self._command(release="e10", software=SOFTWARE[1])
         mixes = [_MIX] * CALLERS + [SLOW_MIX] * READERS
         callers = [self._run_caller(mix) for mix in mixes]
-        callers += [self._takeups.run(self._is_over) for _ in range(TAKERS)]
-        callers += [self._slow_callers.run(self._is_over) for _ in range(SLOW_CALLERS)]
+        callers += [self._takeups.run(self.is_over) for _ in range(TAKERS)]
+        callers += [self._slow_callers.run(self.is_over) for _ in range(SLOW_CALLERS)]
         watches = (self._watch_routes(), self._watch_processes())
         silences = self._silences.run(self._end - CALM)
         await asyncio.gather(*callers, self._run_faults(), silences, *watches)
         await self._check_recovery()
 
-    def _is_over(self) -> bool:
+    def is_over(self) -> bool:
+        """Return whether no more calls are sent."""
         return time.monotonic() >= self._end
 
     def _pick_address(self) -> Address:
@@ -204,7 +184,7 @@
         headers = make_headers(Wanted(call_id, model, CALL_LIMIT, key))
         began = time.monotonic()
         self.notes.kinds[call_id] = kind
-        self._note_sent(call_id, name, began)
+        self.note_sent(call_id, name, began)
         run = self._runs_of.get(name, 0)
         leaves = kind in _STREAMS and self._departures.random() < LEAVING_PART
         is_enough = lambda body: leaves
@@ -230,7 +210,7 @@
         has_ended = name in self._away or self._runs_of.get(name, 0) != run
         return has_ended or self.notes.disturbed.get(name, 0.0) >= began
 
-    def _note_sent(self, call_id: str, name: str, began: float) -> None:
+    def note_sent(self, call_id: str, name: str, began: float) -> None:
         """Keep to which run of an instance a call is sent, by both clocks."""
         self.notes.sent_to[call_id] = (name, began)
         process = f"{name} {self._runs_of.get(name, 0)} {self._freezes[name]}"
@@ -282,24 +262,24 @@
             (self._go_back, 3),
             (self._cut_from_store, 3),
             (self._reset_store, 2),
-            (self._lose_answers, 2),
-            (self._restart_engine, 3),
-            (self._release, 8),
-            (self._spoil_runner, 8),
+            (self._runner_faults.lose_answers, 2),
+            (self._runner_faults.restart_engine, 3),
+            (self._runner_faults.release, 8),
+            (self._runner_faults.spoil_runner, 8),
             (self._add_route, 3),
-            (self._name_version, 3),
-            (self._send_deadly, 3),
-            (self._name_limit, 3),
+            (self._runner_faults.name_version, 3),
+            (self._deadly_calls.send_deadly, 3),
+            (self._runner_faults.name_limit, 3),
             (self._revoke_key, 2),
             (self._revoke_over_freeze, 2),
-            (self._leave_runner, 3),
-            (self._want_rest, 4),
-            (self._evacuate, 3),
-            (self._turn_cold, 3),
-            (self._turn_brittle, 3),
-            (self._send_deadly_part, 2),
+            (self._runner_faults.leave_runner, 3),
+            (self._runner_faults.want_rest, 4),
+            (self._runner_faults.evacuate, 3),
+            (self._runner_faults.turn_cold, 3),
+            (self._runner_faults.turn_brittle, 3),
+            (self._deadly_calls.send_deadly_part, 2),
             (self._send_herd, 2),
-            (self._repeat_answers, 4),
+            (self._runner_faults.repeat_answers, 4),
             (self._restarts.restart_in_series, 3),
             (self._restarts.fail_calls, 5),
             (self._stand_still_beside, 4),
@@ -447,44 +427,11 @@
         proxy = self._deployment.proxies[name]
         self._draw.choice((proxy.reset, proxy.silence))()
 
-    async def _lose_answers(self) -> None:
-        await self._command(lose_answers=2, lose_polls=1)
-
-    async def _restart_engine(self) -> None:
-        await self._command(restart=f"e{self._draw.randrange(3)}0")
-
-    async def _release(self) -> None:
-        """Let an engine end, and come back with a version of its software."""
-        runner = f"e{self._draw.randrange(3)}0"
-        await self._command(release=runner, software=self._draw.choice(SOFTWARE))
-
-    async def _spoil_runner(self) -> None:
-        kind = self._draw.choice("ep")
-        faults = _ENGINE_FAULTS if kind == "e" else ("lose", "refuse")
-        runner = f"{kind}{self._draw.randrange(3)}0"
-        for _ in range(self._draw.randrange(1, 4)):
-            await self._command(runner=runner, fault=self._draw.choice(faults))
-
     async def _add_route(self) -> None:
         self._deployment.routes += 1
         await self._write_configuration()
         self._added.append(time.monotonic())
 
-    async def _name_version(self) -> None:
-        await self._command(version=f"x{self._draw.randrange(_HOT)}")
-
-    async def _name_limit(self) -> None:
-        """Let a runner, or all of a kind, name a limit for a while."""
-        kind = self._draw.choice("ep")
-        count = self._draw.choice((1, 3))
-        limit = f"{self._draw.uniform(*LIMITS):.1f}"
-        runners = [f"{kind}{number}0" for number in range(count)]
-        for runner in runners:
-            await self._command(runner=runner, limit=limit)
-        await asyncio.sleep(self._draw.uniform(*LIMIT_SPAN))
-        for runner in runners:
-            await self._command(runner=runner, limit=None)
-
     async def _revoke_over_freeze(self) -> None:
         """Revoke a key while an instance stands still, and ask it then."""
         name = self._take_instance()
@@ -501,7 +448,7 @@
     async def _call_former(self, name: str, key: str) -> None:
         self._serial += 1
         call_id = f"f{self._serial}"
-        self._note_sent(call_id, name, time.monotonic())
+        self.note_sent(call_id, name, time.monotonic())
         self.keys.note_former(call_id, key)
         headers = make_headers(Wanted(call_id, "", 4.0, key))
         channel = Channel(self._deployment.instances[name].address)
@@ -522,76 +469,6 @@
         async with self._writing:
             await asyncio.to_thread(self._deployment.write_configuration)
 
-    async def _leave_runner(self) -> None:
-        """Let a runner say that it leaves, in answers alone, and end."""
-        runner = f"{self._draw.choice('ep')}{self._draw.randrange(3)}0"
-        await self._command(leaving=runner)
-        await asyncio.sleep(self._draw.uniform(*LEAVE_SPAN))
-        await self._command(restart=runner)
-
-    async def _evacuate(self) -> None:
-        """Take a zone out of service for a while, one at a time."""
-        if self._evacuated:
-            return
-        self._evacuated = zone = self._draw.choice(ZONES)
-        await self._command(evacuate=zone)
-        await asyncio.sleep(self._draw.uniform(*EVACUATION_SPAN))
-        await self._command(take_back=zone)
-        self._evacuated = ""
-
-    async def _turn_cold(self) -> None:
-        """Start a runner again, or all of a kind, that is cold then."""
-        kind = self._draw.choice("ep")
-        seconds = self._draw.uniform(*COLD_SPAN)
-        for number in range(self._draw.choice((1, 3))):
-            runner = f"{kind}{number}0"
-            await self._command(cold=runner, rate=COLD_RATE, seconds=seconds)
-
-    async def _want_rest(self) -> None:
-        """Let a runner, or all of a kind, turn calls away for a while."""
-        kind = self._draw.choice("ep")
-        count = self._draw.choice((1, 1, 3))
-        rest = f"{self._draw.uniform(*RESTS):.2f}"
-        part = self._draw.choice((0.2, 0.5, 1.0))
-        runners = [f"{kind}{number}0" for number in range(count)]
-        for runner in runners:
-            await self._command(runner=runner, rest=rest, part=part)
-        await asyncio.sleep(self._draw.uniform(*REST_SPAN))
-        for runner in runners:
-            await self._command(runner=runner, rest=None, part=1.0)
-
-    async def _send_deadly(self) -> None:
-        """Send a call that ends engines, again and again, for a while."""
-        number = self.notes.counts["send_deadly"]
-        await self._command(deadly=f"deadly {number}")
-        until = min(self._end, time.monotonic() + DEADLY_SPAN)
-        tasks = []
-        while time.monotonic() < until:
-            copies = self._draw.choice((1, 1, 1, 3))
-            tasks += [
-                asyncio.create_task(self._call_deadly(number)) for _ in range(copies)
-            ]
-            await asyncio.sleep(self._draw.uniform(*DEADLY_GAP))
-        await asyncio.gather(*tasks)
-
-    async def _turn_brittle(self) -> None:
-        """Let the runners of a service bear few rejections for a while."""
-        service = self._draw.choice(("llm", "plain"))
-        await self._command(shrink=service, bears=self._draw.choice(BEARS))
-        await asyncio.sleep(self._draw.uniform(*BRITTLE_SPAN))
-        await self._command(shrink=service, bears=None)
-
-    async def _send_deadly_part(self) -> None:
-        """Send calls, no two alike, with a part that ends engines."""
-        part = f"d{self.notes.counts['send_deadly_part']}"
-        await self._command(deadly_part=part)
-        until = min(self._end, time.monotonic() + DEADLY_SPAN)
-        tasks = []
-        while time.monotonic() < until:
-            tasks.append(asyncio.create_task(self._call_deadly(0, part)))
-            await asyncio.sleep(self._draw.uniform(*DEADLY_GAP))
-        await asyncio.gather(*tasks)
-
     async def _send_herd(self) -> None:
         """Open many connections to one instance, each for one call."""
         name = self.pick_instance()
@@ -599,7 +476,7 @@
 
         async def call(call_id: str) -> None:
             """Send one call, and count how it ended."""
-            self._note_sent(call_id, name, time.monotonic())
+            self.note_sent(call_id, name, time.monotonic())
             headers = make_headers(
                 Wanted(call_id, "", 2.0, self.keys.get_safe(call_id))
             )
@@ -615,40 +492,6 @@
             await asyncio.sleep(HERD_GAP)
         await asyncio.gather(*tasks)
 
-    async def _repeat_answers(self) -> None:
-        """Let plain runners reject calls, and repeat some of their answers."""
-        runners = [f"p{number}0" for number in range(3)]
-        for runner in runners:
-            await self._command(runner=runner, repeat=True)
-        until = time.monotonic() + self._draw.uniform(*REPEAT_SPAN)
-        while time.monotonic() < until:
-            for runner in runners:
-                await self._command(runner=runner, fault="refuse")
-            await asyncio.sleep(REJECT_GAP)
-        for runner in runners:
-            await self._command(runner=runner, repeat=False)
-
-    async def _call_deadly(self, number: int, part: str = "") -> None:
-        name = self.pick_instance()
-        self._serial += 1
-        call_id = f"d{self._serial}"
-        began = time.monotonic()
-        self._note_sent(call_id, name, began)
-        is_disturbed = self.notes.disturbed.get(name, 0.0) > began - CALM
-        self.notes.excused[call_id] = is_disturbed or name in self._leaving_at
-        model, key = f"base/x{number % ADAPTERS}", self.keys.get_safe(call_id)
-        parts = (part,) if part else ()
-        headers = make_headers(Wanted(call_id, model, 4.0, key, parts=parts))
-        channel = Channel(self._deployment.instances[name].address)
-        body = (call_id if part else f"deadly {number}").encode()
-        leaves = bool(part) and self._departures.random() < LEAVING_DEADLY_PART
-        if leaves:
-            self.notes.left.add(call_id)
-        is_enough = lambda body: leaves
-        answer = await channel.call("POST", "/long/deadly", headers, body, is_enough)
-        channel.close()
-        self.notes.counts[f"deadly_{answer.status}"] += 1
-
     # Configurations.
 
     async def _watch_processes(self) -> None:
