--- a/roadlift/crashes/detection.py
+++ b/roadlift/crashes/detection.py
@@ -112,12 +112,17 @@
 
 
 class _Watch:
-    """The cut calls of an endpoint of which nothing is concluded yet."""
+    """The cut calls of an endpoint of which nothing is concluded yet.
+
+    The first was cut at ``at``; ``checked_from`` is later if more calls were
+    cut since.
+    """
 
     def __init__(self, endpoint: str, address: Address, at: float) -> None:
         self.endpoint = endpoint
         self.address = address
         self.at = at
+        self.checked_from = at
         self.cuts: list[CutCall] = []
         self.recent_parts: list[bytes] = []
         self.checks = 0
@@ -132,7 +137,7 @@
     def compute_delay(self, now: float) -> float:
         """Return the seconds until the endpoint is checked again."""
         if self.needs_check:
-            return max(0.0, self.at + CHECK_TIMES[self.checks] - now)
+            return max(0.0, self.checked_from + CHECK_TIMES[self.checks] - now)
         return LIST_INTERVAL
 
 
@@ -157,7 +162,8 @@
 
     def is_watched(self, endpoint: str) -> bool:
         """Return whether it is undecided if an endpoint crashed."""
-        return endpoint in self._watches
+        watch = self._watches.get(endpoint)
+        return watch is not None and not watch.has_answered
 
     def record_cut(
         self,
@@ -171,12 +177,20 @@
         ``recent_parts`` are those of calls that had begun there shortly before
         the first cut and were over by then.
         """
+        now = self._kernel.clock.now()
         watch = self._watches.get(endpoint)
+        if watch is not None and watch.has_answered:
+            # What was cut before is no cause of what happens now.
+            self._forget(watch)
+            watch = None
         if watch is None:
-            now = self._kernel.clock.now()
             watch = self._watches[endpoint] = _Watch(endpoint, address, now)
             watch.recent_parts.extend(recent_parts)
             self._schedule(watch)
+        elif now - watch.checked_from >= TRANSIT_TIME:
+            watch.checked_from = now
+            watch.checks = 0
+            self._schedule(watch)
         watch.cuts.append(cut)
 
     def record_answer(self, endpoint: str, sent_at: float) -> None:
@@ -189,7 +203,7 @@
             return
         if sent_at >= watch.at:
             watch.has_answered = True
-        elif self._kernel.clock.now() - watch.at >= TRANSIT_TIME:
+        elif self._kernel.clock.now() - watch.checked_from >= TRANSIT_TIME:
             self._log_observation(watch, Observation.ANSWERED)
             self._forget(watch)
 
@@ -206,12 +220,14 @@
         return self._watches.get(watch.endpoint) is watch
 
     def _schedule(self, watch: _Watch) -> None:
+        if watch.timer is not None:
+            watch.timer.close()
         delay = watch.compute_delay(self._kernel.clock.now())
         watch.timer = self._kernel.loop.call_later(delay, lambda: self._poll(watch))
 
     def _poll(self, watch: _Watch) -> None:
         """Look at the list, and try a new connection if one is due."""
-        if self._kernel.clock.now() - watch.at >= MAX_WATCH_TIME:
+        if self._kernel.clock.now() - watch.checked_from >= MAX_WATCH_TIME:
             log.event("endpoint_end_unknown", endpoint=watch.endpoint)
             self._forget(watch)
         elif not self._surroundings.is_listed(watch.endpoint):
--- a/roadlift/instance/crashes.py
+++ b/roadlift/instance/crashes.py
@@ -203,9 +203,8 @@
         self._ledger.promote_parts()
 
     def _record_crash(self, end: EndpointCrash) -> None:
-        now = self._kernel.clock.now()
-        self._health.record_end(end.endpoint, now)
         known = self._cutters[end.endpoint].endpoint
+        self._health.record_end(end.endpoint, self._kernel.clock.now())
         if known.is_draining:
             # Its end may be planned: only what had just begun is a suspect.
             end = end._replace(suspects={})
--- a/roadlift/serving/health.py
+++ b/roadlift/serving/health.py
@@ -18,6 +18,7 @@
 # and at most; doubled with each consecutive failure.
 INITIAL_UNREACHABLE_TIME = 0.5
 MAX_UNREACHABLE_TIME = 4.0
+START_TIME = 3.0  # Seconds that an endpoint which ended takes to start again.
 # Seconds in which a single call tests whether an endpoint is reachable again.
 TRIAL_TIMEOUT = 0.5
 
@@ -115,10 +116,10 @@
         record.unreachable_until = now + seconds
 
     def record_end(self, endpoint: str, now: float) -> None:
-        """Record that an endpoint ended: it is back as another one."""
+        """Record that an endpoint ended, whatever listens at its address."""
         record = self._records.setdefault(endpoint, EndpointHealth())
         record.connect_failures += 1
-        record.unreachable_until = now + MAX_UNREACHABLE_TIME
+        record.unreachable_until = now + START_TIME
 
     def record_failure(self, endpoint: str, now: float) -> bool:
         """Record that a call failed; return whether that ejected it."""
--- a/tests/instance/unseen_ends.feature
+++ b/tests/instance/unseen_ends.feature
@@ -68,3 +68,14 @@
       | leaves                   |
       | drains                   |
       | takes its entry away     |
+
+  Scenario Outline: An engine that broke off an answer is seen to end <seconds> seconds later
+    Given instances a, b and d in zone z1 and c, f and g in zone z2, and 1 engines
+    And an engine that broke off an answer, and has answered since
+    When it ends under a call <seconds> seconds later
+    Then its instance has evidence against that call alone
+
+    Examples:
+      | seconds |
+      | 0.5     |
+      | 4       |
--- a/tests/steps/withdrawal_steps.py
+++ b/tests/steps/ending_steps.py
@@ -1,9 +1,10 @@
-"""Steps on calls whose work is refused while they run."""
+"""Steps on engines that end, or break answers off, under known calls."""
 
 from behave import given, then, when
 
 from roadlift.crashes.ledger import CrashLedger
 from roadlift.decisions.crashrecord import WEAK, CrashEvidence
+from roadlift.serving.identity import compute_identity
 from tests.support.configuration import BASE
 
 _QUEUE_TIME = 0.6  # Seconds for which a call waits at an engine.
@@ -96,3 +97,52 @@
         for name, entry in context.entries.entries.items()
     }
     assert not any(found.values()), found
+
+
+def _send(context, number, path="/long/1", name="a"):
+    headers = {
+        "deadline-ms": "6000",
+        "model": f"{BASE}/x0",
+        "token-count": "10,20",
+        "prompt-prefix": f"ab:10,c{number}:3,{number:x}:3",
+    }
+    return context.entries.call(name, path, headers)
+
+
+@given("an engine that broke off an answer, and has answered since")
+def step_broke_off(context):
+    """Let the only engine break off a stream, and serve another."""
+    installation = context.entries.installation
+    (context.engine,) = (
+        one for one in installation.runners.values() if one.service == "llm"
+    )
+    context.engine.faults.append("cut")
+    broken = _send(context, 1)
+    context.entries.advance(1.0)
+    assert broken.is_cut or broken.error
+    served = _send(context, 2)
+    context.entries.advance(2.0)
+    assert served.is_whole and served.status == 200, served.error
+
+
+@when("it ends under a call {seconds:g} seconds later")
+def step_ends(context, seconds):
+    """Let it end with one call that has just begun."""
+    context.entries.advance(seconds)
+    context.last = _send(context, 3)
+    while not context.last.body:
+        context.entries.advance(0.01)
+    context.engine.crash()
+    context.entries.advance(0.3)
+
+
+@then("its instance has evidence against that call alone")
+def step_evidence(context):
+    """Look for the parts of that call, and of no other."""
+    ledger = context.entries.entries["a"].kernel.get(CrashLedger)
+    evidence = ledger.crashes.list_evidence(context.entries.installation.clock.now())
+    found = {item.identity for item in evidence if item.weight}
+    wanted = {compute_identity(("part", name)) for name in ("ab", "c3")}
+    others = {compute_identity(("part", name)) for name in ("c1", "c2")}
+    assert wanted <= found and not others & found, evidence
+    assert all(item.age < 1.0 for item in evidence if item.weight), evidence
