--- a/roadlift/decisions/crashrecord.py
+++ b/roadlift/decisions/crashrecord.py
@@ -173,7 +173,9 @@
         if not self.is_refused:
             return 0.0
         if self.is_part:
-            further = self.crash_count - PART_CRASHES
+            # Those at the same moment don't suffice for a refusal, but a trial
+            # of a part that may have crashed more is due later.
+            further = len(self.list_crashes()) - PART_CRASHES
             return min(MAX_PART_REFUSAL, FIRST_PART_REFUSAL * REFUSAL_GROWTH**further)
         return min(
             MAX_REFUSAL, FIRST_REFUSAL * REFUSAL_GROWTH ** (self.crash_count - 2)
--- a/tests/decisions/crashes.feature
+++ b/tests/decisions/crashes.feature
@@ -46,6 +46,7 @@
       | 1 a shared e1, 1.2 a shared e2, 1.4 a shared e3                                            | 1.7 | 9.7     |
       | 1 a shared e1, 1.01 a shared e2, 1.02 a shared e3, 1.03 a shared e4                        | 5   | 0       |
       | 1 a shared e1, 2 a shared e2, 2.5 a cleared, 3 a shared e3                                 | 5   | 0       |
+      | 1 a shared e1, 1.05 a shared e2, 1.2 a shared e3, 1.25 a shared e4, 1.4 a shared e5        | 2.4 | 999     |
       | 1 a shared e1, 2 a shared e2, 3 a shared e3, 4 a cleared                                   | 5   | 0       |
       | 1 a shared e1, 2 a shared e2, 3 a shared e3, 14 a shared e4                                | 15  | 99      |
       | 1 a shared e1, 2 a shared e2, 40 time passes, 41 a shared e3                               | 42  | 9       |
