--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 export PYTHONHASHSEED := 0
 READY := $(VENV)/.ready
 
-.PHONY: install demo test lint behave model soak soak-routes bench-policy bench-relay bench-capacity bench-shares bench-repeats bench-stops docs days
+.PHONY: install demo test lint behave model soak soak-routes bench-policy bench-relay bench-capacity bench-shares bench-repeats bench-stops bench-parts docs days
 
 install: $(READY)
 
@@ -45,6 +45,9 @@
 bench-stops: $(READY)
 	$(RUN) -m benchmarks.stops --seeds 15
 
+bench-parts: $(READY)
+	$(RUN) -m benchmarks.parts
+
 bench-capacity: $(READY)
 	$(RUN) -m benchmarks.capacity.run
 	$(RUN) -m benchmarks.capacity.page
--- a/benchmarks/allowances.py
+++ b/benchmarks/allowances.py
@@ -102,18 +102,18 @@
         self.meter = Meter(ALLOWANCE, LIMITS, now)
 
     def restart(self, sharing: Sharing, now: float) -> None:
-        """Begin anew, with nothing of before."""
+        """Restart without any state."""
         self.sharing = sharing
         self.process += 1
         self.meter = Meter(self.meter.allowance, LIMITS, now)
 
     def take(self, amount: float, now: float) -> bool:
-        """Tell whether a call is let in."""
+        """Return whether a call is admitted."""
         self.sharing.update(NAME, self.meter, now)
         return not self.meter.take(amount, now)
 
     def describe_use(self, now: float) -> list[Use]:
-        """Return what is told of the use."""
+        """Return the reported use."""
         return [Use(NAME, self.meter.spent, self.meter.demand.measure(now))]
 
 
@@ -167,14 +167,14 @@
             one.set_allowances({NAME: allowance})
 
     def restart(self) -> None:
-        """Let all begin anew."""
+        """Restart all."""
         self._messages.clear()
         self._aggregators = [self._make_aggregator() for _ in range(self.ZONES)]
         for one in self.instances:
             one.restart(self._make_sharing(), self.now)
 
     def advance(self, until: float) -> None:
-        """Move time on, and let all tell what is due."""
+        """Move time on, and let all send what is due."""
         while self.now < until - 1e-9:
             self.now = min(until, self.now + STEP)
             self._deliver()
@@ -270,7 +270,7 @@
         self._at = 0.0
 
     def take(self, amount: float, allowance: Allowance, now: float) -> bool:
-        """Tell whether a call is within the allowance."""
+        """Return whether a call is within the allowance."""
         risen = self._level + allowance.rate * (now - self._at)
         self._level, self._at = min(allowance.burst, risen), now
         if self._level < amount:
--- a/benchmarks/capacity/page.py
+++ b/benchmarks/capacity/page.py
@@ -165,7 +165,7 @@
 
 
 def render(text: str) -> str:
-    """Return the page with every table written anew."""
+    """Return the page with every table rewritten."""
     machine, slopes = read_slopes()
     tables = {f"{kind}": render_rows(slopes, kind) for kind in KINDS}
     tables["slopes"] = render_slopes(slopes)
--- a/benchmarks/deadlycalls.py
+++ b/benchmarks/deadlycalls.py
@@ -32,13 +32,13 @@
         """Return where an instance listens."""
 
     def is_leaving(self, name: str) -> bool:
-        """Return whether an instance was told to leave and has not ended."""
+        """Return whether an instance is leaving and has not ended."""
 
     def note_sent(self, call_id: str, name: str, began: float) -> None:
         """Keep to which run of an instance a call is sent."""
 
     def is_over(self) -> bool:
-        """Return whether the soak sends no more calls."""
+        """Return whether the soak has stopped sending calls."""
 
 
 class DeadlyCalls:
--- a/benchmarks/limits.py
+++ b/benchmarks/limits.py
@@ -34,7 +34,7 @@
 SIZES = (6, 74, 195, 1800)
 LIMITS = (0.5, 4.0, 30.0)
 LENGTH = 24.0  # Seconds of calls.
-ASKED = 3.0  # How many times its limit an endpoint is asked for.
+ASKED = 3.0  # Requests to an endpoint, in multiples of its limit.
 WAY = 0.003  # Seconds of a message's way, through an aggregator.
 PATIENCE = 0.25  # Seconds that a call waits for a send.
 TURN = 8.0  # Seconds until the trouble begins.
@@ -192,7 +192,7 @@
         return self._ledger, LEASED_FRACTION
 
     def take(self, instance: int, now: float) -> float | None:
-        """Ask the owner, unless none is free yet."""
+        """Query the owner, unless none is free yet."""
         if now < self._ask_at[instance]:
             return None
         self._numbers += 1
@@ -224,7 +224,7 @@
 
 
 def is_troubled(now: float) -> bool:
-    """Tell whether the trouble goes on."""
+    """Return whether the trouble goes on."""
     return TURN <= now < TURN + TURN_LENGTH
 
 
--- a/benchmarks/parts.py
+++ b/benchmarks/parts.py
@@ -31,8 +31,8 @@
 ADAPTERS = 6
 CALL_LIMIT = 4.0  # Seconds that callers give a call.
 SETTLING = 4.0  # Seconds until instances know of each other.
-MAX_ENDS = 5  # Ends behind which a part is not to be run any more.
-LATE_TIME = 3.0  # Seconds behind the last of them from which a run is late.
+MAX_ENDS = 5  # Ends after which no call with the part is to run.
+LATE_TIME = 3.0  # Seconds after the last of them from which a run is late.
 ALLOWED = 3  # Late runs.
 MIN_SERVED = 0.9  # Of the sound calls, while engines end.
 
--- a/benchmarks/policies/world.py
+++ b/benchmarks/policies/world.py
@@ -231,7 +231,7 @@
         return self._world.owners[endpoint].name
 
     def is_backing_off(self, endpoint: str) -> bool:
-        """Tell that no endpoint asks for rest."""
+        """Return False: no endpoint requests a rest."""
         return False
 
     def send(self, process: str, message: object) -> bool:
--- a/benchmarks/routes.py
+++ b/benchmarks/routes.py
@@ -129,7 +129,7 @@
         await self._check_recovery()
 
     def is_over(self) -> bool:
-        """Return whether no more calls are sent."""
+        """Return whether callers have stopped sending calls."""
         return time.monotonic() >= self._end
 
     def _pick_address(self) -> Address:
@@ -140,7 +140,7 @@
         return self._deployment.instances[name].address
 
     def is_leaving(self, name: str) -> bool:
-        """Return whether an instance was told to leave and has not ended."""
+        """Return whether an instance is leaving and has not ended."""
         return name in self._leaving_at
 
     def was_disturbed(self, name: str, since: float) -> bool:
@@ -206,7 +206,7 @@
         self._streams.note(call)
 
     def _is_held_up(self, name: str, run: int, began: float) -> bool:
-        """Tell whether an instance was disturbed or ended since a time."""
+        """Return whether an instance was disturbed or ended since a time."""
         has_ended = name in self._away or self._runs_of.get(name, 0) != run
         return has_ended or self.notes.disturbed.get(name, 0.0) >= began
 
--- a/benchmarks/runchecks.py
+++ b/benchmarks/runchecks.py
@@ -120,7 +120,7 @@
         self._watches = watches
 
     def check(self, found: dict) -> None:
-        """Compare what callers were told with what the runners noted."""
+        """Compare the answers to callers with the notes of runners."""
         runs = Counter(run["id"] for run in found["runs"])
         for call_id, kind in self._notes.kinds.items():
             said = self._notes.said.get(call_id)
--- a/benchmarks/runnerfaults.py
+++ b/benchmarks/runnerfaults.py
@@ -13,12 +13,12 @@
 LIMITS = (1.0, 12.0)  # Calls a second that a runner names, at least and at most.
 LIMIT_SPAN = (4.0, 12.0)  # Seconds for which it does.
 LEAVE_SPAN = (3.0, 8.0)  # Seconds for which a runner says that it leaves.
-RESTS = (0.6, 4.0)  # Seconds of rest that a runner asks for, at least and at most.
+RESTS = (0.6, 4.0)  # Seconds of rest that a runner requests, at least and at most.
 REST_SPAN = (2.0, 9.0)  # Seconds for which it turns calls away.
 EVACUATION_SPAN = (4.0, 8.0)  # Seconds for which a zone is out of service.
 COLD_SPAN = (3.0, 6.0)  # Seconds for which a runner is cold.
 REPEAT_SPAN = (2.0, 5.0)  # Seconds for which runners repeat answers.
-REJECT_GAP = 0.05  # Seconds between two rejections meanwhile.
+REJECT_GAP = 0.05  # Seconds between two of their rejections.
 _ENGINE_FAULTS = (
     "cut",
     "mute",
--- a/benchmarks/slowcallers.py
+++ b/benchmarks/slowcallers.py
@@ -40,7 +40,7 @@
         """Return where an instance listens."""
 
     def is_leaving(self, name: str) -> bool:
-        """Return whether an instance was told to leave and has not ended."""
+        """Return whether an instance is leaving and has not ended."""
 
     def was_disturbed(self, name: str, since: float) -> bool:
         """Return whether something else befell an instance since a time."""
--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -342,7 +342,7 @@
     # Checking.
 
     def check_journals(self) -> None:
-        """Compare what was told with what the endpoints noted."""
+        """Compare the answers with the notes of endpoints."""
         run_prompts: set[str] = set()
         for name, engine in self._fleet.engines.items():
             for entry in engine.read("/journal"):
--- a/benchmarks/stops.py
+++ b/benchmarks/stops.py
@@ -36,7 +36,7 @@
 AWAY = (0.5, 2.5)  # Seconds for which the store is away.
 CUT = (0.7, 3.0)  # Seconds for which instances are cut from runners.
 GIVEN_UP = 0.1  # Part of the calls that their callers give up early.
-REFUSAL_TIMES = (0.001, 0.3, 0.5)  # Seconds until a rejection is told.
+REFUSAL_TIMES = (0.001, 0.3, 0.5)  # Seconds until a rejection is sent.
 LIMITS = (1.0, 2.5, 4.0)  # Seconds that callers of streams wait.
 TARGETS = {
     "/once/1": 1,
--- a/roadlift/core/events.py
+++ b/roadlift/core/events.py
@@ -50,10 +50,10 @@
     Event(
         "crashes",
         "endpoint_checked",
-        ("endpoint", "result", "cut", "silent", "delay"),
+        ("endpoint", "result", "cut", "unanswered", "delay"),
         "What was seen of an endpoint that many seconds after it cut calls off: a new "
         "connection was refused, closed, held or unreachable, its entry is unlisted, "
-        "or it answered. Of the calls that were cut, silent had received nothing.",
+        "or it answered. Of the calls that were cut, unanswered had received nothing.",
     ),
     Event(
         "crashes",
--- a/roadlift/crashes/detection.py
+++ b/roadlift/crashes/detection.py
@@ -20,7 +20,7 @@
     HOLD_TIME,
     LIST_INTERVAL,
     MAX_WATCH_TIME,
-    NEEDS_REACH,
+    REACH_REQUIRED,
     TRANSIT_TIME,
     Observation,
     is_conclusive,
@@ -49,7 +49,7 @@
     running_time: float | None = None
 
     @property
-    def is_silent(self) -> bool:
+    def is_unanswered(self) -> bool:
         """Return whether the call had received nothing, not even a head."""
         return not self.has_begun and self.running_time is None
 
@@ -130,13 +130,13 @@
         self.timer: Timer | None = None
 
     @property
-    def needs_check(self) -> bool:
+    def is_check_due(self) -> bool:
         """Return whether another connection is to be tried."""
         return self.checks < len(CHECK_TIMES) and not self.has_answered
 
     def compute_delay(self, now: float) -> float:
         """Return the seconds until the endpoint is checked again."""
-        if self.needs_check:
+        if self.is_check_due:
             return max(0.0, self.checked_from + CHECK_TIMES[self.checks] - now)
         return LIST_INTERVAL
 
@@ -232,7 +232,7 @@
             self._forget(watch)
         elif not self._surroundings.is_listed(watch.endpoint):
             self._handle_observation(watch, Observation.UNLISTED)
-        elif watch.needs_check:
+        elif watch.is_check_due:
             watch.checks += 1
             self._connect(watch)
         else:
@@ -256,7 +256,7 @@
             if not open_sends and not watch.has_answered:
                 self._surroundings.record_suspicion(watch.endpoint)
             self._schedule(watch)
-        elif observation in NEEDS_REACH:
+        elif observation in REACH_REQUIRED:
             self._surroundings.confirm_reach(
                 watch.endpoint, lambda is_reached: self._handle_reach(watch, is_reached)
             )
@@ -287,7 +287,7 @@
             endpoint=watch.endpoint,
             result=observation,
             cut=len(watch.cuts),
-            silent=sum(cut.is_silent for cut in watch.cuts),
+            unanswered=sum(cut.is_unanswered for cut in watch.cuts),
             delay=round(self._kernel.clock.now() - watch.at, 3),
         )
 
@@ -318,11 +318,11 @@
         # Of several copies of a call, one had begun and the others waited.
         weights[cut.identity] = max(weights.get(cut.identity, WEAK), weight)
     strongest = max(weights.values(), default=WEAK)
-    silent = {cut.identity for cut in cuts if cut.is_silent}
+    unanswered = {cut.identity for cut in cuts if cut.is_unanswered}
     chosen = [
         (identity, weight)
         for identity, weight in weights.items()
-        if weight == strongest or identity in silent
+        if weight == strongest or identity in unanswered
     ]
     chosen.sort(key=lambda item: item[1])
     return dict(chosen[-MAX_SUSPECTS:])
@@ -335,5 +335,5 @@
     that began last first, and those that had received nothing last.
     """
     recent = [cut for cut in cuts if cut.is_recent]
-    recent.sort(key=lambda cut: (cut.is_silent, cut.running_time or 0.0))
+    recent.sort(key=lambda cut: (cut.is_unanswered, cut.running_time or 0.0))
     return list(dict.fromkeys(part for cut in recent for part in cut.parts))
--- a/roadlift/crashes/ledger.py
+++ b/roadlift/crashes/ledger.py
@@ -179,7 +179,7 @@
     def _clear(
         self, identity: bytes, refute: Callable[[], bool], basis: ClearingBasis
     ) -> None:
-        """Clear evidence, and tell of it if there was any."""
+        """Clear evidence, and report it if there was any."""
         was_refused = self.crashes.is_refused(identity)
         ends = self.crashes.count_crashes(identity)
         if not refute():
--- a/roadlift/crashes/recentruns.py
+++ b/roadlift/crashes/recentruns.py
@@ -16,7 +16,7 @@
     endpoint: str
     began_at: float
     work: Work
-    is_whole: bool
+    is_complete: bool
 
 
 class RecentRuns:
--- a/roadlift/daemon/bundles.py
+++ b/roadlift/daemon/bundles.py
@@ -1,4 +1,4 @@
-"""Keep the bundle in force: read the store as few, hear from peers as all."""
+"""Keep the bundle in force: a few instances read the store, all receive it from peers."""
 
 import random
 from typing import NamedTuple
@@ -89,7 +89,7 @@
         return FoundModel(model, path, self.bundle.get_adapter(model.adapter))
 
     def start(self) -> None:
-        """Begin to read and to hear."""
+        """Begin to read, and to receive updates."""
         kinds = (Announce, Ask, Links, Part)
         self._kernel.get(Transport).subscribe(kinds, self._receive)
         loop = self._kernel.loop
--- a/roadlift/daemon/exchange.py
+++ b/roadlift/daemon/exchange.py
@@ -48,14 +48,14 @@
 
 MOST_TRIES = 8
 MOST_ERROR_BODY = 4096  # Bytes kept of an endpoint's error.
-TURNED_AWAY = (429, 503)  # Statuses with which endpoints ask for rest.
+TURNED_AWAY = (429, 503)  # Statuses with which endpoints request a rest.
 PASSED_HEADERS = ("content-type", "retry-after")
 
 log = ComponentLog("exchange")
 
 
 class Call(NamedTuple):
-    """What a caller asks for.
+    """What a caller requests.
 
     ``key`` is the idempotency key, or empty; ``repeatable`` tells that the
     call is idempotent by itself; ``model`` and ``content`` are given for
@@ -359,7 +359,7 @@
         if self._is_over:
             return
         if self._claim is not None:
-            # A connection that is closed reports no more that it has drained.
+            # A connection that is closed no longer reports that it has drained.
             self._on_drained()
             return
         self._metrics.count("cancelled")
--- a/roadlift/daemon/members.py
+++ b/roadlift/daemon/members.py
@@ -58,7 +58,7 @@
     def is_settled(self) -> bool:
         """Return whether this process knows the others, or that it is alone.
 
-        Before that it owns nothing and asks nobody for a pin: its view of
+        Before that it owns nothing and requests no pin: its view of
         who owns what would be wrong.
         """
         return self.detector.has_settled(ALONE_SECONDS)
@@ -152,7 +152,7 @@
             self._transport.send(sending.to, sending.message)
 
     def _join_until_welcome(self) -> None:
-        """Ask the seeds until one has told all members.
+        """Query the seeds until one has named all members.
 
         Being heard of is not enough: the first messages to a peer that is
         not connected yet are dropped, the answer of a seed among them.
--- a/roadlift/daemon/owners.py
+++ b/roadlift/daemon/owners.py
@@ -118,7 +118,7 @@
         self._members.listen(self._elect)
 
     def close(self) -> None:
-        """Give no order any more."""
+        """Stop giving orders."""
         for timer in self._timers:
             timer.close()
         self._owned.clear()
@@ -144,7 +144,7 @@
     def _elect(self) -> None:
         """Open the books that fall to this instance.
 
-        Who owns what is computed anew only after a change of the endpoints
+        Who owns what is recomputed only after a change of the endpoints
         or of the zone's instances.
         """
         self._drop_dead()
--- a/roadlift/daemon/pins.py
+++ b/roadlift/daemon/pins.py
@@ -35,7 +35,7 @@
         self._timers = []
 
     def start(self) -> None:
-        """Begin to hear owners and to look after the askings."""
+        """Begin to receive updates of owners, and to repeat requests."""
         transport = self._kernel.get(Transport)
         transport.subscribe(self._requester.message_types, self._requester.receive)
         loop = self._kernel.loop
@@ -63,7 +63,7 @@
         self._requester.end(pin)
 
     def drop(self, pin: HeldPin) -> None:
-        """Use a pin no more; its copy is gone."""
+        """Stop using a pin; its copy is gone."""
         self.table.drop(pin)
 
     def record_refusal(self, endpoint: str) -> None:
--- a/roadlift/daemon/status.py
+++ b/roadlift/daemon/status.py
@@ -56,7 +56,7 @@
         self._timer = self._kernel.loop.call_every(GAUGE_PERIOD, self._set_gauges)
 
     def close(self) -> None:
-        """Set no gauge any more."""
+        """Stop setting gauges."""
         self._timer.close()
 
     def answer(self, method: str, path: str) -> Answer | None:
--- a/roadlift/daemon/transport.py
+++ b/roadlift/daemon/transport.py
@@ -19,7 +19,7 @@
 QUEUE = 1000  # Messages held for a peer, or from all of them.
 DRAIN_PERIOD = 0.05  # Seconds; ZeroMQ's descriptor is edge-triggered.
 # Milliseconds between heartbeats on a connection, and of silence behind which
-# it is opened anew: a path can go silent for good without a reset.
+# it is reopened: a path can go silent for good without a reset.
 HEARTBEAT_PERIOD = 400
 HEARTBEAT_LIMIT = 1200
 MOST_UNKNOWN = 64  # Kinds of messages that are told of as unknown.
--- a/roadlift/decisions/crashrecord.py
+++ b/roadlift/decisions/crashrecord.py
@@ -45,7 +45,7 @@
 # Seconds that evidence against a part is kept unless the part is refused: a
 # part of rare calls is not refuted by others, and has no others to share it.
 PART_RETENTION = 3600.0
-REFUTED_RETENTION = 30.0  # Seconds for refuted evidence: others may lack that.
+REFUTED_RETENTION = 30.0  # Seconds for refuted evidence, until all know that.
 # Seconds after which evidence that was not refuted is compared with that of
 # other instances; most is refuted within a second.
 LASTING_TIME = 5.0
--- a/roadlift/decisions/endings.py
+++ b/roadlift/decisions/endings.py
@@ -1,10 +1,11 @@
 """Decide whether an endpoint that cut calls off has ended.
 
 Load pattern: an endpoint ends, or it lives and broke off an answer, or the
-path to it was reset. What listens at its address afterwards does not tell them
-apart: a listener may outlive its process for a moment, and a port mapper or a
-proxy accepts connections for a process that is gone. Only what an ended or a
-living endpoint alone can show decides, and until then nothing is concluded.
+path to it was reset. What listens at its address afterwards does not
+distinguish them: a listener may outlive its process for a moment, and a port
+mapper or a proxy accepts connections for a process that is gone. Only what an
+ended or a living endpoint alone can show decides, and until then nothing is
+concluded.
 """
 
 import enum
@@ -44,7 +45,7 @@
 
 
 # A path that is cut or reset refuses and closes connections as well.
-NEEDS_REACH = frozenset({Observation.REFUSED, Observation.CLOSED})
+REACH_REQUIRED = frozenset({Observation.REFUSED, Observation.CLOSED})
 
 
 def is_conclusive(observation: Observation, open_sends: int) -> bool:
--- a/roadlift/instance/crashes.py
+++ b/roadlift/instance/crashes.py
@@ -148,7 +148,7 @@
         if self._detector.is_watching:
             self._detector.record_answer(endpoint.id, sent_at)
 
-    # What the detector asks for
+    # Surroundings of the detector
 
     def is_listed(self, endpoint: str) -> bool:
         """Return whether an endpoint's entry is there, of the same run.
@@ -180,7 +180,7 @@
         """Record that a run goes on long after its first event."""
         self._acquit(RecentRun(endpoint.id, began_at, work, True))
 
-    def record_whole(self, endpoint: Endpoint, began_at: float, work: Work) -> None:
+    def record_completed(self, endpoint: Endpoint, began_at: float, work: Work) -> None:
         """Record a run that ended whole; its endpoint may yet crash."""
         self._recent_runs.add(RecentRun(endpoint.id, began_at, work, True))
 
@@ -198,7 +198,7 @@
     def _tick(self) -> None:
         """Acquit what endpoints have survived, then refuse what has stood."""
         for run in self._recent_runs.take_settled(self._kernel.clock.now()):
-            if run.is_whole:
+            if run.is_complete:
                 self._acquit(run)
         self._ledger.promote_parts()
 
--- a/roadlift/instance/send.py
+++ b/roadlift/instance/send.py
@@ -127,7 +127,7 @@
         """Stop reading the answer until ``resume``."""
         if self._line is not None:
             self._placement.inactivity.pause(self.endpoint.id, self)
-            # That its connection was closed is not seen meanwhile.
+            # A paused connection does not show that it was closed.
             self._crashes.record_over(self.endpoint, self)
             self._line.pause()
 
@@ -135,7 +135,7 @@
         """Go on reading the answer."""
         if self._line is not None:
             now = self._kernel.clock.now()
-            # What was not read meanwhile may have come at any time.
+            # Bytes that waited to be read may have come at any time.
             self._watched_from = now
             self._crashes.record_sent(self.endpoint, self, self.sent_at)
             self._placement.inactivity.resume(self.endpoint.id, self, now)
@@ -267,7 +267,7 @@
             return
         self._end()
         if self.verdict is Verdict.SUCCEEDED and self.first_at is not None:
-            self._crashes.record_whole(self.endpoint, self.first_at, self._owner)
+            self._crashes.record_completed(self.endpoint, self.first_at, self._owner)
         if self.frames is not None:
             self._pass_on(self.frames.take_rest())
         self._owner.on_end(self)
--- a/standins/loopback.py
+++ b/standins/loopback.py
@@ -170,7 +170,7 @@
         runner.on_return = self.start
 
     def start(self) -> None:
-        """Serve, in place of what has listened meanwhile."""
+        """Serve, in place of what listens there."""
         self._drop_orphan()
         self._handler.is_away = False
         self._server.start()
@@ -346,7 +346,7 @@
         self.installation.ending = rng.choice(ways)
 
     def _set_events(self, count: int) -> None:
-        """Let streams have so many events."""
+        """Set the number of events of a stream."""
         for runner in self.installation.runners.values():
             runner.events = count
 
--- a/tests/steps/head_steps.py
+++ b/tests/steps/head_steps.py
@@ -82,5 +82,5 @@
 
 @then("the probe fails as {code}")
 def step_probe_failed(context, code):
-    """Check what the probe tells."""
+    """Check how the probe failed."""
     assert context.recorder.error.code == code, context.recorder.error
