--- a/benchmarks/pours.py
+++ b/benchmarks/pours.py
@@ -110,7 +110,7 @@
             folder.mkdir(parents=True, exist_ok=True)
             found = play(Pour(kind), args.service, args, folder)
         print(json.dumps(found), flush=True)
-        # A body behind the right head can't be distinguished from a long answer.
+        # A body after the right head looks like that of a long answer.
         is_lost = kind != Pour.BODY and found["served"] < MIN_SERVED
         is_broken = is_broken or is_lost or found["memory_mib"] > MAX_MEMORY
     sys.exit(1 if is_broken else 0)
--- a/roadlift/daemon/bundles.py
+++ b/roadlift/daemon/bundles.py
@@ -1,4 +1,4 @@
-"""Keep the bundle in force: a few instances read the store, all receive it from peers."""
+"""Keep the bundle in force: few read the store, all receive it from peers."""
 
 import random
 from typing import NamedTuple
--- a/roadlift/daemon/exchange.py
+++ b/roadlift/daemon/exchange.py
@@ -359,7 +359,7 @@
         if self._is_over:
             return
         if self._claim is not None:
-            # A connection that is closed no longer reports that it has drained.
+            # A closed connection no longer reports that it has drained.
             self._on_drained()
             return
         self._metrics.count("cancelled")
