--- a/benchmarks/stops.py
+++ b/benchmarks/stops.py
@@ -18,7 +18,7 @@
 from roadlift.instance.answer import NOT_RUN_STATUSES
 from roadlift.retries.window import RetryRule
 from standins.arrivals import SentCall
-from standins.hub import HubCaller
+from standins.hubcaller import HubCaller
 from tests.support.callers import Wanted, make_headers
 from tests.support.configuration import BASE
 from tests.support.entries import Entries
--- a/standins/departures.py
+++ b/standins/departures.py
@@ -1,6 +1,6 @@
 """Callers that leave before their answers are complete."""
 
-from standins.hub import HubCaller
+from standins.hubcaller import HubCaller
 from standins.lines import Timeline
 
 
--- a/standins/lines.py
+++ b/standins/lines.py
@@ -10,7 +10,7 @@
 from roadlift.relay.address import Address
 from roadlift.relay.upstream import Receiver, Request
 from standins.framings import Unframed
-from standins.hub import HubLine
+from standins.hublines import HubLine
 from standins.replies import Reply
 
 if TYPE_CHECKING:
--- a/tests/steps/brittle_steps.py
+++ b/tests/steps/brittle_steps.py
@@ -8,7 +8,7 @@
 from roadlift.instance.brittleness import BrittleEndpoints
 from roadlift.instance.leases import Leases
 from standins.batches import Batch
-from standins.hub import HubCaller
+from standins.hubcaller import HubCaller
 from tests.support.configuration import BASE, ROUTES, SERVICES
 from tests.support.entries import Entries
 
--- a/tests/steps/confirmation_steps.py
+++ b/tests/steps/confirmation_steps.py
@@ -7,7 +7,7 @@
 
 from roadlift.instance.answer import NOT_RUN_STATUSES
 from roadlift.instance.placement import Placement
-from standins.hub import HubCaller
+from standins.hubcaller import HubCaller
 from tests.support.configuration import BASE, ROUTES, SERVICES, make_route
 from tests.support.entries import Entries
 
--- a/tests/steps/deadly_steps.py
+++ b/tests/steps/deadly_steps.py
@@ -6,7 +6,7 @@
 
 from roadlift.daemon.gateway import Gateway
 from roadlift.http.messages import ReceivedRequest
-from standins.hub import HubCaller
+from standins.hubcaller import HubCaller
 
 _PROMPT = "deadly"
 
--- a/tests/steps/isolation_steps.py
+++ b/tests/steps/isolation_steps.py
@@ -10,7 +10,7 @@
 from roadlift.instance.leases import Leases
 from roadlift.instance.metrics import InstanceMetrics
 from roadlift.instance.retrybudgets import ServiceBudgets
-from standins.hub import HubCaller
+from standins.hubcaller import HubCaller
 from tests.support.configuration import BASE, ROUTES, SERVICES
 from tests.support.entries import Entries
 
--- a/tests/steps/placing_steps.py
+++ b/tests/steps/placing_steps.py
@@ -8,7 +8,7 @@
 from roadlift.daemon.gateway import Gateway
 from roadlift.http.messages import ReceivedRequest
 from roadlift.retries.rules import INITIAL_SAVED
-from standins.hub import HubCaller
+from standins.hubcaller import HubCaller
 
 GAP = 0.1  # Seconds between calls.
 SHARE = 0.1  # Retries that a request earns, as the settings have it.
--- a/tests/steps/resumption_steps.py
+++ b/tests/steps/resumption_steps.py
@@ -10,7 +10,8 @@
 from roadlift.daemon.leaving import Leaving
 from roadlift.daemon.pins import Pins
 from roadlift.http.messages import ReceivedRequest
-from standins.hub import EVENT_GAP, HubCaller
+from standins.hubcaller import HubCaller
+from standins.hubengine import EVENT_GAP
 
 MODEL = "m3@1"
 KEY = "key-1"
--- a/tests/steps/verdict_pause_steps.py
+++ b/tests/steps/verdict_pause_steps.py
@@ -4,7 +4,7 @@
 
 from behave import then, when
 
-from standins.hub import HubCaller
+from standins.hubcaller import HubCaller
 from standins.runners import Pause, Runner
 from tests.support.configuration import BASE, SERVICES, make_route
 from tests.support.entries import Entries
--- a/tests/support/deployment.py
+++ b/tests/support/deployment.py
@@ -10,7 +10,8 @@
 from roadlift.daemon.pins import Pins
 from roadlift.http.messages import ReceivedRequest
 from roadlift.membership.members import State
-from standins.hub import Delivery, Hub, HubCaller
+from standins.hub import Delivery, Hub
+from standins.hubcaller import HubCaller
 from tests.support.stores import MemoryStore
 
 MODELS = 20
--- a/tests/support/entries.py
+++ b/tests/support/entries.py
@@ -12,7 +12,8 @@
 from roadlift.relay.address import Address
 from roadlift.relay.upstream import Request
 from standins.framings import CHUNKED
-from standins.hub import HubCaller, HubTransport
+from standins.hub import HubTransport
+from standins.hubcaller import HubCaller
 from standins.installation import Installation
 from standins.lines import MemoryDialer, MemoryLine
 from standins.replies import DELAY
--- a/tests/support/streams.py
+++ b/tests/support/streams.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-from standins.hub import HubCaller
+from standins.hubcaller import HubCaller
 from tests.support.entries import Entries
 
 _EVENT = re.compile(rb"id: (\d+)\ndata: t\d+ ?([^\n]*)\n\n")
