--- a/roadlift/crashes/ledger.py
+++ b/roadlift/crashes/ledger.py
@@ -91,7 +91,8 @@
         parts = work.identify_parts()
         for part in parts:
             obstacle = self.judge(lambda part=part: part)
-            if obstacle is not None and not self._is_excused(part, parts):
+            known = (work.identify(), *parts)
+            if obstacle is not None and not self._is_excused(part, known):
                 return obstacle
         return None
 
--- a/roadlift/decisions/crashes.py
+++ b/roadlift/decisions/crashes.py
@@ -43,6 +43,9 @@
 # instance thus tries a call before the others admit it, and reports the result
 # to them.
 REFUSAL_JITTER = 0.1
+# The same for parts. A trial of one that is in many calls is over, and its
+# result known everywhere, before the next instance begins another.
+PART_JITTER = 1.0
 # Seconds after the last crash from which several parts together explain the
 # crashes under another one.
 JOINT_EXCUSE_DELAY = 5.0
@@ -57,7 +60,7 @@
     """
 
     def __init__(self, rank: float = 0.0) -> None:
-        self._stretch = 1.0 + REFUSAL_JITTER * rank
+        self._rank = rank
         self._records: OrderedDict[bytes, CrashRecord] = OrderedDict()
         self._checksum: int | None = None
         self._causes = Causes(set(), set(), set())
@@ -83,25 +86,22 @@
         return endpoint in self._crashed
 
     def is_excused(self, part: bytes, others: Iterable[bytes], now: float) -> bool:
-        """Return whether another refused part explains all crashes under one.
+        """Return whether other refused work explains all crashes under a part.
 
-        ``others`` are the parts of a call, which that part is not among: a run
-        of the call shows which of them is the cause. Where several parts
-        together explain the crashes, each of them may be sound and cleared
-        soon; that counts only after a while.
+        ``others`` are a call and its parts, which that work is not among: a
+        run of the call shows which of them is the cause. One other part
+        suffices. Where several parts or calls together explain the crashes,
+        each may be sound and cleared soon; that counts only after a while.
         """
         record = self._records[part]
         crashes = record.list_crashes()
         known = {part, *others}
-        explained = [
-            other.list_crashes()
-            for name, other in self._records.items()
-            if other.is_part and other.is_refused and name not in known
-        ]
-        if any(crashes <= found for found in explained):
+        causes = [one for name, one in self._records.items() if name not in known]
+        if any(one.is_part and crashes <= one.list_explained() for one in causes):
             return True
         has_waited = now - record.find_last_crash() >= JOINT_EXCUSE_DELAY
-        return has_waited and crashes <= set().union(*explained)
+        explained = set().union(*(one.list_explained() for one in causes))
+        return has_waited and crashes <= explained
 
     def promote(self, now: float) -> list[bytes]:
         """Refuse the parts whose evidence has stood; return what is new."""
@@ -137,8 +137,9 @@
         record = self._records.get(identity)
         if record is None or not record.is_refused:
             return 0.0
-        until = record.find_last_crash() + record.compute_refusal() * self._stretch
-        return max(0.0, until - now)
+        jitter = PART_JITTER if record.is_part else REFUSAL_JITTER
+        seconds = record.compute_refusal() * (1.0 + jitter * self._rank)
+        return max(0.0, record.find_last_crash() + seconds - now)
 
     def merge(
         self, evidence: Iterable[CrashEvidence], now: float, of_parts: bool = False
--- a/roadlift/decisions/crashrecord.py
+++ b/roadlift/decisions/crashrecord.py
@@ -168,14 +168,18 @@
         """Return the endpoints with strong evidence."""
         return [name for name, (weight, _) in self.evidence.items() if weight >= STRONG]
 
+    def list_explained(self) -> set[str]:
+        """Return the endpoints whose crashes this work explains to others."""
+        if self.is_part:
+            return self.list_crashes() if self.is_refused else set()
+        return set(self.list_strong()) if self.is_confirmed else set()
+
     def compute_refusal(self) -> float:
         """Return the seconds of the refusal after the last crash."""
         if not self.is_refused:
             return 0.0
         if self.is_part:
-            # Those at the same moment don't suffice for a refusal, but a trial
-            # of a part that may have crashed more is due later.
-            further = len(self.list_crashes()) - PART_CRASHES
+            further = self.crash_count - PART_CRASHES
             return min(MAX_PART_REFUSAL, FIRST_PART_REFUSAL * REFUSAL_GROWTH**further)
         return min(
             MAX_REFUSAL, FIRST_REFUSAL * REFUSAL_GROWTH ** (self.crash_count - 2)
