--- a/demo/fleet.py
+++ b/demo/fleet.py
@@ -3,6 +3,7 @@
 import contextlib
 import json
 import os
+import resource
 import signal
 import socket
 import subprocess
@@ -42,11 +43,38 @@
     return done.stdout
 
 
+class Machine(NamedTuple):
+    """What the machine of a process has: bytes of memory, and descriptors.
+
+    The process is told by its resource limits, as by a service manager. The
+    kernel enforces the one on descriptors, and not that on resident memory.
+    """
+
+    memory: int
+    descriptors: int
+
+    def apply(self) -> None:
+        """Set the resource limits of the calling process."""
+        for kind, amount in (
+            (resource.RLIMIT_RSS, self.memory),
+            (resource.RLIMIT_NOFILE, self.descriptors),
+        ):
+            resource.setrlimit(kind, (amount, amount))
+
+
 class Process:
-    """One child process with its address."""
+    """One child process with its address, and its machine if one is given."""
 
-    def __init__(self, name: str, command: list[str], port: int, log: Path) -> None:
+    def __init__(
+        self,
+        name: str,
+        command: list[str],
+        port: int,
+        log: Path,
+        machine: Machine | None = None,
+    ) -> None:
         self.name = name
+        self._machine = machine
         self.command = command
         self.address = Address("127.0.0.1", port)
         self._log = log
@@ -56,7 +84,11 @@
         """Start the process; its output goes to its log."""
         with self._log.open("ab") as output:
             self.child = subprocess.Popen(
-                self.command, stdout=output, stderr=output, cwd=ROOT
+                self.command,
+                stdout=output,
+                stderr=output,
+                cwd=ROOT,
+                preexec_fn=self._machine and self._machine.apply,
             )
 
     def wait_until(self, path: str) -> None:
@@ -101,10 +133,12 @@
         folder: Path,
         settings: dict[str, str] | None = None,
         daemon: tuple[str, ...] = ("roadlift.daemon.main",),
+        machine: Machine | None = None,
     ) -> None:
         self._folder = folder
         self._settings = settings or {}
         self._daemon = daemon
+        self._machine = machine
         self._ports: dict[str, int] = {}
         self._port_block = PortBlock()
         self._port_block.start()
@@ -161,7 +195,8 @@
         for key, value in values.items():
             flags += [f"--{key.replace('_', '-')}", value]
         command = [sys.executable, "-m", *self._daemon, *flags]
-        instance = Process(name, command, http, self._folder / f"{name}.log")
+        log = self._folder / f"{name}.log"
+        instance = Process(name, command, http, log, self._machine)
         instance.start()
         self.instances[name] = instance
         if wait:
--- a/demo/installation.py
+++ b/demo/installation.py
@@ -9,7 +9,7 @@
 from pathlib import Path
 from typing import NamedTuple, Protocol
 
-from demo.fleet import Process
+from demo.fleet import Machine, Process
 from demo.ports import PortBlock
 from roadlift.relay.address import Address
 from standins.proxies import Proxy
@@ -124,7 +124,8 @@
     """The processes: instances, and one for the store and the runners.
 
     ``rule`` is taken out of the instances' code; empty for none. ``more`` are
-    settings beside the usual ones; ``tenants`` are the organisations of the
+    settings beside the usual ones; ``machine`` is that of each instance;
+    ``tenants`` are the organisations of the
     configurations that are written.
     """
 
@@ -134,8 +135,10 @@
         instances: int,
         rule: str = "",
         more: dict[str, str] | None = None,
+        machine: Machine | None = None,
     ) -> None:
         self._folder = folder
+        self._machine = machine
         self._more = more or {}
         self.tenants: list[dict] = []
         self._daemon = ["standins.broken", rule] if rule else ["roadlift.daemon.main"]
@@ -152,34 +155,35 @@
         self._more_routes: list[dict] = []
         self.version = 1
 
-    def _find_port(self, name: str) -> int:
+    def find_port(self, name: str) -> int:
+        """Return the port of a name, the same each time."""
         if name not in self._ports:
             self._ports[name] = self._port_block.choose()
         return self._ports[name]
 
     def _make_site(self) -> Process:
         command = [sys.executable, "-m", "standins.loopback"]
-        command += ["--port", str(self._find_port("store"))]
+        command += ["--port", str(self.find_port("store"))]
         for number, zone in enumerate(ZONES):
             for service, kind, count in (("llm", "e", 2), ("plain", "p", 1)):
                 for index in range(count):
                     name = f"{kind}{number}{index}"
-                    port = self._find_port(name)
+                    port = self.find_port(name)
                     command += ["--runner", f"{service},{name},{zone},{port}"]
         log = self._folder / "site.log"
-        return Process("site", command, self._find_port("store"), log)
+        return Process("site", command, self.find_port("store"), log)
 
     def _make_instance(self, name: str, zone: str) -> Process:
-        proxy = Proxy(("127.0.0.1", self._find_port("store")))
+        proxy = Proxy(("127.0.0.1", self.find_port("store")))
         self.proxies[name] = proxy
         values = {
             "instance": name,
             "zone": zone,
             "zones": ",".join(ZONES),
             "regions": REGIONS,
-            "http": f"127.0.0.1:{self._find_port(name)}",
-            "ready": f"127.0.0.1:{self._find_port(name + '/ready')}",
-            "peer": f"127.0.0.1:{self._find_port(name + '/peer')}",
+            "http": f"127.0.0.1:{self.find_port(name)}",
+            "ready": f"127.0.0.1:{self.find_port(name + '/ready')}",
+            "peer": f"127.0.0.1:{self.find_port(name + '/peer')}",
             "platform": proxy.address,
             "interface": "routes",
             "adapter": "platform",
@@ -196,7 +200,7 @@
         for key, value in values.items():
             command += [f"--{key.replace('_', '-')}", value]
         log = self._folder / f"{name}.log"
-        return Process(name, command, self._find_port(name), log)
+        return Process(name, command, self.find_port(name), log, self._machine)
 
     def start(self) -> None:
         """Start everything, and wait until calls are served."""
--- a/standins/loopback.py
+++ b/standins/loopback.py
@@ -238,6 +238,13 @@
         address = Address("127.0.0.1", port)
         Server(self._loop, address, StoreHandler(self), HttpLimits()).start()
 
+    def list_runner(self, service: str, name: str, zone: str, port: int) -> None:
+        """Register a runner that another process serves."""
+        runner = Runner(self.installation, service, name, zone)
+        runner.address = Address("127.0.0.1", port)
+        self.installation.runners[name] = runner
+        self._beat(runner)
+
     def serve_runner(self, service: str, name: str, zone: str, port: int) -> None:
         """Serve a runner, an engine where its service is ``llm``."""
         runner = Runner(self.installation, service, name, zone)
@@ -505,12 +512,16 @@
     parser = argparse.ArgumentParser()
     parser.add_argument("--port", type=int, required=True)
     parser.add_argument("--runner", action="append", default=[])
+    parser.add_argument("--listed", action="append", default=[])
     arguments = parser.parse_args()
     loop = Loop(BootClock())
     site = Site(loop)
     for text in arguments.runner:
         service, name, zone, port = text.split(",")
         site.serve_runner(service, name, zone, int(port))
+    for text in arguments.listed:
+        service, name, zone, port = text.split(",")
+        site.list_runner(service, name, zone, int(port))
     site.serve_store(arguments.port)
     while True:
         loop.run_once(0.002)
--- a/tests/verdict/verdict.feature
+++ b/tests/verdict/verdict.feature
@@ -33,3 +33,4 @@
       | a / make test / late / issue 1 / more             | refused: line 1: not 'test                     |
       | a / x / y / 1; a / x / y / 1                      | refused: line 2: a is listed twice             |
       | a / x / y / 1; b / x / y / 1; c / x / y / 1; d / x / y / 1 | refused: 4 failures, where 3 may be listed |
+      | tests/crowds/a / x / y / 1; b / x / y / 1; c / x / y / 1; d / x / y / 1 | read as 4 |
