Count the bytes of an unfinished trailer as those of a head

Callers saw: instances that ran out of memory under a few dozen clients whose trailers behind a chunked body did not end.

Cause: the limit of a head counted received bytes only as long as the head was being read, and a field only once it had ended. The parsing library keeps an unfinished field of a trailer itself, piece added to piece.

Why it works: bytes that bring no byte of a body count against the limit of a head, wherever they stand in a request; a request that brings some begins anew.

--- a/roadlift/http/parser.py
+++ b/roadlift/http/parser.py
@@ -56,7 +56,7 @@
         self._body: bytes | bytearray = b""
         self._body_bytes = 0
         self._head_bytes = 0
-        self._head_bytes_fed = 0
+        self._unfinished = 0
         self.requests: deque[ParsedRequest] = deque()
         self.error: RoadliftError | None = None
         self.in_head = False
@@ -81,6 +81,7 @@
         if self.error is not None:
             return
         before = len(self.requests)
+        body_before = self._body_bytes
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -89,10 +90,15 @@
             if self.error is None:
                 self.error = InvalidRequest(f"malformed HTTP/1.1 request: {error}")
         is_behind_others = len(self.requests) > before
-        if self.in_head and self.error is None and not is_behind_others:
-            self._head_bytes_fed += len(data)
-            if self._head_bytes_fed > self._limits.header_bytes:
-                self.error = self._make_large_head_error()
+        if self.is_idle or self.error is not None or is_behind_others:
+            return
+        if self._body_bytes > body_before:
+            self._unfinished = 0
+            return
+        # The library itself keeps an unfinished field, of a trailer as well.
+        self._unfinished += len(data)
+        if self._unfinished > self._limits.header_bytes:
+            self.error = self._make_large_head_error()
 
     def on_message_begin(self) -> None:
         """Reset the state for a new request."""
@@ -101,7 +107,7 @@
         self._body = b""
         self._body_bytes = 0
         self._head_bytes = 0
-        self._head_bytes_fed = 0
+        self._unfinished = 0
         self.in_head = True
 
     def on_url(self, url: bytes) -> None:
@@ -124,6 +130,7 @@
         """Check the head before the body is read."""
         self.in_head = False
         self.in_body = True
+        self._unfinished = 0
         self._method = self._parser.get_method().decode("latin-1")
         if "host" not in self._headers and self._parser.get_http_version() == "1.1":
             self._raise(InvalidRequest("the Host field is missing"))
--- a/standins/sink.py
+++ b/standins/sink.py
@@ -8,13 +8,14 @@
 import hashlib
 from typing import NamedTuple
 
+from standins.runners import STAMP
+
 PLACES = 6  # Calls that run at once.
 LARGE_ANSWER = 3_000_000  # Bytes of the answer on a path that ends so.
 LARGE_PATH = "/large"
 SLOW_PATH = "/slow"
 SLOW_TIME = 1.0  # Seconds that a call on such a path runs.
 READ_SIZE = 65536
-STAMP = "Server-Stamp: stamp-sink"
 
 
 class Run(NamedTuple):
@@ -73,7 +74,7 @@
             self.runs.append(Run(call_id, digest.hexdigest()))
             await asyncio.sleep(SLOW_TIME if path.endswith(SLOW_PATH) else 0.0)
         body = b"x" * (LARGE_ANSWER if path.endswith(LARGE_PATH) else 2)
-        lines = ["HTTP/1.1 200 OK", f"Request-Id: {call_id}", STAMP]
+        lines = ["HTTP/1.1 200 OK", f"Request-Id: {call_id}", f"{STAMP}: stamp-sink"]
         lines += [f"Content-Length: {len(body)}", "", ""]
         writer.write("\r\n".join(lines).encode() + body)
         await writer.drain()
