Return the body of a call at its end, not at the collector's next round

Callers saw: instances whose memory grew with each wave of clients that came, sent large bodies and went, until they ran out of it.

Cause: what served a call refers to itself in circles (the exchange, its search, gate, sends and receivers), and a timer that was cancelled kept its call until it would have been due, for seconds. The body went only as the collector of cycles came by. It was also copied for each send, and kept by the send until its answer had ended.

Why it works: the circles stay, and what is large leaves them. A call's body is held by the exchange and its builder of requests alone, both drop it at the end, and a send drops its own once it is written. The identity, which is asked for later, is computed before.

--- a/roadlift/core/loop.py
+++ b/roadlift/core/loop.py
@@ -23,6 +23,10 @@
 MAX_WAIT = 1.0  # Maximum seconds that one poll blocks.
 
 
+def _do_nothing() -> None:
+    """Stand in for the call of a timer that was cancelled."""
+
+
 class Timer:
     """A scheduled call; ``close`` cancels it."""
 
@@ -33,8 +37,12 @@
         self.closed = False
 
     def close(self) -> None:
-        """Cancel the call; closing twice does nothing."""
+        """Cancel the call and drop it; closing twice does nothing.
+
+        The timer itself stays in the queue until it is due.
+        """
         self.closed = True
+        self.call = _do_nothing
 
 
 class _Watch:
--- a/roadlift/daemon/exchange.py
+++ b/roadlift/daemon/exchange.py
@@ -378,6 +378,8 @@
         self._is_over = True
         self._note_burn(error)
         self._gateway.finish(self)
+        # Others may still refer to the exchange.
+        self.call = self.call._replace(body=b"", content={})
 
     def _note_burn(self, error: RoadliftError | None) -> None:
         if self._service is None:
--- a/roadlift/instance/exchange.py
+++ b/roadlift/instance/exchange.py
@@ -76,7 +76,9 @@
         authorization: Authorization,
         caller: Caller,
     ) -> None:
-        self.call = call = pending.call
+        self.call = pending.call
+        # A body is kept where it is sent from, and nowhere else.
+        call = pending.call.drop_body()
         self.route = route = authorization.apply_priority(pending.route)
         self._authorization = authorization
         self._kernel = kernel
@@ -111,7 +113,12 @@
         self._is_over = False
         self._answer = Answer(kernel.clock, call, route, caller, self._progress)
         self._requests = RequestBuilder(
-            kernel, call, route, authorization, self._progress, self._times.deadline
+            kernel,
+            self.call,
+            route,
+            authorization,
+            self._progress,
+            self._times.deadline,
         )
         self._report = CallReport(
             kernel,
@@ -196,9 +203,10 @@
         if was_sent and not self._attempts.take_handover(now):
             return False
         self._cancel_all()
+        call = self.call
         self._end("forwarded", None)
         self._budgets.record_handover(self._service, now)
-        call = self.call._replace(runs=self._attempts.runs)
+        call = call._replace(runs=self._attempts.runs)
         pending = PendingCall(call, self.route, self._times.deadline)
         self._host.forward(pending, self._caller)
         return True
@@ -552,9 +560,20 @@
         for send in self._sends.list_all():
             send.resume()
 
+    def _release_body(self) -> None:
+        """Drop a large body now: others may still refer to the exchange.
+
+        Its identity is still asked for.
+        """
+        if self.call.drop_body() is not self.call:
+            self.identify()
+            self.call = self.call.drop_body()
+            self._requests.close()
+
     def _end(self, outcome: str, error: RoadliftError | None) -> None:
         self._is_over = True
         self._timer.close()
+        self._release_body()
         now = self._kernel.clock.now()
         self._attempts.refund(now)
         self._host.finish(self)
--- a/roadlift/instance/forwarding.py
+++ b/roadlift/instance/forwarding.py
@@ -206,6 +206,7 @@
         if self._line is not None:
             self._line.close()
             self._line = None
+        self.call = self.call.drop_body()
         self._metrics.count("roadlift_forwarded_calls", outcome)
         log.event(
             "call_forwarded",
--- a/roadlift/instance/search.py
+++ b/roadlift/instance/search.py
@@ -86,7 +86,7 @@
     ) -> None:
         self._loop = kernel.loop
         self._owner = owner
-        self._call = owner.call
+        self._call = owner.call.drop_body()
         self._route = owner.route
         self._authorization = authorization
         self._scope = scope
@@ -104,7 +104,7 @@
         self._timer: Timer | None = None
         self.adapter_wait = AdapterWait(
             kernel,
-            owner.call,
+            self._call,
             owner.route,
             scope,
             times.began_at,
@@ -112,7 +112,7 @@
         )
         self.gate = Gate(
             kernel,
-            owner.call,
+            self._call,
             scope,
             GateCallbacks(owner.record_step, self._on_permitted, self.try_send),
         )
--- a/roadlift/instance/sendrequest.py
+++ b/roadlift/instance/sendrequest.py
@@ -45,6 +45,10 @@
         self._knowledge = kernel.get(Knowledge)
         self._format = kernel.get(Platform).adapter.calls
 
+    def close(self) -> None:
+        """Drop the body of the call; no request is built any more."""
+        self._call = self._call.drop_body()
+
     def build(self, send: Send, position: str) -> Request:
         """Return the request of a send that continues behind a position."""
         call = self._call
--- a/roadlift/relay/upstream.py
+++ b/roadlift/relay/upstream.py
@@ -32,6 +32,8 @@
 from roadlift.relay.pool import Channel, ConnectionPool
 
 READ_SIZE = 65536  # Bytes read from a socket at most at once.
+LARGE_BODY = 16384  # Bytes of a body from which on it is sent by itself.
+RECEIVE_BUFFER = 131072  # Bytes that the kernel keeps of an answer.
 # Milliseconds that sent bytes may stay unacknowledged before the connection
 # counts as lost; on a partitioned network nothing else reveals the loss. A
 # link that loses 3 of 100 packets loses three transmissions in a row, at 0,
@@ -84,20 +86,29 @@
     max_body: int = 0
     is_probe: bool = False
 
-    def encode(self, address: str) -> bytes:
-        """Return the request as bytes; ``address`` is the default host."""
+    def encode_head(self, address: str) -> bytes:
+        """Return the head as bytes; ``address`` is the default host."""
         lines = [f"{self.method} {self.path} HTTP/1.1", f"Host: {self.host or address}"]
         lines += [f"{name}: {value}" for name, value in self.headers.items()]
         if self.body or self.method not in _BODILESS_METHODS:
             lines.append(f"Content-Length: {len(self.body)}")
         if not self.max_idle:
             lines.append("Connection: close")
-        return "\r\n".join([*lines, "", ""]).encode("latin-1") + self.body
+        return "\r\n".join([*lines, "", ""]).encode("latin-1")
+
+    def encode(self, address: str) -> list[memoryview]:
+        """Return the request in pieces; a large body is not copied."""
+        head = self.encode_head(address)
+        if len(self.body) < LARGE_BODY:
+            return [memoryview(head + self.body)]
+        return [memoryview(head), memoryview(self.body)]
 
 
 def _set_options(sock: socket.socket) -> None:
     """Disable send coalescing and detect partitioned connections."""
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    # What a paused call leaves unread stays there.
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER // 2)
     for option, value in (
         (socket.TCP_NODELAY, 1),
         (socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_TIMEOUT_MS),
@@ -149,8 +160,7 @@
         self._channel: Channel | None = None
         self._socket: socket.socket | None = None
         self._timer = None
-        encoded = b"" if request.is_probe else request.encode(str(address))
-        self._unsent = memoryview(encoded)
+        self._unsent = [] if request.is_probe else request.encode(str(address))
         self._parser = httptools.HttpResponseParser(self)
         self._headers: dict[str, str] = {}
         self._status = 0
@@ -186,6 +196,7 @@
             self._loop.unwatch(self._socket.fileno())
             self._socket.close()
             self._socket = None
+        self._drop_body()
 
     def pause(self) -> None:
         """Stop reading, which puts back-pressure on the server."""
@@ -249,16 +260,31 @@
             self._update_watch()
             return
         try:
-            sent = self._socket.send(self._unsent)
+            sent = self._socket.send(self._unsent[0])
         except BlockingIOError:
             return
         except OSError as error:
             self._fail(self._classify_loss(error))
             return
         self.written = self.written or sent > 0
-        self._unsent = self._unsent[sent:]
+        self._note_sent(sent)
         self._update_watch()
 
+    def _note_sent(self, size: int) -> None:
+        """Drop what was sent, and the body once all of it was."""
+        if size < len(self._unsent[0]):
+            self._unsent[0] = self._unsent[0][size:]
+            return
+        del self._unsent[0]
+        if not self._unsent:
+            self._drop_body()
+
+    def _drop_body(self) -> None:
+        """Drop what is not sent, or was sent whole, if it is large."""
+        if len(self._request.body) >= LARGE_BODY:
+            self._unsent = []
+            self._request = self._request._replace(body=b"")
+
     def _prepare_send(self) -> bool:
         """Check a new connection, and that the request may still be sent."""
         if self._channel.is_new:
--- a/roadlift/serving/calls.py
+++ b/roadlift/serving/calls.py
@@ -4,6 +4,8 @@
 from collections.abc import Mapping
 from typing import NamedTuple
 
+LARGE_BODY = 4096  # Bytes of a body that is not kept behind its call's end.
+
 
 class Kind(enum.StrEnum):
     """The kind of a call's answer, and whether the call may run twice.
@@ -67,3 +69,9 @@
     def path(self) -> str:
         """Return the target without its query."""
         return self.target.partition("?")[0]
+
+    def drop_body(self) -> "Call":
+        """Return the call without its body, unless that is small."""
+        if len(self.body) < LARGE_BODY:
+            return self
+        return self._replace(body=b"")
