Account for all that is held for callers, with a bound from the machine

Callers saw: instances that ran out of memory under clients each of which was inside the limits: bodies of legal size that stop short of their end, whole or in pieces, at the front, the readiness and the metrics address; requests in a row; answers that nobody reads. What was held stayed as they left.

Cause: limits by piece where the resource is whole. Each request, head and read was bounded, by what was received; nothing summed up what it takes over connections, and the process did not know the memory of its machine. The readiness and the metrics address took bodies of 8 MiB. All requests of a read were parsed at once, a kilobyte for 45 bytes. A parser and its callbacks refer to each other, so that a closed connection kept its body.

Why it works: one account for all listening addresses counts what connections take: buffers, parsed fields, running calls with their copies, unread answers with the kernel's part. 30% of the machine's memory are for callers, a quarter of that for small calls alone. Where it is too much what costs its caller least yields: a stalled upload, a long one, the newest one (503, not run, with a time to return), input behind a call, an answer that is not read. A call that was taken never yields: it is taken if there is room. A body of known length for which there can't be room is refused before it is read. The kernel's buffers of accepted sockets are bounded; one request is parsed at a time; a connection drops all it has as it closes.

--- a/roadlift/conf/checks.py
+++ b/roadlift/conf/checks.py
@@ -14,7 +14,13 @@
 _CHOICES = {"interface": ("openai", "routes"), "log_format": ("text", "json")}
 _LISTED_ADDRESSES = ("metrics", "seeds", "statsd")
 # Limits of which 0 says that there is none, or nothing beyond them.
-_NOT_NEGATIVE = ("allowance_over", "allowance_slack", "revoke_ms")
+_NOT_NEGATIVE = (
+    "allowance_over",
+    "allowance_slack",
+    "max_descriptors",
+    "memory_mb",
+    "revoke_ms",
+)
 _POSITIVE = tuple(
     setting.name
     for setting in SETTINGS
--- a/roadlift/conf/settings.py
+++ b/roadlift/conf/settings.py
@@ -61,6 +61,18 @@
     Setting("most_header", int, 16384, "Bytes of the largest request head."),
     Setting("header_timeout", float, 5.0, "Seconds for a whole request head."),
     Setting("idle_timeout", float, 60.0, "Seconds a silent connection is kept."),
+    Setting(
+        "memory_mb",
+        float,
+        0.0,
+        "Megabytes of memory of this instance; 0 is what the machine tells.",
+    ),
+    Setting(
+        "max_descriptors",
+        int,
+        0,
+        "Descriptors that this instance may open; 0 is its resource limit.",
+    ),
     Setting("most_running", int, 4096, "Requests at once on this instance."),
     Setting("retry_share", float, 0.1, "Retries as a part of the requests."),
     Setting("router", str, "ring", "Policy that routes requests to endpoints."),
--- a/roadlift/core/errors.py
+++ b/roadlift/core/errors.py
@@ -91,6 +91,14 @@
     outcome = Outcome.NOT_RUN
 
 
+class MemoryFull(RoadliftError):
+    """The instance holds as much for callers as its memory allows."""
+
+    code = "memory_full"
+    status = 503
+    outcome = Outcome.NOT_RUN
+
+
 class UnknownModel(RoadliftError):
     """No adapter and version of that name is in the bundle in force."""
 
--- a/roadlift/daemon/front.py
+++ b/roadlift/daemon/front.py
@@ -3,6 +3,8 @@
 from roadlift.core.kernel import Kernel, components
 from roadlift.daemon.gateway import Gateway
 from roadlift.daemon.leaving import Leaving
+from roadlift.daemon.metrics import Metrics
+from roadlift.http.holdings import Callers
 from roadlift.http.messages import HttpLimits
 from roadlift.http.server import Server
 from roadlift.relay.address import Address
@@ -13,7 +15,7 @@
     """The HTTP server of this process."""
 
     name = "front"
-    needs = ("gateway", "leaving")
+    needs = (Callers.name, "gateway", "leaving", Metrics.name)
 
     def __init__(self, kernel: Kernel) -> None:
         self._kernel = kernel
@@ -25,7 +27,12 @@
             settings.idle_timeout,
         )
         address = Address.parse(settings.http)
-        self._server = Server(kernel.loop, address, kernel.get(Gateway), limits)
+        callers = kernel.get(Callers)
+        metrics = kernel.get(Metrics)
+        callers.on_yield = lambda reason: metrics.count("yielded")
+        self._server = Server(
+            kernel.loop, address, kernel.get(Gateway), limits, callers
+        )
         kernel.get(Leaving).attach(self._server)
 
     def start(self) -> None:
--- a/roadlift/daemon/metrics.py
+++ b/roadlift/daemon/metrics.py
@@ -31,6 +31,7 @@
     Metric("retries", "counter", "tries", "Tries after the first."),
     Metric("resumed", "counter", "streams", "Cut streams that were resumed."),
     Metric("cancelled", "counter", "requests", "Runs cancelled as callers left."),
+    Metric("yielded", "counter", "times", "Callers refused or cut for want of room."),
     Metric("first_byte", "timer", "ms", "Time to an answer's first byte."),
     Metric("load_stall", "timer", "ms", "Time that a request waited for a pin."),
     Metric("running", "gauge", "requests", "Requests in flight."),
--- a/roadlift/http/connection.py
+++ b/roadlift/http/connection.py
@@ -6,18 +6,27 @@
 from collections.abc import Callable, Mapping
 from typing import Protocol
 
-from roadlift.core.errors import RequestIncomplete, RoadliftError
+from roadlift.core.errors import MemoryFull, RequestIncomplete, RoadliftError
 from roadlift.core.loop import Loop
+from roadlift.decisions.yielding import Holding, Stage, judge_answer, judge_upload
 from roadlift.http.errors import encode_error, format_seconds
+from roadlift.http.holdings import REFUSED, Holdings
+from roadlift.http.intake import Intake
 from roadlift.http.messages import HttpLimits, ReceivedRequest, get_reason_phrase
 from roadlift.http.outbox import Outbox
-from roadlift.http.parser import ParsedRequest, RequestParser
+from roadlift.http.parser import ParsedRequest
 from roadlift.http.uploads import Upload, can_complete
 
 READ_SIZE = 65536  # Bytes read from a caller at once.
 HIGH_WATER = 131072  # Bytes buffered for a slow caller before its stream pauses.
 LOW_WATER = 32768  # Buffered bytes at which the stream resumes.
 MAX_PIPELINED_BYTES = 65536  # Pipelined bytes after which reading pauses.
+SEND_BUFFER = 65536  # Bytes that the kernel keeps of an answer.
+CONNECTION_COST = 4096  # Bytes of memory that a connection takes by itself.
+# Bytes of memory that a call takes beside its request, and copies of that.
+CALL_COST = 16384
+CALL_COPIES = 2
+RETRY_DELAY = 1.0  # Seconds after which a call may come back that yielded.
 # Seconds for which input is still read after the writing side was shut down.
 # Closing a socket with unread input sends a reset, which can destroy the last
 # answer before the caller has read it.
@@ -61,15 +70,19 @@
         handler: Handler,
         limits: HttpLimits,
         on_close: Callable[["Connection"], None],
+        holdings: Holdings,
     ) -> None:
         self._loop = loop
         self._socket: socket.socket | None = sock
         self._handler = handler
         self._limits = limits
         self._on_close = on_close
-        self._parser = RequestParser(limits)
+        self._holdings = holdings
+        self._intake = Intake(limits)
         self._outbox = Outbox()
-        self._pipelined = b""
+        self._running_size = 0
+        self._drops_input = False
+        self._used_at = loop.clock.now()
         self._upload: Upload | None = None
         self._deadline = loop.clock.now() + limits.idle_timeout
         self._is_answering = False
@@ -85,11 +98,23 @@
         self.on_gone: Callable[[], None] | None = None
         self.on_drained: Callable[[], None] | None = None
         loop.watch(sock.fileno(), self._on_readable, None)
+        self._measure()
 
     @property
     def is_full(self) -> bool:
         """Return whether the sender should pause."""
-        return self._outbox.size >= HIGH_WATER
+        most = LOW_WATER if self._holdings.is_pressed else HIGH_WATER
+        return self._outbox.size >= most
+
+    @property
+    def is_reading(self) -> bool:
+        """Return whether a request has begun to arrive."""
+        return self.state is ConnectionState.READING
+
+    @property
+    def used_at(self) -> float:
+        """Return when bytes were last received or written."""
+        return self._used_at
 
     @property
     def state(self) -> ConnectionState:
@@ -100,8 +125,7 @@
             return ConnectionState.WRITING
         if self._is_answering:
             return ConnectionState.ANSWERING
-        has_input = bool(self._pipelined or self._parser.requests)
-        if has_input or self._parser.error or not self._parser.is_idle:
+        if not self._intake.is_idle:
             return ConnectionState.READING
         return ConnectionState.IDLE
 
@@ -161,9 +185,8 @@
         """
         if not self.is_draining:
             return False
-        pipelined, self._pipelined = self._pipelined, b""
-        self._parser.feed(pipelined)
-        return not self._parser.requests and self._parser.error is None
+        self._intake.advance()
+        return not self._intake.requests and self._intake.error is None
 
     def answer(self, status: int, headers: Mapping[str, str], body: bytes) -> None:
         """Write a complete answer at once."""
@@ -215,8 +238,70 @@
         self._socket.close()
         self._socket = None
         self._outbox.clear()
+        self._intake.close()
+        self._holdings.remove(self)
         self._on_close(self)
 
+    # Memory.
+
+    def _measure(self) -> None:
+        """Account for the bytes of memory that this connection takes."""
+        if self._socket is None:
+            return
+        size = CONNECTION_COST + self._intake.held + self._running_size
+        if not self._outbox.is_empty:
+            size += self._outbox.size + SEND_BUFFER
+        self._holdings.change(self, size, self._running_size)
+
+    @property
+    def _is_input_full(self) -> bool:
+        """Return whether reading has paused for what waits to be parsed."""
+        if not self._is_answering or self._drops_input:
+            return False
+        return self._intake.unparsed >= MAX_PIPELINED_BYTES
+
+    def find_holding(self, now: float) -> Holding["Connection"] | None:
+        """Return what may be given up of this connection, if anything."""
+        if self._is_lingering or self._socket is None:
+            return None
+        if not self._outbox.is_empty:
+            size = self._outbox.size + SEND_BUFFER
+            return judge_answer(self, size, now, self._used_at)
+        held = self._intake.held
+        if not held:
+            return None
+        if self._is_answering:
+            return Holding(self, Stage.INPUT_BEHIND, -held, held)
+        began_at = self._upload.began_at if self._upload else now
+        return judge_upload(self, held, now, began_at, self._used_at)
+
+    def yield_holding(self, holding: Holding["Connection"]) -> None:
+        """Refuse an upload, drop input behind a call, or cut an answer."""
+        if holding.stage >= Stage.STALLED_ANSWER:
+            self._cut()
+        elif self._is_answering:
+            self._drop_input()
+        else:
+            self._refuse(MemoryFull("the request yields", RETRY_DELAY))
+
+    def _drop_input(self) -> None:
+        """Drop what was received behind the call, which is the last one.
+
+        Nothing of it was handled, so that the close promises nothing untrue.
+        """
+        self._drops_input = True
+        self._keep_alive = False
+        self._intake.close()
+        self._watch()
+        self._measure()
+
+    def _cut(self) -> None:
+        """Reset a connection whose answer is not read."""
+        on_gone = None if self._is_finishing else self.on_gone
+        self.reset()
+        if on_gone is not None:
+            on_gone()
+
     # Draining.
 
     def close_if_idle(self) -> None:
@@ -252,7 +337,7 @@
         elif self._is_answering:
             # The handler limits the duration of an answer.
             self._deadline = now + self._limits.idle_timeout
-        elif self._parser.is_idle:
+        elif self._intake.is_between:
             self._begin_linger()
         else:
             self._refuse(RequestIncomplete("timed out reading the request"))
@@ -268,46 +353,66 @@
             data = b""
         if not data:
             self._handle_disconnect()
-        elif self._is_lingering:
+        elif self._is_lingering or self._drops_input:
             return
         elif not self._is_answering:
+            self._used_at = self._loop.clock.now()
             self._feed(data)
         else:
             # A pipelined request waits until this answer is complete.
-            self._pipelined += data
-            if len(self._pipelined) >= MAX_PIPELINED_BYTES:
+            self._intake.add(data)
+            if self._is_input_full:
                 self._watch()
+            self._measure()
 
     def _feed(self, data: bytes) -> None:
-        was_idle = self._parser.is_idle
-        was_in_head = self._parser.in_head
-        self._parser.feed(data)
+        self._intake.add(data)
+        self._advance()
+
+    def _advance(self) -> None:
+        """Parse what was received, up to the end of a request."""
+        was_idle = self._intake.is_between
+        was_in_head = self._intake.in_head
+        size = self._intake.unparsed
+        self._intake.advance()
         now = self._loop.clock.now()
-        if self._parser.in_head and (was_idle or not was_in_head):
+        if self._intake.in_head and (was_idle or not was_in_head):
             self._deadline = now + self._limits.header_timeout
-        elif self._parser.in_body:
+        elif self._intake.in_body:
             self._deadline = now + self._limits.idle_timeout
-        self._record_upload(now, len(data))
-        if self._parser.wants_continue:
-            self._parser.wants_continue = False
+        self._record_upload(now, size)
+        if self._intake.take_continue():
             self.write_interim(100)
-        self._handle_next()
+        self._measure()
+        if self._socket is not None and not self._is_answering:
+            self._handle_next()
 
     def _record_upload(self, now: float, size: int) -> None:
         """Record how much of an incomplete request was received."""
-        if self._parser.is_idle:
+        if self._intake.is_between:
             self._upload = None
             return
-        if self._upload is None or self._parser.requests:
+        if self._upload is None or self._intake.requests:
             self._upload = Upload(now, now, 0, None)
-        self._upload = self._upload.add(now, size, self._parser.missing_bytes)
+        self._upload = self._upload.add(now, size, self._intake.missing_bytes)
 
     def _handle_next(self) -> None:
         """Handle the next complete request, or answer the parse error."""
-        if self._parser.requests:
-            self._begin(self._parser.requests.popleft())
-        elif self._parser.error is not None:
-            self._refuse(self._parser.error)
+        if self._intake.requests:
+            self._begin(self._intake.requests.popleft())
+        elif self._intake.error is not None:
+            self._refuse(self._intake.error)
+        elif not self._has_room():
+            self._holdings.record(REFUSED)
+            self._refuse(MemoryFull("no room for the body", RETRY_DELAY))
+
+    def _has_room(self) -> bool:
+        """Return whether the rest of a body of known length may be held."""
+        missing = self._intake.missing_bytes
+        if not missing:
+            return True
+        size = CALL_COPIES * (self._intake.held + missing)
+        return self._holdings.can_ever_begin(size)
 
     def _begin(self, parsed: ParsedRequest) -> None:
         self._is_answering = True
@@ -315,7 +420,13 @@
         self._keep_alive = parsed.keep_alive
         self._version = parsed.version
         self._method = parsed.received.method
-        self._handler.handle(parsed.received, self)
+        self._running_size = CALL_COST + CALL_COPIES * parsed.size
+        self._measure()
+        if self._holdings.can_begin(self._running_size):
+            self._handler.handle(parsed.received, self)
+            return
+        self._holdings.record(REFUSED)
+        self._refuse(MemoryFull("no room for the call", RETRY_DELAY))
 
     def _refuse(
         self, error: RoadliftError, headers: Mapping[str, str] | None = None
@@ -327,13 +438,19 @@
         self._method = ""
         self._version = "1.1"
         self.on_gone = self.on_drained = None
+        self._running_size = 0
+        self._drops_input = True
+        self._intake.close()
+        self._measure()
         self.answer_error(error, headers or {})
 
     def _handle_disconnect(self) -> None:
         was_answering = self._is_answering and not self._is_finishing
+        on_gone, self.on_gone = self.on_gone, None
+        self.on_drained = None
         self.close()
-        if was_answering and self.on_gone is not None:
-            self.on_gone()
+        if was_answering and on_gone is not None:
+            on_gone()
 
     # Writing.
 
@@ -343,6 +460,7 @@
         was_empty = self._outbox.is_empty
         self._outbox.add(data)
         if was_empty:
+            self._used_at = self._loop.clock.now()
             try:
                 self._outbox.flush(self._socket)
             except OSError:
@@ -350,6 +468,7 @@
                 return
         if not self._outbox.is_empty:
             self._watch()
+            self._measure()
 
     def _handle_send_failure(self) -> None:
         if self._socket is not None:
@@ -357,20 +476,24 @@
 
     def _watch(self) -> None:
         """Update which socket events are watched."""
-        is_full = self._is_answering and len(self._pipelined) >= MAX_PIPELINED_BYTES
-        on_read = None if is_full else self._on_readable
+        on_read = None if self._is_input_full else self._on_readable
         on_write = None if self._outbox.is_empty else self._on_writable
         self._loop.watch(self._socket.fileno(), on_read, on_write)
 
     def _on_writable(self) -> None:
+        if self._socket is None:
+            # Reading has closed the connection in the same round of the loop.
+            return
         was_full = self._outbox.size > LOW_WATER
         try:
             self._outbox.flush(self._socket)
         except OSError:
             self._handle_disconnect()
             return
+        self._used_at = self._loop.clock.now()
         if self._outbox.is_empty:
             self._watch()
+        self._measure()
         # A caller that reads on gets more time to read the rest.
         self._complete_answer()
         if was_full and self._outbox.size <= LOW_WATER and self.on_drained:
@@ -381,8 +504,11 @@
     def _complete_answer(self) -> None:
         if not self._is_finishing or self._socket is None or self._is_lingering:
             return
+        # The call is over, also while its answer is being read.
+        self._running_size = 0
         if not self._outbox.is_empty:
             self._deadline = self._loop.clock.now() + self._limits.idle_timeout
+            self._measure()
             return
         self.on_gone = self.on_drained = None
         if not self._keep_alive:
@@ -390,18 +516,15 @@
             return
         self._is_answering = self._is_finishing = False
         self._deadline = self._loop.clock.now() + self._limits.idle_timeout
-        if self._pipelined or self._parser.requests or self._parser.error:
+        self._measure()
+        if self._intake.has_input or self._intake.error:
             # Deferred, so that many pipelined requests do not recurse.
             self._loop.call_later(0, self._resume_reading)
 
     def _resume_reading(self) -> None:
         if self._socket is None or self._is_answering:
             return
-        pipelined, self._pipelined = self._pipelined, b""
-        if pipelined:
-            self._feed(pipelined)
-        else:
-            self._handle_next()
+        self._advance()
         if self._socket is not None:
             self._watch()
 
@@ -409,6 +532,8 @@
         """Shut down the writing side, and read until the caller closes."""
         self._is_lingering = True
         self._deadline = self._loop.clock.now() + LINGER_TIMEOUT
+        self._intake.close()
+        self._measure()
         try:
             self._socket.shutdown(socket.SHUT_WR)
         except OSError:
--- a/roadlift/http/messages.py
+++ b/roadlift/http/messages.py
@@ -31,6 +31,10 @@
     idle_timeout: float = 60.0
 
 
+# Those of an address whose requests have no body.
+SMALL_LIMITS = HttpLimits(body_bytes=1024, idle_timeout=15.0)
+
+
 class ReceivedRequest(NamedTuple):
     """A complete request of a caller.
 
--- a/roadlift/http/parser.py
+++ b/roadlift/http/parser.py
@@ -24,19 +24,28 @@
 )
 
 _FIELD_OVERHEAD = 4  # Bytes for a colon, a space and CRLF.
+# Bytes of memory that a request takes beside its text, and that each of its
+# fields takes: the mapping, and two strings.
+REQUEST_COST = 1024
+FIELD_COST = 160
+GROWTH = 1.125  # Memory of a body that grows, as a part of its bytes.
 
 
 class ParsedRequest:
-    """A complete request, and whether its connection may stay open."""
+    """A complete request, and whether its connection may stay open.
 
-    __slots__ = ("keep_alive", "received", "version")
+    ``size`` are the bytes of memory that it takes.
+    """
+
+    __slots__ = ("keep_alive", "received", "size", "version")
 
     def __init__(
-        self, received: ReceivedRequest, version: str, keep_alive: bool
+        self, received: ReceivedRequest, version: str, keep_alive: bool, size: int
     ) -> None:
         self.received = received
         self.version = version
         self.keep_alive = keep_alive
+        self.size = size
 
 
 class RequestParser:
@@ -76,9 +85,35 @@
             return None
         return int(length) - self._body_bytes
 
+    @property
+    def held(self) -> int:
+        """Return the bytes of memory that are held for requests."""
+        waiting = sum(request.size for request in self.requests)
+        if self.is_idle:
+            return waiting
+        return waiting + self._unfinished + self._measure_request()
+
+    def _measure_request(self) -> int:
+        """Return the bytes of memory that the current request takes."""
+        head = 2 * self._head_bytes + FIELD_COST * len(self._headers)
+        return REQUEST_COST + head + int(GROWTH * self._body_bytes)
+
+    def close(self) -> None:
+        """Drop everything; nothing is parsed any more.
+
+        The parser refers to its callbacks, so that nothing else would return
+        what is held before the collector of cycles does.
+        """
+        self._parser = None
+        self._body = b""
+        self._body_bytes = self._head_bytes = self._unfinished = 0
+        self._headers = {}
+        self.requests.clear()
+        self.in_head = self.in_body = False
+
     def feed(self, data: bytes) -> None:
         """Parse bytes; results are in ``requests`` and ``error``."""
-        if self.error is not None:
+        if self.error is not None or self._parser is None:
             return
         before = len(self.requests)
         body_before = self._body_bytes
@@ -161,9 +196,10 @@
         connection = self._headers.get("connection", "")
         version = self._parser.get_http_version()
         keep_alive = version == "1.1" and not has_token(connection, "close")
+        size = self._measure_request()
         body, self._body = bytes(self._body), b""
         received = ReceivedRequest(self._method, target, self._headers, body)
-        self.requests.append(ParsedRequest(received, version, keep_alive))
+        self.requests.append(ParsedRequest(received, version, keep_alive, size))
 
     def _read_target(self) -> str:
         """Return the path and query of an origin or absolute form."""
--- a/roadlift/http/server.py
+++ b/roadlift/http/server.py
@@ -7,11 +7,20 @@
 from roadlift.core.errors import RoadliftError
 from roadlift.core.logs import ComponentLog
 from roadlift.core.loop import Loop
-from roadlift.http.connection import Connection, ConnectionState, Handler
+from roadlift.decisions.yielding import RECEIVE_BUFFER
+from roadlift.http.connection import (
+    SEND_BUFFER,
+    Connection,
+    ConnectionState,
+    Handler,
+)
+from roadlift.http.holdings import Holdings, make_unbounded
 from roadlift.http.messages import HttpLimits
 from roadlift.relay.address import Address
 
 BACKLOG = 1024  # Connections waiting to be accepted.
+# Connections of an address that serves few callers, such as the platform.
+FEW_CONNECTIONS = 64
 MAX_ACCEPTED_AT_ONCE = 64  # Connections accepted per event-loop iteration.
 SWEEP_INTERVAL = 0.25  # Seconds between checks of the timeouts.
 
@@ -22,11 +31,19 @@
     """The listening socket of an address, and its connections."""
 
     def __init__(
-        self, loop: Loop, address: Address, handler: Handler, limits: HttpLimits
+        self,
+        loop: Loop,
+        address: Address,
+        handler: Handler,
+        limits: HttpLimits,
+        holdings: Holdings | None = None,
+        max_connections: int | None = None,
     ) -> None:
         self._loop = loop
         self._address = address
         self._handler = handler
+        self._holdings = holdings or make_unbounded(loop.clock)
+        self._max_connections = max_connections or self._holdings.limits.connections
         self._socket: socket.socket | None = None
         self._timer = None
         self.limits = limits
@@ -42,6 +59,12 @@
         """Bind the address and start accepting."""
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        # Accepted sockets inherit the sizes, of which the kernel takes twice.
+        for option, size in (
+            (socket.SO_RCVBUF, RECEIVE_BUFFER),
+            (socket.SO_SNDBUF, SEND_BUFFER),
+        ):
+            self._socket.setsockopt(socket.SOL_SOCKET, option, size // 2)
         self._socket.setblocking(False)
         self._socket.bind(self._address)
         self._socket.listen(BACKLOG)
@@ -53,7 +76,12 @@
         """Serve a caller on a connected socket."""
         sock.setblocking(False)
         connection = Connection(
-            self._loop, sock, self._handler, self.limits, self.connections.discard
+            self._loop,
+            sock,
+            self._handler,
+            self.limits,
+            self.connections.discard,
+            self._holdings,
         )
         connection.is_draining = self.is_draining
         self.connections.add(connection)
--- a/roadlift/instance/ingress.py
+++ b/roadlift/instance/ingress.py
@@ -17,8 +17,9 @@
 from roadlift.draining.connections import RETRY_DELAY, ConnectionDrain
 from roadlift.draining.drain import Drain, Phase
 from roadlift.http.connection import Connection, ConnectionState
-from roadlift.http.messages import HttpLimits, ReceivedRequest
-from roadlift.http.server import Server
+from roadlift.http.holdings import Callers
+from roadlift.http.messages import SMALL_LIMITS, HttpLimits, ReceivedRequest
+from roadlift.http.server import FEW_CONNECTIONS, Server
 from roadlift.instance.access import Access
 from roadlift.instance.aggregator import Aggregator
 from roadlift.instance.availabilities import Availabilities
@@ -66,6 +67,7 @@
     needs = (
         Access.name,
         Aggregator.name,
+        Callers.name,
         CallLog.name,
         ControlCosts.name,
         CrashLedger.name,
@@ -104,14 +106,20 @@
         limit = max(settings.grace, settings.drain_limit - DRAIN_LIMIT_MARGIN)
         self._drain = Drain(kernel.clock, settings.grace, limit)
         self._timer = None
+        callers = kernel.get(Callers)
+        callers.on_yield = lambda reason: self._metrics.count(
+            "roadlift_yielded", reason
+        )
         self._server = Server(
-            kernel.loop, Address.parse(settings.http), self, HttpLimits()
+            kernel.loop, Address.parse(settings.http), self, HttpLimits(), callers
         )
         self._ready_server = Server(
             kernel.loop,
             Address.parse(settings.ready),
             _ReadinessHandler(self),
-            HttpLimits(),
+            SMALL_LIMITS,
+            callers,
+            FEW_CONNECTIONS,
         )
         self._connection_drain = ConnectionDrain(
             self._drain, self._server, is_admitting=True
--- a/roadlift/instance/metriccatalogue.py
+++ b/roadlift/instance/metriccatalogue.py
@@ -396,4 +396,21 @@
         "Log lines dropped since the start, as nobody read standard output.",
         "Check what reads the output; calls are not delayed by it.",
     ),
+    InstanceMetric(
+        "roadlift_yielded",
+        "counter",
+        "times",
+        ("reason",),
+        "Callers that were refused or cut, or whose connections were closed, for "
+        "want of memory or descriptors, by what they had.",
+        "See `callers_yielded`: callers don't behave, or the machine is too small.",
+    ),
+    InstanceMetric(
+        "roadlift_held_bytes",
+        "gauge",
+        "bytes",
+        (),
+        "Memory that is held for callers: uploads, calls, answers, connections.",
+        "Near the limit in `holding_limits`: uploads yield, large calls are refused.",
+    ),
 )
--- a/roadlift/instance/metrics.py
+++ b/roadlift/instance/metrics.py
@@ -10,8 +10,9 @@
 from roadlift.core.kernel import Kernel, components
 from roadlift.core.logs import ComponentLog
 from roadlift.http.connection import Connection
-from roadlift.http.messages import HttpLimits, ReceivedRequest
-from roadlift.http.server import Server
+from roadlift.http.holdings import Callers
+from roadlift.http.messages import SMALL_LIMITS, ReceivedRequest
+from roadlift.http.server import FEW_CONNECTIONS, Server
 from roadlift.instance.metriccatalogue import INSTANCE_METRICS, InstanceMetric
 from roadlift.relay.address import Address
 
@@ -29,7 +30,7 @@
     """The metrics of this process, and their address if one is set."""
 
     name = "measures"
-    needs = ()
+    needs = (Callers.name,)
 
     def __init__(self, kernel: Kernel) -> None:
         self._kernel = kernel
@@ -42,8 +43,14 @@
         self._server: Server | None = None
         address = kernel.settings.metrics
         if address:
-            limits = HttpLimits()
-            self._server = Server(kernel.loop, Address.parse(address), self, limits)
+            self._server = Server(
+                kernel.loop,
+                Address.parse(address),
+                self,
+                SMALL_LIMITS,
+                kernel.get(Callers),
+                FEW_CONNECTIONS,
+            )
 
     def start(self) -> None:
         """Serve the metrics; a failure does not stop the instance."""
@@ -82,6 +89,7 @@
         lines = self._kernel.lines
         if lines is not None:
             self.set("roadlift_dropped_lines", lines.total_dropped)
+        self.set("roadlift_held_bytes", self._kernel.get(Callers).held)
         return generate_latest(self._registry)
 
     def handle(self, received: ReceivedRequest, caller: Connection) -> None:
--- a/tests/support/sockets.py
+++ b/tests/support/sockets.py
@@ -6,6 +6,7 @@
 from roadlift.core.clock import ManualClock
 from roadlift.core.loop import Loop
 from roadlift.http.connection import Connection
+from roadlift.http.holdings import Holdings, make_unbounded
 from roadlift.http.messages import HttpLimits, ReceivedRequest
 from roadlift.http.server import Server
 from roadlift.relay.address import Address
@@ -69,11 +70,19 @@
 class Ingress:
     """A server with the echo handler, and raw callers."""
 
-    def __init__(self, limits: HttpLimits = LIMITS) -> None:
-        self.driver = Driver()
+    def __init__(
+        self,
+        limits: HttpLimits = LIMITS,
+        driver: Driver | None = None,
+        holdings: Holdings | None = None,
+    ) -> None:
+        self.driver = driver or Driver()
+        self.holdings = holdings or make_unbounded(self.driver.clock)
         self.handler = EchoHandler()
         address = Address("127.0.0.1", 0)
-        self.server = Server(self.driver.loop, address, self.handler, limits)
+        self.server = Server(
+            self.driver.loop, address, self.handler, limits, self.holdings
+        )
         self.server.start()
 
     def close(self) -> None:
