Bound connections, and pause accepting where no descriptor is left

Callers saw: no answer from an instance as long as others kept its descriptors with silent connections, up to the idle timeout, at the readiness address 60 s. Operators saw 50 MB of log in 20 s, a line for each vain attempt to accept.

Cause: the number of connections had no limit. Accepting failed, and the loop called it again at once, as the listener was still readable. Sends to runners and the store need descriptors as well, and ended as internal errors (500).

Evidence: tests/crowds/descriptors.feature, 900 silent connections where 600 descriptors are allowed: all 600 were open, at each address of both interfaces.

Beyond that the connections that were unused the longest are closed, then those whose request has stalled, then the new one; one with a call or an answer that is read stays. Where accepting fails all the same it pauses for 0.25 s, which bounds the lines as well. A send without a descriptor fails as not sent.

--- a/roadlift/http/server.py
+++ b/roadlift/http/server.py
@@ -1,5 +1,6 @@
 """Accept callers' connections on one address."""
 
+import heapq
 import socket
 from collections import Counter
 from collections.abc import Mapping
@@ -7,20 +8,23 @@
 from roadlift.core.errors import RoadliftError
 from roadlift.core.logs import ComponentLog
 from roadlift.core.loop import Loop
-from roadlift.decisions.yielding import RECEIVE_BUFFER
+from roadlift.decisions.yielding import RECEIVE_BUFFER, STALL_TIME
 from roadlift.http.connection import (
     SEND_BUFFER,
     Connection,
     ConnectionState,
     Handler,
 )
-from roadlift.http.holdings import Holdings, make_unbounded
+from roadlift.http.holdings import CONNECTIONS, Holdings, make_unbounded
 from roadlift.http.messages import HttpLimits
 from roadlift.relay.address import Address
 
 BACKLOG = 1024  # Connections waiting to be accepted.
 # Connections of an address that serves few callers, such as the platform.
 FEW_CONNECTIONS = 64
+# Of the connections, what is closed at once where there are too many.
+YIELDING_PART = 1 / 32
+ACCEPT_PAUSE = 0.25  # Seconds without accepting, where no descriptor is left.
 MAX_ACCEPTED_AT_ONCE = 64  # Connections accepted per event-loop iteration.
 SWEEP_INTERVAL = 0.25  # Seconds between checks of the timeouts.
 
@@ -141,11 +145,56 @@
             except BlockingIOError:
                 return
             except OSError as error:
-                log.warning("Could not accept a connection: %s.", error)
+                self._pause_accepting(error)
                 return
+            if not self._has_place():
+                sock.close()
+                continue
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             self.add_socket(sock)
 
+    def _pause_accepting(self, error: OSError) -> None:
+        """Close connections that may be, and accept again a little later.
+
+        Without a pause the loop would call again at once, and for ever.
+        """
+        log.warning("Could not accept a connection: %s.", error)
+        self._close_unused()
+        self._loop.unwatch(self._socket.fileno())
+        self._loop.call_later(ACCEPT_PAUSE, self._resume_accepting)
+
+    def _resume_accepting(self) -> None:
+        if self._socket is not None:
+            self._loop.watch(self._socket.fileno(), self._accept)
+
+    def _has_place(self) -> bool:
+        """Return whether a connection may be added, if others are closed."""
+        if len(self.connections) >= self._max_connections:
+            self._close_unused()
+        if len(self.connections) < self._max_connections:
+            return True
+        self._holdings.record(CONNECTIONS)
+        return False
+
+    def _close_unused(self) -> None:
+        """Close the connections that were unused the longest.
+
+        Idle ones go first, then those whose request has stalled. A call that
+        runs, and an answer that is read, keeps its connection.
+        """
+        count = max(1, int(len(self.connections) * YIELDING_PART))
+        stalled_before = self._loop.clock.now() - STALL_TIME
+        idle = [one for one in self.connections if one.is_idle]
+        if not idle:
+            idle = [
+                one
+                for one in self.connections
+                if one.is_reading and one.used_at <= stalled_before
+            ]
+        for connection in heapq.nsmallest(count, idle, key=lambda one: one.used_at):
+            self._holdings.record(CONNECTIONS)
+            connection.close()
+
     def _sweep(self) -> None:
         now = self._loop.clock.now()
         for connection in list(self.connections):
--- a/roadlift/relay/upstream.py
+++ b/roadlift/relay/upstream.py
@@ -224,7 +224,16 @@
             self._request.history.add(self._channel)
 
     def _connect(self) -> None:
-        self._socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        try:
+            self._socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        except OSError as error:
+            # No descriptor is left. The receiver hears of it later, as of
+            # every failure.
+            failure = EndpointUnreachable(errno.errorcode.get(error.errno, ""))
+            self._timer = self._loop.call_later(
+                0, lambda: self._receiver.receive_error(failure)
+            )
+            return
         self._socket.setblocking(False)
         _set_options(self._socket)
         self._channel = Channel(self._address, self._socket)
--- a/tests/http/holdings.feature
+++ b/tests/http/holdings.feature
@@ -74,3 +74,27 @@
       | name  | 6000  | answered 431 and closed |
       | value | 1000  | open without an answer  |
       | value | 6000  | answered 431 and closed |
+
+  Scenario Outline: An address with <most> places gets <count> connections
+    Guards against descriptors that silent callers keep.
+
+    Given an ingress with <most> places for connections
+    When <count> callers connect and are silent
+    Then <most> connections are open, the newest ones
+    And the ingress accepts one more caller, which is answered
+
+    Examples:
+      | most | count |
+      | 16   | 17    |
+      | 16   | 40    |
+
+  Scenario: Without descriptors the ingress pauses, and accepts again behind that
+    Guards against a loop that logs each of its vain attempts to accept.
+
+    Given an ingress whose accepting fails for want of descriptors
+    When 3 callers wait to be accepted
+    And the loop runs 200 times
+    Then at most 3 attempts to accept were made
+    When descriptors are free again
+    And 1 seconds pass
+    Then 3 connections were accepted
