Notice a caller's reset while nothing of its socket is awaited

Callers that had sent much behind a running call and reset their connection were noticed only as the call ended: with neither input nor output awaited, the poller reported the hangup in each round of the loop, and nobody handled it. Their call ran on, and what was held for them stayed held (seen: 30 MB in the account behind the crowd of tests/crowds/memory.feature that has calls at work). The loop now calls a function of its own for a hangup in that state.

--- a/roadlift/core/loop.py
+++ b/roadlift/core/loop.py
@@ -46,9 +46,10 @@
 
 
 class _Watch:
-    __slots__ = ("on_read", "on_write", "mask")
+    __slots__ = ("on_hangup", "on_read", "on_write", "mask")
 
     def __init__(self) -> None:
+        self.on_hangup: Callable[[], None] | None = None
         self.on_read: Callable[[], None] | None = None
         self.on_write: Callable[[], None] | None = None
         self.mask = 0
@@ -92,8 +93,13 @@
         fileno: int,
         on_read: Callable[[], None] | None = None,
         on_write: Callable[[], None] | None = None,
+        on_hangup: Callable[[], None] | None = None,
     ) -> None:
-        """Call the functions when ``fileno`` is ready; None disables one."""
+        """Call the functions when ``fileno`` is ready; None disables one.
+
+        ``on_hangup`` is for a socket on which neither is awaited: the poller
+        reports its end all the same, again and again.
+        """
         watch = self._watches.get(fileno)
         mask = (_READ if on_read else 0) | (_WRITE if on_write else 0)
         if watch is None:
@@ -104,6 +110,7 @@
         watch.mask = mask
         watch.on_read = on_read
         watch.on_write = on_write
+        watch.on_hangup = on_hangup
 
     def unwatch(self, fileno: int) -> None:
         """Stop watching ``fileno``; does nothing if it is not watched."""
@@ -158,6 +165,9 @@
         if watch is None:
             super()._process(fileno, event)
             return
+        if event & _HANGUP and watch.on_hangup and not watch.mask:
+            _call(watch.on_hangup)
+            return
         if event & (_READ | _HANGUP) and watch.on_read:
             _call(watch.on_read)
         if event & (_WRITE | _HANGUP) and watch.on_write:
--- a/roadlift/http/connection.py
+++ b/roadlift/http/connection.py
@@ -478,7 +478,8 @@
         """Update which socket events are watched."""
         on_read = None if self._is_input_full else self._on_readable
         on_write = None if self._outbox.is_empty else self._on_writable
-        self._loop.watch(self._socket.fileno(), on_read, on_write)
+        fileno = self._socket.fileno()
+        self._loop.watch(fileno, on_read, on_write, self._handle_disconnect)
 
     def _on_writable(self) -> None:
         if self._socket is None:
