Refuse a JSON body for whose values there is no room

Callers of the interface openai saw: an instance that ran out of memory under a few bodies inside the limit that held millions of empty lists.

Cause: the body is parsed, and its objects take twenty times its bytes. The limit, and the account, counted its bytes.

Why it works: before it parses, the gateway estimates from the separators what the values take at most, asks the account for room, and refuses: for good (413) where the machine never has it, else as not run (503). The exchange holds that amount until it ends, and the body as well where a call with an idempotency key goes on without its caller.

--- a/roadlift/daemon/exchange.py
+++ b/roadlift/daemon/exchange.py
@@ -29,8 +29,11 @@
 from roadlift.daemon.pins import Pins
 from roadlift.daemon.rests import Rests
 from roadlift.daemon.resumption import Resumption, is_final
+from roadlift.decisions.jsonsize import estimate_parsed_size
+from roadlift.decisions.yielding import Holding
 from roadlift.endpoints.api import engine_apis
 from roadlift.endpoints.events import EventFrames
+from roadlift.http.holdings import Callers
 from roadlift.http.messages import parse_retry_after
 from roadlift.idempotency.claims import (
     Claim,
@@ -91,6 +94,7 @@
         self._bundles = kernel.get(Bundles)
         self._metrics = kernel.get(Metrics)
         self._calls = kernel.get(Calls)
+        self._callers = kernel.get(Callers)
         self._rests = kernel.get(Rests)
         self._service = self._bundles.bundle.get_service(call.service)
         self._claim: Claim | None = None
@@ -106,6 +110,7 @@
         self._tries = 0
         self._doubt: RoadliftError | None = None
         self._is_over = False
+        self._held = 0
         self._began_at = kernel.clock.now()
         self._first_byte_at: float | None = None
         self._stall = 0.0
@@ -116,6 +121,7 @@
 
     def start(self) -> None:
         """Begin, with the claim where the call has a key."""
+        self._hold(estimate_parsed_size(self.call.body) if self.call.content else 0)
         self._metrics.count("requests")
         self._calls.budget.earn()
         if not self.call.key:
@@ -359,6 +365,8 @@
         if self._is_over:
             return
         if self._claim is not None:
+            # What was held for the connection is held for the call alone now.
+            self._hold(self._held + len(self.call.body))
             # A closed connection no longer reports that it has drained.
             self._on_drained()
             return
@@ -378,9 +386,21 @@
         self._is_over = True
         self._note_burn(error)
         self._gateway.finish(self)
+        self._callers.remove(self)
         # Others may still refer to the exchange.
         self.call = self.call._replace(body=b"", content={})
 
+    def _hold(self, size: int) -> None:
+        """Account for bytes that are held beside the caller's connection."""
+        self._held = size
+        self._callers.change(self, size, size)
+
+    def find_holding(self, now: float) -> None:
+        """Return nothing: a call does not yield."""
+
+    def yield_holding(self, holding: Holding) -> None:
+        """Do nothing; see ``find_holding``."""
+
     def _note_burn(self, error: RoadliftError | None) -> None:
         if self._service is None:
             return
--- a/roadlift/daemon/gateway.py
+++ b/roadlift/daemon/gateway.py
@@ -6,8 +6,10 @@
 from roadlift.core.errors import (
     Draining,
     InvalidRequest,
+    MemoryFull,
     NoBundle,
     Overloaded,
+    RequestTooLarge,
     RoadliftError,
     UnknownModel,
     UnknownPath,
@@ -18,6 +20,9 @@
 from roadlift.daemon.bundles import Bundles
 from roadlift.daemon.exchange import Call, EngineExchange, Exchange, ServiceExchange
 from roadlift.daemon.status import Status
+from roadlift.decisions.jsonsize import estimate_parsed_size
+from roadlift.http.connection import RETRY_DELAY
+from roadlift.http.holdings import REFUSED, Callers
 from roadlift.http.messages import ReceivedRequest
 from roadlift.policy.admission import Admission, AdmissionLimits
 from roadlift.relay.caller import Caller
@@ -36,11 +41,21 @@
     """What takes callers' requests, apart from the sockets."""
 
     name = "gateway"
-    needs = ("bundles", "calls", "metrics", "owners", "pins", "rests", "status")
+    needs = (
+        "bundles",
+        "calls",
+        Callers.name,
+        "metrics",
+        "owners",
+        "pins",
+        "rests",
+        "status",
+    )
 
     def __init__(self, kernel: Kernel) -> None:
         self._kernel = kernel
         self._settings = kernel.settings
+        self._callers = kernel.get(Callers)
         self._bundles = kernel.get(Bundles)
         self._status = kernel.get(Status)
         self._exchanges: set[Exchange] = set()
@@ -102,6 +117,7 @@
     def _read_engine_call(self, request: ReceivedRequest, body: bytes) -> Call:
         if request.method != "POST":
             raise InvalidRequest(f"{request.path} takes POST, not {request.method}")
+        self._check_size(body)
         content = _read_object(body)
         name = content.get("model")
         if not isinstance(name, str):
@@ -118,6 +134,15 @@
         key = _read_key(request)
         return Call("POST", request.path, {}, body, service, key, True, name, content)
 
+    def _check_size(self, body: bytes) -> None:
+        """Refuse a body for whose values there is no room, now or ever."""
+        size = estimate_parsed_size(body)
+        if size > self._callers.limits.large:
+            raise RequestTooLarge(f"{size} bytes once it is read")
+        if not self._callers.can_begin(size, size):
+            self._callers.record(REFUSED)
+            raise MemoryFull("no room for what the body holds", RETRY_DELAY)
+
     def _read_service_call(self, request: ReceivedRequest, body: bytes) -> Call:
         service, _, path = request.path[len(SERVICE_PREFIX) :].partition("/")
         if self._bundles.bundle.get_service(service) is None:
--- a/tests/crowds/memory.feature
+++ b/tests/crowds/memory.feature
@@ -41,6 +41,10 @@
       | routes    | the front         | 150   | whole bodies of 4 MB, for no route              |
       | openai    | the front         | 90    | whole bodies of 8 MB, for a service             |
 
+    Examples: Bodies that take much more once they are read
+      | interface | where             | count | what                                            |
+      | openai    | the front         | 12    | 8 MB of empty lists                             |
+
     Examples: Requests in a row, and answers that nobody reads
       | interface | where             | count | what                                            |
       | routes    | the front         | 500   | 4000 small requests in a row                    |
--- a/tests/steps/crowd_steps.py
+++ b/tests/steps/crowd_steps.py
@@ -18,6 +18,7 @@
     send_behind,
     send_chunks,
     send_length,
+    send_lists,
     send_row,
     send_short_fields,
     send_trailer,
@@ -73,6 +74,10 @@
         r"calls for answers of 3 MB that are not read",
         lambda path: ask_unread("/kept/large", ID),
     ),
+    (
+        r"(\d+) MB of empty lists",
+        lambda path, total: send_lists(path, total * LIMIT, ID),
+    ),
     (r"nothing", lambda path: Sent(())),
 )  # What clients send, and how it is written for a path.
 
--- a/tests/support/crowds.py
+++ b/tests/support/crowds.py
@@ -20,6 +20,7 @@
 PIECE = 65536  # Bytes that a client hands to its socket at once.
 SMALL_BUFFER = 4096  # Bytes that the socket of one that reads nothing keeps.
 TEXT = b"y"
+LIST = b",[]"
 CLIENT = b"crowd%05d"  # In what a client sends, its own name.
 
 
@@ -71,6 +72,15 @@
     return Sent(((head, 1), (TEXT, total - missing)))
 
 
+def send_lists(path: str, total: int, *fields: str) -> Sent:
+    """Send a whole body in JSON that is made of empty lists."""
+    begin, end = b'{"model": "ad-00000@1", "prompt": [[]', b"]}"
+    times = (total - len(begin) - len(end)) // len(LIST)
+    length = len(begin) + times * len(LIST) + len(end)
+    head = write_head(path, f"Content-Length: {length}", *fields)
+    return Sent(((head + begin, 1), (LIST, times), (end, 1)))
+
+
 def send_short_fields(path: str, total: int) -> Sent:
     """Send a head of very short fields that does not end."""
     field = b"%c%c:\r\n"
