Let the soak's callers misbehave now and then

Crowds of 5 to 40 clients send bodies and trailers that do not end, whole bodies, rows of requests and heads of short fields, ask for answers that they never read, or are silent, each in a form that is drawn, and leave. The instances have machines of 200 MB; more resident memory is a violation, and so is a call of theirs that was refused and has run.

--- a/benchmarks/routes.py
+++ b/benchmarks/routes.py
@@ -29,6 +29,7 @@
 from benchmarks.deadlycalls import DeadlyCalls
 from benchmarks.organisations import REVOKE_LIMIT, SETTINGS, KeyRing
 from benchmarks.restarts import Restarts
+from benchmarks.roughcallers import MACHINE, RoughCallers
 from benchmarks.runchecks import CALM, Cut, Notes, RunChecks, Watches
 from benchmarks.runnerfaults import SOFTWARE, RunnerFaults
 from benchmarks.silences import Silences
@@ -112,6 +113,7 @@
         )
         slow_draw = random.Random(f"slow {seed}")
         self._slow_callers = SlowCallers(slow_draw, self, self.keys.get_safe)
+        self._rough_callers = RoughCallers(random.Random(f"rough {seed}"), self)
 
     async def run(self, seconds: float) -> None:
         """Run callers and faults for some seconds, then look at the rest."""
@@ -123,6 +125,7 @@
         callers = [self._run_caller(mix) for mix in mixes]
         callers += [self._takeups.run(self.is_over) for _ in range(TAKERS)]
         callers += [self._slow_callers.run(self.is_over) for _ in range(SLOW_CALLERS)]
+        callers.append(self._rough_callers.run(self.is_over))
         watches = (self._watch_routes(), self._watch_processes())
         silences = self._silences.run(self._end - CALM)
         await asyncio.gather(*callers, self._run_faults(), silences, *watches)
@@ -502,6 +505,7 @@
                 if has_ended and name not in self._away | set(self._leaving_at):
                     self.note("own_end", f"{name} {process.child.returncode}")
                     process.start()
+                self._rough_callers.note_memory(name, process)
             await asyncio.sleep(0.5)
 
     async def _watch_routes(self) -> None:
@@ -564,7 +568,12 @@
     def checks(self) -> RunChecks:
         """Return what compares callers' answers with the runners' notes."""
         watches = Watches(
-            self.keys, self._streams, self._silences, self._takeups, self._slow_callers
+            self.keys,
+            self._streams,
+            self._silences,
+            self._takeups,
+            self._slow_callers,
+            self._rough_callers,
         )
         return RunChecks(self.notes, watches)
 
@@ -578,7 +587,7 @@
     only: list[str],
 ) -> dict:
     """Run the soak in a folder and return its summary."""
-    deployment = Deployment(folder, instances, rule, SETTINGS)
+    deployment = Deployment(folder, instances, rule, SETTINGS, MACHINE)
     soak = Soak(deployment, seed)
     soak.only = only
     deployment.tenants = soak.keys.describe()
--- a/benchmarks/runchecks.py
+++ b/benchmarks/runchecks.py
@@ -6,6 +6,7 @@
 
 from benchmarks.organisations import KeyRing
 from benchmarks.restarts import list_breaches
+from benchmarks.roughcallers import RoughCallers
 from benchmarks.silences import Silences
 from benchmarks.slowcallers import SlowCallers
 from benchmarks.streams import CALL_LIMIT, StreamWatch
@@ -56,6 +57,7 @@
     "two_versions",
     "events_out_of_order",
     "own_end",
+    "over_memory",
     "no_recovery",
 )
 _REPEATABLE = ("idem", "again", "home", "slow_again")
@@ -110,6 +112,7 @@
     silences: Silences
     takeups: TakeUps
     slow_callers: SlowCallers
+    rough_callers: RoughCallers
 
 
 class RunChecks:
@@ -135,6 +138,9 @@
         for breach in self._watches.slow_callers.check(runs, spoiled):
             self._notes.add(breach.rule, breach.detail)
         self._notes.counts.update(self._watches.slow_callers.counts)
+        for breach in self._watches.rough_callers.check(runs):
+            self._notes.add(breach.rule, breach.detail)
+        self._notes.counts.update(self._watches.rough_callers.counts)
         for breach, after in self._watches.streams.check(found):
             self._notes.add(breach.rule, breach.detail, after)
         self._notes.counts.update(self._watches.silences.counts)
