Count what the lists in a head take once they are read

Callers saw: an instance that ran out of memory under calls at work whose heads list some thousand parts of their prompts.

Cause: each part becomes an object, and an identity, for as long as the call runs; the account counted the bytes of the head.

--- a/roadlift/http/parser.py
+++ b/roadlift/http/parser.py
@@ -28,6 +28,7 @@
 # fields takes: the mapping, and two strings.
 REQUEST_COST = 1024
 FIELD_COST = 160
+ITEM_COST = 160  # Bytes of an item in a field that lists some, once it is read.
 GROWTH = 1.125  # Memory of a body that grows, as a part of its bytes.
 
 
@@ -98,6 +99,10 @@
         head = 2 * self._head_bytes + FIELD_COST * len(self._headers)
         return REQUEST_COST + head + int(GROWTH * self._body_bytes)
 
+    def _count_items(self) -> int:
+        """Return the number of items that fields list, with commas."""
+        return sum(value.count(",") for value in self._headers.values())
+
     def close(self) -> None:
         """Drop everything; nothing is parsed any more.
 
@@ -196,7 +201,7 @@
         connection = self._headers.get("connection", "")
         version = self._parser.get_http_version()
         keep_alive = version == "1.1" and not has_token(connection, "close")
-        size = self._measure_request()
+        size = self._measure_request() + ITEM_COST * self._count_items()
         body, self._body = bytes(self._body), b""
         received = ReceivedRequest(self._method, target, self._headers, body)
         self.requests.append(ParsedRequest(received, version, keep_alive, size))
--- a/tests/crowds/memory.feature
+++ b/tests/crowds/memory.feature
@@ -44,6 +44,7 @@
     Examples: Bodies that take much more once they are read
       | interface | where             | count | what                                            |
       | openai    | the front         | 12    | 8 MB of empty lists                             |
+      | routes    | the front         | 1500  | calls at work whose prompts have 4000 parts     |
 
     Examples: Requests in a row, and answers that nobody reads
       | interface | where             | count | what                                            |
--- a/tests/steps/crowd_steps.py
+++ b/tests/steps/crowd_steps.py
@@ -78,6 +78,12 @@
         r"(\d+) MB of empty lists",
         lambda path, total: send_lists(path, total * LIMIT, ID),
     ),
+    (
+        r"calls at work whose prompts have (\d+) parts",
+        lambda path, count: send_row(
+            _WAITING, 1, ID, f"Prompt-Prefix: {','.join(['a:1'] * count)}"
+        ),
+    ),
     (r"nothing", lambda path: Sent(())),
 )  # What clients send, and how it is written for a path.
 
