--- a/roadlift/core/events.py
+++ b/roadlift/core/events.py
@@ -496,4 +496,18 @@
         "Nothing listens at an endpoint that cut calls, and no other one is reached "
         "from here either, so that its end is not counted.",
     ),
+    Event(
+        "holdings",
+        "holding_limits",
+        ("total", "large", "connections"),
+        "What may be held for callers: bytes in all, bytes of large calls, and "
+        "connections. They follow from the machine's memory and descriptors.",
+    ),
+    Event(
+        "holdings",
+        "callers_yielded",
+        ("reasons", "held", "most", "connections"),
+        "Callers were refused or cut for want of memory or descriptors since the last "
+        "such line, by what they had; held bytes of most. One line in 10 s at most.",
+    ),
 )
--- a/roadlift/http/holdings.py
+++ b/roadlift/http/holdings.py
@@ -165,7 +165,12 @@
 
     def start(self) -> None:
         """Log the limits."""
-        log.event("holding_limits", **self.limits._asdict())
+        log.event(
+            "holding_limits",
+            total=self.limits.total,
+            large=self.limits.large,
+            connections=self.limits.connections,
+        )
 
     def close(self) -> None:
         """Do nothing; connections return what is held for them."""
--- a/roadlift/http/server.py
+++ b/roadlift/http/server.py
@@ -25,6 +25,7 @@
 # Of the connections, what is closed at once where there are too many.
 YIELDING_PART = 1 / 32
 ACCEPT_PAUSE = 0.25  # Seconds without accepting, where no descriptor is left.
+WARNING_INTERVAL = 10.0  # Seconds between two log lines on that.
 MAX_ACCEPTED_AT_ONCE = 64  # Connections accepted per event-loop iteration.
 SWEEP_INTERVAL = 0.25  # Seconds between checks of the timeouts.
 
@@ -50,6 +51,7 @@
         self._max_connections = max_connections or self._holdings.limits.connections
         self._socket: socket.socket | None = None
         self._timer = None
+        self._warned_at = float("-inf")
         self.limits = limits
         self.is_draining = False
         self.connections: set[Connection] = set()
@@ -158,7 +160,10 @@
 
         Without a pause the loop would call again at once, and for ever.
         """
-        log.warning("Could not accept a connection: %s.", error)
+        now = self._loop.clock.now()
+        if now - self._warned_at >= WARNING_INTERVAL:
+            self._warned_at = now
+            log.warning("Could not accept connections: %s.", error)
         self._close_unused()
         self._loop.unwatch(self._socket.fileno())
         self._loop.call_later(ACCEPT_PAUSE, self._resume_accepting)
