--- a/roadlift/http/connection.py
+++ b/roadlift/http/connection.py
@@ -10,6 +10,7 @@
 from roadlift.core.loop import Loop
 from roadlift.decisions.yielding import Holding, Stage, judge_answer, judge_upload
 from roadlift.http.errors import encode_error, format_seconds
+from roadlift.http.framing import AnswerFraming
 from roadlift.http.holdings import REFUSED, Holdings
 from roadlift.http.intake import Intake
 from roadlift.http.messages import HttpLimits, ReceivedRequest, get_reason_phrase
@@ -31,7 +32,6 @@
 # Closing a socket with unread input sends a reset, which can destroy the last
 # answer before the caller has read it.
 LINGER_TIMEOUT = 1.0
-_BODILESS = (204, 304)
 
 
 class ConnectionState(enum.Enum):
@@ -88,11 +88,8 @@
         self._is_answering = False
         self._is_finishing = False
         self._is_lingering = False
-        self._is_chunked = False
-        self._is_bodiless = False
+        self._framing = AnswerFraming()
         self._keep_alive = True
-        self._method = ""
-        self._version = "1.1"
         self.is_draining = False
         self.started = False
         self.on_gone: Callable[[], None] | None = None
@@ -145,34 +142,19 @@
     ) -> None:
         """Write the status line and headers; without a length, use chunks."""
         self.started = True
-        self._is_bodiless = self._method == "HEAD" or status in _BODILESS
-        self._is_chunked = length is None and self._version == "1.1"
-        lines = [f"HTTP/1.1 {status} {get_reason_phrase(status)}"]
-        lines += [f"{name}: {value}" for name, value in headers.items()]
-        if length is not None:
-            if status not in _BODILESS:
-                lines.append(f"Content-Length: {length}")
-        elif self._is_chunked:
-            lines.append("Transfer-Encoding: chunked")
-        else:
-            self._keep_alive = False
+        self._framing.choose(status, length)
+        self._keep_alive = self._keep_alive and not self._framing.ends_with_close
         self._keep_alive = self._keep_alive and not self._is_last_answer()
-        if not self._keep_alive:
-            lines.append("Connection: close")
-        self._send("\r\n".join([*lines, "", ""]).encode("latin-1"))
+        head = self._framing.encode_head(status, headers, length, self._keep_alive)
+        self._send(head)
 
     def write(self, data: bytes) -> None:
         """Write body bytes, as one chunk if the answer is chunked."""
-        if not data or self._is_bodiless:
-            return
-        if self._is_chunked:
-            data = b"%x\r\n%b\r\n" % (len(data), data)
-        self._send(data)
+        self._send(self._framing.encode_body(data))
 
     def finish(self) -> None:
         """Complete the answer, and continue with the next request."""
-        if self._is_chunked and not self._is_bodiless:
-            self._send(b"0\r\n\r\n")
+        self._send(self._framing.encode_end())
         # The head may have been written before draining began.
         self._keep_alive = self._keep_alive and not self._is_last_answer()
         self._is_finishing = True
@@ -191,8 +173,7 @@
     def answer(self, status: int, headers: Mapping[str, str], body: bytes) -> None:
         """Write a complete answer at once."""
         self.write_head(status, headers, len(body))
-        if body and not self._is_bodiless:
-            self._send(body)
+        self.write(body)
         self.finish()
 
     def answer_error(self, error: RoadliftError, headers: Mapping[str, str]) -> None:
@@ -209,13 +190,13 @@
                 head.setdefault("Retry-After", format_seconds(error.retry_after))
             self.answer(error.status, head, body)
             return
-        if self._is_chunked:
+        if self._framing.is_chunked:
             self.write(b"event: error\ndata: " + body + b"\n\n")
         self.truncate()
 
     def truncate(self) -> None:
         """Close after the written bytes, leaving the answer truncated."""
-        if self._version != "1.1":
+        if self._framing.version != "1.1":
             # An HTTP/1.0 caller takes an orderly close for a complete answer.
             self.reset()
             return
@@ -418,8 +399,7 @@
         self._is_answering = True
         self.started = False
         self._keep_alive = parsed.keep_alive
-        self._version = parsed.version
-        self._method = parsed.received.method
+        self._framing = AnswerFraming(parsed.received.method, parsed.version)
         self._running_size = CALL_COST + CALL_COPIES * parsed.size
         self._measure()
         if self._holdings.can_begin(self._running_size):
@@ -435,8 +415,7 @@
         self._is_answering = True
         self.started = False
         self._keep_alive = False
-        self._method = ""
-        self._version = "1.1"
+        self._framing = AnswerFraming()
         self.on_gone = self.on_drained = None
         self._running_size = 0
         self._drops_input = True
@@ -455,7 +434,7 @@
     # Writing.
 
     def _send(self, data: bytes) -> None:
-        if self._socket is None or self._is_lingering:
+        if self._socket is None or self._is_lingering or not data:
             return
         was_empty = self._outbox.is_empty
         self._outbox.add(data)
--- a/standins/loopback.py
+++ b/standins/loopback.py
@@ -72,7 +72,7 @@
         """Begin an answer in chunks, or one that ends with its connection."""
         if "transfer-encoding" not in headers:
             # An answer to HTTP/1.0 has no chunks.
-            self._caller._version = "1.0"
+            self._caller._framing.version = "1.0"
         self._caller.write_head(status, _drop_own(headers), None)
 
     def receive_body(self, data: bytes) -> None:
