Check what is held for a call that goes on without its caller

A call of the interface openai with an idempotency key runs on as its caller leaves; its connection's share of the account is returned by then.

--- a/tests/daemon/keys.feature
+++ b/tests/daemon/keys.feature
@@ -14,6 +14,20 @@
       | amid the run       |
       | after the answer   |
 
+  Scenario Outline: What is held for a call with a key whose caller left <moment>
+    Guards against bodies that nobody accounts for, as their connections are closed.
+
+    Given a deployment of 1 zone with 2 instances and 1 fencing engine
+    When a call with a key loses its caller <moment>
+    Then bytes are held for callers at its instance: <held>
+    When the call has had time to end
+    Then bytes are held for callers at its instance: no
+
+    Examples:
+      | moment           | held |
+      | amid the run     | yes  |
+      | after the answer | no   |
+
   Scenario Outline: A call that ran once is not told "not run" by a later try
     Given a deployment of 1 zone with 1 instances and 1 <kind> engine
     When a call without a key meets a restart amid its run and then no load ends
--- a/tests/steps/key_steps.py
+++ b/tests/steps/key_steps.py
@@ -2,6 +2,8 @@
 
 from behave import then, when
 
+from roadlift.http.holdings import Callers
+
 KEY = {"Idempotency-Key": "key-1"}
 MODEL = "m3@1"
 
@@ -104,3 +106,16 @@
     error = context.caller.error
     assert error is not None and not context.caller.is_whole
     assert (error.code, str(error.outcome)) == (code, outcome), error
+
+
+@when("the call has had time to end")
+def step_end(context):
+    """Let the engine end its run."""
+    context.deployment.hub.advance(10.0)
+
+
+@then("bytes are held for callers at its instance: {verdict}")
+def step_held(context, verdict):
+    """Check the account of the instance that has the call."""
+    held = context.deployment.hub.kernels["entry-a0"].get(Callers).held
+    assert bool(held) == (verdict == "yes"), held
