Close no idle connection on which a request has just come

Where connections are too many, one that looks idle may have received a request that was not read yet; closing it would reset it. It is looked at before it is closed, as at a drain. The machines of the crowds' tests share their callers.

--- a/roadlift/http/server.py
+++ b/roadlift/http/server.py
@@ -3,7 +3,7 @@
 import heapq
 import socket
 from collections import Counter
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 
 from roadlift.core.errors import RoadliftError
 from roadlift.core.logs import ComponentLog
@@ -184,22 +184,31 @@
     def _close_unused(self) -> None:
         """Close the connections that were unused the longest.
 
-        Idle ones go first, then those whose request has stalled. A call that
-        runs, and an answer that is read, keeps its connection.
+        Idle ones go first, unless a request has just come, then those whose
+        request has stalled. A call that runs, and an answer that is read,
+        keeps its connection.
         """
-        count = max(1, int(len(self.connections) * YIELDING_PART))
+        idle = self._list_longest_unused(lambda one: one.is_idle)
+        for connection in idle:
+            self._holdings.record(CONNECTIONS)
+            connection.close_if_idle()
+        if idle:
+            return
         stalled_before = self._loop.clock.now() - STALL_TIME
-        idle = [one for one in self.connections if one.is_idle]
-        if not idle:
-            idle = [
-                one
-                for one in self.connections
-                if one.is_reading and one.used_at <= stalled_before
-            ]
-        for connection in heapq.nsmallest(count, idle, key=lambda one: one.used_at):
+        for connection in self._list_longest_unused(
+            lambda one: one.is_reading and one.used_at <= stalled_before
+        ):
             self._holdings.record(CONNECTIONS)
             connection.close()
 
+    def _list_longest_unused(
+        self, may_close: Callable[[Connection], bool]
+    ) -> list[Connection]:
+        """Return some connections that may be closed, by their use."""
+        count = max(1, int(len(self.connections) * YIELDING_PART))
+        found = filter(may_close, self.connections)
+        return heapq.nsmallest(count, found, key=lambda one: one.used_at)
+
     def _sweep(self) -> None:
         now = self._loop.clock.now()
         for connection in list(self.connections):
--- a/tests/support/machines.py
+++ b/tests/support/machines.py
@@ -8,7 +8,7 @@
 from typing import NamedTuple
 
 from demo.fleet import EngineSpec, Fleet, Machine, Process, make_document
-from demo.installation import ZONES, Channel, Deployment
+from demo.installation import ZONES, Answer, Channel, Deployment
 from roadlift.relay.address import Address
 from standins.sink import Run, Sink
 from tests.support.callers import Wanted, make_headers
@@ -21,6 +21,7 @@
 SETTLING = 3.0  # Seconds until an instance knows its runners.
 LISTENING = "0A"  # A state of sockets; their queues count connections.
 SINKS = ("plain", "other")  # Services, of one runner each.
+INSTANCE = "entry-0"
 MODEL = "ad-00000@1"
 
 
@@ -105,7 +106,43 @@
         return total
 
 
-class RoutesMachine:
+class SmallMachine:
+    """What machines of both interfaces share: an instance, and its callers."""
+
+    def __init__(self, folder: Path) -> None:
+        self._log = folder / f"{INSTANCE}.log"
+        self._serial = 0
+        self.addresses: dict[str, Address] = {}
+        self.watch: Watch | None = None
+
+    async def call(self) -> bool:
+        """Let an ordinary caller ask, and come back until it is served."""
+        for _ in range(TRIES):
+            self._serial += 1
+            channel = Channel(self.addresses["front"])
+            answer = await self._ask(channel)
+            channel.close()
+            if answer.status == 200 and answer.is_whole:
+                return True
+            await asyncio.sleep(PAUSE)
+        return False
+
+    async def _ask(self, channel: Channel) -> Answer:
+        """Send a small request that any instance can serve."""
+        raise NotImplementedError
+
+    def read_log(self) -> str:
+        """Return the end of the instance's log."""
+        return self._log.read_text()[-2000:]
+
+    def _start_watch(self, process: Process) -> None:
+        """Watch the instance and its listening ports."""
+        ports = [address.port for address in self.addresses.values()]
+        self.watch = Watch(process, ports, self._log)
+        self.watch.start()
+
+
+class RoutesMachine(SmallMachine):
     """One instance of the interface ``routes``, before two plain runners.
 
     The calls of a crowd that stay at work have a runner of their own: what an
@@ -113,11 +150,11 @@
     """
 
     def __init__(self, folder: Path, machine: Machine) -> None:
-        self._folder = folder
+        super().__init__(folder)
         self._deployment = _Sinks(folder, 1, machine=machine)
         self._deployment.services = dict.fromkeys(SINKS, False)
         self._deployment.add_route("/kept/", "idempotent", "other", timeoutMs=20000)
-        process = self._deployment.instances["entry-0"]
+        process = self._deployment.instances[INSTANCE]
         metrics = self._deployment.find_port("metrics")
         process.command += ["--metrics", f"127.0.0.1:{metrics}"]
         # A proxy before the store would be one of this process.
@@ -125,13 +162,10 @@
         process.command += ["--platform", f"127.0.0.1:{store}"]
         self.addresses = {
             "front": process.address,
-            "ready": self._find_address("entry-0/ready"),
+            "ready": self._find_address(f"{INSTANCE}/ready"),
             "metrics": self._find_address("metrics"),
         }
-        listening = [address.port for address in self.addresses.values()]
-        self.watch = Watch(process, listening, folder / "entry-0.log")
         self._sinks = [Sink(self._deployment.find_port(name)) for name in SINKS]
-        self._serial = 0
 
     def _find_address(self, name: str) -> Address:
         return Address("127.0.0.1", self._deployment.find_port(name))
@@ -141,13 +175,14 @@
         for sink in self._sinks:
             await sink.start()
         await asyncio.to_thread(self._deployment.start)
-        self.watch.start()
+        self._start_watch(self._deployment.instances[INSTANCE])
         await asyncio.sleep(SETTLING)
         assert await self.call(), self.read_log()
 
     def close(self) -> None:
         """End all."""
-        self.watch.close()
+        if self.watch is not None:
+            self.watch.close()
         self._deployment.close()
         for sink in self._sinks:
             sink.close()
@@ -156,22 +191,9 @@
         """Return what the runners have run."""
         return [run for sink in self._sinks for run in sink.runs]
 
-    async def call(self) -> bool:
-        """Let an ordinary caller ask, and come back until it is served."""
-        for _ in range(TRIES):
-            self._serial += 1
-            channel = Channel(self.addresses["front"])
-            headers = make_headers(Wanted(f"ordinary{self._serial}"))
-            answer = await channel.call("POST", "/idem/1", headers, b"small")
-            channel.close()
-            if answer.status == 200 and answer.is_whole:
-                return True
-            await asyncio.sleep(PAUSE)
-        return False
-
-    def read_log(self) -> str:
-        """Return the end of the instance's log."""
-        return (self._folder / "entry-0.log").read_text()[-2000:]
+    async def _ask(self, channel: Channel) -> Answer:
+        headers = make_headers(Wanted(f"ordinary{self._serial}"))
+        return await channel.call("POST", "/idem/1", headers, b"small")
 
 
 class _Sinks(Deployment):
@@ -186,14 +208,12 @@
         return Process("site", command, port, self._folder / "site.log")
 
 
-class OpenAIMachine:
+class OpenAIMachine(SmallMachine):
     """One instance of the interface ``openai``, an engine and a service."""
 
     def __init__(self, folder: Path, machine: Machine) -> None:
+        super().__init__(folder)
         self._fleet = Fleet(folder, machine=machine)
-        self._folder = folder
-        self.addresses: dict[str, Address] = {}
-        self.watch: Watch | None = None
 
     async def start(self) -> None:
         """Start all, and wait until a call is served."""
@@ -205,12 +225,10 @@
         fleet.start_platform()
         fleet.start_engine(EngineSpec("engine-1", "a", slots=8, width=256))
         fleet.start_service("labels-1", "a")
-        process = fleet.start_instance("entry-0", "a")
+        process = fleet.start_instance(INSTANCE, "a")
         fleet.roll(make_document(fleet, 8))
         self.addresses["front"] = process.address
-        log = self._folder / "entry-0.log"
-        self.watch = Watch(process, [process.address.port], log)
-        self.watch.start()
+        self._start_watch(process)
 
     def close(self) -> None:
         """End all."""
@@ -218,21 +236,9 @@
             self.watch.close()
         self._fleet.close()
 
-    async def call(self) -> bool:
-        """Let an ordinary caller ask, and come back until it is served."""
-        for _ in range(TRIES):
-            channel = Channel(self.addresses["front"])
-            body = b'{"model": "%b", "prompt": "x", "max_tokens": 2}' % MODEL.encode()
-            answer = await channel.call("POST", "/v1/completions", {}, body)
-            channel.close()
-            if answer.status == 200 and answer.is_whole:
-                return True
-            await asyncio.sleep(PAUSE)
-        return False
-
-    def read_log(self) -> str:
-        """Return the end of the instance's log."""
-        return (self._folder / "entry-0.log").read_text()[-2000:]
+    async def _ask(self, channel: Channel) -> Answer:
+        body = b'{"model": "%b", "prompt": "x", "max_tokens": 2}' % MODEL.encode()
+        return await channel.call("POST", "/v1/completions", {}, body)
 
 
 MACHINES = {"routes": RoutesMachine, "openai": OpenAIMachine}
