Let a call hear of its cut answer behind its writing

Seen by reading the diff: where an answer that is not read yields as its next bytes are written, its call was told in the middle of that, ended as cancelled, and went on to end as served: counted twice in permits and budgets. The call is told from the loop now, as of a failed write. The scenario failed before.

--- a/roadlift/http/connection.py
+++ b/roadlift/http/connection.py
@@ -277,11 +277,15 @@
         self._measure()
 
     def _cut(self) -> None:
-        """Reset a connection whose answer is not read."""
+        """Reset a connection whose answer is not read.
+
+        Its call hears of that later: it may just be writing the answer.
+        """
         on_gone = None if self._is_finishing else self.on_gone
+        self.on_gone = self.on_drained = None
         self.reset()
         if on_gone is not None:
-            on_gone()
+            self._loop.call_later(0, on_gone)
 
     # Draining.
 
--- a/tests/http/holdings.feature
+++ b/tests/http/holdings.feature
@@ -63,6 +63,14 @@
     When a small request arrives
     Then 3 calls are at work
 
+  Scenario: A call whose answer is cut as it is written hears of it behind that
+    Guards against a call that ends twice: as its caller has gone, and as it was served.
+
+    Given an ingress that may hold 400000 bytes, for requests of 60000
+    And its answers have 9000000 bytes, which callers don't read
+    When 3 callers send 10 of 10 bytes each
+    Then calls whose answers were cut heard of it once each, behind their writing
+
   Scenario Outline: An unfinished <part> of a trailer has the limit of a head
     Given an ingress
     When a body in chunks and <count> bytes of an unfinished <part> of its trailer arrive
--- a/tests/steps/holding_steps.py
+++ b/tests/steps/holding_steps.py
@@ -264,3 +264,36 @@
 def step_at_work(context, count):
     """Check how many calls the handler was given."""
     assert len(context.ingress.handler.received) == count
+
+
+class _LargeAnswers:
+    """Answers in pieces, and notes when it hears that a caller has gone."""
+
+    def __init__(self, size: int) -> None:
+        self._size = size
+        self._is_writing = False
+        self.heard: list[bool] = []  # Whether it was writing then.
+
+    def handle(self, received, caller) -> None:
+        """Write the whole answer at once."""
+        caller.on_gone = lambda: self.heard.append(self._is_writing)
+        self._is_writing = True
+        caller.write_head(200, {}, self._size)
+        caller.write(bytes(self._size))
+        self._is_writing = False
+
+
+@given("its answers have {size:d} bytes, which callers don't read")
+def step_large_answers(context, size):
+    """Let another handler answer."""
+    context.handler = _LargeAnswers(size)
+    context.ingress.server._handler = context.handler
+
+
+@then("calls whose answers were cut heard of it once each, behind their writing")
+def step_heard(context):
+    """Check when the calls heard of the cuts."""
+    context.ingress.driver.settle()
+    heard = context.handler.heard
+    assert heard and len(heard) <= len(context.sockets), heard
+    assert not any(heard), heard
