--- a/roadlift/http/holdings.py
+++ b/roadlift/http/holdings.py
@@ -27,19 +27,10 @@
 # connections are asked again where too little could yield.
 ASK_INTERVAL = 0.1
 ASK_PART = 0.03
-CONNECTIONS = "connections"  # The reason where descriptors are short.
-REFUSED = "refused"  # The reason of calls for which there is no room.
-# Every reason for which something yields, as metrics and logs name it.
-REASONS = (
-    "stalled_upload",
-    "long_upload",
-    "upload",
-    "input_behind",
-    "stalled_answer",
-    "slow_answer",
-    REFUSED,
-    CONNECTIONS,
-)
+# Reasons beside the stages that yield, as metrics and logs name them: too many
+# connections, and calls for which there is no room.
+CONNECTIONS = "connections"
+REFUSED = "refused"
 
 log = ComponentLog("holdings")
 
