Show that SIGHUP ends a process that starts

Fault: on two machines processes end by themselves three times. Disruption: the settings file changes and SIGHUP is sent (hup) 0.1 s behind the start of a process, beside planned restarts (roll_term).

--- a/review/standins2/processes.py
+++ b/review/standins2/processes.py
@@ -65,7 +65,7 @@
         self._file = folder / f"{name}.json"
         self._log = folder / f"{name}.log"
         self._child: subprocess.Popen | None = None
-        content = {
+        self._content = {
             "instance": name,
             "zone": zone,
             "zones": ",".join(zones),
@@ -77,7 +77,11 @@
             "platform": f"127.0.0.1:{self.store_port}",
             **BOUNDS,
         }
-        self._file.write_text(json.dumps(content))
+        self.write_settings()
+
+    def write_settings(self) -> None:
+        """Write the settings file, anew if it is there."""
+        self._file.write_text(json.dumps(self._content))
 
     def start(self) -> None:
         """Start the process; its output goes to a file."""
