Show that a resumed stream is joined from two software versions

Disruption: engines start again under the ids that they had, with newer software, one after the other (release, 0.4 s apart, away for 0.3 s each).

--- a/review/standins2/processes.py
+++ b/review/standins2/processes.py
@@ -205,3 +205,26 @@
             return True
         await asyncio.sleep(0.1)
     return False
+
+
+def describe_streams(version: int, service: str) -> dict:
+    """Return a configuration with a route of streams that may be resumed."""
+    route = NAMES["route"]
+    content = describe_configuration(version, service)
+    content[NAMES["services"]][0]["engine"] = NAMES["engine"]
+    content["routes"].append(
+        {
+            "name": "tale",
+            "host": "review.example",
+            route["prefix"]: "/tale/",
+            "kind": NAMES["kind_of_streams"],
+            NAMES["may_resume"]: True,
+            NAMES["pause"]: 400,
+            route["timeout"]: 6000,
+            route["objective"]: 1000,
+            route["service"]: service,
+            "priority": 0,
+            "attempts": 2,
+        }
+    )
+    return content
--- a/review/standins2/runners.py
+++ b/review/standins2/runners.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+import time
 from typing import NamedTuple
 
 from store import Store
@@ -41,6 +42,9 @@
         self._beating: asyncio.Task | None = None
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
+        # Seconds by which the time of day is off on the runner's machine, or
+        # None where its entry tells no start.
+        self.clock_error: float | None = None
         self.name = name
         self.zone = zone
         self.arrivals: list[Arrival] = []
@@ -48,6 +52,9 @@
 
     async def start(self) -> None:
         """Listen, and register."""
+        self._entry["state"] = "ready"
+        if self.clock_error is not None:
+            self._entry["born"] = int((time.time() + self.clock_error) * 1000)
         self._server = await asyncio.start_server(
             self._serve, "127.0.0.1", self._port, reuse_address=True
         )
@@ -65,6 +72,14 @@
         await self._store.put("servers", self.name, None)
         return now()
 
+    async def drain(self) -> float:
+        """Report that it drains; return when the store took the report."""
+        self._beating.cancel()
+        self._entry["state"] = "draining"
+        entry = {**self._entry, "seq": next(self._beats)}
+        await self._store.put("servers", self.name, entry)
+        return now()
+
     def end(self) -> None:
         """End: reset what is open, and refuse new connections."""
         if self._beating is not None:
--- a/review/standins2/wire.py
+++ b/review/standins2/wire.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import time
+from collections.abc import Callable
 from pathlib import Path
 from typing import NamedTuple
 
@@ -23,8 +24,13 @@
     return time.monotonic()
 
 
-async def read_message(reader: asyncio.StreamReader) -> Message:
-    """Read a message whose body has a length, chunks or nothing."""
+async def read_message(
+    reader: asyncio.StreamReader, keep: Callable[[bytes], None] = lambda data: None
+) -> Message:
+    """Read a message whose body has a length, chunks or nothing.
+
+    ``keep`` gets each chunk as it comes: the answer may be cut behind it.
+    """
     head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
     first, *lines = head.rstrip("\r\n").split("\r\n")
     pairs = (line.split(":", 1) for line in lines)
@@ -39,6 +45,7 @@
         if not size:
             return Message(first, headers, body)
         body += data[:-2]
+        keep(data[:-2])
 
 
 def encode_answer(status: int, headers: dict[str, str], body: bytes) -> bytes:
